Lay out libraries, shared types and checks

The project needs one set of types and checks before its parts are written in parallel: otherwise each part would define its own errors, keys and configuration.

--- /dev/null
+++ b/include/dragonflysill/platform/store.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "dragonflysill/base/keyupdate.h"
+#include "dragonflysill/base/result.h"
+#include "dragonflysill/platform/storetypes.h"
+
+#include <functional>
+#include <span>
+#include <string_view>
+
+namespace dragonflysill {
+
+/**
+ * The platform's key-value service as the adapters use it. StoreClient implements it over HTTP;
+ * tests implement it in memory. All calls block; they are thread-safe.
+ *
+ * Errors: StoreUnavailable if the request certainly did not take effect, OutcomeUnknown if a write
+ * may have taken effect, Corrupt if the answer could not be decoded.
+ */
+class Store
+{
+public:
+    virtual ~Store() = default;
+
+    /** Reads keys at the newest revision. */
+    virtual Result<RangeResult> range(const RangeOperation &operation) = 0;
+
+    /** Executes a transaction. */
+    virtual Result<TransactionResult> commit(const Transaction &transaction) = 0;
+
+    /** Creates a lease that expires after @p ttlSeconds without renewal. */
+    virtual Result<Lease> grantLease(std::int64_t ttlSeconds) = 0;
+
+    /** Renews a lease; LeaseLost if it has expired. */
+    virtual Result<Lease> renewLease(LeaseId id) = 0;
+
+    /** Revokes a lease and deletes the keys attached to it. */
+    virtual Result<Done> revokeLease(LeaseId id) = 0;
+
+    /**
+     * Receives a batch of updates and the revision up to which the watch is complete. Returns false
+     * to end the watch.
+     */
+    using WatchHandler
+            = std::function<bool(std::span<const KeyUpdate> updates, std::int64_t revision)>;
+
+    /**
+     * Watches all keys with a prefix, from @p startRevision on. Blocks until the handler returns
+     * false or the stream ends. The handler is also called with no updates at least once a second,
+     * so that the caller can end the watch.
+     * @return Done after the handler ended it; Compacted, StoreUnavailable or Corrupt otherwise
+     */
+    virtual Result<Done> watch(std::string_view prefix, std::int64_t startRevision,
+                               const WatchHandler &handler)
+            = 0;
+};
+
+} // namespace dragonflysill
--- /dev/null
+++ b/include/dragonflysill/telemetry/log.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace dragonflysill {
+
+/** A field of a log line. */
+using LogField = std::pair<std::string_view, std::string>;
+
+/**
+ * Starts structured logging: one JSON object a line on standard error.
+ * @param process the name of this process, part of every line
+ * @param level "debug", "info", "warning" or "error"
+ */
+void startLogging(std::string_view process, const std::string &level);
+
+/** Logs a change of state. Counters, not lines, are for everything that happens per request. */
+void logState(std::string_view event, std::initializer_list<LogField> fields = {});
+
+/** Logs a change of state that an operator should look at. */
+void logWarning(std::string_view event, std::initializer_list<LogField> fields = {});
+
+} // namespace dragonflysill
--- /dev/null
+++ b/include/dragonflysill/telemetry/settings.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <CLI/CLI.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflysill {
+
+/**
+ * The settings of a program. Every setting is a flag and an environment variable: "--listen" is
+ * also DRAGONFLYSILL_LISTEN; the flag goes first. Adds --version and --check-settings, which
+ * validates the settings and prints the effective ones.
+ */
+class Settings
+{
+public:
+    /**
+     * @param program the program's name
+     * @param description one sentence for --help
+     * @param version the program's version
+     */
+    Settings(std::string program, const std::string &description, const std::string &version);
+
+    /**
+     * Adds a setting whose default is the variable's current value.
+     * @param name the flag without dashes, for example "listen"
+     * @param variable where the value goes; it must outlive parse()
+     * @param help what it does, with its unit
+     * @return the CLI11 option, for further checks
+     */
+    template <typename T>
+    CLI::Option *add(std::string_view name, T &variable, const std::string &help)
+    {
+        CLI::Option *option = m_app->add_option("--" + std::string(name), variable, help);
+        option->capture_default_str()->envname(environmentName(name));
+        m_options.emplace_back(std::string(name), option);
+        return option;
+    }
+
+    /** Adds a setting that must be given and must be an IP address and port. */
+    CLI::Option *addAddress(std::string_view name, std::string &variable, const std::string &help);
+
+    /**
+     * Parses the command line and the environment.
+     * @return nothing if the program shall run, otherwise the exit code to end with
+     */
+    std::optional<int> parse(int argc, const char *const *argv);
+
+    /** Gives access to CLI11, for subcommands. */
+    CLI::App &app() { return *m_app; }
+
+    /** Returns the environment variable of a flag. */
+    static std::string environmentName(std::string_view name);
+
+private:
+    void printEffective() const;
+
+    std::unique_ptr<CLI::App> m_app;
+    std::vector<std::pair<std::string, CLI::Option *>> m_options;
+    bool m_checkOnly = false;
+};
+
+/** An IP address and port in text form, for example "127.0.0.1:8080". */
+struct Endpoint
+{
+    std::string host;
+    int port = 0;
+
+    /** Parses "IP:PORT"; returns nothing if the text has another form. */
+    static std::optional<Endpoint> parse(std::string_view text);
+};
+
+} // namespace dragonflysill
--- /dev/null
+++ b/include/dragonflysill/zones/sharedview.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "dragonflysill/zones/view.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <vector>
+
+namespace dragonflysill {
+
+/** Holds the newest view of a process. Thread-safe; its lock is the first in the lock order. */
+class SharedView
+{
+public:
+    SharedView();
+
+    /** Returns the newest view; never null. */
+    [[nodiscard]] ViewPointer get() const;
+
+    /** Installs a view. An older revision than the held one is ignored. */
+    void set(ViewPointer view);
+
+    /** Waits until a view with at least the revision is held; returns false after the timeout. */
+    bool waitFor(std::int64_t revision, std::chrono::milliseconds timeout) const;
+
+    /**
+     * Registers a function that is called after each newer view, in the thread that installed it
+     * and without a lock held. All functions must be registered before the first set().
+     */
+    void onChange(std::function<void(const ViewPointer &)> function);
+
+private:
+    mutable std::mutex m_mutex;
+    mutable std::condition_variable m_changed;
+    ViewPointer m_view;
+    std::vector<std::function<void(const ViewPointer &)>> m_functions;
+};
+
+} // namespace dragonflysill
--- /dev/null
+++ b/include/dragonflysill/zones/view.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "dragonflysill/base/keyupdate.h"
+#include "dragonflysill/base/result.h"
+#include "dragonflysill/contracts/configuration.h"
+#include "dragonflysill/machines/instancerecord.h"
+#include "dragonflysill/zones/member.h"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+
+namespace dragonflysill {
+
+/** An immutable snapshot of what the system knows: configuration, instance records, members. */
+struct View
+{
+    std::int64_t revision = 0; ///< The store's revision that the view reflects.
+    Configuration configuration;
+    ByName<InstanceRecord> instances;
+    ByName<Member> members; ///< Control processes whose lease is alive.
+    ByName<Member> entries; ///< Registered entry processes; outlive their control's lease.
+};
+
+using ViewPointer = std::shared_ptr<const View>;
+
+/**
+ * Builds views from updates of the store and keeps the raw key values, from which a full state for
+ * another process is made. It never goes back: an update set that ends at a lower revision, or that
+ * would lower the ticket number, is refused. Not thread-safe; the owner guards it.
+ */
+class ViewBuilder
+{
+public:
+    ViewBuilder();
+
+    /**
+     * Applies changed keys. A key outside the view's prefixes is ignored. A value that cannot be
+     * decoded is counted and skipped, and the key keeps its last good value.
+     * @param updates the changes, in any order; of two for one key the higher revision counts
+     * @param revision the revision up to which the updates are complete
+     * @return the new view, or StoreRegressed, which leaves the view as it was
+     */
+    Result<ViewPointer> apply(std::span<const KeyUpdate> updates, std::int64_t revision);
+
+    /**
+     * Replaces the state by a full one; keys that are missing from it are removed.
+     * @return the new view, or StoreRegressed, which leaves the view as it was
+     */
+    Result<ViewPointer> replace(std::span<const KeyUpdate> updates, std::int64_t revision);
+
+    /** Returns the current view; never null. */
+    [[nodiscard]] ViewPointer view() const { return m_view; }
+
+    /** Returns the raw state, for a full-state message. */
+    [[nodiscard]] std::vector<KeyUpdate> fullState() const;
+
+    /** Returns the number of values that could not be decoded. */
+    [[nodiscard]] std::int64_t corruptValues() const { return m_corruptValues; }
+
+private:
+    Result<ViewPointer> install(ByName<KeyUpdate> keys, std::int64_t revision);
+
+    ByName<KeyUpdate> m_keys;
+    ViewPointer m_view;
+    std::int64_t m_corruptValues = 0;
+};
+
+} // namespace dragonflysill
