Add move decision, pool ownership and FleetLoop

Cause: declared and actual pools of instances differed without anything that moves them. Adds the decision, the ownership of pools and the loop, not yet started by a program.

--- /dev/null
+++ b/include/dragonflysill/machines/fleetrunner.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "dragonflysill/machines/fencedwriter.h"
+#include "dragonflysill/machines/fleetevent.h"
+#include "dragonflysill/machines/fleetinputs.h"
+#include "dragonflysill/machines/movedecision.h"
+#include "dragonflysill/machines/poolleases.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dragonflysill {
+
+/** What one pass of a FleetRunner did and what it could not do. */
+struct FleetReport
+{
+    /** A record that is not at rest, with what its next change waits for. */
+    struct Pending
+    {
+        std::string instance;
+        MoveVerdict verdict;
+    };
+
+    std::optional<Error> error; ///< Why the pass ended early.
+    std::vector<FleetEvent> events;
+    std::vector<Pending> pending;
+    std::set<std::string, std::less<>> ownedPools;
+    int writes = 0;
+};
+
+/**
+ * Executes the fleet decisions of one control process against the store, one pass at a time. It
+ * keeps no durable state: after a restart or a change of owner the next pass continues from the
+ * store. A pool is left alone until the view contains every change of its records that this
+ * process wrote, lost the answer of, or inherited from the previous owner, so that no decision
+ * counts from an older state. Not thread-safe; the owner calls it from one thread.
+ */
+class FleetRunner
+{
+public:
+    /** Writes per pass; eight processes that pass once a second stay below the store's limit. */
+    static constexpr int maxWritesPerPass = 64;
+
+    /** @param self the member's name; store and fence must outlive the object */
+    FleetRunner(std::string self, Store &store, const Fence &fence, MoveSettings settings = {});
+
+    /** Runs one pass; blocks for its store calls. */
+    FleetReport step(FleetInputs inputs);
+
+private:
+    void updateOwnership(const FleetInputs &inputs, StoreOverview &overview, FleetReport &report);
+    void removeTerminatedEntries(const FleetInputs &inputs, StoreOverview &overview,
+                                 FleetReport &report);
+    bool resolveUnknown(const std::string &pool);
+    [[nodiscard]] bool mayDecide(const FleetInputs &inputs, const std::string &pool);
+    void decideInstances(const FleetInputs &inputs, FleetReport &report);
+    void apply(const RecordChange &change, FleetReport &report);
+    void noteOutcome(const RecordChange &change, const WriteOutcome &outcome, FleetReport &report);
+    void requireRevision(const std::string &pool, std::int64_t revision);
+
+    std::string m_self;
+    Store &m_store;
+    const Fence &m_fence;
+    MoveSettings m_settings;
+    FencedWriter m_writer;
+    PoolLeases m_leases;
+    ByName<std::int64_t> m_requiredRevision; ///< By pool: the view must have reached this.
+    ByName<std::set<std::string>> m_unknownKeys; ///< By pool: keys with an unknown last write.
+};
+
+} // namespace dragonflysill
--- /dev/null
+++ b/programs/dragonflysill-control/fleetloop.cpp
@@ -0,0 +1,135 @@
+#include "fleetloop.h"
+
+#include "dragonflysill/base/time.h"
+
+#include <prometheus/family.h>
+
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+EventKind timelineKind(FleetEvent::Kind kind)
+{
+    switch (kind) {
+    case FleetEvent::Kind::OwnerChanged:
+        return EventKind::PoolOwnerChanged;
+    case FleetEvent::Kind::PhaseChanged:
+        return EventKind::InstancePhaseChanged;
+    case FleetEvent::Kind::MoveStarted:
+        return EventKind::MoveStarted;
+    case FleetEvent::Kind::MoveFinished:
+        return EventKind::MoveFinished;
+    case FleetEvent::Kind::EntryRemoved:
+        return EventKind::MemberLeft;
+    case FleetEvent::Kind::WaveStarted:
+        return EventKind::WaveStarted;
+    case FleetEvent::Kind::WavePaused:
+        return EventKind::WavePaused;
+    case FleetEvent::Kind::WaveResumed:
+        return EventKind::WaveResumed;
+    case FleetEvent::Kind::WaveFinished:
+        return EventKind::WaveFinished;
+    case FleetEvent::Kind::TaskPlaced:
+        return EventKind::TaskPlaced;
+    case FleetEvent::Kind::TaskRefused:
+        return EventKind::TaskRefused;
+    case FleetEvent::Kind::WorkerQuarantined:
+        return EventKind::WorkerSetAside;
+    case FleetEvent::Kind::LeaseLost:
+        return EventKind::LeaseLost;
+    }
+    return EventKind::LeaseLost;
+}
+
+prometheus::Counter &addCounter(prometheus::Registry &registry, const std::string &name,
+                                const std::string &help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace internal
+
+FleetLoop::FleetLoop(ControlContext &context)
+    : m_context(context)
+    , m_runner(context.name, context.store, context.fence)
+    , m_moves(internal::addCounter(*context.registry, "dragonflysill_moves_total",
+                                   "Instances moved between pools by this process."))
+    , m_passErrors(internal::addCounter(*context.registry, "dragonflysill_fleet_pass_errors_total",
+                                        "Fleet passes that ended early."))
+{
+    m_context.view.onChange([this](const ViewPointer &) { m_wake.notify_one(); });
+}
+
+FleetLoop::~FleetLoop()
+{
+    stop();
+}
+
+void FleetLoop::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void FleetLoop::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_one();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void FleetLoop::run()
+{
+    do
+        pass();
+    while (waitForNextPass());
+}
+
+bool FleetLoop::waitForNextPass()
+{
+    std::unique_lock lock(m_mutex);
+    if (m_wake.wait_for(lock, minPassInterval, [this] { return m_stopping; }))
+        return false;
+    m_wake.wait_for(lock, passInterval - minPassInterval);
+    return !m_stopping;
+}
+
+void FleetLoop::pass()
+{
+    publish(m_runner.step(collectInputs()));
+}
+
+FleetInputs FleetLoop::collectInputs() const
+{
+    const auto view = m_context.view.get();
+    FleetInputs inputs;
+    inputs.revision = view->revision;
+    inputs.nowMs = unixMilliseconds();
+    inputs.configuration = view->configuration;
+    inputs.records = view->instances;
+    for (const auto &it : view->members)
+        inputs.members.push_back(it.first);
+    for (const auto &it : m_context.reports.snapshot()) {
+        for (const auto &n : it.drained)
+            inputs.acknowledgements.add(it.name, n.name, n.epoch);
+    }
+    return inputs;
+}
+
+void FleetLoop::publish(const FleetReport &report)
+{
+    if (report.error)
+        m_passErrors.Increment();
+    for (const auto &it : report.events) {
+        m_context.timeline.record(internal::timelineKind(it.kind), it.subject, it.detail);
+        if (it.kind == FleetEvent::Kind::MoveFinished)
+            m_moves.Increment();
+    }
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/programs/dragonflysill-control/fleetloop.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "controlcontext.h"
+
+#include "dragonflysill/machines/fleetrunner.h"
+
+#include <prometheus/counter.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace dragonflysill {
+
+/**
+ * Runs the fleet decisions of a control process: a pass after each change of the view, at least
+ * once per interval. Owns its thread; the context belongs to main() and must outlive it.
+ */
+class FleetLoop
+{
+public:
+    /** Longest time between two passes; drains and warm-up times end within it. */
+    static constexpr std::chrono::milliseconds passInterval{500};
+    /** Shortest time between two passes, so that a burst of changes costs few store calls. */
+    static constexpr std::chrono::milliseconds minPassInterval{50};
+
+    explicit FleetLoop(ControlContext &context);
+    ~FleetLoop();
+
+    /** Starts the thread. */
+    void start();
+
+    /** Stops and joins the thread. */
+    void stop();
+
+private:
+    void run();
+    void pass();
+    [[nodiscard]] FleetInputs collectInputs() const;
+    void publish(const FleetReport &report);
+    bool waitForNextPass();
+
+    ControlContext &m_context;
+    FleetRunner m_runner;
+    prometheus::Counter &m_moves;
+    prometheus::Counter &m_passErrors;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace dragonflysill
