--- /dev/null
+++ b/programs/dragonflysill-load/runcounts.cpp
@@ -0,0 +1,41 @@
+#include "runcounts.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace dragonflysill {
+
+namespace internal {
+
+bool addCounts(const nlohmann::json &json, const char *field,
+               std::map<std::string, int, std::less<>> &counts)
+{
+    if (!json.contains(field) || !json[field].is_object())
+        return false;
+    for (const auto &it : json[field].items()) {
+        if (!it.value().is_number_integer())
+            return false;
+        counts[it.key()] += it.value().get<int>();
+    }
+    return true;
+}
+
+} // namespace internal
+
+Result<RunCounts> readRunCounts(std::span<const std::string> backends)
+{
+    RunCounts counts;
+    for (const auto &address : backends) {
+        httplib::Client client("http://" + address);
+        const auto result = client.Get("/standin/runs");
+        if (!result)
+            return Error(ErrorKind::Unreachable, address);
+        const auto json = nlohmann::json::parse(result->body, nullptr, false);
+        if (!json.is_object() || !internal::addCounts(json, "by_request_id", counts.byRequestId)
+            || !internal::addCounts(json, "by_key", counts.byKey))
+            return Error(ErrorKind::Corrupt, "run counts of " + address);
+    }
+    return counts;
+}
+
+} // namespace dragonflysill
