--- /dev/null
+++ b/src/standin/memorystore.cpp
@@ -0,0 +1,169 @@
+#include "dragonflysill/standin/memorystore.h"
+
+#include "dragonflysill/base/storekeys.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+/** Store::watch promises a call of the handler at least once a second. */
+constexpr std::chrono::milliseconds watchWakeup{100};
+
+} // namespace internal
+
+MemoryStore::MemoryStore(Clock clock)
+    : m_clock(std::move(clock))
+{
+}
+
+MemoryStore::~MemoryStore() = default;
+
+MemoryStore::Fate MemoryStore::nextFate(bool isWrite)
+{
+    const auto take = [](int &counter) { return counter > 0 && counter-- > 0; };
+    if (m_faults.down || take(m_faults.reject))
+        return Fate::Unavailable;
+    if (isWrite && take(m_faults.loseAnswers))
+        return Fate::LoseAnswer;
+    if (isWrite && take(m_faults.loseRequests))
+        return Fate::LoseRequest;
+    if (take(m_faults.corruptAnswers))
+        return Fate::CorruptAnswer;
+    return Fate::Execute;
+}
+
+template <typename T, typename Function>
+Result<T> MemoryStore::execute(bool isWrite, std::int64_t StoreCalls::*counter, Function function)
+{
+    std::unique_lock lock(m_mutex);
+    ++(m_calls.*counter);
+    if (const auto delay = m_faults.delay; delay.count() > 0) {
+        lock.unlock();
+        std::this_thread::sleep_for(delay);
+        lock.lock();
+    }
+    const Fate fate = nextFate(isWrite);
+    if (fate == Fate::Unavailable)
+        return Error(ErrorKind::StoreUnavailable, "injected");
+    if (fate == Fate::LoseRequest)
+        return Error(ErrorKind::OutcomeUnknown, "injected");
+    const std::int64_t revision = m_engine.revision();
+    m_engine.expireLeases(m_clock());
+    Result<T> result = function();
+    if (m_engine.revision() != revision)
+        m_changed.notify_all();
+    if (fate == Fate::LoseAnswer)
+        return Error(ErrorKind::OutcomeUnknown, "injected");
+    if (fate == Fate::CorruptAnswer)
+        return Error(ErrorKind::Corrupt, "injected");
+    return result;
+}
+
+Result<RangeResult> MemoryStore::range(const RangeOperation &operation)
+{
+    return execute<RangeResult>(false, &StoreCalls::ranges,
+                                [&] { return Result<RangeResult>(m_engine.range(operation)); });
+}
+
+Result<TransactionResult> MemoryStore::commit(const Transaction &transaction)
+{
+    return execute<TransactionResult>(true, &StoreCalls::commits,
+                                      [&] { return m_engine.commit(transaction); });
+}
+
+Result<Lease> MemoryStore::grantLease(std::int64_t ttlSeconds)
+{
+    return execute<Lease>(true, &StoreCalls::leaseCalls,
+                          [&] { return m_engine.grantLease(ttlSeconds, m_clock()); });
+}
+
+Result<Lease> MemoryStore::renewLease(LeaseId id)
+{
+    return execute<Lease>(true, &StoreCalls::leaseCalls,
+                          [&] { return m_engine.renewLease(id, m_clock()); });
+}
+
+Result<Done> MemoryStore::revokeLease(LeaseId id)
+{
+    return execute<Done>(true, &StoreCalls::leaseCalls, [&] { return m_engine.revokeLease(id); });
+}
+
+Result<Done> MemoryStore::watch(std::string_view prefix, std::int64_t startRevision,
+                                const WatchHandler &handler)
+{
+    const RangeOperation keys{std::string(prefix), storekeys::rangeEnd(prefix)};
+    std::unique_lock lock(m_mutex);
+    ++m_calls.watches;
+    const std::int64_t generation = m_generation;
+    std::int64_t next = startRevision;
+    for (;;) {
+        if (m_faults.down || m_generation != generation)
+            return Error(ErrorKind::StoreUnavailable, "injected");
+        m_engine.expireLeases(m_clock());
+        const auto batch = m_engine.changes(keys, next);
+        if (!batch)
+            return batch.error();
+        next = std::max(next, batch->revision + 1);
+        lock.unlock();
+        const bool more = handler(batch->updates, batch->revision);
+        lock.lock();
+        if (!more)
+            return Done{};
+        if (m_engine.revision() < next && m_generation == generation)
+            m_changed.wait_for(lock, internal::watchWakeup);
+    }
+}
+
+void MemoryStore::setFaults(const StoreFaults &faults)
+{
+    const std::lock_guard lock(m_mutex);
+    if (faults.down && !m_faults.down)
+        ++m_generation;
+    m_faults = faults;
+    m_changed.notify_all();
+}
+
+StoreFaults MemoryStore::faults() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_faults;
+}
+
+StoreCalls MemoryStore::calls() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_calls;
+}
+
+void MemoryStore::compactHistory()
+{
+    const std::lock_guard lock(m_mutex);
+    m_engine.compact(m_engine.revision());
+}
+
+Result<Done> MemoryStore::lapseLease(LeaseId id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_changed.notify_all();
+    return m_engine.revokeLease(id);
+}
+
+StoreEngine MemoryStore::snapshot() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_engine;
+}
+
+void MemoryStore::restore(const StoreEngine &snapshot)
+{
+    const std::lock_guard lock(m_mutex);
+    m_engine.restore(snapshot, m_clock());
+    ++m_generation;
+    m_changed.notify_all();
+}
+
+} // namespace dragonflysill
