--- a/programs/dragonflysill-control/controlcontext.h
+++ b/programs/dragonflysill-control/controlcontext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflysill/machines/fleetstatus.h"
 #include "dragonflysill/platform/fence.h"
 #include "dragonflysill/platform/store.h"
 #include "dragonflysill/telemetry/timeline.h"
@@ -30,6 +31,8 @@
     Fence &fence;
     Timeline &timeline;
     std::shared_ptr<prometheus::Registry> registry;
+    /** Written by FleetLoop after each decision, read by OperatorApi. */
+    std::shared_ptr<FleetStatusHolder> fleetStatus = std::make_shared<FleetStatusHolder>();
 };
 
 } // namespace dragonflysill
