Add wire library and zone decisions (not yet wired)

Cause: control processes and entries need frames, membership and distribution. The decisions have no process around them yet.

--- /dev/null
+++ b/include/dragonflysill/wire/message.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "dragonflysill/base/hybridclock.h"
+#include "dragonflysill/base/keyupdate.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dragonflysill {
+
+/** The first message on every connection, in both directions. */
+struct Hello
+{
+    std::string name;
+    std::string region;
+    std::string zone; ///< Availability zone.
+    bool isEntry = false; ///< True for an entry process, false for a control process.
+    std::int64_t incarnation = 0;
+    std::string peerAddress; ///< Where a control process accepts frames; empty for an entry.
+
+    bool operator==(const Hello &) const = default;
+};
+
+/** A drained instance as it is sent between processes. */
+struct DrainedState
+{
+    std::string name;
+    std::int64_t epoch = 0;
+
+    bool operator==(const DrainedState &) const = default;
+};
+
+/** One line of a gossip list. */
+struct MemberState
+{
+    std::string name;
+    std::int64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::int64_t appliedRevision = 0;
+
+    bool operator==(const MemberState &) const = default;
+};
+
+/** The periodic report of a control process about itself and its entry. */
+struct Heartbeat
+{
+    std::string name;
+    std::int64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::int64_t appliedRevision = 0; ///< The view revision that the entry process applied.
+    std::int64_t ticketNumber = 0;
+    std::vector<DrainedState> drained;
+    std::vector<MemberState> members; ///< Gossip list; empty with direct heartbeats.
+    std::int64_t viewRevision = 0; ///< The view revision of the control process.
+    bool storeReachable = false; ///< True if its last store call was answered.
+    bool watching = false; ///< True while its watch on the store is established.
+    bool leaving = false; ///< True in the last heartbeat before a graceful stop.
+
+    bool operator==(const Heartbeat &) const = default;
+};
+
+/** Changes of the view, or the full view. */
+struct ViewDelta
+{
+    std::int64_t fromRevision = 0; ///< The revision that the receiver must have at least.
+    std::int64_t toRevision = 0;
+    bool full = false; ///< True if the updates are the complete state.
+    std::vector<KeyUpdate> updates;
+    bool more = false; ///< True if further parts of the same state follow.
+
+    bool operator==(const ViewDelta &) const = default;
+};
+
+/** Asks for everything after a revision. */
+struct ViewRequest
+{
+    std::int64_t haveRevision = 0;
+    bool subscribe = false; ///< True to receive later changes too, false to end that.
+
+    bool operator==(const ViewRequest &) const = default;
+};
+
+/** The report of an entry process to its control process. */
+struct ViewAck
+{
+    std::int64_t revision = 0;
+    std::vector<DrainedState> drained;
+    bool stopping = false; ///< True if the entry ends gracefully and has nothing in flight.
+
+    bool operator==(const ViewAck &) const = default;
+};
+
+using Message = std::variant<Hello, Heartbeat, ViewDelta, ViewRequest, ViewAck>;
+
+/** A message with the sender's hybrid logical time. */
+struct Envelope
+{
+    HybridTime time;
+    Message message;
+
+    bool operator==(const Envelope &) const = default;
+};
+
+} // namespace dragonflysill
--- a/include/dragonflysill/zones/view.h
+++ b/include/dragonflysill/zones/view.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <string_view>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -24,6 +26,9 @@
 
 using ViewPointer = std::shared_ptr<const View>;
 
+/** Returns true if a key of the store is part of the view. */
+bool isViewKey(std::string_view key);
+
 /**
  * Builds views from updates of the store and keeps the raw key values, from which a full state for
  * another process is made. It never goes back: an update set that ends at a lower revision, or that
@@ -52,6 +57,12 @@
     /** Returns the current view; never null. */
     [[nodiscard]] ViewPointer view() const { return m_view; }
 
+    /**
+     * Returns the keys that the last successful apply() or replace() changed; a key that a full
+     * state no longer holds is reported as deleted at the state's revision.
+     */
+    [[nodiscard]] const std::vector<KeyUpdate> &lastChanges() const { return m_lastChanges; }
+
     /** Returns the raw state, for a full-state message. */
     [[nodiscard]] std::vector<KeyUpdate> fullState() const;
 
@@ -63,6 +74,7 @@
 
     ByName<KeyUpdate> m_keys;
     ViewPointer m_view;
+    std::vector<KeyUpdate> m_lastChanges;
     std::int64_t m_corruptValues = 0;
 };
 
--- a/src/wire/wire_generated.h
+++ b/src/wire/wire_generated.h
@@ -183,7 +183,8 @@
     VT_REGION = 6,
     VT_ZONE = 8,
     VT_IS_ENTRY = 10,
-    VT_INCARNATION = 12
+    VT_INCARNATION = 12,
+    VT_PEER_ADDRESS = 14
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -200,6 +201,9 @@
   int64_t incarnation() const {
     return GetField<int64_t>(VT_INCARNATION, 0);
   }
+  const flatbuffers::String *peer_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_PEER_ADDRESS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NAME) &&
@@ -210,6 +214,8 @@
            verifier.VerifyString(zone()) &&
            VerifyField<uint8_t>(verifier, VT_IS_ENTRY, 1) &&
            VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_PEER_ADDRESS) &&
+           verifier.VerifyString(peer_address()) &&
            verifier.EndTable();
   }
 };
@@ -233,6 +239,9 @@
   void add_incarnation(int64_t incarnation) {
     fbb_.AddElement<int64_t>(Hello::VT_INCARNATION, incarnation, 0);
   }
+  void add_peer_address(flatbuffers::Offset<flatbuffers::String> peer_address) {
+    fbb_.AddOffset(Hello::VT_PEER_ADDRESS, peer_address);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -251,9 +260,11 @@
     flatbuffers::Offset<flatbuffers::String> region = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     bool is_entry = false,
-    int64_t incarnation = 0) {
+    int64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> peer_address = 0) {
   HelloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_peer_address(peer_address);
   builder_.add_zone(zone);
   builder_.add_region(region);
   builder_.add_name(name);
@@ -267,17 +278,20 @@
     const char *region = nullptr,
     const char *zone = nullptr,
     bool is_entry = false,
-    int64_t incarnation = 0) {
+    int64_t incarnation = 0,
+    const char *peer_address = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
   return dragonflysill::wire::CreateHello(
       _fbb,
       name__,
       region__,
       zone__,
       is_entry,
-      incarnation);
+      incarnation,
+      peer_address__);
 }
 
 struct MemberState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -377,7 +391,11 @@
     VT_APPLIED_REVISION = 10,
     VT_TICKET_NUMBER = 12,
     VT_DRAINED = 14,
-    VT_MEMBERS = 16
+    VT_MEMBERS = 16,
+    VT_VIEW_REVISION = 18,
+    VT_STORE_REACHABLE = 20,
+    VT_WATCHING = 22,
+    VT_LEAVING = 24
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -400,6 +418,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::MemberState>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::MemberState>> *>(VT_MEMBERS);
   }
+  int64_t view_revision() const {
+    return GetField<int64_t>(VT_VIEW_REVISION, 0);
+  }
+  bool store_reachable() const {
+    return GetField<uint8_t>(VT_STORE_REACHABLE, 0) != 0;
+  }
+  bool watching() const {
+    return GetField<uint8_t>(VT_WATCHING, 0) != 0;
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NAME) &&
@@ -414,6 +444,10 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
+           VerifyField<int64_t>(verifier, VT_VIEW_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STORE_REACHABLE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WATCHING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
 };
@@ -443,6 +477,18 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::MemberState>>> members) {
     fbb_.AddOffset(Heartbeat::VT_MEMBERS, members);
   }
+  void add_view_revision(int64_t view_revision) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_VIEW_REVISION, view_revision, 0);
+  }
+  void add_store_reachable(bool store_reachable) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_STORE_REACHABLE, static_cast<uint8_t>(store_reachable), 0);
+  }
+  void add_watching(bool watching) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_WATCHING, static_cast<uint8_t>(watching), 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -463,8 +509,13 @@
     int64_t applied_revision = 0,
     int64_t ticket_number = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>>> drained = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::MemberState>>> members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::MemberState>>> members = 0,
+    int64_t view_revision = 0,
+    bool store_reachable = false,
+    bool watching = false,
+    bool leaving = false) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_view_revision(view_revision);
   builder_.add_ticket_number(ticket_number);
   builder_.add_applied_revision(applied_revision);
   builder_.add_sequence(sequence);
@@ -472,6 +523,9 @@
   builder_.add_members(members);
   builder_.add_drained(drained);
   builder_.add_name(name);
+  builder_.add_leaving(leaving);
+  builder_.add_watching(watching);
+  builder_.add_store_reachable(store_reachable);
   return builder_.Finish();
 }
 
@@ -483,7 +537,11 @@
     int64_t applied_revision = 0,
     int64_t ticket_number = 0,
     const std::vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>> *drained = nullptr,
-    const std::vector<flatbuffers::Offset<dragonflysill::wire::MemberState>> *members = nullptr) {
+    const std::vector<flatbuffers::Offset<dragonflysill::wire::MemberState>> *members = nullptr,
+    int64_t view_revision = 0,
+    bool store_reachable = false,
+    bool watching = false,
+    bool leaving = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto drained__ = drained ? _fbb.CreateVector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>>(*drained) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<dragonflysill::wire::MemberState>>(*members) : 0;
@@ -495,7 +553,11 @@
       applied_revision,
       ticket_number,
       drained__,
-      members__);
+      members__,
+      view_revision,
+      store_reachable,
+      watching,
+      leaving);
 }
 
 struct KeyUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -594,7 +656,8 @@
     VT_FROM_REVISION = 4,
     VT_TO_REVISION = 6,
     VT_FULL = 8,
-    VT_UPDATES = 10
+    VT_UPDATES = 10,
+    VT_MORE = 12
   };
   int64_t from_revision() const {
     return GetField<int64_t>(VT_FROM_REVISION, 0);
@@ -608,6 +671,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::KeyUpdate>> *updates() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::KeyUpdate>> *>(VT_UPDATES);
   }
+  bool more() const {
+    return GetField<uint8_t>(VT_MORE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_FROM_REVISION, 8) &&
@@ -616,6 +682,7 @@
            VerifyOffset(verifier, VT_UPDATES) &&
            verifier.VerifyVector(updates()) &&
            verifier.VerifyVectorOfTables(updates()) &&
+           VerifyField<uint8_t>(verifier, VT_MORE, 1) &&
            verifier.EndTable();
   }
 };
@@ -636,6 +703,9 @@
   void add_updates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::KeyUpdate>>> updates) {
     fbb_.AddOffset(ViewDelta::VT_UPDATES, updates);
   }
+  void add_more(bool more) {
+    fbb_.AddElement<uint8_t>(ViewDelta::VT_MORE, static_cast<uint8_t>(more), 0);
+  }
   explicit ViewDeltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -652,11 +722,13 @@
     int64_t from_revision = 0,
     int64_t to_revision = 0,
     bool full = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::KeyUpdate>>> updates = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::KeyUpdate>>> updates = 0,
+    bool more = false) {
   ViewDeltaBuilder builder_(_fbb);
   builder_.add_to_revision(to_revision);
   builder_.add_from_revision(from_revision);
   builder_.add_updates(updates);
+  builder_.add_more(more);
   builder_.add_full(full);
   return builder_.Finish();
 }
@@ -666,27 +738,34 @@
     int64_t from_revision = 0,
     int64_t to_revision = 0,
     bool full = false,
-    const std::vector<flatbuffers::Offset<dragonflysill::wire::KeyUpdate>> *updates = nullptr) {
+    const std::vector<flatbuffers::Offset<dragonflysill::wire::KeyUpdate>> *updates = nullptr,
+    bool more = false) {
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<dragonflysill::wire::KeyUpdate>>(*updates) : 0;
   return dragonflysill::wire::CreateViewDelta(
       _fbb,
       from_revision,
       to_revision,
       full,
-      updates__);
+      updates__,
+      more);
 }
 
 struct ViewRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ViewRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_HAVE_REVISION = 4
+    VT_HAVE_REVISION = 4,
+    VT_SUBSCRIBE = 6
   };
   int64_t have_revision() const {
     return GetField<int64_t>(VT_HAVE_REVISION, 0);
   }
+  bool subscribe() const {
+    return GetField<uint8_t>(VT_SUBSCRIBE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_HAVE_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SUBSCRIBE, 1) &&
            verifier.EndTable();
   }
 };
@@ -698,6 +777,9 @@
   void add_have_revision(int64_t have_revision) {
     fbb_.AddElement<int64_t>(ViewRequest::VT_HAVE_REVISION, have_revision, 0);
   }
+  void add_subscribe(bool subscribe) {
+    fbb_.AddElement<uint8_t>(ViewRequest::VT_SUBSCRIBE, static_cast<uint8_t>(subscribe), 0);
+  }
   explicit ViewRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -711,9 +793,11 @@
 
 inline flatbuffers::Offset<ViewRequest> CreateViewRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    int64_t have_revision = 0) {
+    int64_t have_revision = 0,
+    bool subscribe = false) {
   ViewRequestBuilder builder_(_fbb);
   builder_.add_have_revision(have_revision);
+  builder_.add_subscribe(subscribe);
   return builder_.Finish();
 }
 
@@ -721,7 +805,8 @@
   typedef ViewAckBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REVISION = 4,
-    VT_DRAINED = 6
+    VT_DRAINED = 6,
+    VT_STOPPING = 8
   };
   int64_t revision() const {
     return GetField<int64_t>(VT_REVISION, 0);
@@ -729,12 +814,16 @@
   const flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>> *drained() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>> *>(VT_DRAINED);
   }
+  bool stopping() const {
+    return GetField<uint8_t>(VT_STOPPING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
            VerifyOffset(verifier, VT_DRAINED) &&
            verifier.VerifyVector(drained()) &&
            verifier.VerifyVectorOfTables(drained()) &&
+           VerifyField<uint8_t>(verifier, VT_STOPPING, 1) &&
            verifier.EndTable();
   }
 };
@@ -749,6 +838,9 @@
   void add_drained(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>>> drained) {
     fbb_.AddOffset(ViewAck::VT_DRAINED, drained);
   }
+  void add_stopping(bool stopping) {
+    fbb_.AddElement<uint8_t>(ViewAck::VT_STOPPING, static_cast<uint8_t>(stopping), 0);
+  }
   explicit ViewAckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -763,22 +855,26 @@
 inline flatbuffers::Offset<ViewAck> CreateViewAck(
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>>> drained = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>>> drained = 0,
+    bool stopping = false) {
   ViewAckBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_drained(drained);
+  builder_.add_stopping(stopping);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<ViewAck> CreateViewAckDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     int64_t revision = 0,
-    const std::vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>> *drained = nullptr) {
+    const std::vector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>> *drained = nullptr,
+    bool stopping = false) {
   auto drained__ = drained ? _fbb.CreateVector<flatbuffers::Offset<dragonflysill::wire::DrainedInstance>>(*drained) : 0;
   return dragonflysill::wire::CreateViewAck(
       _fbb,
       revision,
-      drained__);
+      drained__,
+      stopping);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/zones/view.cpp
+++ b/src/zones/view.cpp
@@ -71,6 +71,25 @@
     View &m_view;
 };
 
+/** Returns the changes that lead from one raw state to another. */
+std::vector<KeyUpdate> difference(const ByName<KeyUpdate> &from, const ByName<KeyUpdate> &to,
+                                  std::int64_t revision)
+{
+    std::vector<KeyUpdate> changes;
+    for (const auto &[key, update] : to) {
+        const auto previous = from.find(key);
+        if (previous == from.end() || previous->second.revision != update.revision)
+            changes.push_back(update);
+    }
+    for (const auto &it : from) {
+        if (to.count(it.first) == 0)
+            changes.push_back({it.first, {}, revision, true});
+    }
+    return changes;
+}
+
+} // namespace internal
+
 bool isViewKey(std::string_view key)
 {
     namespace keys = storekeys;
@@ -79,8 +98,6 @@
            || key.starts_with(keys::entries);
 }
 
-} // namespace internal
-
 ViewBuilder::ViewBuilder()
     : m_view(std::make_shared<View>())
 {
@@ -90,7 +107,7 @@
 {
     ByName<KeyUpdate> keys = m_keys;
     for (const auto &it : updates) {
-        if (!internal::isViewKey(it.key))
+        if (!isViewKey(it.key))
             continue;
         const auto found = keys.find(it.key);
         if (found != keys.end() && found->second.revision > it.revision)
@@ -107,7 +124,7 @@
 {
     ByName<KeyUpdate> keys;
     for (const auto &it : updates) {
-        if (internal::isViewKey(it.key) && !it.deleted)
+        if (isViewKey(it.key) && !it.deleted)
             keys.insert_or_assign(it.key, it);
     }
     return install(std::move(keys), revision);
@@ -145,6 +162,7 @@
                              + std::to_string(m_view->configuration.ticket));
     view->revision = revision;
     m_corruptValues += corrupt;
+    m_lastChanges = internal::difference(m_keys, keys, revision);
     m_keys = std::move(keys);
     m_view = std::move(view);
     return m_view;
