--- a/cmake/dragonflysill.cmake
+++ b/cmake/dragonflysill.cmake
@@ -51,7 +51,6 @@
     foreach(folder ${folders})
         get_filename_component(name ${folder} NAME)
         file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
-        # A folder without dependencies.txt has no main function yet.
         if(sources AND EXISTS ${folder}/dependencies.txt)
             file(STRINGS ${folder}/dependencies.txt dependencies)
             add_executable(${name} ${sources})
