Add zone service: peers, registration and store watch

Cause: the zone decisions had no adapter. Adds the service that runs them with sockets, the registration under a lease, and the watch on the store.

--- /dev/null
+++ b/src/zones/zoneservice.cpp
@@ -0,0 +1,239 @@
+#include "dragonflysill/zones/zoneservice.h"
+
+#include "registrar.h"
+#include "storewatcher.h"
+
+#include "dragonflysill/base/hash.h"
+#include "dragonflysill/base/time.h"
+#include "dragonflysill/telemetry/log.h"
+
+#include <atomic>
+#include <mutex>
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+constexpr std::chrono::milliseconds nodeTick{50};
+
+bool needsAttention(EventKind kind)
+{
+    return kind == EventKind::StoreUnreachable || kind == EventKind::StoreRegressed
+           || kind == EventKind::MemberFailed || kind == EventKind::LeaseLost;
+}
+
+} // namespace internal
+
+class ZoneService::Implementation
+{
+public:
+    Implementation(ZoneServiceSettings settings, Store &store, SharedView &view,
+                   MemberReports &reports, Fence &fence, Timeline &timeline);
+
+    Result<int> start();
+    void stop();
+    void setOnReady(std::function<void(bool)> function) { m_onReady = std::move(function); }
+    [[nodiscard]] ZoneFigures figures() const;
+
+private:
+    /** Runs an input of the node in the loop's thread, then executes the resulting actions. */
+    template <typename Function>
+    void postInput(Function function)
+    {
+        m_loop.post([this, function = std::move(function)] {
+            function(m_node);
+            execute();
+        });
+    }
+    void execute();
+    void updateFigures();
+
+    void run(const ConnectAction &action) { m_loop.connect(action.link, action.address); }
+    void run(const CloseAction &action) { m_loop.close(action.link); }
+    void run(const SendAction &action)
+    {
+        m_loop.send(action.links, {m_timeline.stamp(), action.message});
+    }
+    void run(const WatchAction &action) { m_watcher.setWanted(action.on); }
+    void run(const ReadStoreAction & /*action*/) { m_watcher.readOnce(); }
+    void run(const InstallAction &action) { m_view.set(action.view); }
+    void run(const EntryRegistrationAction &action) { m_registrar.setEntry(action.present); }
+    void run(const ReportAction &action) { m_reports.update(action.report); }
+    void run(const LivenessAction &action) { m_reports.setAlive(action.name, action.alive); }
+    void run(const ForgetAction &action) { m_reports.remove(action.name); }
+    void run(const EventAction &action);
+    void run(const ReadyAction &action);
+
+    ZoneServiceSettings m_settings;
+    SharedView &m_view;
+    MemberReports &m_reports;
+    Timeline &m_timeline;
+    std::function<void(bool)> m_onReady;
+    ZoneNode m_node;
+    mutable std::mutex m_figuresMutex;
+    ZoneFigures m_figures;
+    std::atomic<std::int64_t> m_regressions = 0;
+    // Destroyed first to last in reverse: the threads of all three use the members above.
+    MessageLoop m_loop;
+    internal::Registrar m_registrar;
+    internal::StoreWatcher m_watcher;
+};
+
+ZoneService::Implementation::Implementation(ZoneServiceSettings settings, Store &store,
+                                            SharedView &view, MemberReports &reports, Fence &fence,
+                                            Timeline &timeline)
+    : m_settings(std::move(settings))
+    , m_view(view)
+    , m_reports(reports)
+    , m_timeline(timeline)
+    , m_node(m_settings.zone)
+    , m_loop({[this](LinkId link) {
+                  m_node.linkOpened(link, steadyNow());
+                  execute();
+              },
+              [this](LinkId link, const Envelope &envelope) {
+                  m_timeline.observe(envelope.time);
+                  m_node.received(link, envelope.message, steadyNow());
+                  execute();
+              },
+              [this](LinkId link, const Error &) {
+                  m_node.linkClosed(link, steadyNow());
+                  execute();
+              },
+              [this] {
+                  m_node.tick(steadyNow());
+                  execute();
+                  updateFigures();
+              }},
+             internal::nodeTick)
+    , m_registrar(m_settings.zone.self, m_settings.leaseSeconds, store, fence, timeline,
+                  {[this](std::int64_t incarnation, std::int64_t revision,
+                          std::vector<Member> members) {
+                       postInput([incarnation, revision,
+                                  members = std::move(members)](ZoneNode &node) {
+                           node.registered(incarnation, revision, members, steadyNow());
+                       });
+                   },
+                   [this](bool ok) {
+                       postInput([ok](ZoneNode &node) { node.storeAnswered(ok, steadyNow()); });
+                   }})
+    , m_watcher(store, view, stableHash(m_settings.zone.self.name),
+                {[this](std::vector<KeyUpdate> updates, std::int64_t revision, bool full) {
+                     postInput([updates = std::move(updates), revision, full](ZoneNode &node) {
+                         node.storeState(updates, revision, full, steadyNow());
+                     });
+                 },
+                 [this](bool established) {
+                     postInput([established](ZoneNode &node) { node.watchChanged(established); });
+                 },
+                 [this](bool ok) {
+                     postInput([ok](ZoneNode &node) { node.storeAnswered(ok, steadyNow()); });
+                 },
+                 [this](std::string detail) {
+                     ++m_regressions;
+                     postInput([detail = std::move(detail)](ZoneNode &node) {
+                         node.storeRegressed(detail);
+                     });
+                 }})
+{
+}
+
+Result<int> ZoneService::Implementation::start()
+{
+    const auto port = m_loop.listen(m_settings.listenAddress);
+    if (!port)
+        return port;
+    m_loop.post([this] {
+        m_node.start(steadyNow());
+        execute();
+    });
+    m_loop.start();
+    m_registrar.start();
+    m_watcher.start();
+    return port;
+}
+
+void ZoneService::Implementation::stop()
+{
+    postInput([](ZoneNode &node) { node.leave(); });
+    m_watcher.stop();
+    m_registrar.stop();
+    m_loop.stop();
+}
+
+void ZoneService::Implementation::execute()
+{
+    for (const auto &it : m_node.takeActions())
+        std::visit([this](const auto &action) { run(action); }, it);
+}
+
+void ZoneService::Implementation::run(const EventAction &action)
+{
+    m_timeline.record(action.kind, action.subject, action.detail);
+    if (internal::needsAttention(action.kind))
+        logWarning(toText(action.kind), {{"subject", action.subject}, {"detail", action.detail}});
+    else if (action.kind != EventKind::ViewInstalled)
+        logState(toText(action.kind), {{"subject", action.subject}, {"detail", action.detail}});
+}
+
+void ZoneService::Implementation::run(const ReadyAction &action)
+{
+    if (m_onReady)
+        m_onReady(action.ready);
+}
+
+void ZoneService::Implementation::updateFigures()
+{
+    const ViewPointer view = m_node.builder().view();
+    ZoneFigures figures;
+    figures.viewRevision = view->revision;
+    figures.ticket = view->configuration.ticket;
+    figures.members = m_node.liveMembers();
+    figures.subscribers = m_node.subscribers();
+    figures.isRelay = m_node.watchWanted();
+    figures.watching = m_node.watching();
+    figures.storeRegressed = m_regressions;
+    figures.registrations = m_registrar.registrations();
+    figures.corruptValues = m_node.builder().corruptValues();
+    figures.traffic = m_loop.traffic();
+    const std::lock_guard lock(m_figuresMutex);
+    m_figures = figures;
+}
+
+ZoneFigures ZoneService::Implementation::figures() const
+{
+    const std::lock_guard lock(m_figuresMutex);
+    return m_figures;
+}
+
+ZoneService::ZoneService(ZoneServiceSettings settings, Store &store, SharedView &view,
+                         MemberReports &reports, Fence &fence, Timeline &timeline)
+    : m_implementation(std::make_unique<Implementation>(std::move(settings), store, view, reports,
+                                                        fence, timeline))
+{
+}
+
+ZoneService::~ZoneService() = default;
+
+void ZoneService::onReady(std::function<void(bool)> function)
+{
+    m_implementation->setOnReady(std::move(function));
+}
+
+Result<int> ZoneService::start()
+{
+    return m_implementation->start();
+}
+
+void ZoneService::stop()
+{
+    m_implementation->stop();
+}
+
+ZoneFigures ZoneService::figures() const
+{
+    return m_implementation->figures();
+}
+
+} // namespace dragonflysill
