Add the entry's request path: routing, admission, selection, retries, forwarding

The entry process forwards HTTP requests over pooled keep-alive connections. Decisions are pure classes in links; the program holds one lock around them. The HTTP library would decompress, split or slice messages by itself, so the headers that trigger this are hidden from it and restored when forwarding.

--- a/include/dragonflysill/machines/fleetrunner.h
+++ b/include/dragonflysill/machines/fleetrunner.h
@@ -3,7 +3,6 @@
 #include "dragonflysill/machines/fencedwriter.h"
 #include "dragonflysill/machines/fleetevent.h"
 #include "dragonflysill/machines/fleetinputs.h"
-#include "dragonflysill/machines/fleetstatus.h"
 #include "dragonflysill/machines/movedecision.h"
 #include "dragonflysill/machines/poolleases.h"
 
@@ -18,9 +17,16 @@
 /** What one pass of a FleetRunner did and what it could not do. */
 struct FleetReport
 {
+    /** A record that is not at rest, with what its next change waits for. */
+    struct Pending
+    {
+        std::string instance;
+        MoveVerdict verdict;
+    };
+
     std::optional<Error> error; ///< Why the pass ended early.
     std::vector<FleetEvent> events;
-    FleetStatus status; ///< Of the owned pools; complete also if the pass wrote nothing.
+    std::vector<Pending> pending;
     std::set<std::string, std::less<>> ownedPools;
     int writes = 0;
 };
--- a/include/dragonflysill/zones/zonenode.h
+++ b/include/dragonflysill/zones/zonenode.h
@@ -6,7 +6,6 @@
 #include "dragonflysill/wire/message.h"
 #include "dragonflysill/wire/messageloop.h"
 #include "dragonflysill/zones/changelog.h"
-#include "dragonflysill/zones/deltaassembler.h"
 #include "dragonflysill/zones/member.h"
 #include "dragonflysill/zones/memberreport.h"
 #include "dragonflysill/zones/peertable.h"
@@ -183,15 +182,6 @@
     /** Returns true if this node wants to watch the store. */
     [[nodiscard]] bool watchWanted() const { return m_watchWanted; }
 
-    /** Returns true while this node's watch on the store is established. */
-    [[nodiscard]] bool watching() const { return m_watching; }
-
-    /** Returns the number of live members, this one included. */
-    [[nodiscard]] std::int64_t liveMembers() const;
-
-    /** Returns the number of connections that receive changes. */
-    [[nodiscard]] std::int64_t subscribers() const;
-
     /** Returns true if the newest accepted state has been reached since the start. */
     [[nodiscard]] bool current() const { return m_current; }
 
@@ -203,7 +193,7 @@
         bool isEntry = false;
         bool subscribed = false;
         std::int64_t sentRevision = 0;
-        DeltaAssembler assembler;
+        std::vector<KeyUpdate> parts; ///< Collected parts of a full state.
     };
 
     struct Seed
--- a/programs/dragonflysill-control/fleetloop.cpp
+++ b/programs/dragonflysill-control/fleetloop.cpp
@@ -123,30 +123,13 @@
 
 void FleetLoop::publish(const FleetReport &report)
 {
-    if (report.error) {
+    if (report.error)
         m_passErrors.Increment();
-        publishError(*report.error);
-    }
     for (const auto &it : report.events) {
         m_context.timeline.record(internal::timelineKind(it.kind), it.subject, it.detail);
         if (it.kind == FleetEvent::Kind::MoveFinished)
             m_moves.Increment();
     }
-    if (report.error)
-        return;
-    FleetStatus status = report.status;
-    status.movesFinished = static_cast<std::int64_t>(m_moves.Value());
-    m_context.fleetStatus->set(std::move(status));
-}
-
-void FleetLoop::publishError(const Error &error)
-{
-    FleetStatus status = m_context.fleetStatus->get();
-    for (auto &it : status.moves) {
-        it.reason = error.text();
-        it.remedy = "no change is made until the store answers; restore the store";
-    }
-    m_context.fleetStatus->set(std::move(status));
 }
 
 } // namespace dragonflysill
--- a/programs/dragonflysill-control/fleetloop.h
+++ b/programs/dragonflysill-control/fleetloop.h
@@ -39,7 +39,6 @@
     void pass();
     [[nodiscard]] FleetInputs collectInputs() const;
     void publish(const FleetReport &report);
-    void publishError(const Error &error);
     bool waitForNextPass();
 
     ControlContext &m_context;
--- /dev/null
+++ b/programs/dragonflysill-entry/entryprocess.cpp
@@ -0,0 +1,148 @@
+#include "entryprocess.h"
+
+#include "viewfile.h"
+
+#include "dragonflysill/telemetry/log.h"
+
+#include <set>
+#include <vector>
+
+namespace dragonflysill {
+
+namespace internal {
+
+// Also the longest delay of a drain report and of a grant that depends on time alone.
+constexpr std::chrono::milliseconds housekeepingInterval{50};
+
+std::set<std::string> usableAddresses(const View &view)
+{
+    std::set<std::string> addresses;
+    for (const auto &it : view.instances) {
+        const InstancePhase phase = it.second.phase;
+        if (phase == InstancePhase::Serving || phase == InstancePhase::Warming)
+            addresses.insert(it.second.address);
+    }
+    return addresses;
+}
+
+} // namespace internal
+
+EntryProcess::EntryProcess(EntrySettings settings)
+    : m_settings(std::move(settings))
+    , m_registry(std::make_shared<prometheus::Registry>())
+    , m_timeline(m_settings.name)
+    , m_metrics(*m_registry)
+    , m_hub(m_settings.dispatch(), m_timeline)
+    , m_exchange(m_connections, m_guard)
+    , m_handler(m_settings.name, m_hub, m_exchange, m_metrics)
+    , m_admin(m_registry, m_timeline)
+    , m_server(m_handler, m_settings.workers)
+{
+    m_view.onChange([this](const ViewPointer &view) { installView(view); });
+}
+
+EntryProcess::~EntryProcess()
+{
+    stopHousekeeping();
+}
+
+Result<Done> EntryProcess::start()
+{
+    m_timeline.record(EventKind::ProcessStarted, m_settings.name);
+    if (const auto admin = m_admin.start(m_settings.adminListen); !admin.ok())
+        return admin.error();
+    const auto port = m_server.start(m_settings.listen);
+    if (!port.ok())
+        return port.error();
+    logState("listening", {{"port", std::to_string(*port)}});
+    if (auto view = startView(); !view.ok())
+        return view;
+    m_housekeeping = std::thread([this] { runHousekeeping(); });
+    return Done();
+}
+
+Result<Done> EntryProcess::startView()
+{
+    if (m_settings.viewFile.empty()) {
+        m_viewClient = std::make_unique<ViewClient>(
+                ViewClientSettings{m_settings.control, m_settings.name, m_settings.region,
+                                   m_settings.zone},
+                m_view, m_timeline);
+        m_viewClient->start();
+        return Done();
+    }
+    auto view = readViewFile(m_settings.viewFile);
+    if (!view.ok())
+        return view.error();
+    m_view.set(*view);
+    return Done();
+}
+
+void EntryProcess::installView(const ViewPointer &view)
+{
+    m_hub.install(view);
+    m_connections.retain(internal::usableAddresses(*view), steadyNow());
+    m_admin.setReady(true);
+    // A leaving instance without work is reported at once, not after the next interval.
+    m_wake.notify_all();
+}
+
+void EntryProcess::runHousekeeping()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        lock.unlock();
+        housekeep();
+        lock.lock();
+        m_wake.wait_for(lock, internal::housekeepingInterval);
+    }
+}
+
+void EntryProcess::housekeep()
+{
+    m_hub.tick();
+    m_metrics.setLoad(m_hub.inFlight(), m_hub.queued());
+    m_connections.retain(internal::usableAddresses(*m_view.get()), steadyNow());
+    if (m_viewClient)
+        m_viewClient->reportDrained(m_hub.drained());
+}
+
+void EntryProcess::stop()
+{
+    logState("stopping");
+    m_timeline.record(EventKind::ProcessStopping, m_settings.name);
+    m_admin.setReady(false);
+    m_server.announceStop();
+    // The load balancer notices /readyz and sends no further connections.
+    std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.stopGraceMs));
+    m_server.finish();
+    stopHousekeeping();
+    reportAllDrained();
+    if (m_viewClient)
+        m_viewClient->stop();
+    logState("drained", {{"in_flight", std::to_string(m_hub.inFlight())}});
+    m_admin.stop();
+}
+
+void EntryProcess::reportAllDrained()
+{
+    if (!m_viewClient)
+        return;
+    std::vector<DrainedInstance> drained;
+    for (const auto &it : m_view.get()->instances)
+        drained.push_back({it.second.name, it.second.epoch});
+    m_viewClient->reportDrained(std::move(drained));
+}
+
+void EntryProcess::stopHousekeeping()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    if (m_housekeeping.joinable())
+        m_housekeeping.join();
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/programs/dragonflysill-entry/entryserver.cpp
@@ -0,0 +1,135 @@
+#include "entryserver.h"
+
+#include "httptranslation.h"
+#include "workerthreads.h"
+
+#include "dragonflysill/links/headers.h"
+#include "dragonflysill/telemetry/settings.h"
+
+#include <sys/socket.h>
+
+#include <limits>
+
+namespace dragonflysill {
+
+namespace internal {
+
+// The library's backlog of 5 drops connection attempts of a burst; they are repeated after 1 s.
+constexpr int acceptBacklog = 1024;
+// The library's default closes a connection after 5 requests.
+constexpr std::size_t requestsPerConnection = std::numeric_limits<std::size_t>::max();
+constexpr std::time_t keepAliveSeconds = 5;
+constexpr std::time_t readTimeoutSeconds = 5;
+
+/**
+ * Returns the request for changes. The library passes its own non-constant object by constant
+ * reference, so the cast is valid.
+ */
+httplib::Request &changeable(const httplib::Request &request)
+{
+    return const_cast<httplib::Request &>(request);
+}
+
+} // namespace internal
+
+EntryServer::EntryServer(RequestHandler &handler, std::size_t workers)
+    : m_handler(handler)
+{
+    configure(workers);
+    addHandlers();
+}
+
+EntryServer::~EntryServer()
+{
+    finish();
+}
+
+void EntryServer::configure(std::size_t workers)
+{
+    new_task_queue = [workers] { return new WorkerThreads(workers); };
+    set_tcp_nodelay(true);
+    set_keep_alive_max_count(internal::requestsPerConnection);
+    set_keep_alive_timeout(internal::keepAliveSeconds);
+    set_read_timeout(internal::readTimeoutSeconds);
+    set_payload_max_length(bodyLimit);
+}
+
+void EntryServer::addHandlers()
+{
+    using httplib::Request;
+    using httplib::Response;
+    set_pre_routing_handler([this](const Request &q, Response &r) { return check(q, r); });
+    set_error_handler(
+            Handler([this](const Request &q, Response &r) { completeLibraryError(q, r); }));
+    const Handler handler = [this](const Request &q, Response &r) { serve(q, r); };
+    const std::string anyPath = "[\\s\\S]*";
+    Post(anyPath, handler);
+    Put(anyPath, handler);
+    Patch(anyPath, handler);
+    Delete(anyPath, handler);
+}
+
+httplib::Server::HandlerResponse EntryServer::check(const httplib::Request &request,
+                                                    httplib::Response &response)
+{
+    hideRewrittenHeaders(internal::changeable(request));
+    if (const auto failure = checkRequest(request)) {
+        m_handler.fail(m_handler.requestIdOf(request), *failure, response);
+        closeAfterResponse(response);
+        return HandlerResponse::Handled;
+    }
+    const bool hasBody
+            = request.has_header("Content-Length") || request.has_header("Transfer-Encoding");
+    if (hasBody && request.method != "GET" && request.method != "HEAD"
+        && request.method != "OPTIONS")
+        return HandlerResponse::Unhandled; // The library reads the body, then calls serve().
+    serve(request, response);
+    return HandlerResponse::Handled;
+}
+
+void EntryServer::serve(const httplib::Request &request, httplib::Response &response)
+{
+    m_handler.serve(request, response);
+    if (m_stopping)
+        response.set_header("Connection", "close");
+}
+
+void EntryServer::completeLibraryError(const httplib::Request &request, httplib::Response &response)
+{
+    if (response.has_header(headernames::outcome))
+        return;
+    constexpr int tooLarge = 413;
+    const auto failure = response.status == tooLarge ? Failure::TooLarge : Failure::BadRequest;
+    const int status = response.status;
+    m_handler.fail(m_handler.requestIdOf(request), failure, response);
+    response.status = status;
+    closeAfterResponse(response);
+}
+
+Result<int> EntryServer::start(const std::string &address)
+{
+    const auto endpoint = Endpoint::parse(address);
+    if (!endpoint)
+        return Error(ErrorKind::SettingsInvalid, "'" + address + "' is not IP:PORT");
+    int port = endpoint->port;
+    if (port == 0)
+        port = bind_to_any_port(endpoint->host);
+    else if (!bind_to_port(endpoint->host, port))
+        port = -1;
+    if (port < 0 || ::listen(svr_sock_, internal::acceptBacklog) != 0)
+        return Error(ErrorKind::Unreachable, "cannot listen on " + address);
+    m_thread = std::thread([this] { listen_after_bind(); });
+    return port;
+}
+
+void EntryServer::finish()
+{
+    if (!m_thread.joinable())
+        return;
+    while (!is_running())
+        std::this_thread::yield();
+    stop();
+    m_thread.join();
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/programs/dragonflysill-entry/entryserver.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "requesthandler.h"
+
+#include "dragonflysill/base/result.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <cstddef>
+#include <string>
+#include <thread>
+
+namespace dragonflysill {
+
+/** Accepts callers' connections and passes each request to the handler. Owns its threads. */
+class EntryServer : private httplib::Server
+{
+public:
+    /** Largest request body; larger ones get 413. */
+    static constexpr std::size_t bodyLimit = 8UL * 1024 * 1024;
+
+    /**
+     * @param handler belongs to the caller and must outlive the server
+     * @param workers the largest number of connections that are served at once
+     */
+    EntryServer(RequestHandler &handler, std::size_t workers);
+    ~EntryServer() override;
+
+    /**
+     * Binds and serves in threads of its own.
+     * @param address "IP:PORT"; port 0 chooses a free one
+     * @return the port, or Unreachable if the address cannot be bound
+     */
+    Result<int> start(const std::string &address);
+
+    /** Asks callers to close their connections after the next response. */
+    void announceStop() { m_stopping = true; }
+
+    /** Stops accepting, finishes the requests in flight, and joins the threads. */
+    void finish();
+
+private:
+    void configure(std::size_t workers);
+    void addHandlers();
+    HandlerResponse check(const httplib::Request &request, httplib::Response &response);
+    void serve(const httplib::Request &request, httplib::Response &response);
+    void completeLibraryError(const httplib::Request &request, httplib::Response &response);
+
+    RequestHandler &m_handler;
+    std::atomic<bool> m_stopping = false;
+    std::thread m_thread;
+};
+
+} // namespace dragonflysill
--- /dev/null
+++ b/programs/dragonflysill-entry/httptranslation.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "dragonflysill/links/outcome.h"
+
+#include <httplib.h>
+
+#include <optional>
+#include <string>
+
+namespace dragonflysill {
+
+/**
+ * Hides headers on which the HTTP library would act by itself: it decompresses bodies, splits
+ * multipart bodies, slices responses by range and compresses them, all of which would change the
+ * message. forwardedRequest() restores them.
+ * @param request the received request
+ */
+void hideRewrittenHeaders(httplib::Request &request);
+
+/**
+ * Checks what the HTTP library accepts but a proxy must not forward.
+ * @return the failure, or nothing if the request can be forwarded
+ */
+std::optional<Failure> checkRequest(const httplib::Request &request);
+
+/** Returns true if the library leaves the request's body unread in the connection. */
+bool hasUnreadBody(const httplib::Request &request);
+
+/** Returns the request to send to a backend server, without hop-by-hop headers. */
+httplib::Request forwardedRequest(const httplib::Request &request);
+
+/** Copies a backend server's response, without hop-by-hop headers. */
+void copyResponse(httplib::Response &&from, const std::string &method, httplib::Response &to);
+
+/** Sets a response that the entry process makes itself. */
+void setFailure(httplib::Response &response, Failure failure);
+
+/**
+ * Makes the library close the connection after the response, because the position in the
+ * connection is unknown after a malformed request.
+ */
+void closeAfterResponse(httplib::Response &response);
+
+} // namespace dragonflysill
--- /dev/null
+++ b/programs/dragonflysill-entry/viewfile.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "dragonflysill/base/result.h"
+#include "dragonflysill/zones/view.h"
+
+#include <string>
+
+namespace dragonflysill {
+
+/**
+ * Reads a view from a file: a JSON array of {"key":...,"value":...}, where a value is the stored
+ * JSON as text or as an object. For trials and measurements without a control process.
+ * @return the view, NotFound if the file cannot be read, or Corrupt if it is not in this form
+ */
+Result<ViewPointer> readViewFile(const std::string &path);
+
+} // namespace dragonflysill
--- /dev/null
+++ b/programs/dragonflysill-entry/workerthreads.cpp
@@ -0,0 +1,48 @@
+#include "workerthreads.h"
+
+namespace dragonflysill {
+
+WorkerThreads::WorkerThreads(std::size_t limit)
+    : m_limit(limit)
+{
+}
+
+void WorkerThreads::enqueue(std::function<void()> task)
+{
+    const std::lock_guard lock(m_mutex);
+    m_tasks.push_back(std::move(task));
+    if (m_tasks.size() > m_idle && m_threads.size() < m_limit)
+        m_threads.emplace_back([this] { work(); });
+    m_wake.notify_one();
+}
+
+void WorkerThreads::work()
+{
+    std::unique_lock lock(m_mutex);
+    for (;;) {
+        ++m_idle;
+        m_wake.wait(lock, [this] { return m_stopping || !m_tasks.empty(); });
+        --m_idle;
+        if (m_tasks.empty())
+            return;
+        const auto task = std::move(m_tasks.front());
+        m_tasks.pop_front();
+        lock.unlock();
+        task();
+        lock.lock();
+    }
+}
+
+void WorkerThreads::shutdown()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    for (std::thread &it : m_threads)
+        it.join();
+    m_threads.clear();
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/links/backendpool.cpp
@@ -0,0 +1,188 @@
+#include "dragonflysill/links/backendpool.h"
+
+#include <algorithm>
+
+namespace dragonflysill {
+
+bool BackendPool::Backend::accepts() const
+{
+    return present && (phase == InstancePhase::Serving || phase == InstancePhase::Warming);
+}
+
+BackendPool::BackendPool(Selector selector, std::string zone, std::uint64_t seed)
+    : m_selector(selector)
+    , m_zone(std::move(zone))
+    , m_random(seed)
+{
+}
+
+void BackendPool::update(std::span<const InstanceRecord *const> records,
+                         const BackendLimits &limits, TimePoint now)
+{
+    m_limits = limits;
+    for (auto &it : m_backends) {
+        it.second.present = false;
+        it.second.limit.setMaximum(limits.slots);
+    }
+    for (const InstanceRecord *record : records)
+        installRecord(*record, now);
+    removeDeparted();
+}
+
+void BackendPool::installRecord(const InstanceRecord &record, TimePoint now)
+{
+    Backend *backend = findBackend(record);
+    if (backend == nullptr) {
+        backend = &m_backends[m_nextId++];
+        backend->name = record.name;
+        backend->address = record.address;
+        backend->epoch = record.epoch;
+        backend->sameZone = record.zone == m_zone;
+        const int share = (m_limits.slots + m_limits.entries - 1) / std::max(1, m_limits.entries);
+        backend->limit = AdaptiveLimit(share, m_limits.slots);
+        if (record.phase == InstancePhase::Warming)
+            backend->slowStart.start(now);
+    }
+    backend->phase = record.phase;
+    backend->present = true;
+}
+
+BackendPool::Backend *BackendPool::findBackend(const InstanceRecord &record)
+{
+    for (auto &it : m_backends) {
+        Backend &backend = it.second;
+        if (backend.name == record.name && backend.epoch == record.epoch
+            && backend.address == record.address)
+            return &backend;
+    }
+    return nullptr;
+}
+
+void BackendPool::removeDeparted()
+{
+    std::erase_if(m_backends,
+                  [](const auto &it) { return !it.second.present && it.second.inFlight == 0; });
+}
+
+int BackendPool::limitOf(Backend &backend, TimePoint now) const
+{
+    const HealthState state = backend.health.state(now);
+    if (!backend.accepts() || state == HealthState::Ejected)
+        return 0;
+    if (state == HealthState::Checking)
+        return 1;
+    const int entries = std::max(1, m_limits.entries);
+    int limit = m_limits.slots;
+    if (limitKind(m_selector) == LimitKind::Share)
+        limit = m_limits.slots / entries;
+    else if (limitKind(m_selector) == LimitKind::Adaptive)
+        limit = backend.limit.value();
+    limit = std::min(limit, m_limits.connections / entries);
+    return std::max(1, static_cast<int>(limit * backend.slowStart.share(now)));
+}
+
+void BackendPool::collectCandidates(int exclude, bool repeatable, TimePoint now)
+{
+    m_candidates.clear();
+    for (auto &it : m_backends) {
+        Backend &backend = it.second;
+        const int limit = limitOf(backend, now);
+        const bool checking = backend.health.state(now) == HealthState::Checking;
+        if (limit == 0 || it.first == exclude || (checking && !repeatable))
+            continue;
+        m_candidates.push_back({it.first, backend.inFlight, limit, backend.sameZone});
+    }
+}
+
+std::optional<Assignment> BackendPool::assign(int exclude, bool repeatable, TimePoint now)
+{
+    collectCandidates(exclude, repeatable, now);
+    int chosen = choose(m_selector, m_candidates, m_random);
+    if (chosen < 0 && exclude >= 0) {
+        collectCandidates(-1, repeatable, now);
+        chosen = choose(m_selector, m_candidates, m_random);
+    }
+    if (chosen < 0)
+        return std::nullopt;
+    const int id = m_candidates[chosen].backend;
+    Backend &backend = m_backends.at(id);
+    ++backend.inFlight;
+    const bool checking = backend.health.state(now) == HealthState::Checking;
+    return Assignment{id, backend.name, backend.address, backend.epoch, checking, backend.inFlight};
+}
+
+std::optional<HealthEvent> BackendPool::finish(const Assignment &assignment, AttemptResult result,
+                                               bool freshConnection, TimePoint now)
+{
+    const auto it = m_backends.find(assignment.backend);
+    if (it == m_backends.end())
+        return std::nullopt;
+    Backend &backend = it->second;
+    if (result == AttemptResult::Refused)
+        backend.limit.refused(backend.inFlight);
+    else if (result == AttemptResult::Success)
+        backend.limit.succeeded(assignment.inFlight);
+    --backend.inFlight;
+    auto event = noteHealth(backend, result, freshConnection, now);
+    if (!backend.present)
+        removeDeparted();
+    return event;
+}
+
+std::optional<HealthEvent> BackendPool::noteHealth(Backend &backend, AttemptResult result,
+                                                   bool freshConnection, TimePoint now)
+{
+    const HealthChange change = backend.health.note(result, freshConnection);
+    if (change == HealthChange::Restored) {
+        backend.slowStart.start(now);
+        return HealthEvent{backend.name, false};
+    }
+    if (change != HealthChange::WantsEjection || !mayEject(now))
+        return std::nullopt;
+    backend.health.eject(now);
+    return HealthEvent{backend.name, true};
+}
+
+bool BackendPool::mayEject(TimePoint now)
+{
+    // With more than a third ejected, the rest would be overloaded and fail in turn.
+    constexpr int ejectableDivisor = 3;
+    int ejected = 0;
+    for (auto &it : m_backends) {
+        const bool counts = it.second.accepts();
+        ejected += counts && it.second.health.state(now) == HealthState::Ejected ? 1 : 0;
+    }
+    return (ejected + 1) * ejectableDivisor <= accepting();
+}
+
+int BackendPool::concurrency(TimePoint now)
+{
+    int sum = 0;
+    for (auto &it : m_backends)
+        sum += limitOf(it.second, now);
+    return sum;
+}
+
+int BackendPool::accepting() const
+{
+    return static_cast<int>(std::count_if(m_backends.begin(), m_backends.end(),
+                                          [](const auto &it) { return it.second.accepts(); }));
+}
+
+int BackendPool::inFlight() const
+{
+    int sum = 0;
+    for (const auto &it : m_backends)
+        sum += it.second.inFlight;
+    return sum;
+}
+
+int BackendPool::inFlightOn(std::string_view name) const
+{
+    int sum = 0;
+    for (const auto &it : m_backends)
+        sum += it.second.name == name ? it.second.inFlight : 0;
+    return sum;
+}
+
+} // namespace dragonflysill
--- a/src/machines/fleetrunner.cpp
+++ b/src/machines/fleetrunner.cpp
@@ -63,29 +63,6 @@
                     + (change.after->targetPool.empty() ? "none" : change.after->targetPool)};
 }
 
-/** Returns the status of an instance that is moving, joining or unavailable. */
-std::optional<MoveStatus> moveStatus(const FleetInputs &inputs, const InstanceRecord &record,
-                                     const DeclaredInstance *declared, const MoveVerdict &verdict)
-{
-    const bool moves = declared == nullptr || declared->pool != record.pool;
-    const bool joins = record.phase == InstancePhase::Warming;
-    if (!moves && !joins && verdict.reason.empty() && verdict.waitingFor.empty())
-        return std::nullopt;
-    MoveStatus status;
-    status.instance = record.name;
-    status.fromPool = joins ? std::string() : record.pool;
-    status.toPool = declared == nullptr ? std::string() : declared->pool;
-    status.phase = record.phase;
-    status.epoch = record.epoch;
-    const auto pool = inputs.configuration.pools.find(status.toPool);
-    status.ticket = pool == inputs.configuration.pools.end() ? 0 : pool->second.ticket;
-    status.sinceMs = record.sinceMs;
-    status.waitingFor = verdict.waitingFor;
-    status.reason = verdict.reason;
-    status.remedy = verdict.remedy;
-    return status;
-}
-
 } // namespace internal
 
 FleetRunner::FleetRunner(std::string self, Store &store, const Fence &fence, MoveSettings settings)
@@ -101,8 +78,6 @@
 FleetReport FleetRunner::step(FleetInputs inputs)
 {
     FleetReport report;
-    report.status.revision = inputs.revision;
-    report.status.atMs = inputs.nowMs;
     auto overview = readOverview(m_store, m_fence, m_self);
     if (!overview) {
         report.error = overview.error();
@@ -214,13 +189,10 @@
             continue;
         auto verdict = decision.decide(it, declaration == declared.end() ? nullptr
                                                                          : &declaration->second);
-        if (record != inputs.records.end()) {
-            const auto *target = declaration == declared.end() ? nullptr : &declaration->second;
-            if (auto status = internal::moveStatus(inputs, record->second, target, verdict))
-                report.status.moves.push_back(std::move(*status));
-        }
         if (verdict.change && report.writes < maxWritesPerPass)
             apply(*verdict.change, report);
+        else if (!verdict.waitingFor.empty() || !verdict.reason.empty())
+            report.pending.push_back({std::string(it), std::move(verdict)});
     }
 }
 
--- a/src/zones/zonenode.cpp
+++ b/src/zones/zonenode.cpp
@@ -284,23 +284,29 @@
 void ZoneNode::handle(LinkId link, const ViewDelta &delta, TimePoint now)
 {
     const std::int64_t mine = m_builder.view()->revision;
-    DeltaAssembler &assembler = m_remotes[link].assembler;
-    switch (assembler.add(delta, mine)) {
-    case DeltaOutcome::Ignore:
+    Remote &remote = m_remotes[link];
+    if (delta.full) {
+        remote.parts.insert(remote.parts.end(), delta.updates.begin(), delta.updates.end());
+        if (delta.more)
+            return;
+        const auto updates = std::exchange(remote.parts, {});
+        if (delta.toRevision > mine)
+            apply(updates, delta.toRevision, true, now);
+        return;
+    }
+    if (delta.toRevision <= mine)
         return;
-    case DeltaOutcome::Request: {
+    if (delta.fromRevision > mine) {
         const Peer *peer = m_peers.findByLink(link);
         const bool subscribed = peer != nullptr && peer->name == m_source;
         m_actions.emplace_back(SendAction{{link}, ViewRequest{mine, subscribed}});
         return;
     }
-    case DeltaOutcome::Apply:
-        apply(assembler.updates(), delta.toRevision, false, now);
-        return;
-    case DeltaOutcome::Replace:
-        apply(assembler.updates(), delta.toRevision, true, now);
-        return;
-    }
+    // An older update would bring back a key that was deleted since.
+    std::vector<KeyUpdate> updates;
+    std::copy_if(delta.updates.begin(), delta.updates.end(), std::back_inserter(updates),
+                 [mine](const KeyUpdate &it) { return it.revision > mine; });
+    apply(updates, delta.toRevision, false, now);
 }
 
 void ZoneNode::handle(LinkId link, const ViewRequest &request, TimePoint /*now*/)
@@ -708,20 +714,6 @@
     m_actions.emplace_back(SendAction{links, std::move(part)});
 }
 
-std::int64_t ZoneNode::liveMembers() const
-{
-    const auto &peers = m_peers.all();
-    return 1 + std::count_if(peers.begin(), peers.end(), [](const auto &it) {
-               return it.second.state == Peer::State::Alive;
-           });
-}
-
-std::int64_t ZoneNode::subscribers() const
-{
-    return std::count_if(m_remotes.begin(), m_remotes.end(),
-                         [](const auto &it) { return it.second.subscribed; });
-}
-
 void ZoneNode::reportSelf()
 {
     m_actions.emplace_back(ReportAction{{m_settings.self.name, m_settings.self.incarnation, true,
