Forward over own backend connections and collect responses before sending

The HTTP library's client restarts its timeouts with every received byte and does not tell whether a byte was sent, so the entry process now sends requests and parses responses itself. On the caller's side it gives the library a buffering stream.

--- a/programs/dragonflysill-entry/connectionpool.cpp
+++ b/programs/dragonflysill-entry/connectionpool.cpp
@@ -1,8 +1,7 @@
 #include "connectionpool.h"
 
-#include "dragonflysill/telemetry/settings.h"
-
 #include <algorithm>
+#include <iterator>
 
 namespace dragonflysill {
 
@@ -15,37 +14,20 @@
 
 } // namespace internal
 
-BackendConnection::BackendConnection(const std::string &text)
-    : address(text)
-    , client(Endpoint::parse(text).value_or(Endpoint()).host,
-             Endpoint::parse(text).value_or(Endpoint()).port)
-    , idleLimit(ConnectionPool::defaultIdleLimit)
-{
-    client.set_keep_alive(true);
-    client.set_tcp_nodelay(true);
-    client.set_follow_location(false);
-    client.set_decompress(false);
-    client.set_url_encode(false);
-}
-
-ConnectionPointer ConnectionPool::take(const std::string &address, bool fresh)
+ConnectionPointer ConnectionPool::take(const std::string &address, TimePoint now)
 {
-    ConnectionPointer stale; // Closed after the lock is released.
-    if (!fresh) {
-        const TimePoint now = steadyNow();
-        const std::lock_guard lock(m_mutex);
-        auto &idle = m_idle[address];
-        if (!idle.empty() && !internal::expired(idle.back(), now)) {
-            ConnectionPointer connection = std::move(idle.back());
-            idle.pop_back();
-            return connection;
-        }
-        if (!idle.empty()) {
-            stale = std::move(idle.back());
-            idle.pop_back();
-        }
+    ConnectionPointer closing; // Closed after the lock is released.
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_idle.find(address);
+    if (it == m_idle.end() || it->second.empty())
+        return nullptr;
+    ConnectionPointer connection = std::move(it->second.back());
+    it->second.pop_back();
+    if (internal::expired(connection, now)) {
+        closing = std::move(connection);
+        return nullptr;
     }
-    return std::make_unique<BackendConnection>(address);
+    return connection;
 }
 
 void ConnectionPool::putBack(ConnectionPointer connection, TimePoint now)
@@ -58,7 +40,7 @@
 
 void ConnectionPool::retain(const std::set<std::string> &addresses, TimePoint now)
 {
-    std::vector<ConnectionPointer> closing;
+    std::vector<ConnectionPointer> closing; // Closed after the lock is released.
     const std::lock_guard lock(m_mutex);
     for (auto &it : m_idle) {
         auto &idle = it.second;
@@ -72,13 +54,4 @@
     std::erase_if(m_idle, [](const auto &it) { return it.second.empty(); });
 }
 
-void ConnectionPool::closeIdle(const std::string &address)
-{
-    std::vector<ConnectionPointer> closing;
-    const std::lock_guard lock(m_mutex);
-    const auto it = m_idle.find(address);
-    if (it != m_idle.end())
-        closing.swap(it->second);
-}
-
 } // namespace dragonflysill
--- a/programs/dragonflysill-entry/connectionpool.h
+++ b/programs/dragonflysill-entry/connectionpool.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "dragonflysill/base/time.h"
+#include "backendsocket.h"
 
-#include <httplib.h>
+#include "dragonflysill/base/time.h"
 
-#include <cstddef>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,10 +16,8 @@
 /** A connection to a backend server; carries one request at a time. */
 struct BackendConnection
 {
-    explicit BackendConnection(const std::string &address);
-
     std::string address;
-    httplib::Client client;
+    BackendSocket socket;
     bool reused = false; ///< True if it already carried a request.
     TimePoint idleSince{};
     Duration idleLimit{0}; ///< From the backend server's Keep-Alive header.
@@ -40,8 +37,8 @@
      */
     static constexpr std::chrono::seconds defaultIdleLimit{4};
 
-    /** Returns an idle connection, or a new one that connects when it is used. */
-    ConnectionPointer take(const std::string &address, bool fresh);
+    /** Returns the idle connection that was used last, or null if there is none. */
+    ConnectionPointer take(const std::string &address, TimePoint now);
 
     /** Keeps a connection whose response was complete. */
     void putBack(ConnectionPointer connection, TimePoint now);
@@ -49,11 +46,8 @@
     /** Closes the idle connections to all other addresses, and those that were idle too long. */
     void retain(const std::set<std::string> &addresses, TimePoint now);
 
-    /** Closes the idle connections to one address. */
-    void closeIdle(const std::string &address);
-
 private:
-    std::mutex m_mutex;
+    std::mutex m_mutex; ///< "connections" in the lock order.
     std::map<std::string, std::vector<ConnectionPointer>> m_idle;
 };
 
--- a/programs/dragonflysill-entry/entryprocess.h
+++ b/programs/dragonflysill-entry/entryprocess.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "connectionpool.h"
-#include "deadlineguard.h"
 #include "dispatchhub.h"
 #include "entrymetrics.h"
 #include "entryserver.h"
@@ -55,7 +54,6 @@
     SharedView m_view;
     DispatchHub m_hub;
     ConnectionPool m_connections;
-    DeadlineGuard m_guard;
     Exchange m_exchange;
     RequestHandler m_handler;
     AdminServer m_admin;
--- a/programs/dragonflysill-entry/entryserver.cpp
+++ b/programs/dragonflysill-entry/entryserver.cpp
@@ -1,5 +1,6 @@
 #include "entryserver.h"
 
+#include "callerconnection.h"
 #include "httptranslation.h"
 #include "workerthreads.h"
 
@@ -8,18 +9,14 @@
 
 #include <sys/socket.h>
 
-#include <limits>
-
 namespace dragonflysill {
 
 namespace internal {
 
 // The library's backlog of 5 drops connection attempts of a burst; they are repeated after 1 s.
 constexpr int acceptBacklog = 1024;
-// The library's default closes a connection after 5 requests.
-constexpr std::size_t requestsPerConnection = std::numeric_limits<std::size_t>::max();
-constexpr std::time_t keepAliveSeconds = 5;
-constexpr std::time_t readTimeoutSeconds = 5;
+/** Set by a handler to close the connection that the calling thread serves. */
+thread_local bool closeConnection = false;
 
 /**
  * Returns the request for changes. The library passes its own non-constant object by constant
@@ -48,9 +45,6 @@
 {
     new_task_queue = [workers] { return new WorkerThreads(workers); };
     set_tcp_nodelay(true);
-    set_keep_alive_max_count(internal::requestsPerConnection);
-    set_keep_alive_timeout(internal::keepAliveSeconds);
-    set_read_timeout(internal::readTimeoutSeconds);
     set_payload_max_length(bodyLimit);
 }
 
@@ -87,11 +81,30 @@
     return HandlerResponse::Handled;
 }
 
+bool EntryServer::process_and_close_socket(socket_t socket)
+{
+    CallerConnection connection(socket);
+    bool keep = true;
+    while (keep && connection.awaitRequest(m_stopping)) {
+        bool callerCloses = false;
+        internal::closeConnection = false;
+        const bool closing = m_closing;
+        const bool processed = process_request(connection, closing, callerCloses, nullptr);
+        keep = connection.flush() && processed && !callerCloses && !closing
+               && !internal::closeConnection;
+    }
+    return true;
+}
+
+void EntryServer::closeAfterResponse(httplib::Response &response)
+{
+    response.set_header("Connection", "close");
+    internal::closeConnection = true;
+}
+
 void EntryServer::serve(const httplib::Request &request, httplib::Response &response)
 {
     m_handler.serve(request, response);
-    if (m_stopping)
-        response.set_header("Connection", "close");
 }
 
 void EntryServer::completeLibraryError(const httplib::Request &request, httplib::Response &response)
@@ -128,6 +141,8 @@
         return;
     while (!is_running())
         std::this_thread::yield();
+    m_closing = true;
+    m_stopping = true;
     stop();
     m_thread.join();
 }
--- a/programs/dragonflysill-entry/entryserver.h
+++ b/programs/dragonflysill-entry/entryserver.h
@@ -34,8 +34,8 @@
      */
     Result<int> start(const std::string &address);
 
-    /** Asks callers to close their connections after the next response. */
-    void announceStop() { m_stopping = true; }
+    /** Closes each connection after its next response, and says so in the response. */
+    void announceStop() { m_closing = true; }
 
     /** Stops accepting, finishes the requests in flight, and joins the threads. */
     void finish();
@@ -43,11 +43,14 @@
 private:
     void configure(std::size_t workers);
     void addHandlers();
+    bool process_and_close_socket(socket_t socket) override;
+    void closeAfterResponse(httplib::Response &response);
     HandlerResponse check(const httplib::Request &request, httplib::Response &response);
     void serve(const httplib::Request &request, httplib::Response &response);
     void completeLibraryError(const httplib::Request &request, httplib::Response &response);
 
     RequestHandler &m_handler;
+    std::atomic<bool> m_closing = false;
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
 };
--- a/programs/dragonflysill-entry/exchange.cpp
+++ b/programs/dragonflysill-entry/exchange.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/links/headers.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace dragonflysill {
 
@@ -11,84 +12,109 @@
 // A connect within one region takes about 1 ms; a longer wait means that the peer is gone.
 constexpr std::chrono::milliseconds longestConnect{500};
 
-void setTimeouts(httplib::Client &client, Duration remaining)
-{
-    // The library waits in whole microseconds, and zero would mean no wait at all.
-    const auto wait = std::max(std::chrono::duration_cast<std::chrono::microseconds>(remaining),
-                               std::chrono::microseconds(1000));
-    client.set_read_timeout(wait);
-    client.set_write_timeout(wait);
-    client.set_connection_timeout(std::min<std::chrono::microseconds>(wait, longestConnect));
-}
-
-/** Shortens the idle limit to what the backend server states in "Keep-Alive: timeout=N". */
-void applyKeepAlive(BackendConnection &connection, const httplib::Response &response)
+/** Returns the idle limit that "Keep-Alive: timeout=N" leaves, at most the default. */
+Duration idleLimitOf(const BackendResponse &response)
 {
     constexpr std::string_view name = "timeout=";
-    const std::string value = response.get_header_value("Keep-Alive");
+    const std::string_view value = response.header("Keep-Alive");
     const auto start = value.find(name);
-    if (start == std::string::npos)
-        return;
-    const long seconds = std::strtol(value.c_str() + start + name.size(), nullptr, 10);
-    const std::chrono::seconds stated{std::clamp(seconds - 1, 0L, 3600L)};
-    connection.idleLimit = std::min<Duration>(stated, ConnectionPool::defaultIdleLimit);
+    int seconds = 0;
+    if (start == std::string_view::npos)
+        return ConnectionPool::defaultIdleLimit;
+    const std::string_view digits = value.substr(start + name.size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    // One second less, so that the backend server does not close it while a request is on its way.
+    const std::chrono::seconds stated{std::max(0, seconds - 1)};
+    return std::min<Duration>(stated, ConnectionPool::defaultIdleLimit);
 }
 
-} // namespace internal
-
-Exchange::Exchange(ConnectionPool &connections, DeadlineGuard &guard)
-    : m_connections(connections)
-    , m_guard(guard)
+AttemptResult resultOfLoss(SocketStatus status, bool fresh)
 {
+    if (status == SocketStatus::TimedOut)
+        return AttemptResult::Silent;
+    // The backend server may close a kept-alive connection at any time.
+    return fresh ? AttemptResult::Failed : AttemptResult::Abandoned;
 }
 
-ExchangeEnd Exchange::run(httplib::Request &request, const Assignment &assignment, TimePoint until)
+} // namespace internal
+
+ExchangeEnd Exchange::run(const OutgoingRequest &request, const Assignment &assignment,
+                          TimePoint until)
 {
     ExchangeEnd end;
-    auto connection = m_connections.take(assignment.address, assignment.checking);
-    end.freshConnection = !connection->reused;
-    internal::setTimeouts(connection->client, until - steadyNow());
-    httplib::Error error = httplib::Error::Success;
-    {
-        const auto watch = m_guard.watch(connection->client, until);
-        end.complete = connection->client.send(request, end.response, error);
+    ConnectionPointer connection = idleConnection(assignment);
+    end.freshConnection = !connection;
+    if (!connection)
+        connection = newConnection(assignment.address, until);
+    if (!connection) {
+        end.result = AttemptResult::ConnectFailed;
+        return end;
     }
-    const TimePoint now = steadyNow();
+    ResponseParser parser(request.headMethod);
+    const SocketStatus status = transfer(*connection, request, parser, end, until);
+    end.complete = parser.state() == ResponseParser::State::Complete;
+    end.response = std::move(parser.response());
     if (!end.complete) {
-        classifyError(end, error, now >= until);
+        end.result = internal::resultOfLoss(status, end.freshConnection || parser.started());
         return end;
     }
     classifyResponse(end);
-    if (now < until) {
-        internal::applyKeepAlive(*connection, end.response);
-        m_connections.putBack(std::move(connection), now);
+    if (parser.reusable()) {
+        connection->idleLimit = internal::idleLimitOf(end.response);
+        m_connections.putBack(std::move(connection), steadyNow());
     }
     return end;
 }
 
+ConnectionPointer Exchange::idleConnection(const Assignment &assignment)
+{
+    if (assignment.checking)
+        return nullptr;
+    while (ConnectionPointer connection = m_connections.take(assignment.address, steadyNow())) {
+        if (connection->socket.idle())
+            return connection;
+    }
+    return nullptr;
+}
+
+ConnectionPointer Exchange::newConnection(const std::string &address, TimePoint until)
+{
+    auto connection = std::make_unique<BackendConnection>();
+    connection->address = address;
+    const TimePoint limit = std::min(until, steadyNow() + internal::longestConnect);
+    const bool connected = connection->socket.connect(address, limit) == SocketStatus::Ok;
+    return connected ? std::move(connection) : nullptr;
+}
+
+SocketStatus Exchange::transfer(BackendConnection &connection, const OutgoingRequest &request,
+                                ResponseParser &parser, ExchangeEnd &end, TimePoint until)
+{
+    std::size_t sent = 0;
+    const auto status = connection.socket.send(request.head, request.body, sent, until);
+    end.byteSent = sent > 0;
+    if (status != SocketStatus::Ok)
+        return status;
+    while (parser.state() == ResponseParser::State::Reading) {
+        std::string_view bytes;
+        const auto received = connection.socket.receive(bytes, until);
+        if (received == SocketStatus::Closed)
+            parser.finish();
+        if (received != SocketStatus::Ok)
+            return received;
+        parser.feed(bytes);
+    }
+    return SocketStatus::Ok;
+}
+
 void Exchange::classifyResponse(ExchangeEnd &end)
 {
     constexpr int serverError = 500;
     constexpr int unavailable = 503;
     end.result
             = end.response.status >= serverError ? AttemptResult::Failed : AttemptResult::Success;
-    const std::string refused = end.response.get_header_value(headernames::refused);
-    if (end.response.status == unavailable && refused == headernames::beforeStart)
+    const bool refused = end.response.header(headernames::refused) == headernames::beforeStart;
+    if (end.response.status == unavailable && refused)
         end.result = AttemptResult::Refused;
 }
 
-void Exchange::classifyError(ExchangeEnd &end, httplib::Error error, bool timedOut)
-{
-    const bool connecting = error == httplib::Error::Connection
-                            || error == httplib::Error::ConnectionTimeout
-                            || error == httplib::Error::BindIPAddress;
-    end.byteSent = !connecting;
-    if (connecting)
-        end.result = AttemptResult::ConnectFailed;
-    else if (timedOut)
-        end.result = AttemptResult::Silent;
-    else // The backend server may close a kept-alive connection at any time.
-        end.result = end.freshConnection ? AttemptResult::Failed : AttemptResult::Abandoned;
-}
-
 } // namespace dragonflysill
--- a/programs/dragonflysill-entry/exchange.h
+++ b/programs/dragonflysill-entry/exchange.h
@@ -1,44 +1,58 @@
 #pragma once
 
 #include "connectionpool.h"
-#include "deadlineguard.h"
 
 #include "dragonflysill/links/attempt.h"
+#include "dragonflysill/links/responseparser.h"
 
-#include <httplib.h>
+#include <string>
+#include <string_view>
 
 namespace dragonflysill {
 
+/** A request as it goes to a backend server. */
+struct OutgoingRequest
+{
+    std::string head; ///< Request line and headers with the empty line.
+    std::string_view body; ///< Belongs to the caller.
+    bool headMethod = false; ///< True for HEAD, whose response has no body.
+};
+
 /** How one attempt over a backend connection ended. */
 struct ExchangeEnd
 {
     AttemptResult result = AttemptResult::Failed;
-    bool byteSent = true; ///< True if a byte of the request may have left this process.
+    bool byteSent = false; ///< True if a byte of the request may have left this process.
     bool complete = false; ///< True if `response` is the complete response.
     bool freshConnection = false;
-    httplib::Response response;
+    BackendResponse response;
 };
 
 /** Sends requests to backend servers, one at a time per connection. Thread-safe. */
 class Exchange
 {
 public:
-    Exchange(ConnectionPool &connections, DeadlineGuard &guard);
+    explicit Exchange(ConnectionPool &connections)
+        : m_connections(connections)
+    {
+    }
 
     /**
-     * Makes one attempt.
-     * @param request the request to send; the library adds headers to it
+     * Makes one attempt. The connection is closed unless the response is complete.
+     * @param request the request to send
      * @param assignment the chosen backend server
-     * @param until when the attempt is given up and its connection closed
+     * @param until when the attempt is given up
      */
-    ExchangeEnd run(httplib::Request &request, const Assignment &assignment, TimePoint until);
+    ExchangeEnd run(const OutgoingRequest &request, const Assignment &assignment, TimePoint until);
 
 private:
+    ConnectionPointer idleConnection(const Assignment &assignment);
+    static ConnectionPointer newConnection(const std::string &address, TimePoint until);
+    static SocketStatus transfer(BackendConnection &connection, const OutgoingRequest &request,
+                                 ResponseParser &parser, ExchangeEnd &end, TimePoint until);
     static void classifyResponse(ExchangeEnd &end);
-    static void classifyError(ExchangeEnd &end, httplib::Error error, bool timedOut);
 
     ConnectionPool &m_connections;
-    DeadlineGuard &m_guard;
 };
 
 } // namespace dragonflysill
--- a/programs/dragonflysill-entry/httptranslation.cpp
+++ b/programs/dragonflysill-entry/httptranslation.cpp
@@ -10,9 +10,10 @@
 
 namespace internal {
 
-constexpr std::string_view hiddenPrefix = "Dragonflysill-Hidden-";
-constexpr std::array<const char *, 4> rewrittenHeaders{"Content-Type", "Content-Encoding",
-                                                       "Accept-Encoding", "Range"};
+// Differs from real header names in the first character, so that comparisons end there.
+constexpr std::string_view hiddenPrefix = "~Dragonflysill-";
+constexpr std::array<std::string_view, 4> rewrittenHeaders{"Content-Type", "Content-Encoding",
+                                                           "Accept-Encoding", "Range"};
 // The HTTP library adds these to every received request.
 constexpr std::array<std::string_view, 4> addedHeaders{"REMOTE_ADDR", "REMOTE_PORT", "LOCAL_ADDR",
                                                        "LOCAL_PORT"};
@@ -41,6 +42,17 @@
     return sameHeaderName(name.substr(0, hiddenPrefix.size()), hiddenPrefix);
 }
 
+bool isFraming(std::string_view name)
+{
+    return sameHeaderName(name, "Content-Length") || sameHeaderName(name, "Transfer-Encoding");
+}
+
+bool isRewritten(std::string_view name)
+{
+    return std::any_of(rewrittenHeaders.begin(), rewrittenHeaders.end(),
+                       [name](std::string_view it) { return sameHeaderName(it, name); });
+}
+
 bool isAdded(std::string_view name)
 {
     return std::find(addedHeaders.begin(), addedHeaders.end(), name) != addedHeaders.end();
@@ -58,19 +70,20 @@
 
 void hideRewrittenHeaders(httplib::Request &request)
 {
-    // A caller could otherwise pass any header, for example a second Content-Length, unchecked.
-    std::erase_if(request.headers, [](const auto &it) { return internal::isHidden(it.first); });
-    for (const char *name : internal::rewrittenHeaders) {
-        const auto range = request.headers.equal_range(name);
-        if (range.first == range.second)
-            continue;
-        const std::string value = range.first->second;
-        request.headers.erase(range.first, range.second);
-        request.headers.emplace(std::string(internal::hiddenPrefix) + name, value);
+    bool framed = false;
+    for (auto it = request.headers.begin(); it != request.headers.end();) {
+        const auto current = it++;
+        framed = framed || internal::isFraming(current->first);
+        // A caller could otherwise pass any header, for example a second Content-Length, unchecked.
+        if (internal::isHidden(current->first))
+            request.headers.erase(current);
+        else if (internal::isRewritten(current->first)) {
+            auto node = request.headers.extract(current);
+            node.key().insert(0, internal::hiddenPrefix);
+            request.headers.insert(std::move(node));
+        }
     }
     request.ranges.clear();
-    const bool framed
-            = request.has_header("Content-Length") || request.has_header("Transfer-Encoding");
     if (!framed && internal::readsBody(request.method))
         request.headers.emplace("Content-Length",
                                 "0"); // Else the library reads until it times out.
@@ -99,12 +112,12 @@
     return request.has_header("Transfer-Encoding") || (!length.empty() && length != "0");
 }
 
-httplib::Request forwardedRequest(const httplib::Request &request)
+std::string forwardedHead(const httplib::Request &request)
 {
-    httplib::Request forwarded;
-    forwarded.method = request.method;
-    forwarded.path = request.target;
-    forwarded.body = request.body;
+    constexpr std::size_t typicalSize = 512;
+    std::string head;
+    head.reserve(typicalSize);
+    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     const std::string connection = request.get_header_value("Connection");
     for (const auto &it : request.headers) {
         std::string_view name = it.first;
@@ -112,18 +125,20 @@
             continue;
         if (internal::isHidden(name))
             name.remove_prefix(internal::hiddenPrefix.size());
-        forwarded.headers.emplace(name, it.second);
+        appendHeader(head, name, it.second);
     }
-    return forwarded;
+    if (internal::readsBody(request.method) || !request.body.empty())
+        appendHeader(head, "Content-Length", std::to_string(request.body.size()));
+    return head;
 }
 
-void copyResponse(httplib::Response &&from, const std::string &method, httplib::Response &to)
+void copyResponse(BackendResponse &&from, const std::string &method, httplib::Response &to)
 {
-    const std::string connection = from.get_header_value("Connection");
+    const std::string connection(from.header("Connection"));
     to.status = from.status;
-    for (const auto &it : from.headers) {
+    for (auto &it : from.headers) {
         if (!isHopByHop(it.first, connection) && !internal::isReplaced(it.first, method))
-            to.set_header(it.first, it.second);
+            to.headers.emplace(std::move(it.first), std::move(it.second));
     }
     to.body = std::move(from.body);
 }
@@ -138,18 +153,4 @@
     response.set_content(std::string(description.text) + "\n", "text/plain");
 }
 
-void closeAfterResponse(httplib::Response &response)
-{
-    const std::string text = std::move(response.body);
-    response.body.clear();
-    response.headers.erase("Content-Type");
-    response.set_header("Connection", "close");
-    // The library closes a connection only after a failed write, so the provider reports a failure
-    // once the whole text is written. Without a length, the end of the connection ends the body.
-    response.set_content_provider("text/plain", [text](std::size_t, httplib::DataSink &sink) {
-        sink.write(text.data(), text.size());
-        return false;
-    });
-}
-
 } // namespace dragonflysill
--- a/programs/dragonflysill-entry/httptranslation.h
+++ b/programs/dragonflysill-entry/httptranslation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflysill/links/outcome.h"
+#include "dragonflysill/links/responseparser.h"
 
 #include <httplib.h>
 
@@ -12,7 +13,7 @@
 /**
  * Hides headers on which the HTTP library would act by itself: it decompresses bodies, splits
  * multipart bodies, slices responses by range and compresses them, all of which would change the
- * message. forwardedRequest() restores them.
+ * message. forwardedHead() restores them.
  * @param request the received request
  */
 void hideRewrittenHeaders(httplib::Request &request);
@@ -26,19 +27,16 @@
 /** Returns true if the library leaves the request's body unread in the connection. */
 bool hasUnreadBody(const httplib::Request &request);
 
-/** Returns the request to send to a backend server, without hop-by-hop headers. */
-httplib::Request forwardedRequest(const httplib::Request &request);
+/**
+ * Returns the request line and headers to send to a backend server, without hop-by-hop headers and
+ * without the empty line, so that headers of the attempt can follow.
+ */
+std::string forwardedHead(const httplib::Request &request);
 
 /** Copies a backend server's response, without hop-by-hop headers. */
-void copyResponse(httplib::Response &&from, const std::string &method, httplib::Response &to);
+void copyResponse(BackendResponse &&from, const std::string &method, httplib::Response &to);
 
 /** Sets a response that the entry process makes itself. */
 void setFailure(httplib::Response &response, Failure failure);
 
-/**
- * Makes the library close the connection after the response, because the position in the
- * connection is unknown after a malformed request.
- */
-void closeAfterResponse(httplib::Response &response);
-
 } // namespace dragonflysill
--- a/programs/dragonflysill-entry/requesthandler.cpp
+++ b/programs/dragonflysill-entry/requesthandler.cpp
@@ -32,12 +32,6 @@
     return name + "-" + std::to_string(device()) + "-";
 }
 
-void replaceHeader(httplib::Request &request, const char *name, const std::string &value)
-{
-    request.headers.erase(name);
-    request.headers.emplace(name, value);
-}
-
 } // namespace internal
 
 /** The state of one request between its arrival and its response. */
@@ -47,12 +41,13 @@
     std::shared_ptr<const RouteTable> routes; ///< Keeps `match` valid.
     RouteMatch match;
     DispatchRequest dispatch;
-    httplib::Request forwarded;
+    const httplib::Request *request = nullptr; ///< Belongs to the server.
+    std::string head; ///< The part of the outgoing head that all attempts share.
     int retries = 0;
     int refusals = 0;
     bool mayHaveRun = false; ///< True once an attempt left the outcome open.
     std::optional<Failure> failure; ///< Reason if there is no response to pass on.
-    httplib::Response response;
+    BackendResponse response;
 };
 
 RequestHandler::RequestHandler(std::string name, DispatchHub &hub, Exchange &exchange,
@@ -116,8 +111,10 @@
     pending.repeatable = call.match.route->repeatable;
     call.dispatch.pool = call.match.service->pool;
     call.dispatch.service = call.match.service->name;
-    call.forwarded = forwardedRequest(request);
-    call.forwarded.headers.emplace(headernames::requestId, call.requestId);
+    call.request = &request;
+    call.head = forwardedHead(request);
+    appendHeader(call.head, headernames::requestId, call.requestId);
+    appendHeader(call.head, headernames::pool, call.dispatch.pool);
     return std::nullopt;
 }
 
@@ -135,45 +132,58 @@
     answer(call, response);
 }
 
-bool RequestHandler::attempt(Call &call, const GrantedAttempt &granted)
+OutgoingRequest RequestHandler::outgoing(const Call &call, const GrantedAttempt &granted)
 {
-    const Assignment &assignment = granted.assignment;
     const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(
             call.dispatch.pending.deadline - granted.grantedAt);
-    internal::replaceHeader(call.forwarded, headernames::deadline,
-                            std::to_string(remaining.count()));
-    internal::replaceHeader(call.forwarded, headernames::pool, std::string(call.dispatch.pool));
-    internal::replaceHeader(call.forwarded, headernames::epoch, std::to_string(assignment.epoch));
-    ExchangeEnd end = m_exchange.run(call.forwarded, assignment, granted.until);
-    const AttemptEnd judged = judge(call, granted, end);
+    OutgoingRequest request;
+    request.head = call.head;
+    appendHeader(request.head, headernames::deadline, std::to_string(remaining.count()));
+    appendHeader(request.head, headernames::epoch, std::to_string(granted.assignment.epoch));
+    request.head += "\r\n";
+    request.body = call.request->body;
+    request.headMethod = call.request->method == "HEAD";
+    return request;
+}
+
+bool RequestHandler::attempt(Call &call, const GrantedAttempt &granted)
+{
+    const Assignment &assignment = granted.assignment;
+    ExchangeEnd end = m_exchange.run(outgoing(call, granted), assignment, granted.until);
+    const TimePoint now = steadyNow();
+    const AttemptEnd judged = judge(call, granted, end, now);
     m_hub.release(call.dispatch, assignment, judged);
     m_metrics.countAttempt(judged.result);
     call.dispatch.pending.exclude = assignment.backend;
-    const bool late = steadyNow() >= call.dispatch.pending.deadline;
-    if (end.complete && !late && end.result != AttemptResult::Refused) {
+    const bool late = now >= call.dispatch.pending.deadline;
+    const bool refused = end.result == AttemptResult::Refused;
+    if (end.complete && !late && !refused) {
         call.response = std::move(end.response);
         call.failure.reset();
         return end.result == AttemptResult::Failed && again(call, end);
     }
-    if (end.result == AttemptResult::Refused)
-        call.failure = Failure::Refused;
-    else if (!end.byteSent)
-        call.failure = Failure::NoBackend;
-    else
-        call.failure = late ? Failure::ResponseDeadline : Failure::ConnectionLost;
-    if (end.byteSent && end.result != AttemptResult::Refused)
-        call.mayHaveRun = true;
+    call.failure = failureOf(end, late);
+    call.mayHaveRun = call.mayHaveRun || (end.byteSent && !refused);
     return !late && again(call, end);
 }
 
+Failure RequestHandler::failureOf(const ExchangeEnd &end, bool late)
+{
+    if (end.result == AttemptResult::Refused)
+        return Failure::Refused;
+    if (!end.byteSent)
+        return late ? Failure::QueueDeadline : Failure::NoBackend;
+    return late ? Failure::ResponseDeadline : Failure::ConnectionLost;
+}
+
 AttemptEnd RequestHandler::judge(const Call &call, const GrantedAttempt &granted,
-                                 const ExchangeEnd &end) const
+                                 const ExchangeEnd &end, TimePoint now)
 {
     AttemptEnd judged;
     judged.result = end.result;
     judged.freshConnection = end.freshConnection;
-    judged.took = steadyNow() - granted.grantedAt;
-    const bool late = steadyNow() >= call.dispatch.pending.deadline;
+    judged.took = now - granted.grantedAt;
+    const bool late = now >= call.dispatch.pending.deadline;
     const bool tooShort = judged.took < granted.silenceLimit;
     // A deadline that the caller set very short says nothing about the backend server.
     if (judged.result == AttemptResult::Silent && late && tooShort)
@@ -214,9 +224,9 @@
         fail(call.requestId, failure, response);
         return;
     }
-    copyResponse(std::move(call.response), call.forwarded.method, response);
-    response.set_header(headernames::outcome, std::string(toText(Outcome::Answered)));
-    response.set_header(headernames::requestId, call.requestId);
+    copyResponse(std::move(call.response), call.request->method, response);
+    response.headers.emplace(headernames::outcome, toText(Outcome::Answered));
+    response.headers.emplace(headernames::requestId, call.requestId);
     m_metrics.countOutcome(Outcome::Answered);
 }
 
--- a/programs/dragonflysill-entry/requesthandler.h
+++ b/programs/dragonflysill-entry/requesthandler.h
@@ -37,7 +37,10 @@
     void run(Call &call, httplib::Response &response);
     bool attempt(Call &call, const GrantedAttempt &granted);
     bool again(Call &call, const ExchangeEnd &end);
-    AttemptEnd judge(const Call &call, const GrantedAttempt &granted, const ExchangeEnd &end) const;
+    static OutgoingRequest outgoing(const Call &call, const GrantedAttempt &granted);
+    static Failure failureOf(const ExchangeEnd &end, bool late);
+    static AttemptEnd judge(const Call &call, const GrantedAttempt &granted, const ExchangeEnd &end,
+                            TimePoint now);
     void answer(Call &call, httplib::Response &response);
 
     const std::string m_name;
--- a/src/links/headers.cpp
+++ b/src/links/headers.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 
 namespace dragonflysill {
 
@@ -13,6 +12,12 @@
         "TE",         "Trailer",    "Transfer-Encoding",  "Upgrade",
 };
 
+/** As std::tolower, but inlined and without a locale; header names are ASCII. */
+constexpr char lower(char ch)
+{
+    return ch >= 'A' && ch <= 'Z' ? static_cast<char>(ch + ('a' - 'A')) : ch;
+}
+
 std::string_view trim(std::string_view text)
 {
     while (!text.empty() && (text.front() == ' ' || text.front() == '\t'))
@@ -39,9 +44,8 @@
 
 bool sameHeaderName(std::string_view a, std::string_view b)
 {
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](char x, char y) { return internal::lower(x) == internal::lower(y); });
 }
 
 bool isHopByHop(std::string_view name, std::string_view connection)
@@ -51,6 +55,11 @@
            || internal::listContains(connection, name);
 }
 
+void appendHeader(std::string &head, std::string_view name, std::string_view value)
+{
+    head.append(name).append(": ").append(value).append("\r\n");
+}
+
 bool isSafeHeaderValue(std::string_view value)
 {
     return value.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
