Add maintenance waves, shared buffer and reboot requests

Cause: waves must keep every pool within its budget, survive a change of their coordinator, and reboot each instance once although the platform's list lags. Conclusion: one process coordinates all waves; the owner of a pool changes its records.

--- a/include/dragonflysill/machines/fleetinputs.h
+++ b/include/dragonflysill/machines/fleetinputs.h
@@ -13,15 +13,10 @@
 namespace dragonflysill {
 
 /** What the platform's instance list says about an instance. The list lags behind. */
-enum class PlatformState { Running, Rebooting, Leaving, Failed, Terminated };
-
-/** One line of the platform's instance list. */
-struct PlatformFact
-{
-    PlatformState state = PlatformState::Running;
-    std::int64_t reboots = 0; ///< Completed reboots, as the platform counts them.
-
-    bool operator==(const PlatformFact &) const = default;
+enum class PlatformState {
+    Live,
+    Leaving, ///< Drained by the platform, or rebooting.
+    Terminated,
 };
 
 /** The acknowledgements of entry processes: which instance each has drained, at which epoch. */
@@ -59,7 +54,7 @@
     std::vector<std::string> members; ///< Control processes whose lease is alive, by name.
     std::vector<std::string> entries; ///< Registered entry processes, by name.
     Acknowledgements acknowledgements;
-    ByName<PlatformFact> platform; ///< Empty if the list could not be read.
+    ByName<PlatformState> platform; ///< Empty if the list could not be read.
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/machines/fleetrunner.h
+++ b/include/dragonflysill/machines/fleetrunner.h
@@ -3,9 +3,13 @@
 #include "dragonflysill/machines/fencedwriter.h"
 #include "dragonflysill/machines/fleetevent.h"
 #include "dragonflysill/machines/fleetinputs.h"
+#include "dragonflysill/machines/fleetplatform.h"
 #include "dragonflysill/machines/fleetstatus.h"
 #include "dragonflysill/machines/movedecision.h"
 #include "dragonflysill/machines/poolleases.h"
+#include "dragonflysill/machines/rebootdecision.h"
+#include "dragonflysill/machines/sharedbuffer.h"
+#include "dragonflysill/machines/waverunner.h"
 
 #include <cstdint>
 #include <optional>
@@ -38,8 +42,9 @@
     /** Writes per pass; eight processes that pass once a second stay below the store's limit. */
     static constexpr int maxWritesPerPass = 64;
 
-    /** @param self the member's name; store and fence must outlive the object */
-    FleetRunner(std::string self, Store &store, const Fence &fence, MoveSettings settings = {});
+    /** @param self the member's name; store, fence and platform must outlive the object */
+    FleetRunner(std::string self, Store &store, const Fence &fence, FleetPlatform &platform,
+                MoveSettings settings = {});
 
     /** Runs one pass; blocks for its store calls. */
     FleetReport step(FleetInputs inputs);
@@ -50,7 +55,14 @@
                                  FleetReport &report);
     bool resolveUnknown(const std::string &pool);
     [[nodiscard]] bool mayDecide(const FleetInputs &inputs, const std::string &pool);
-    void decideInstances(const FleetInputs &inputs, FleetReport &report);
+    ByName<WaveProgress> runWaves(const FleetInputs &inputs,
+                                  const ByName<DeclaredInstance> &declared,
+                                  const SharedBuffer &buffer, const StoreOverview &overview,
+                                  FleetReport &report);
+    void decideInstances(const FleetInputs &inputs, const ByName<DeclaredInstance> &declared,
+                         const ByName<WaveProgress> &waves, FleetReport &report);
+    void requestReboots(const FleetInputs &inputs, const ByName<WaveProgress> &waves,
+                        const FleetReport &report);
     void apply(const RecordChange &change, FleetReport &report);
     void noteOutcome(const RecordChange &change, const WriteOutcome &outcome, FleetReport &report);
     void requireRevision(const std::string &pool, std::int64_t revision);
@@ -58,9 +70,12 @@
     std::string m_self;
     Store &m_store;
     const Fence &m_fence;
+    FleetPlatform &m_platform;
     MoveSettings m_settings;
     FencedWriter m_writer;
     PoolLeases m_leases;
+    WaveRunner m_waves;
+    RebootDecision m_reboots;
     ByName<std::int64_t> m_requiredRevision; ///< By pool: the view must have reached this.
     ByName<std::set<std::string>> m_unknownKeys; ///< By pool: keys with an unknown last write.
 };
--- a/include/dragonflysill/machines/wavedecision.h
+++ b/include/dragonflysill/machines/wavedecision.h
@@ -24,7 +24,7 @@
  * Decides which instances a maintenance order takes out next. Instances of one availability zone
  * are taken at a time, rack by rack. Failures count against the budget of their pool; a wave that
  * may take out nothing because of them pauses and resumes when they are repaired. An instance is
- * done when the platform counted a reboot and the instance serves again. Pure.
+ * done when the platform's list showed it as leaving and then as live, and it serves again. Pure.
  */
 class WaveDecision
 {
@@ -54,7 +54,7 @@
                   WaveVerdict &verdict) const;
     void explainBlocked(const WaveProgress &progress, WaveVerdict &verdict) const;
     [[nodiscard]] const InstanceRecord *recordOf(std::string_view name) const;
-    [[nodiscard]] std::int64_t rebootsOf(std::string_view name) const;
+    [[nodiscard]] std::optional<PlatformState> platformState(std::string_view name) const;
     [[nodiscard]] int total(const WaveProgress &progress) const;
 
     const FleetInputs &m_inputs;
--- a/include/dragonflysill/machines/waveprogress.h
+++ b/include/dragonflysill/machines/waveprogress.h
@@ -16,7 +16,8 @@
 struct WaveAdmission
 {
     std::int64_t epoch = 0; ///< Epoch of its record; a higher one means that it was maintained.
-    std::int64_t reboots = 0; ///< The platform's count; a higher one means that it was rebooted.
+    /** The platform's list showed it as leaving; if it shows it as live again, it was rebooted. */
+    bool drained = false;
 
     bool operator==(const WaveAdmission &) const = default;
 };
--- a/src/machines/fleetrunner.cpp
+++ b/src/machines/fleetrunner.cpp
@@ -88,13 +88,16 @@
 
 } // namespace internal
 
-FleetRunner::FleetRunner(std::string self, Store &store, const Fence &fence, MoveSettings settings)
+FleetRunner::FleetRunner(std::string self, Store &store, const Fence &fence,
+                         FleetPlatform &platform, MoveSettings settings)
     : m_self(std::move(self))
     , m_store(store)
     , m_fence(fence)
+    , m_platform(platform)
     , m_settings(settings)
     , m_writer(store, fence)
     , m_leases(m_self, m_writer)
+    , m_waves(m_writer)
 {
 }
 
@@ -111,7 +114,14 @@
     updateOwnership(inputs, *overview, report);
     removeTerminatedEntries(inputs, *overview, report);
     inputs.entries = internal::namesOf(overview->entries);
-    decideInstances(inputs, report);
+    auto declared = declaredInstances(inputs.configuration);
+    const SharedBuffer buffer(inputs.configuration);
+    if (report.ownedPools.contains(buffer.sparePool()))
+        report.status.buffer = buffer.status(inputs.records);
+    const auto waves = runWaves(inputs, declared, buffer, *overview, report);
+    applyLoans(inputs, buffer.sparePool(), declared);
+    decideInstances(inputs, declared, waves, report);
+    requestReboots(inputs, waves, report);
     return report;
 }
 
@@ -147,7 +157,7 @@
 {
     for (const auto &it : internal::namesOf(overview.entries)) {
         const auto fact = inputs.platform.find(it);
-        if (fact == inputs.platform.end() || fact->second.state != PlatformState::Terminated)
+        if (fact == inputs.platform.end() || fact->second != PlatformState::Terminated)
             continue;
         const auto &entry = overview.entries.at(it);
         const auto outcome = m_writer.write({entry.key, entry.value, std::nullopt, 0, {}});
@@ -190,9 +200,37 @@
     return it == m_requiredRevision.end() || inputs.revision >= it->second;
 }
 
-void FleetRunner::decideInstances(const FleetInputs &inputs, FleetReport &report)
+ByName<WaveProgress> FleetRunner::runWaves(const FleetInputs &inputs,
+                                           const ByName<DeclaredInstance> &declared,
+                                           const SharedBuffer &buffer,
+                                           const StoreOverview &overview, FleetReport &report)
+{
+    auto waves = WaveRunner::stored(overview);
+    if (inputs.configuration.pools.empty())
+        return waves;
+    const auto &first = inputs.configuration.pools.begin()->first;
+    if (report.ownedPools.contains(first) && mayDecide(inputs, first))
+        report.status.waves = m_waves.run(inputs, declared, buffer, m_leases.condition(first),
+                                          waves, report.events);
+    return waves;
+}
+
+void FleetRunner::requestReboots(const FleetInputs &inputs, const ByName<WaveProgress> &waves,
+                                 const FleetReport &report)
+{
+    for (const auto &it : m_reboots.decide(inputs, waves, report.ownedPools)) {
+        const auto result = it.kind == PlatformRequest::Kind::Drain
+                                    ? m_platform.drain(it.instance)
+                                    : m_platform.reboot(it.instance);
+        if (!result && result.error().is(ErrorKind::Unreachable))
+            m_reboots.failed(it);
+    }
+}
+
+void FleetRunner::decideInstances(const FleetInputs &inputs,
+                                  const ByName<DeclaredInstance> &declared,
+                                  const ByName<WaveProgress> &waves, FleetReport &report)
 {
-    const auto declared = declaredInstances(inputs.configuration);
     std::set<std::string, std::less<>> ready;
     for (const auto &it : report.ownedPools) {
         if (mayDecide(inputs, it))
@@ -212,8 +250,9 @@
                 = record != inputs.records.end() ? record->second.pool : declaration->second.pool;
         if (!ready.contains(pool))
             continue;
-        auto verdict = decision.decide(it, declaration == declared.end() ? nullptr
-                                                                         : &declaration->second);
+        auto verdict = decision.decide(
+                it, declaration == declared.end() ? nullptr : &declaration->second,
+                maintenanceNeed(inputs, waves, it));
         if (record != inputs.records.end()) {
             const auto *target = declaration == declared.end() ? nullptr : &declaration->second;
             if (auto status = internal::moveStatus(inputs, record->second, target, verdict))
--- a/src/machines/movedecision.cpp
+++ b/src/machines/movedecision.cpp
@@ -27,11 +27,6 @@
            && record.rack == declaration.rack;
 }
 
-bool isDown(std::optional<PlatformState> state)
-{
-    return state == PlatformState::Failed || state == PlatformState::Terminated;
-}
-
 std::string joinNames(const std::vector<std::string> &names)
 {
     std::string text;
@@ -94,7 +89,7 @@
         return startLeaving(record, {});
     if (declared->pool != record.pool || !internal::sameMachine(record, declared->declaration))
         return startLeaving(record, declared->pool);
-    if (internal::isDown(platformState(record.name))) {
+    if (platformState(record.name) == PlatformState::Terminated) {
         InstanceRecord after = record;
         after.phase = InstancePhase::Failed;
         after.sinceMs = m_inputs.nowMs;
@@ -144,7 +139,7 @@
 {
     const bool unchanged = declared != nullptr && declared->pool == record.pool
                            && internal::sameMachine(record, declared->declaration);
-    const bool down = internal::isDown(platformState(record.name));
+    const bool down = platformState(record.name) == PlatformState::Terminated;
     if (!unchanged || down)
         return decideServing(record, declared, need);
     if (m_inputs.nowMs - record.sinceMs < m_settings.warmUp.count())
@@ -180,16 +175,20 @@
         after.sinceMs = m_inputs.nowMs;
         return internal::replaceRecord(record, std::move(after));
     }
-    if (platformState(record.name) == PlatformState::Running)
+    if (platformState(record.name) == PlatformState::Live)
         return join(record, *declared);
-    return internal::waitFor("the platform reports the instance as failed",
+    return internal::waitFor("the platform reports the instance as terminated",
                              "repair or replace the instance, or remove it with a ticket");
 }
 
 MoveVerdict MoveDecision::startLeaving(const InstanceRecord &record, std::string targetPool)
 {
     const bool serving = record.phase == InstancePhase::Serving;
-    if (serving && m_capacity.headroom(record.pool) < 1) {
+    // No caller uses a spare instance, so lending it needs no budget; its maintenance does.
+    const auto pool = m_inputs.configuration.pools.find(record.pool);
+    const bool spare = pool != m_inputs.configuration.pools.end() && pool->second.spare;
+    const bool lends = spare && targetPool != record.pool;
+    if (serving && !lends && m_capacity.headroom(record.pool) < 1) {
         return internal::waitFor("the availability budget of pool " + record.pool + " is used up",
                                  "raise max_unavailable, or repair the pool's instances");
     }
@@ -233,7 +232,7 @@
     const auto it = m_inputs.platform.find(name);
     if (it == m_inputs.platform.end())
         return std::nullopt;
-    return it->second.state;
+    return it->second;
 }
 
 } // namespace dragonflysill
--- a/src/machines/wavebudget.cpp
+++ b/src/machines/wavebudget.cpp
@@ -44,8 +44,7 @@
         Count &count = m_counts[it.second.pool];
         ++count.declared;
         const auto record = inputs.records.find(it.first);
-        const bool own
-                = record != inputs.records.end() && record->second.pool == it.second.pool;
+        const bool own = record != inputs.records.end() && record->second.pool == it.second.pool;
         if (own && record->second.phase == InstancePhase::Failed)
             ++count.failed;
         if (!own || record->second.phase != InstancePhase::Serving || admitted.contains(it.first))
@@ -106,8 +105,8 @@
     if (count.out + 1 <= count.budget && !carriesBurst(count))
         return "pool " + std::string(pool) + " needs its instances and the idle spares for a burst";
     return "pool " + std::string(pool) + " has " + std::to_string(count.out) + " of at most "
-           + std::to_string(count.budget) + " instances unavailable, " + std::to_string(count.failed)
-           + " of them failed";
+           + std::to_string(count.budget) + " instances unavailable, "
+           + std::to_string(count.failed) + " of them failed";
 }
 
 } // namespace dragonflysill
--- a/src/machines/wavedecision.cpp
+++ b/src/machines/wavedecision.cpp
@@ -42,13 +42,12 @@
 {
     if (order == nullptr)
         return stop(*stored, true);
-    const bool restart = stored != nullptr && order->ticket > stored->ticket
-                         && (stored->state == WaveState::Finished
-                             || stored->state == WaveState::Cancelled)
-                         && order->state == MaintenanceState::Running;
-    WaveProgress progress = stored == nullptr || restart
-                                    ? internal::newRound(*order, m_inputs.nowMs)
-                                    : *stored;
+    const bool restart
+            = stored != nullptr && order->ticket > stored->ticket
+              && (stored->state == WaveState::Finished || stored->state == WaveState::Cancelled)
+              && order->state == MaintenanceState::Running;
+    WaveProgress progress
+            = stored == nullptr || restart ? internal::newRound(*order, m_inputs.nowMs) : *stored;
     progress.pools = order->pools;
     if (order->state == MaintenanceState::Cancelled)
         return stop(std::move(progress), false);
@@ -94,7 +93,10 @@
                   && std::count(progress.pools.begin(), progress.pools.end(), declared->second.pool)
                              > 0;
         const bool rejoined = record != nullptr && record->epoch > it->second.epoch;
-        const bool rebooted = rebootsOf(it->first) > it->second.reboots;
+        const bool inMaintenance = record != nullptr && record->phase == InstancePhase::Maintenance;
+        if (inMaintenance && platformState(it->first) == PlatformState::Leaving)
+            it->second.drained = true;
+        const bool rebooted = it->second.drained;
         const bool finished
                 = rejoined && rebooted && record->phase == InstancePhase::Serving && covered;
         if (finished)
@@ -139,14 +141,14 @@
         const auto &declared = m_declared.find(it)->second;
         const auto *record = recordOf(it);
         if (record == nullptr || record->phase != InstancePhase::Serving
-            || record->pool != declared.pool || m_inputs.platform.find(it) == m_inputs.platform.end())
+            || record->pool != declared.pool || platformState(it) != PlatformState::Live)
             continue;
         if (!zone.empty() && declared.declaration.zone != zone)
             continue;
         if (!m_budget.mayTakeOut(declared))
             continue;
         m_budget.takeOut(declared);
-        progress.active[it] = {record->epoch, rebootsOf(it)};
+        progress.active[it] = {record->epoch, false};
         zone = declared.declaration.zone;
         admitted = true;
     }
@@ -171,8 +173,7 @@
         explainBlocked(progress, verdict);
     const bool failures = std::any_of(progress.pools.begin(), progress.pools.end(),
                                       [this](const auto &it) { return m_budget.failed(it) > 0; });
-    const bool paused
-            = !verdict.reason.empty() && (failures || progress.active.empty());
+    const bool paused = !verdict.reason.empty() && (failures || progress.active.empty());
     internal::changeState(progress, paused ? WaveState::Paused : WaveState::Running,
                           m_inputs.nowMs);
     if (!paused)
@@ -200,10 +201,12 @@
     return it == m_inputs.records.end() ? nullptr : &it->second;
 }
 
-std::int64_t WaveDecision::rebootsOf(std::string_view name) const
+std::optional<PlatformState> WaveDecision::platformState(std::string_view name) const
 {
     const auto it = m_inputs.platform.find(name);
-    return it == m_inputs.platform.end() ? 0 : it->second.reboots;
+    if (it == m_inputs.platform.end())
+        return std::nullopt;
+    return it->second;
 }
 
 int WaveDecision::total(const WaveProgress &progress) const
@@ -225,13 +228,11 @@
         return MaintenanceNeed::None;
     for (const auto &it : waves) {
         const auto admission = it.second.active.find(name);
-        if (admission == it.second.active.end()
-            || record->second.epoch > admission->second.epoch)
+        if (admission == it.second.active.end() || record->second.epoch > admission->second.epoch)
             continue;
-        const auto fact = inputs.platform.find(name);
-        const bool rebooted = fact != inputs.platform.end()
-                              && fact->second.state == PlatformState::Running
-                              && fact->second.reboots > admission->second.reboots;
+        const auto state = inputs.platform.find(name);
+        const bool rebooted = admission->second.drained && state != inputs.platform.end()
+                              && state->second == PlatformState::Live;
         return rebooted ? MaintenanceNeed::Finished : MaintenanceNeed::Start;
     }
     return MaintenanceNeed::None;
--- a/src/machines/waveprogress.cpp
+++ b/src/machines/waveprogress.cpp
@@ -8,7 +8,7 @@
 {
     auto active = nlohmann::json::object();
     for (const auto &it : progress.active)
-        active[it.first] = {{"epoch", it.second.epoch}, {"reboots", it.second.reboots}};
+        active[it.first] = {{"epoch", it.second.epoch}, {"drained", it.second.drained}};
     return nlohmann::json{{"name", progress.name},
                           {"ticket", progress.ticket},
                           {"state", toText(progress.state)},
@@ -49,7 +49,7 @@
         json.at("pools").get_to(progress.pools);
         for (const auto &it : json.at("active").items())
             progress.active[it.key()] = {it.value().at("epoch").get<std::int64_t>(),
-                                         it.value().at("reboots").get<std::int64_t>()};
+                                         it.value().at("drained").get<bool>()};
         for (const auto &it : json.at("done"))
             progress.done.insert(it.get<std::string>());
         json.at("since_ms").get_to(progress.sinceMs);
