--- /dev/null
+++ b/include/dragonflysill/machines/worker.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "dragonflysill/machines/resources.h"
+
+#include <string>
+
+namespace dragonflysill {
+
+/** A worker as the platform describes it. */
+struct Worker
+{
+    std::string name;
+    std::string pool;
+    std::string zone; ///< Availability zone.
+    std::string rack;
+    Resources capacity;
+
+    bool operator==(const Worker &) const = default;
+};
+
+} // namespace dragonflysill
