--- a/include/dragonflysill/contracts/acceptance.h
+++ b/include/dragonflysill/contracts/acceptance.h
@@ -38,6 +38,12 @@
 
 using AcceptanceOutcome = std::variant<AcceptedTicket, TicketRefusal>;
 
+/**
+ * Returns an outcome in the form of the operators' interface: {"accepted":{...}} or
+ * {"error":{"kind","message","problems","conflicts"}}.
+ */
+nlohmann::json outcomeToJson(const AcceptanceOutcome &outcome);
+
 /** A stored ticket. */
 struct TicketRecord
 {
@@ -107,7 +113,7 @@
     std::optional<AcceptanceOutcome> tryOnce(Attempt &attempt);
     Result<State> read(const std::string &id);
     Result<std::vector<TicketRecord>> range(std::int64_t first, std::int64_t end);
-    AcceptanceOutcome known(const Ticket &ticket, std::int64_t number);
+    AcceptanceOutcome known(const Ticket &ticket, std::int64_t number, bool repeated);
     std::optional<TicketRefusal> check(const ParsedTicket &parsed, const Configuration &current);
     std::optional<Error> addDeletionConflicts(const Ticket &ticket, const Configuration &current,
                                               std::vector<TicketConflict> &conflicts);
--- a/programs/dragonflysill-control/operatorviews.cpp
+++ b/programs/dragonflysill-control/operatorviews.cpp
@@ -1,5 +1,7 @@
 #include "operatorviews.h"
 
+#include "dragonflysill/contracts/codec.h"
+
 #include <algorithm>
 
 namespace dragonflysill {
@@ -39,10 +41,10 @@
 
 nlohmann::json recordJson(const InstanceRecord &record)
 {
-    return {{"name", record.name},   {"address", record.address},
-            {"zone", record.zone},   {"rack", record.rack},
-            {"pool", record.pool},   {"phase", toText(record.phase)},
-            {"epoch", record.epoch}, {"target_pool", record.targetPool},
+    return {{"name", record.name},       {"address", record.address},
+            {"zone", record.zone},       {"rack", record.rack},
+            {"pool", record.pool},       {"phase", toText(record.phase)},
+            {"epoch", record.epoch},     {"target_pool", record.targetPool},
             {"since_ms", record.sinceMs}};
 }
 
@@ -135,8 +137,8 @@
 
 nlohmann::json phaseCounts(const View &view, const std::string &pool)
 {
-    nlohmann::json counts = {
-            {"serving", 0}, {"leaving", 0}, {"warming", 0}, {"maintenance", 0}, {"failed", 0}};
+    nlohmann::json counts
+            = {{"serving", 0}, {"leaving", 0}, {"warming", 0}, {"maintenance", 0}, {"failed", 0}};
     for (const auto &it : view.instances) {
         if (it.second.pool != pool)
             continue;
@@ -275,8 +277,7 @@
 {
     const auto declared = declarationOf(state.view->configuration, name);
     const auto found = state.view->instances.find(name);
-    const InstanceRecord *record
-            = found == state.view->instances.end() ? nullptr : &found->second;
+    const InstanceRecord *record = found == state.view->instances.end() ? nullptr : &found->second;
     if (!declared && record == nullptr)
         return std::nullopt;
     nlohmann::json document = {{"kind", "instance"},
@@ -321,9 +322,12 @@
     auto moves = nlohmann::json::array();
     for (const auto &it : state.fleet.moves) {
         if (it.fromPool == name || it.toPool == name)
-            moves.push_back({{"instance", it.instance}, {"from_pool", it.fromPool},
-                             {"to_pool", it.toPool},    {"ticket", it.ticket},
-                             {"reason", it.reason},     {"remedy", it.remedy}});
+            moves.push_back({{"instance", it.instance},
+                             {"from_pool", it.fromPool},
+                             {"to_pool", it.toPool},
+                             {"ticket", it.ticket},
+                             {"reason", it.reason},
+                             {"remedy", it.remedy}});
     }
     document["moves"] = std::move(moves);
     auto orders = nlohmann::json::array();
--- a/src/contracts/acceptance.cpp
+++ b/src/contracts/acceptance.cpp
@@ -255,6 +255,23 @@
     }
 };
 
+nlohmann::json outcomeToJson(const AcceptanceOutcome &outcome)
+{
+    if (const auto *accepted = std::get_if<AcceptedTicket>(&outcome))
+        return {{"accepted",
+                 {{"number", accepted->number},
+                  {"id", accepted->id},
+                  {"accepted_ms", accepted->acceptedMs},
+                  {"revision", accepted->revision},
+                  {"repeated", accepted->repeated}}}};
+    const auto &refused = std::get<TicketRefusal>(outcome);
+    return {{"error",
+             {{"kind", errorName(refused.error.code)},
+              {"message", refused.error.text()},
+              {"problems", refused.problems},
+              {"conflicts", refused.conflicts}}}};
+}
+
 void to_json(nlohmann::json &json, const TicketRecord &value)
 {
     json = {{"number", value.number},
@@ -315,7 +332,7 @@
                                             + ", this process has seen "
                                             + std::to_string(attempt.seenTicket)));
     if (state->knownNumber && attempt.parsed.problems.empty())
-        return known(ticket, *state->knownNumber);
+        return known(ticket, *state->knownNumber, attempt.lostAnswers == 0);
     if (auto refused = check(attempt.parsed, current))
         return std::move(*refused);
     const std::int64_t number = current.ticket + 1;
@@ -379,7 +396,7 @@
     return state;
 }
 
-AcceptanceOutcome TicketDesk::known(const Ticket &ticket, std::int64_t number)
+AcceptanceOutcome TicketDesk::known(const Ticket &ticket, std::int64_t number, bool repeated)
 {
     const auto record = this->ticket(number);
     if (!record)
@@ -389,7 +406,7 @@
     if (record->ticket != ticketToJson(ticket))
         return refusal(ErrorKind::IdReused, "id " + inQuotes(ticket.id) + " is that of ticket "
                                                     + std::to_string(number));
-    return AcceptedTicket{number, ticket.id, record->acceptedMs, record->revision, true};
+    return AcceptedTicket{number, ticket.id, record->acceptedMs, record->revision, repeated};
 }
 
 std::optional<TicketRefusal> TicketDesk::check(const ParsedTicket &parsed,
--- a/src/zones/rollout.cpp
+++ b/src/zones/rollout.cpp
@@ -72,8 +72,7 @@
     m_rollouts.erase(oldest == m_rollouts.end() ? m_rollouts.begin() : oldest);
 }
 
-std::vector<Rollout> RolloutTracker::update(const View &view,
-                                            std::span<const MemberReport> reports,
+std::vector<Rollout> RolloutTracker::update(const View &view, std::span<const MemberReport> reports,
                                             std::string_view self, std::int64_t nowMs)
 {
     std::vector<Rollout> completed;
