--- a/include/dragonflysill/standin/memorystore.h
+++ b/include/dragonflysill/standin/memorystore.h
@@ -54,6 +54,10 @@
     Result<Done> watch(std::string_view prefix, std::int64_t startRevision,
                        const WatchHandler &handler) override;
 
+    /** Watches a key range; as watch() in everything else. */
+    Result<Done> watchRange(const RangeOperation &keys, std::int64_t startRevision,
+                            const WatchHandler &handler);
+
     /** Replaces the injected faults. */
     void setFaults(const StoreFaults &faults);
 
@@ -63,12 +67,27 @@
     /** Returns the calls since the start. */
     [[nodiscard]] StoreCalls calls() const;
 
+    /** Returns the newest revision. */
+    [[nodiscard]] std::int64_t revision() const;
+
+    /** Ends all watches with StoreUnavailable. */
+    void endWatches();
+
     /** Drops the history before the newest revision; watches that have not read it end. */
     void compactHistory();
 
+    /** Drops the history before a revision; counts as a call. */
+    Result<Done> compact(std::int64_t revision);
+
+    /** Returns the revision at which the history starts. */
+    [[nodiscard]] std::int64_t compactedRevision() const;
+
     /** Expires a lease now; LeaseLost if it does not exist. */
     Result<Done> lapseLease(LeaseId id);
 
+    /** Expires the lease of a key now; LeaseLost if the key has none. */
+    Result<Done> lapseLeaseOf(std::string_view key);
+
     /** Returns a copy of the whole state. */
     [[nodiscard]] StoreEngine snapshot() const;
 
--- /dev/null
+++ b/include/dragonflysill/standin/platformserver.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "dragonflysill/base/result.h"
+#include "dragonflysill/standin/instancelist.h"
+#include "dragonflysill/standin/memorystore.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace dragonflysill {
+
+/** The settings of a PlatformServer. */
+struct PlatformServerSettings
+{
+    std::chrono::milliseconds listLag{1000}; ///< How far the instance list lags behind.
+    std::chrono::milliseconds rebootTime{2000}; ///< How long a reboot of an instance takes.
+    std::size_t threads = 256; ///< Each open connection uses one.
+};
+
+/**
+ * The platform's stand-in over HTTP: the etcd v3 JSON gateway, the instance list with drain and
+ * reboot, and the fault injection of docs/design.md, section 5. The faults of POST /standin/faults
+ * are documented in programs/platform-standin/README.md. Owns its threads.
+ */
+class PlatformServer
+{
+public:
+    explicit PlatformServer(PlatformServerSettings settings);
+    ~PlatformServer();
+
+    PlatformServer(const PlatformServer &) = delete;
+    PlatformServer &operator=(const PlatformServer &) = delete;
+
+    /**
+     * Binds and serves in threads of its own.
+     * @param port 0 chooses a free one
+     * @return the port, or Unreachable if the address cannot be bound
+     */
+    Result<int> start(const std::string &host, int port);
+
+    /** Stops serving and joins the threads. Watches end. */
+    void stop();
+
+    /** Returns the store behind the gateway. */
+    MemoryStore &store() { return m_store; }
+
+private:
+    using Handler = void (PlatformServer::*)(const httplib::Request &, httplib::Response &);
+
+    /** The faults that concern connections; StoreFaults has those of the store. */
+    struct ConnectionFaults
+    {
+        bool drop = false; ///< Connections are closed without an answer and nothing is executed.
+        bool hang = false; ///< Requests are neither executed nor answered.
+        bool platformDown = false; ///< The instance and worker interfaces answer 503.
+        std::set<std::string> unreachableClients;
+    };
+
+    void addRoutes();
+    void addStoreRoute(const std::string &path, Handler handler);
+    void addPlatformRoute(const std::string &method, const std::string &pattern, Handler handler);
+    bool isCut(const httplib::Request &request);
+    void answerStore(const httplib::Request &request, httplib::Response &response,
+                     const Error &error);
+
+    void range(const httplib::Request &request, httplib::Response &response);
+    void put(const httplib::Request &request, httplib::Response &response);
+    void transaction(const httplib::Request &request, httplib::Response &response);
+    void compaction(const httplib::Request &request, httplib::Response &response);
+    void leaseGrant(const httplib::Request &request, httplib::Response &response);
+    void leaseKeepAlive(const httplib::Request &request, httplib::Response &response);
+    void leaseRevoke(const httplib::Request &request, httplib::Response &response);
+    void watch(const httplib::Request &request, httplib::Response &response);
+
+    void listInstances(const httplib::Request &request, httplib::Response &response);
+    void drainInstance(const httplib::Request &request, httplib::Response &response);
+    void rebootInstance(const httplib::Request &request, httplib::Response &response);
+
+    void setInstances(const httplib::Request &request, httplib::Response &response);
+    void setFaults(const httplib::Request &request, httplib::Response &response);
+    void getFaults(const httplib::Request &request, httplib::Response &response);
+    void getCalls(const httplib::Request &request, httplib::Response &response);
+    void getReboots(const httplib::Request &request, httplib::Response &response);
+
+    const PlatformServerSettings m_settings;
+    MemoryStore m_store;
+    std::mutex m_mutex; ///< Guards all members below that are not atomic.
+    ConnectionFaults m_faults;
+    StoreEngine m_snapshot;
+    InstanceList m_instances;
+    std::map<std::string, std::int64_t> m_calls; ///< Platform calls by path.
+    std::atomic<bool> m_stopping = false;
+    httplib::Server m_server;
+    std::thread m_thread;
+};
+
+} // namespace dragonflysill
--- a/include/dragonflysill/standin/storeengine.h
+++ b/include/dragonflysill/standin/storeengine.h
@@ -77,6 +77,9 @@
     /** Returns the newest revision; 1 in an empty store. */
     [[nodiscard]] std::int64_t revision() const { return m_revision; }
 
+    /** Returns the revision at which the history starts. */
+    [[nodiscard]] std::int64_t compactedRevision() const { return m_compactedRevision; }
+
     /** Returns the ids of all leases. */
     [[nodiscard]] std::vector<LeaseId> leases() const;
 
--- /dev/null
+++ b/programs/platform-standin/main.cpp
@@ -0,0 +1,44 @@
+#include "dragonflysill/standin/platformserver.h"
+#include "dragonflysill/telemetry/log.h"
+#include "dragonflysill/telemetry/settings.h"
+#include "dragonflysill/telemetry/stopsignal.h"
+
+#include <chrono>
+#include <string>
+
+using namespace dragonflysill;
+
+int main(int argc, char **argv)
+{
+    const StopSignal stopSignal;
+    std::string listen = "127.0.0.1:20000";
+    std::string logLevel = "info";
+    int listLagMs = 1000;
+    int rebootMs = 2000;
+    Settings settings("platform-standin",
+                      "Stands in for the platform: store, instance list, workers and tasks.",
+                      DRAGONFLYSILL_VERSION);
+    settings.addAddress("listen", listen, "Address of all interfaces");
+    settings.add("list-lag-ms", listLagMs, "How far the instance list lags behind, in ms");
+    settings.add("reboot-ms", rebootMs, "How long a reboot of an instance takes, in ms");
+    settings.add("log-level", logLevel, "debug, info, warning or error");
+    if (const auto exitCode = settings.parse(argc, argv))
+        return *exitCode;
+    startLogging("platform-standin", logLevel);
+
+    PlatformServerSettings serverSettings;
+    serverSettings.listLag = std::chrono::milliseconds(listLagMs);
+    serverSettings.rebootTime = std::chrono::milliseconds(rebootMs);
+    PlatformServer server(serverSettings);
+    const auto endpoint = Endpoint::parse(listen);
+    const auto port = server.start(endpoint->host, endpoint->port);
+    if (!port) {
+        logWarning("cannot-listen", {{"error", port.error().text()}});
+        return 1;
+    }
+    logState("listening", {{"address", endpoint->host + ":" + std::to_string(*port)}});
+    stopSignal.wait();
+    server.stop();
+    logState("stopped");
+    return 0;
+}
--- a/src/platform/httpcaller.cpp
+++ b/src/platform/httpcaller.cpp
@@ -44,14 +44,14 @@
     const TimePoint deadline = steadyNow() + m_settings.callTimeout;
     HttpAnswer answer;
     bool tooLarge = false;
-    request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
-                                   std::uint64_t) {
-        tooLarge = answer.body.size() + size > m_settings.maxAnswerBytes;
-        if (tooLarge || steadyNow() > deadline)
-            return false;
-        answer.body.append(data, size);
-        return true;
-    };
+    request.content_receiver
+            = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+                  tooLarge = answer.body.size() + size > m_settings.maxAnswerBytes;
+                  if (tooLarge || steadyNow() > deadline)
+                      return false;
+                  answer.body.append(data, size);
+                  return true;
+              };
     auto connection = pool.take();
     httplib::Response response;
     httplib::Error error = httplib::Error::Success;
@@ -93,8 +93,7 @@
     return Error(ErrorKind::StoreUnavailable, "no endpoint of the store could be connected");
 }
 
-std::unique_ptr<httplib::Client>
-HttpCaller::openStream(std::chrono::milliseconds readTimeout) const
+std::unique_ptr<httplib::Client> HttpCaller::openStream(std::chrono::milliseconds readTimeout) const
 {
     if (m_pools.empty())
         return nullptr;
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -21,8 +21,8 @@
 
 HttpCallerSettings callerSettings(const StoreClientSettings &settings)
 {
-    return {settings.endpoints,      settings.clientName,     settings.connectTimeout,
-            settings.callTimeout,    settings.maxAnswerBytes, settings.maxIdleConnections};
+    return {settings.endpoints,   settings.clientName,     settings.connectTimeout,
+            settings.callTimeout, settings.maxAnswerBytes, settings.maxIdleConnections};
 }
 
 /** Classifies an answer with an error status. */
@@ -193,9 +193,9 @@
 
 Result<Lease> StoreClient::renewLease(LeaseId id)
 {
-    auto lease = m_implementation->call<Lease>(gateway::leaseKeepAlivePath,
-                                               gateway::encodeLeaseId(id), true,
-                                               gateway::decodeKeepAliveAnswer);
+    auto lease
+            = m_implementation->call<Lease>(gateway::leaseKeepAlivePath, gateway::encodeLeaseId(id),
+                                            true, gateway::decodeKeepAliveAnswer);
     if (lease && lease->ttlSeconds <= 0)
         return Error(ErrorKind::LeaseLost, "lease " + std::to_string(id) + " has expired");
     return lease;
--- a/src/platform/watchstream.cpp
+++ b/src/platform/watchstream.cpp
@@ -38,8 +38,10 @@
 
 void WatchStream::run(httplib::Request request)
 {
-    request.content_receiver = [this](const char *data, std::size_t size, std::uint64_t,
-                                      std::uint64_t) { return receive({data, size}); };
+    request.content_receiver
+            = [this](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+                  return receive({data, size});
+              };
     request.response_handler
             = [](const httplib::Response &response) { return response.status == 200; };
     httplib::Response response;
--- a/src/standin/memorystore.cpp
+++ b/src/standin/memorystore.cpp
@@ -95,7 +95,12 @@
 Result<Done> MemoryStore::watch(std::string_view prefix, std::int64_t startRevision,
                                 const WatchHandler &handler)
 {
-    const RangeOperation keys{std::string(prefix), storekeys::rangeEnd(prefix)};
+    return watchRange({std::string(prefix), storekeys::rangeEnd(prefix)}, startRevision, handler);
+}
+
+Result<Done> MemoryStore::watchRange(const RangeOperation &keys, std::int64_t startRevision,
+                                     const WatchHandler &handler)
+{
     std::unique_lock lock(m_mutex);
     ++m_calls.watches;
     const std::int64_t generation = m_generation;
@@ -139,12 +144,46 @@
     return m_calls;
 }
 
+std::int64_t MemoryStore::revision() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_engine.revision();
+}
+
+void MemoryStore::endWatches()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_generation;
+    m_changed.notify_all();
+}
+
 void MemoryStore::compactHistory()
 {
     const std::lock_guard lock(m_mutex);
     m_engine.compact(m_engine.revision());
 }
 
+Result<Done> MemoryStore::compact(std::int64_t revision)
+{
+    return execute<Done>(true, &StoreCalls::commits, [&] { return m_engine.compact(revision); });
+}
+
+std::int64_t MemoryStore::compactedRevision() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_engine.compactedRevision();
+}
+
+Result<Done> MemoryStore::lapseLeaseOf(std::string_view key)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_engine.range({std::string(key), {}}).keyValues;
+    m_changed.notify_all();
+    if (found.empty())
+        return Error(ErrorKind::LeaseLost, "no key '" + std::string(key) + "'");
+    return m_engine.revokeLease(found.front().lease);
+}
+
 Result<Done> MemoryStore::lapseLease(LeaseId id)
 {
     const std::lock_guard lock(m_mutex);
