--- a/include/dragonflysill/load/tally.h
+++ b/include/dragonflysill/load/tally.h
@@ -36,6 +36,8 @@
 {
     std::map<std::string, int, std::less<>> byRequestId;
     std::map<std::string, int, std::less<>> byKey;
+    /** Requests that an instance started for a pool while it ran another's, or after its epoch. */
+    int mixedPoolStarts = 0;
 };
 
 /** Totals over all attempts. */
@@ -52,6 +54,7 @@
     std::size_t lateAnswers = 0;
     std::size_t doubledRuns = 0; ///< Keys that ran more than once.
     std::size_t falseNotRun = 0; ///< Told "not run" although the attempt ran.
+    int mixedPoolStarts = 0; ///< Requests that reached an instance for a pool it had left.
     std::size_t executions = 0; ///< Runs on the backend servers, attempts of retries included.
     double goodputPerSecond = 0;
     Duration p50{};
--- a/programs/dragonflysill-load/main.cpp
+++ b/programs/dragonflysill-load/main.cpp
@@ -109,6 +109,7 @@
             {"late_answers", summary.lateAnswers},
             {"doubled_runs", summary.doubledRuns},
             {"false_not_run", summary.falseNotRun},
+            {"mixed_pool_starts", summary.mixedPoolStarts},
             {"executions", summary.executions},
             {"p50_ms", milliseconds(summary.p50)},
             {"p90_ms", milliseconds(summary.p90)},
@@ -139,8 +140,9 @@
         std::cout << it.key() << ": " << it.value().dump() << '\n';
     if (!options.jsonFile.empty())
         std::ofstream(options.jsonFile) << json.dump(2) << '\n';
-    const std::size_t faults = summary.wrongAnswers + summary.doubledRuns + summary.falseNotRun
-                               + summary.interrupted;
+    const auto mixed = static_cast<std::size_t>(summary.mixedPoolStarts);
+    const std::size_t faults = mixed + summary.wrongAnswers + summary.doubledRuns
+                               + summary.falseNotRun + summary.interrupted;
     return options.requireZeros && faults > 0 ? 1 : 0;
 }
 
--- a/programs/dragonflysill-load/runcounts.cpp
+++ b/programs/dragonflysill-load/runcounts.cpp
@@ -32,8 +32,10 @@
             return Error(ErrorKind::Unreachable, address);
         const auto json = nlohmann::json::parse(result->body, nullptr, false);
         if (!json.is_object() || !internal::addCounts(json, "by_request_id", counts.byRequestId)
-            || !internal::addCounts(json, "by_key", counts.byKey))
+            || !internal::addCounts(json, "by_idempotency_key", counts.byKey))
             return Error(ErrorKind::Corrupt, "run counts of " + address);
+        counts.mixedPoolStarts += json.value("started_with_mixed_pools", 0)
+                                  + json.value("started_with_lower_epoch", 0);
     }
     return counts;
 }
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -71,6 +71,7 @@
         summary.doubledRuns += it.second > 1 ? 1 : 0;
     for (const auto &it : runs.byRequestId)
         summary.executions += static_cast<std::size_t>(it.second);
+    summary.mixedPoolStarts = runs.mixedPoolStarts;
     std::sort(latencies.begin(), latencies.end());
     summary.p50 = internal::percentile(latencies, 0.50);
     summary.p90 = internal::percentile(latencies, 0.90);
