--- a/cmake/dragonflysill.cmake
+++ b/cmake/dragonflysill.cmake
@@ -12,21 +12,25 @@
         target_include_directories(${name} INTERFACE ${PROJECT_SOURCE_DIR}/include)
         target_link_libraries(${name} INTERFACE ${ARGN} Threads::Threads)
     endif()
-    dragonflysill_test(${name})
+    dragonflysill_test(${name} LIBRARIES ${name} standin)
 endfunction()
 
-# Adds the Boost.Test program of library NAME. Cases that KNOWN-RED.txt lists as
-# "test: NAME SUITE/CASE" are passed over and printed by scripts/test.sh.
+# Adds the Boost.Test program of library or program NAME from tests/NAME and any further sources.
+# Cases that KNOWN-RED.txt lists as "test: NAME SUITE/CASE" are passed over and printed by
+# scripts/test.sh.
 function(dragonflysill_test name)
+    cmake_parse_arguments(arg "" "" "SOURCES;LIBRARIES" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${name}/*.cpp)
     if(NOT sources)
         return()
     endif()
-    add_executable(${name}-test ${sources} ${PROJECT_SOURCE_DIR}/tests/support/main.cpp)
+    add_executable(${name}-test ${sources} ${arg_SOURCES}
+        ${PROJECT_SOURCE_DIR}/tests/support/main.cpp)
     target_compile_definitions(${name}-test PRIVATE BOOST_TEST_DYN_LINK
+        DRAGONFLYSILL_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
         DRAGONFLYSILL_GOLDEN_DIR="${PROJECT_SOURCE_DIR}/tests/golden/${name}")
     target_include_directories(${name}-test PRIVATE ${PROJECT_SOURCE_DIR}/tests)
-    target_link_libraries(${name}-test PRIVATE ${name} Boost::unit_test_framework)
+    target_link_libraries(${name}-test PRIVATE ${arg_LIBRARIES} Boost::unit_test_framework)
     find_library(RAPIDCHECK rapidcheck)
     if(RAPIDCHECK)
         target_link_libraries(${name}-test PRIVATE ${RAPIDCHECK})
@@ -44,19 +48,25 @@
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
 
-# Adds one program for each folder below DIRECTORY. A file dependencies.txt in the
-# folder names what the program links.
+# Adds one program for each folder below DIRECTORY. A file dependencies.txt in the folder names what
+# the program links. Tests in tests/NAME link all sources but main.cpp, which a folder below programs
+# may lack as long as only its tests are built.
 function(dragonflysill_programs directory)
     file(GLOB folders CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${directory}/*)
     foreach(folder ${folders})
         get_filename_component(name ${folder} NAME)
         file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
-        if(sources AND EXISTS ${folder}/dependencies.txt)
-            file(STRINGS ${folder}/dependencies.txt dependencies)
+        if(NOT EXISTS ${folder}/dependencies.txt)
+            continue()
+        endif()
+        file(STRINGS ${folder}/dependencies.txt dependencies)
+        if(EXISTS ${folder}/main.cpp OR NOT directory STREQUAL programs)
             add_executable(${name} ${sources})
             target_link_libraries(${name} PRIVATE ${dependencies})
             target_compile_definitions(${name} PRIVATE
                 DRAGONFLYSILL_VERSION="${PROJECT_VERSION}")
         endif()
+        list(REMOVE_ITEM sources ${folder}/main.cpp)
+        dragonflysill_test(${name} SOURCES ${sources} LIBRARIES ${dependencies} standin)
     endforeach()
 endfunction()
--- /dev/null
+++ b/src/platform/backoff.cpp
@@ -0,0 +1,24 @@
+#include "dragonflysill/platform/backoff.h"
+
+#include <algorithm>
+
+namespace dragonflysill {
+
+Backoff::Backoff(std::uint64_t seed, BackoffLimits limits)
+    : m_limits(limits)
+    , m_random(seed)
+{
+}
+
+Duration Backoff::next()
+{
+    // Larger exponents exceed every sensible limit and would overflow.
+    constexpr int largestExponent = 20;
+    const int exponent = std::min(m_failures++, largestExponent);
+    const Duration delay
+            = std::min<Duration>(m_limits.first * (std::int64_t{1} << exponent), m_limits.longest);
+    const double share = 0.5 + m_random.unit() / 2;
+    return Duration(static_cast<Duration::rep>(static_cast<double>(delay.count()) * share));
+}
+
+} // namespace dragonflysill
--- a/src/standin/storeengine.cpp
+++ b/src/standin/storeengine.cpp
@@ -233,7 +233,10 @@
 
 void StoreEngine::restore(const StoreEngine &snapshot, TimePoint now)
 {
+    // etcd never grants a lease id twice, also not after a restore.
+    const LeaseId nextLease = std::max(m_nextLease, snapshot.m_nextLease);
     *this = snapshot;
+    m_nextLease = nextLease;
     for (auto &[id, state] : m_leases)
         state.expires = now + std::chrono::seconds(state.ttlSeconds);
 }
