--- a/include/dragonflysill/zones/zonenode.h
+++ b/include/dragonflysill/zones/zonenode.h
@@ -96,10 +96,10 @@
     bool ready = false;
 };
 
-using ZoneAction = std::variant<ConnectAction, CloseAction, SendAction, WatchAction,
-                                ReadStoreAction, InstallAction, EntryRegistrationAction,
-                                ReportAction, LivenessAction, ForgetAction, EventAction,
-                                ReadyAction>;
+using ZoneAction
+        = std::variant<ConnectAction, CloseAction, SendAction, WatchAction, ReadStoreAction,
+                       InstallAction, EntryRegistrationAction, ReportAction, LivenessAction,
+                       ForgetAction, EventAction, ReadyAction>;
 
 /** The settings of a ZoneNode. */
 struct ZoneSettings
--- a/include/dragonflysill/zones/zoneservice.h
+++ b/include/dragonflysill/zones/zoneservice.h
@@ -32,7 +32,8 @@
 struct ZoneServiceSettings
 {
     ZoneSettings zone;
-    std::string listenAddress; ///< Where frames are accepted; port 0 chooses a free one.
+    /** Where frames are accepted; port 0 chooses a free one. It becomes the peer address. */
+    std::string listenAddress;
     std::int64_t leaseSeconds = 5;
 };
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -42,8 +42,8 @@
         type = wire::Message_Heartbeat;
         const auto name = builder.CreateString(heartbeat.name);
         // Absent vectors keep the frequent case small: 48 bytes less for each heartbeat.
-        const auto drained = heartbeat.drained.empty() ? 0
-                                                       : encodeDrained(builder, heartbeat.drained);
+        const auto drained
+                = heartbeat.drained.empty() ? 0 : encodeDrained(builder, heartbeat.drained);
         std::vector<flatbuffers::Offset<wire::MemberState>> members;
         members.reserve(heartbeat.members.size());
         for (const auto &it : heartbeat.members) {
--- a/src/wire/messageloop.cpp
+++ b/src/wire/messageloop.cpp
@@ -13,8 +13,8 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <atomic>
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
--- a/src/zones/registrar.cpp
+++ b/src/zones/registrar.cpp
@@ -54,24 +54,27 @@
 {
     // Three attempts to renew fit into the time of a lease.
     const std::chrono::milliseconds renewInterval(m_leaseSeconds * 1000 / 3);
-    TimePoint nextRenewal = steadyNow();
+    TimePoint nextRenewal;
     while (!m_stopping) {
-        bool ok = true;
-        if (m_fence.compare() == std::nullopt)
-            ok = registerMember();
-        else if (steadyNow() >= nextRenewal)
-            ok = renew();
-        else if (const EntryWish wish = m_entryWish; wish != EntryWish::None)
+        const TimePoint now = steadyNow();
+        const bool isRegistered = m_fence.compare().has_value();
+        const EntryWish wish = m_entryWish;
+        if (isRegistered && now < nextRenewal && wish == EntryWish::None) {
+            m_wakeup.waitFor(std::chrono::ceil<std::chrono::milliseconds>(nextRenewal - now));
+            continue;
+        }
+        const bool leaseCall = !isRegistered || now >= nextRenewal;
+        bool ok = false;
+        if (leaseCall)
+            ok = isRegistered ? renew() : registerMember();
+        else
             ok = writeEntry(wish);
+        if (ok && leaseCall)
+            nextRenewal = now + renewInterval;
+        if (ok)
+            m_backoff.reset();
         else
-            m_wakeup.waitFor(std::chrono::ceil<std::chrono::milliseconds>(nextRenewal
-                                                                         - steadyNow()));
-        if (!ok) {
             m_wakeup.waitFor(m_backoff.next());
-        } else if (steadyNow() >= nextRenewal) {
-            nextRenewal = steadyNow() + renewInterval;
-            m_backoff.reset();
-        }
     }
 }
 
--- a/src/zones/storewatcher.cpp
+++ b/src/zones/storewatcher.cpp
@@ -112,8 +112,8 @@
 bool StoreWatcher::readFull()
 {
     // All keys of the view lie between these; claims, tasks, tickets and waves lie outside.
-    const auto result = m_store.range(
-            {std::string(storekeys::entries), std::string(storekeys::poolOwners)});
+    const auto result
+            = m_store.range({std::string(storekeys::entries), std::string(storekeys::poolOwners)});
     if (!result)
         return failed(result.error());
     m_handlers.storeAnswered(true);
@@ -146,8 +146,7 @@
     }
     const std::int64_t known = m_view.get()->configuration.ticket;
     if (ticket < known)
-        return regressed("ticket " + std::to_string(ticket) + " is below "
-                         + std::to_string(known));
+        return regressed("ticket " + std::to_string(ticket) + " is below " + std::to_string(known));
     return true;
 }
 
--- a/src/zones/viewclient.cpp
+++ b/src/zones/viewclient.cpp
@@ -136,8 +136,8 @@
     if (outcome != DeltaOutcome::Apply && outcome != DeltaOutcome::Replace)
         return;
     const auto view = outcome == DeltaOutcome::Replace
-            ? m_builder.replace(m_assembler.updates(), delta.toRevision)
-            : m_builder.apply(m_assembler.updates(), delta.toRevision);
+                              ? m_builder.replace(m_assembler.updates(), delta.toRevision)
+                              : m_builder.apply(m_assembler.updates(), delta.toRevision);
     if (!view) {
         m_timeline.record(EventKind::StoreRegressed, m_settings.name, view.error().detail);
         logWarning("store-regressed", {{"detail", view.error().detail}});
--- a/src/zones/zonenode.cpp
+++ b/src/zones/zonenode.cpp
@@ -276,9 +276,9 @@
         peer->aheadSince = now;
     peer->storeReachable = heartbeat.storeReachable;
     peer->watching = heartbeat.watching;
-    m_actions.emplace_back(ReportAction{{heartbeat.name, heartbeat.incarnation, true,
-                                         heartbeat.appliedRevision, heartbeat.ticketNumber,
-                                         internal::fromStates(heartbeat.drained)}});
+    m_actions.emplace_back(
+            ReportAction{{heartbeat.name, heartbeat.incarnation, true, heartbeat.appliedRevision,
+                          heartbeat.ticketNumber, internal::fromStates(heartbeat.drained)}});
 }
 
 void ZoneNode::handle(LinkId link, const ViewDelta &delta, TimePoint now)
@@ -395,8 +395,8 @@
                      TimePoint now)
 {
     const std::int64_t from = m_builder.view()->revision;
-    const auto result = full ? m_builder.replace(updates, revision)
-                             : m_builder.apply(updates, revision);
+    const auto result
+            = full ? m_builder.replace(updates, revision) : m_builder.apply(updates, revision);
     if (!result) {
         storeRegressed(result.error().detail);
         return;
@@ -587,10 +587,9 @@
     const Peer *best = nullptr;
     for (const auto &it : m_peers.all()) {
         const Peer &peer = it.second;
-        const bool ahead = peer.state == Peer::State::Alive && peer.usable
-                           && peer.viewRevision > mine
-                           && now - std::max(peer.aheadSince, m_lastProgress)
-                                      >= m_settings.repairAfter;
+        const bool ahead
+                = peer.state == Peer::State::Alive && peer.usable && peer.viewRevision > mine
+                  && now - std::max(peer.aheadSince, m_lastProgress) >= m_settings.repairAfter;
         if (ahead && (best == nullptr || peer.viewRevision > best->viewRevision))
             best = &peer;
     }
@@ -724,9 +723,9 @@
 
 void ZoneNode::reportSelf()
 {
-    m_actions.emplace_back(ReportAction{{m_settings.self.name, m_settings.self.incarnation, true,
-                                         m_entryRevision, m_builder.view()->configuration.ticket,
-                                         m_drained}});
+    m_actions.emplace_back(
+            ReportAction{{m_settings.self.name, m_settings.self.incarnation, true, m_entryRevision,
+                          m_builder.view()->configuration.ticket, m_drained}});
 }
 
 void ZoneNode::emit(EventKind kind, std::string subject, std::string detail)
--- a/src/zones/zoneservice.cpp
+++ b/src/zones/zoneservice.cpp
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace dragonflysill {
@@ -42,7 +43,7 @@
     void postInput(Function function)
     {
         m_loop.post([this, function = std::move(function)] {
-            function(m_node);
+            function(*m_node);
             execute();
         });
     }
@@ -58,25 +59,29 @@
     void run(const WatchAction &action) { m_watcher.setWanted(action.on); }
     void run(const ReadStoreAction & /*action*/) { m_watcher.readOnce(); }
     void run(const InstallAction &action) { m_view.set(action.view); }
-    void run(const EntryRegistrationAction &action) { m_registrar.setEntry(action.present); }
+    void run(const EntryRegistrationAction &action) { m_registrar->setEntry(action.present); }
     void run(const ReportAction &action) { m_reports.update(action.report); }
     void run(const LivenessAction &action) { m_reports.setAlive(action.name, action.alive); }
     void run(const ForgetAction &action) { m_reports.remove(action.name); }
     void run(const EventAction &action);
     void run(const ReadyAction &action);
 
+    internal::RegistrarHandlers registrarHandlers();
+
     ZoneServiceSettings m_settings;
+    Store &m_store;
+    Fence &m_fence;
     SharedView &m_view;
     MemberReports &m_reports;
     Timeline &m_timeline;
     std::function<void(bool)> m_onReady;
-    ZoneNode m_node;
+    std::optional<ZoneNode> m_node; ///< Exists after the peer address was bound.
     mutable std::mutex m_figuresMutex;
     ZoneFigures m_figures;
     std::atomic<std::int64_t> m_regressions = 0;
     // Destroyed first to last in reverse: the threads of all three use the members above.
     MessageLoop m_loop;
-    internal::Registrar m_registrar;
+    std::optional<internal::Registrar> m_registrar;
     internal::StoreWatcher m_watcher;
 };
 
@@ -84,40 +89,30 @@
                                             SharedView &view, MemberReports &reports, Fence &fence,
                                             Timeline &timeline)
     : m_settings(std::move(settings))
+    , m_store(store)
+    , m_fence(fence)
     , m_view(view)
     , m_reports(reports)
     , m_timeline(timeline)
-    , m_node(m_settings.zone)
     , m_loop({[this](LinkId link) {
-                  m_node.linkOpened(link, steadyNow());
+                  m_node->linkOpened(link, steadyNow());
                   execute();
               },
               [this](LinkId link, const Envelope &envelope) {
                   m_timeline.observe(envelope.time);
-                  m_node.received(link, envelope.message, steadyNow());
+                  m_node->received(link, envelope.message, steadyNow());
                   execute();
               },
               [this](LinkId link, const Error &) {
-                  m_node.linkClosed(link, steadyNow());
+                  m_node->linkClosed(link, steadyNow());
                   execute();
               },
               [this] {
-                  m_node.tick(steadyNow());
+                  m_node->tick(steadyNow());
                   execute();
                   updateFigures();
               }},
              internal::nodeTick)
-    , m_registrar(m_settings.zone.self, m_settings.leaseSeconds, store, fence, timeline,
-                  {[this](std::int64_t incarnation, std::int64_t revision,
-                          std::vector<Member> members) {
-                       postInput([incarnation, revision,
-                                  members = std::move(members)](ZoneNode &node) {
-                           node.registered(incarnation, revision, members, steadyNow());
-                       });
-                   },
-                   [this](bool ok) {
-                       postInput([ok](ZoneNode &node) { node.storeAnswered(ok, steadyNow()); });
-                   }})
     , m_watcher(store, view, stableHash(m_settings.zone.self.name),
                 {[this](std::vector<KeyUpdate> updates, std::int64_t revision, bool full) {
                      postInput([updates = std::move(updates), revision, full](ZoneNode &node) {
@@ -139,32 +134,53 @@
 {
 }
 
+internal::RegistrarHandlers ZoneService::Implementation::registrarHandlers()
+{
+    return {[this](std::int64_t incarnation, std::int64_t revision, std::vector<Member> members) {
+                postInput([incarnation, revision, members = std::move(members)](ZoneNode &node) {
+                    node.registered(incarnation, revision, members, steadyNow());
+                });
+            },
+            [this](bool ok) {
+                postInput([ok](ZoneNode &node) { node.storeAnswered(ok, steadyNow()); });
+            }};
+}
+
 Result<int> ZoneService::Implementation::start()
 {
     const auto port = m_loop.listen(m_settings.listenAddress);
     if (!port)
         return port;
+    Member &self = m_settings.zone.self;
+    const std::string &address = m_settings.listenAddress;
+    self.peerAddress = address.substr(0, address.rfind(':') + 1) + std::to_string(*port);
+    self.incarnation = unixMilliseconds();
+    m_node.emplace(m_settings.zone);
+    m_registrar.emplace(self, m_settings.leaseSeconds, m_store, m_fence, m_timeline,
+                        registrarHandlers());
     m_loop.post([this] {
-        m_node.start(steadyNow());
+        m_node->start(steadyNow());
         execute();
     });
     m_loop.start();
-    m_registrar.start();
+    m_registrar->start();
     m_watcher.start();
     return port;
 }
 
 void ZoneService::Implementation::stop()
 {
+    if (!m_node)
+        return;
     postInput([](ZoneNode &node) { node.leave(); });
     m_watcher.stop();
-    m_registrar.stop();
+    m_registrar->stop();
     m_loop.stop();
 }
 
 void ZoneService::Implementation::execute()
 {
-    for (const auto &it : m_node.takeActions())
+    for (const auto &it : m_node->takeActions())
         std::visit([this](const auto &action) { run(action); }, it);
 }
 
@@ -185,17 +201,17 @@
 
 void ZoneService::Implementation::updateFigures()
 {
-    const ViewPointer view = m_node.builder().view();
+    const ViewPointer view = m_node->builder().view();
     ZoneFigures figures;
     figures.viewRevision = view->revision;
     figures.ticket = view->configuration.ticket;
-    figures.members = m_node.liveMembers();
-    figures.subscribers = m_node.subscribers();
-    figures.isRelay = m_node.watchWanted();
-    figures.watching = m_node.watching();
+    figures.members = m_node->liveMembers();
+    figures.subscribers = m_node->subscribers();
+    figures.isRelay = m_node->watchWanted();
+    figures.watching = m_node->watching();
     figures.storeRegressed = m_regressions;
-    figures.registrations = m_registrar.registrations();
-    figures.corruptValues = m_node.builder().corruptValues();
+    figures.registrations = m_registrar->registrations();
+    figures.corruptValues = m_node->builder().corruptValues();
     figures.traffic = m_loop.traffic();
     const std::lock_guard lock(m_figuresMutex);
     m_figures = figures;
--- a/tests/zones/zonesessiontest.cpp
+++ b/tests/zones/zonesessiontest.cpp
@@ -71,12 +71,13 @@
 {
     ZoneSimulation it(sessionSeed);
     startFour(it);
-    const auto both = [&](void (ZoneSimulation::*change)(const std::string &, const std::string &)) {
-        for (const auto *a : {"a1", "a2"}) {
-            for (const auto *b : {"b1", "b2"})
-                (it.*change)(a, b);
-        }
-    };
+    const auto both
+            = [&](void (ZoneSimulation::*change)(const std::string &, const std::string &)) {
+                  for (const auto *a : {"a1", "a2"}) {
+                      for (const auto *b : {"b1", "b2"})
+                          (it.*change)(a, b);
+                  }
+              };
     both(&ZoneSimulation::cut);
     it.cutStore("b1");
     it.cutStore("b2");
--- a/tests/zones/zonesimulation.cpp
+++ b/tests/zones/zonesimulation.cpp
@@ -225,7 +225,8 @@
     m_links.erase(it);
     m_links.erase(remote);
     at(latency, [this, remote] {
-        input(remote.first, [this, remote](ZoneNode &node) { node.linkClosed(remote.second, m_now); });
+        input(remote.first,
+              [this, remote](ZoneNode &node) { node.linkClosed(remote.second, m_now); });
     });
 }
 
@@ -265,8 +266,8 @@
 {
     Host &host = m_hosts.at(name);
     const std::int64_t ticket = action.view->configuration.ticket;
-    m_wentBack = m_wentBack || action.view->revision <= host.lastRevision
-                 || ticket < host.lastTicket;
+    m_wentBack
+            = m_wentBack || action.view->revision <= host.lastRevision || ticket < host.lastTicket;
     host.lastRevision = action.view->revision;
     host.lastTicket = ticket;
 }
@@ -369,9 +370,9 @@
         });
         return;
     }
-    const auto batch = m_store.changes({std::string(storekeys::entries),
-                                        std::string(storekeys::poolOwners)},
-                                       host.watchedTo + 1);
+    const auto batch
+            = m_store.changes({std::string(storekeys::entries), std::string(storekeys::poolOwners)},
+                              host.watchedTo + 1);
     if (!batch || m_store.revision() < host.watchedTo) {
         host.watchOpen = false;
         return;
@@ -387,8 +388,8 @@
 void ZoneSimulation::readFull(const std::string &name, Host &host)
 {
     ++m_storeReads;
-    const auto range = m_store.range(
-            {std::string(storekeys::entries), std::string(storekeys::poolOwners)});
+    const auto range
+            = m_store.range({std::string(storekeys::entries), std::string(storekeys::poolOwners)});
     std::vector<KeyUpdate> updates;
     for (const auto &it : range.keyValues)
         updates.push_back({it.key, it.value, it.modRevision, false});
