Store claims and tasks outside of the watched prefix

Cause: relays watch /dragonflysill/, so every at-most-once claim would pass through every watch; at 100 claims a second of about 250 bytes that alone exceeds the limit of 13 KB/s for control work (arithmetic, not measured).

Conclusion: watch traffic depends only on configuration and moves.

--- a/include/dragonflysill/base/storekeys.h
+++ b/include/dragonflysill/base/storekeys.h
@@ -6,7 +6,10 @@
 
 namespace dragonflysill::storekeys {
 
-/** All keys of the system stand below this prefix. */
+/**
+ * Everything that control processes watch stands below this prefix. Claims and tasks stand outside
+ * of it, because they change too often to pass through every watch.
+ */
 inline constexpr std::string_view root = "/dragonflysill/";
 inline constexpr std::string_view head = "/dragonflysill/head";
 inline constexpr std::string_view tickets = "/dragonflysill/tickets/";
@@ -22,8 +25,8 @@
 inline constexpr std::string_view entries = "/dragonflysill/entries/";
 inline constexpr std::string_view poolOwners = "/dragonflysill/owners/pool/";
 inline constexpr std::string_view waves = "/dragonflysill/waves/";
-inline constexpr std::string_view tasks = "/dragonflysill/tasks/";
-inline constexpr std::string_view claims = "/dragonflysill/claims/";
+inline constexpr std::string_view tasks = "/dragonflysill-tasks/";
+inline constexpr std::string_view claims = "/dragonflysill-claims/";
 
 /** Returns prefix followed by name. */
 std::string join(std::string_view prefix, std::string_view name);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -61,7 +61,7 @@
 
 for _ in $(seq 150); do
     operator status --json >"$run_dir/status.json"
-    [ "$(jq '.moves_open' "$run_dir/status.json")" = 0 ] && break
+    [ "$(jq '.moves.open' "$run_dir/status.json")" = 0 ] && break
     sleep 0.2
 done
 
@@ -72,16 +72,17 @@
 show "wrong answers" "$(figure .wrong_answers)"
 show "doubled runs" "$(figure .doubled_runs)"
 show "false \"not run\"" "$(figure .false_not_run)"
+show "mixed pool starts" "$(figure .mixed_pool_starts)"
 show "cut off in flight" "$(figure .interrupted)"
 show "unknown outcomes" "$(figure .unknown)"
 show "told \"not run\"" "$(figure .not_run)"
 show "median / p99 ms" "$(figure '"\(.p50_ms) / \(.p99_ms)"')"
-show "roll-out time ms" "$(jq -r '.rollout_ms' "$run_dir/status.json")"
-show "moves" "$(jq -r '.moves_done' "$run_dir/status.json")"
-show "buffer cost (instances)" "$(jq -r '.buffer_cost_instances' "$run_dir/status.json")"
+show "roll-out time ms" "$(jq -r '.rollout.complete_ms - .rollout.accepted_ms' "$run_dir/status.json")"
+show "moves" "$(jq -r '.moves.finished' "$run_dir/status.json")"
+show "buffer cost (instances)" "$(jq -r '.buffer.idle_instances' "$run_dir/status.json")"
 
-for name in wrong_answers doubled_runs false_not_run interrupted unreached; do
+for name in wrong_answers doubled_runs false_not_run mixed_pool_starts interrupted unreached; do
     [ "$(figure ".$name")" = 0 ] || { echo "FAILED: $name is not 0" >&2; exit 1; }
 done
 [ "$(figure .attempts)" = 10000 ] || { echo "FAILED: not all requests were sent" >&2; exit 1; }
-[ "$(jq '.moves_done' "$run_dir/status.json")" -ge 1 ] || { echo "FAILED: no move completed" >&2; exit 1; }
+[ "$(jq '.moves.finished' "$run_dir/status.json")" -ge 1 ] || { echo "FAILED: no move completed" >&2; exit 1; }
