--- a/tests/links/claimtest.cpp
+++ b/tests/links/claimtest.cpp
@@ -404,6 +404,7 @@
     std::vector<std::atomic<int>> granted(200);
     std::atomic<int> decided = 0;
     std::vector<std::thread> threads;
+    threads.reserve(8);
     for (int n = 0; n < 8; ++n) {
         threads.emplace_back([&, n] {
             ClaimWriter &writer = n % 2 == 0 ? first : second;
