--- /dev/null
+++ b/tests/standin/gatewaytest.cpp
@@ -0,0 +1,292 @@
+#include "dragonflysill/platform/confirmedwrite.h"
+#include "dragonflysill/platform/storeclient.h"
+#include "dragonflysill/standin/platformserver.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace dragonflysill;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A gateway on a free port and a client of it. */
+struct Gateway
+{
+    PlatformServer server{PlatformServerSettings{0ms, 50ms, 32}};
+    int port = server.start("127.0.0.1", 0).value();
+    std::unique_ptr<StoreClient> client = connect("c");
+
+    [[nodiscard]] std::unique_ptr<StoreClient> connect(const std::string &name) const
+    {
+        StoreClientSettings settings;
+        settings.endpoints = {"127.0.0.1:" + std::to_string(port)};
+        settings.clientName = name;
+        settings.callTimeout = 1000ms;
+        return std::make_unique<StoreClient>(settings);
+    }
+
+    void fault(const std::string &json) const
+    {
+        httplib::Client http("127.0.0.1", port);
+        const auto answer = http.Post("/standin/faults", json, "application/json");
+        BOOST_REQUIRE(answer);
+        BOOST_REQUIRE(answer->status == 200);
+    }
+
+    static Transaction write(const std::string &key, const std::string &value, LeaseId lease = 0)
+    {
+        return {{}, {PutOperation{key, value, lease}}, {RangeOperation{key, {}}}};
+    }
+
+    [[nodiscard]] std::string valueOf(const std::string &key) const
+    {
+        const auto range = client->range({key, {}});
+        return range && !range->keyValues.empty() ? range->keyValues.front().value : "";
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(GatewayCalls, Gateway)
+
+// Guards against a field that the codec of one direction loses.
+BOOST_AUTO_TEST_CASE(TransactionsHaveTheResultsOfTheEngine)
+{
+    const std::string binary("\x00\xff\n\"", 4);
+    const LeaseId lease = client->grantLease(60)->id;
+    Transaction transaction;
+    transaction.compares = {{"a", CompareTarget::CreateRevision, CompareRelation::Equal, 0, {}},
+                            {"b", CompareTarget::ModRevision, CompareRelation::Less, 1, {}}};
+    transaction.success = {PutOperation{"a", binary, lease}, RangeOperation{"a", {}}};
+    transaction.failure = {RangeOperation{"a", "c"}, DeleteOperation{"a", {}}};
+    const auto first = client->commit(transaction);
+    BOOST_REQUIRE(first.ok());
+    BOOST_TEST(first->succeeded);
+    const KeyValue &stored = first->ranges.at(0).keyValues.at(0);
+    BOOST_TEST(stored.value == binary);
+    BOOST_TEST(stored.lease == lease);
+    BOOST_TEST(stored.createRevision == 2);
+    const auto second = client->commit(transaction);
+    BOOST_REQUIRE(second.ok());
+    BOOST_TEST(!second->succeeded);
+    BOOST_TEST(second->ranges.at(0).keyValues.size() == 1U);
+    BOOST_TEST(client->range({"a", {}})->keyValues.empty());
+    BOOST_TEST(client->range({"a", {}})->revision == 3);
+    Compare value{"a", CompareTarget::Value, CompareRelation::NotEqual, 0, "x"};
+    BOOST_TEST(!client->commit({{value}, {}, {}})->succeeded);
+}
+
+// Guards against a lost lease that looks renewed.
+BOOST_AUTO_TEST_CASE(AnExpiredLeaseIsLost)
+{
+    const LeaseId lease = client->grantLease(60)->id;
+    BOOST_TEST(client->renewLease(lease)->ttlSeconds == 60);
+    BOOST_REQUIRE(client->commit(write("member", "1", lease)).ok());
+    fault(R"({"lapse_lease_of_key":"member"})");
+    BOOST_TEST(valueOf("member").empty());
+    BOOST_TEST(client->renewLease(lease).error().is(ErrorKind::LeaseLost));
+    BOOST_TEST(client->commit(write("member", "1", lease)).error().is(ErrorKind::LeaseLost));
+    BOOST_TEST(client->revokeLease(lease).error().is(ErrorKind::LeaseLost));
+}
+
+// Guards against "nothing was written" after a write that took effect.
+BOOST_AUTO_TEST_CASE(ALostAnswerIsUnknown)
+{
+    fault(R"({"lose_answers":1})");
+    BOOST_TEST(client->commit(write("a", "1")).error().is(ErrorKind::OutcomeUnknown));
+    BOOST_TEST(valueOf("a") == "1");
+    fault(R"({"lose_requests":1})");
+    BOOST_TEST(client->commit(write("a", "2")).error().is(ErrorKind::OutcomeUnknown));
+    BOOST_TEST(valueOf("a") == "1");
+}
+
+// Guards against read backs for writes that certainly did not happen.
+BOOST_AUTO_TEST_CASE(ADownStoreIsUnavailable)
+{
+    fault(R"({"down":true})");
+    BOOST_TEST(client->commit(write("a", "1")).error().is(ErrorKind::StoreUnavailable));
+    BOOST_TEST(client->range({"a", {}}).error().is(ErrorKind::StoreUnavailable));
+    fault(R"({"down":false})");
+    BOOST_TEST(valueOf("a").empty());
+    server.stop();
+    BOOST_TEST(client->commit(write("a", "1")).error().is(ErrorKind::StoreUnavailable));
+}
+
+// Guards against a call that waits for an answer for ever.
+BOOST_AUTO_TEST_CASE(AHangingStoreTimesOut)
+{
+    fault(R"({"hang":true})");
+    BOOST_TEST(client->range({"a", {}}).error().is(ErrorKind::StoreUnavailable));
+    BOOST_TEST(client->commit(write("a", "1")).error().is(ErrorKind::OutcomeUnknown));
+    fault(R"({"hang":false})");
+    BOOST_TEST(valueOf("a").empty());
+}
+
+// Guards against a partition that cuts more clients than it should.
+BOOST_AUTO_TEST_CASE(OnlySomeClientsAreUnreachable)
+{
+    const auto other = connect("other");
+    fault(R"({"unreachable_clients":["c"]})");
+    BOOST_TEST(client->range({"a", {}}).error().is(ErrorKind::StoreUnavailable));
+    BOOST_TEST(other->range({"a", {}}).ok());
+}
+
+// Guards against garbage that is taken for an empty store.
+BOOST_AUTO_TEST_CASE(GarbageIsCorrupt)
+{
+    fault(R"({"garbage_answers":2})");
+    BOOST_TEST(client->range({"a", {}}).error().is(ErrorKind::Corrupt));
+    BOOST_TEST(client->commit(write("a", "1")).error().is(ErrorKind::Corrupt));
+    BOOST_TEST(valueOf("a") == "1");
+}
+
+// Guards against values that the platform refuses and answers that exhaust the memory.
+BOOST_AUTO_TEST_CASE(SizesAreLimited)
+{
+    const std::string large(StoreClient::maxValueBytes, 'x');
+    BOOST_TEST(client->commit(write("a", large + "x")).error().is(ErrorKind::LimitExceeded));
+    BOOST_TEST(server.store().calls().commits == 0);
+    BOOST_TEST(client->commit(write("a", large)).ok());
+    StoreClientSettings settings;
+    settings.endpoints = {"127.0.0.1:" + std::to_string(port)};
+    settings.maxAnswerBytes = 1000;
+    StoreClient small(settings);
+    BOOST_TEST(small.range({"a", {}}).error().is(ErrorKind::LimitExceeded));
+    BOOST_TEST(small.range({"b", {}}).ok());
+}
+
+// Guards against an outage of one endpoint that stops all calls.
+BOOST_AUTO_TEST_CASE(UsesAnotherEndpointIfOneRefusesConnections)
+{
+    PlatformServer closed{PlatformServerSettings{0ms, 50ms, 2}};
+    const int closedPort = closed.start("127.0.0.1", 0).value();
+    closed.stop();
+    StoreClientSettings settings;
+    settings.endpoints
+            = {"127.0.0.1:" + std::to_string(closedPort), "127.0.0.1:" + std::to_string(port)};
+    StoreClient both(settings);
+    BOOST_TEST(both.commit(write("a", "1")).ok());
+    BOOST_TEST(valueOf("a") == "1");
+    BOOST_TEST(server.store().calls().commits == 1);
+}
+
+// Guards against a watch that misses, repeats or reorders changes.
+BOOST_AUTO_TEST_CASE(WatchesReceiveEachChangeOnce)
+{
+    BOOST_REQUIRE(client->commit(write("/w/1", "1")).ok());
+    std::vector<KeyUpdate> seen;
+    std::int64_t complete = 0;
+    std::thread writer([this] {
+        const auto other = connect("writer");
+        other->commit(write("/x", "no"));
+        other->commit({{}, {PutOperation{"/w/2", "2", 0}, PutOperation{"/w/3", "3", 0}}, {}});
+        other->commit({{}, {DeleteOperation{"/w/1", {}}}, {}});
+    });
+    const auto ended = client->watch(
+            "/w/", 2, [&](std::span<const KeyUpdate> updates, std::int64_t revision) {
+                seen.insert(seen.end(), updates.begin(), updates.end());
+                complete = revision;
+                return seen.size() < 4;
+            });
+    writer.join();
+    BOOST_TEST(ended.ok());
+    BOOST_REQUIRE(seen.size() == 4U);
+    BOOST_TEST((seen[0] == KeyUpdate{"/w/1", "1", 2, false}));
+    BOOST_TEST((seen[1] == KeyUpdate{"/w/2", "2", 4, false}));
+    BOOST_TEST((seen[2] == KeyUpdate{"/w/3", "3", 4, false}));
+    BOOST_TEST((seen[3] == KeyUpdate{"/w/1", "", 5, true}));
+    BOOST_TEST(complete == 5);
+}
+
+// Guards against a watch that waits for ever after a compaction, an outage or a restart.
+BOOST_AUTO_TEST_CASE(WatchesEndWithTheirReason)
+{
+    const auto forEver = [](std::span<const KeyUpdate>, std::int64_t) { return true; };
+    for (int n = 0; n < 5; ++n)
+        BOOST_REQUIRE(client->commit(write("/w/1", std::to_string(n))).ok());
+    fault(R"({"compact":true,"snapshot":true})");
+    BOOST_TEST(client->watch("/w/", 2, forEver).error().is(ErrorKind::Compacted));
+    const auto endOnFirstCall = [&](const std::string &json) {
+        bool called = false;
+        return client->watch("/w/", 7, [&](std::span<const KeyUpdate>, std::int64_t) {
+            if (!std::exchange(called, true))
+                fault(json);
+            return true;
+        });
+    };
+    BOOST_TEST(endOnFirstCall(R"({"restore":true})").error().is(ErrorKind::StoreUnavailable));
+    BOOST_TEST(endOnFirstCall(R"({"down":true})").error().is(ErrorKind::StoreUnavailable));
+}
+
+// Guards against a store that went back and whose lower revision is not seen by the watcher.
+BOOST_AUTO_TEST_CASE(WatchesReportTheLowerRevisionOfARegressedStore)
+{
+    fault(R"({"snapshot":true})");
+    for (int n = 0; n < 5; ++n)
+        BOOST_REQUIRE(client->commit(write("/w/1", std::to_string(n))).ok());
+    fault(R"({"restore":true})");
+    std::int64_t reported = 6;
+    client->watch("/w/", 7, [&](std::span<const KeyUpdate>, std::int64_t revision) {
+        reported = revision;
+        return revision >= 6;
+    });
+    BOOST_TEST(reported == 1);
+}
+
+// Guards against a second execution, or a wrong report, of a write whose answer was lost.
+BOOST_AUTO_TEST_CASE(ConfirmedWritesSurviveLostAnswers)
+{
+    const Transaction create{{{"t", CompareTarget::CreateRevision, CompareRelation::Equal, 0, {}}},
+                             {PutOperation{"t", "mine", 0}},
+                             {}};
+    ConfirmLimits limits;
+    limits.deadline = steadyNow() + 10s;
+    limits.sleep = [](Duration time) { std::this_thread::sleep_for(time); };
+    const auto confirm = [&](const char *value) {
+        Backoff backoff(1, {1ms, 5ms});
+        return commitConfirmed(*client, create, {"t", value}, limits, backoff);
+    };
+    fault(R"({"lose_requests":1})");
+    BOOST_TEST((confirm("mine") == WriteResult::Written));
+    BOOST_TEST(server.store().calls().commits == 2);
+    BOOST_TEST((confirm("other") == WriteResult::Refused));
+    fault(R"({"down":true})");
+    BOOST_TEST((confirm("other") == WriteResult::Unavailable));
+    fault(R"({"down":false,"lose_requests":1000})");
+    limits.deadline = steadyNow() + 50ms;
+    client->commit({{}, {DeleteOperation{"t", {}}}, {}});
+    BOOST_TEST((confirm("other") == WriteResult::Unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Instances)
+
+// Guards against decisions that were only tested with a current list.
+BOOST_AUTO_TEST_CASE(TheListLagsBehind)
+{
+    InstanceList list(1s, 2s);
+    const TimePoint start{};
+    list.replace({{"i1", "z", "r", "127.0.0.1:1", PlatformInstanceState::Live}}, start);
+    BOOST_TEST(list.list(start + 999ms).empty());
+    BOOST_TEST(list.list(start + 1s).size() == 1U);
+    BOOST_TEST(list.reboot("i1", start + 2s).ok());
+    const auto stateAt = [&](Duration time) {
+        return std::string(toText(list.list(start + time).front().state));
+    };
+    BOOST_TEST(stateAt(2900ms) == "live");
+    BOOST_TEST(stateAt(3s) == "leaving");
+    BOOST_TEST(stateAt(4900ms) == "leaving");
+    BOOST_TEST(stateAt(5s) == "live");
+    BOOST_TEST(list.reboots().size() == 1U);
+    BOOST_TEST(list.drain("i2", start + 6s).error().is(ErrorKind::NotFound));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
