--- a/programs/dragonflysill-control/fleetloop.h
+++ b/programs/dragonflysill-control/fleetloop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "controlcontext.h"
+#include "platformrequests.h"
 
 #include "dragonflysill/machines/fleetrunner.h"
 
@@ -37,12 +38,13 @@
 private:
     void run();
     void pass();
-    [[nodiscard]] FleetInputs collectInputs() const;
+    FleetInputs collectInputs();
     void publish(const FleetReport &report);
     void publishError(const Error &error);
     bool waitForNextPass();
 
     ControlContext &m_context;
+    PlatformRequests m_platform;
     FleetRunner m_runner;
     prometheus::Counter &m_moves;
     prometheus::Counter &m_passErrors;
