--- a/include/dragonflysill/machines/fleetstatus.h
+++ b/include/dragonflysill/machines/fleetstatus.h
@@ -112,7 +112,8 @@
 /**
  * Merges the status of another process into @p target: lists are concatenated and ordered by name,
  * counts and buffer sizes are added, the lower revision and time are kept. An element that both
- * report is taken from the status with the higher revision.
+ * report, which happens while a lease changes its holder, is taken from the later state: of a move
+ * or a wave the higher sinceMs, of a job the higher ticket.
  */
 void mergeFleetStatus(FleetStatus &target, const FleetStatus &other);
 
--- a/programs/dragonflysill-control/operatorviews.cpp
+++ b/programs/dragonflysill-control/operatorviews.cpp
@@ -15,6 +15,7 @@
 {
     std::string pool;
     std::int64_t ticket = 0;
+    bool spare = false;
 };
 
 std::optional<Declaration> declarationOf(const Configuration &configuration,
@@ -23,7 +24,7 @@
     for (const auto &[name, pool] : configuration.pools) {
         for (const auto &it : pool.instances) {
             if (it.name == instance)
-                return Declaration{name, pool.ticket};
+                return Declaration{name, pool.ticket, pool.spare};
         }
     }
     return std::nullopt;
@@ -34,7 +35,7 @@
     ByName<Declaration> result;
     for (const auto &[name, pool] : configuration.pools) {
         for (const auto &it : pool.instances)
-            result.insert_or_assign(it.name, Declaration{name, pool.ticket});
+            result.insert_or_assign(it.name, Declaration{name, pool.ticket, pool.spare});
     }
     return result;
 }
@@ -94,7 +95,15 @@
     return missing;
 }
 
-std::string whyInstance(const std::optional<Declaration> &declared, const InstanceRecord *record)
+/** A spare instance that settled elsewhere replaces a failed instance there. */
+bool isLent(const OperatorState &state, const Declaration &declared, const InstanceRecord &record)
+{
+    return declared.spare && record.pool != declared.pool && record.targetPool.empty()
+           && moveOf(state.fleet, record.name) == nullptr;
+}
+
+std::string whyInstance(const OperatorState &state, const std::optional<Declaration> &declared,
+                        const InstanceRecord *record)
 {
     if (!declared && record == nullptr)
         return "no ticket declares it and it has no record";
@@ -106,6 +115,9 @@
         return "no ticket declares it any more; its record is in pool " + record->pool + " ("
                + phase + ")";
     const std::string origin = "ticket " + std::to_string(declared->ticket);
+    if (isLent(state, *declared, *record))
+        return origin + " declares it in the spare pool " + declared->pool + "; it is lent to pool "
+               + record->pool + " for a failed instance, where it is " + phase;
     if (record->pool != declared->pool)
         return origin + " moves it from pool " + record->pool + " to pool " + declared->pool
                + "; it is " + phase;
@@ -282,7 +294,7 @@
         return std::nullopt;
     nlohmann::json document = {{"kind", "instance"},
                                {"name", name},
-                               {"why", whyInstance(declared, record)},
+                               {"why", whyInstance(state, declared, record)},
                                {"remedy", remedyForInstance(declared, record)},
                                {"unreachable", state.unreachable}};
     if (declared) {
--- a/programs/dragonflysill/render.cpp
+++ b/programs/dragonflysill/render.cpp
@@ -137,7 +137,7 @@
         text += ", pool " + fieldText(job, "pool");
     for (const char *flag : {"gang", "checkpointable", "cancelled"}) {
         if (fieldText(job, flag) == "true")
-            text += std::string(", ") + flag;
+            text.append(", ").append(flag);
     }
     if (integer(job, "expected_run_s") != 0)
         text += ", expected run " + fieldText(job, "expected_run_s") + " s";
--- a/src/machines/fleetstatus.cpp
+++ b/src/machines/fleetstatus.cpp
@@ -145,10 +145,10 @@
     return list;
 }
 
-/** Appends the elements of @p other; an element known by name is replaced if @p preferOther. */
-template <typename T>
+/** Appends the elements of @p other; of two with one name the one with the higher key is kept. */
+template <typename T, typename Key>
 void mergeList(std::vector<T> &target, const std::vector<T> &other, std::string T::*name,
-               bool preferOther)
+               Key T::*key)
 {
     for (const auto &it : other) {
         const auto known = std::find_if(target.begin(), target.end(), [&](const T &element) {
@@ -156,7 +156,7 @@
         });
         if (known == target.end())
             target.push_back(it);
-        else if (preferOther)
+        else if (it.*key > (*known).*key)
             *known = it;
     }
     std::sort(target.begin(), target.end(),
@@ -215,10 +215,9 @@
 
 void mergeFleetStatus(FleetStatus &target, const FleetStatus &other)
 {
-    const bool preferOther = other.revision > target.revision;
-    internal::mergeList(target.moves, other.moves, &MoveStatus::instance, preferOther);
-    internal::mergeList(target.waves, other.waves, &WaveStatus::name, preferOther);
-    internal::mergeList(target.jobs, other.jobs, &JobStatus::name, preferOther);
+    internal::mergeList(target.moves, other.moves, &MoveStatus::instance, &MoveStatus::sinceMs);
+    internal::mergeList(target.waves, other.waves, &WaveStatus::name, &WaveStatus::sinceMs);
+    internal::mergeList(target.jobs, other.jobs, &JobStatus::name, &JobStatus::ticket);
     target.movesFinished += other.movesFinished;
     target.buffer.idleInstances += other.buffer.idleInstances;
     target.buffer.requiredInstances += other.buffer.requiredInstances;
--- a/tests/contracts/ticketfixture.h
+++ b/tests/contracts/ticketfixture.h
@@ -82,11 +82,12 @@
 inline nlohmann::json poolJson(const std::string &name, int count, int network)
 {
     auto instances = nlohmann::json::array();
+    const std::string prefix = "10.0." + std::to_string(network) + ".";
     for (int n = 1; n <= count; ++n) {
         const std::string number = std::to_string(n);
         instances.push_back({{"name", name + "-" + number},
-                             {"address", "10.0." + std::to_string(network) + "." + number + ":80"},
-                             {"zone", "zone-" + std::to_string(n % 3)},
+                             {"address", prefix + number + ":80"},
+                             {"zone", "zone-" + std::to_string(n / 2 % 3)},
                              {"rack", "rack-" + std::to_string(n / 2)}});
     }
     return {{"name", name}, {"max_unavailable", 1}, {"instances", instances}};
