Include generated wire code as a system header; start the operators' interface

Cause: generated code gives warnings that are errors here, and the control process did not start the operators' interface.

--- a/programs/dragonflysill-control/main.cpp
+++ b/programs/dragonflysill-control/main.cpp
@@ -1,6 +1,7 @@
 #include "controlcontext.h"
 #include "controlmetrics.h"
 #include "fleetloop.h"
+#include "operatorapi.h"
 
 #include "dragonflysill/base/hash.h"
 #include "dragonflysill/platform/storeclient.h"
@@ -122,12 +123,15 @@
     zones.onReady([&admin](bool ready) { admin.setReady(ready); });
     ControlMetrics metrics(registry, zones, store);
     FleetLoop fleet(context);
+    OperatorApi operators(context);
 
     timeline.record(EventKind::ProcessStarted, options.name, DRAGONFLYSILL_VERSION);
     if (const auto port = admin.start(options.adminListen); !port)
         return fail(port.error());
     if (const auto port = zones.start(); !port)
         return fail(port.error());
+    if (const auto port = operators.start(); !port)
+        return fail(port.error());
     metrics.start();
     fleet.start();
 
@@ -135,6 +139,7 @@
     logState("process-stopping");
     timeline.record(EventKind::ProcessStopping, options.name);
     admin.setReady(false);
+    operators.stop();
     fleet.stop();
     metrics.stop();
     zones.stop();
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,6 +1,6 @@
 #include "dragonflysill/wire/codec.h"
 
-#include "wire_generated.h"
+#include <wire_generated.h>
 
 namespace dragonflysill {
 
--- a/src/zones/zoneservice.cpp
+++ b/src/zones/zoneservice.cpp
@@ -148,7 +148,7 @@
 
 Result<int> ZoneService::Implementation::start()
 {
-    const auto port = m_loop.listen(m_settings.listenAddress);
+    auto port = m_loop.listen(m_settings.listenAddress);
     if (!port)
         return port;
     Member &self = m_settings.zone.self;
