--- a/programs/dragonflysill-control/fleetloop.cpp
+++ b/programs/dragonflysill-control/fleetloop.cpp
@@ -53,7 +53,8 @@
 
 FleetLoop::FleetLoop(ControlContext &context)
     : m_context(context)
-    , m_runner(context.name, context.store, context.fence)
+    , m_platform(context.platformAddress)
+    , m_runner(context.name, context.store, context.fence, m_platform)
     , m_moves(internal::addCounter(*context.registry, "dragonflysill_moves_total",
                                    "Instances moved between pools by this process."))
     , m_passErrors(internal::addCounter(*context.registry, "dragonflysill_fleet_pass_errors_total",
@@ -104,7 +105,7 @@
     publish(m_runner.step(collectInputs()));
 }
 
-FleetInputs FleetLoop::collectInputs() const
+FleetInputs FleetLoop::collectInputs()
 {
     const auto view = m_context.view.get();
     FleetInputs inputs;
@@ -118,18 +119,38 @@
         for (const auto &n : it.drained)
             inputs.acknowledgements.add(it.name, n.name, n.epoch);
     }
+    auto platform = m_platform.instances();
+    if (platform)
+        inputs.platform = std::move(*platform);
     return inputs;
 }
 
 void FleetLoop::publish(const FleetReport &report)
 {
-    if (report.error)
+    if (report.error) {
         m_passErrors.Increment();
+        publishError(*report.error);
+    }
     for (const auto &it : report.events) {
         m_context.timeline.record(internal::timelineKind(it.kind), it.subject, it.detail);
         if (it.kind == FleetEvent::Kind::MoveFinished)
             m_moves.Increment();
     }
+    if (report.error)
+        return;
+    FleetStatus status = report.status;
+    status.movesFinished = static_cast<std::int64_t>(m_moves.Value());
+    m_context.fleetStatus->set(std::move(status));
+}
+
+void FleetLoop::publishError(const Error &error)
+{
+    FleetStatus status = m_context.fleetStatus->get();
+    for (auto &it : status.moves) {
+        it.reason = error.text();
+        it.remedy = "no change is made until the store answers; restore the store";
+    }
+    m_context.fleetStatus->set(std::move(status));
 }
 
 } // namespace dragonflysill
--- a/src/zones/zonenode.cpp
+++ b/src/zones/zonenode.cpp
@@ -276,37 +276,31 @@
         peer->aheadSince = now;
     peer->storeReachable = heartbeat.storeReachable;
     peer->watching = heartbeat.watching;
-    m_actions.emplace_back(ReportAction{{heartbeat.name, heartbeat.incarnation, true,
-                                         heartbeat.appliedRevision, heartbeat.ticketNumber,
-                                         internal::fromStates(heartbeat.drained)}});
+    m_actions.emplace_back(
+            ReportAction{{heartbeat.name, heartbeat.incarnation, true, heartbeat.appliedRevision,
+                          heartbeat.ticketNumber, internal::fromStates(heartbeat.drained)}});
 }
 
 void ZoneNode::handle(LinkId link, const ViewDelta &delta, TimePoint now)
 {
     const std::int64_t mine = m_builder.view()->revision;
-    Remote &remote = m_remotes[link];
-    if (delta.full) {
-        remote.parts.insert(remote.parts.end(), delta.updates.begin(), delta.updates.end());
-        if (delta.more)
-            return;
-        const auto updates = std::exchange(remote.parts, {});
-        if (delta.toRevision > mine)
-            apply(updates, delta.toRevision, true, now);
-        return;
-    }
-    if (delta.toRevision <= mine)
+    DeltaAssembler &assembler = m_remotes[link].assembler;
+    switch (assembler.add(delta, mine)) {
+    case DeltaOutcome::Ignore:
         return;
-    if (delta.fromRevision > mine) {
+    case DeltaOutcome::Request: {
         const Peer *peer = m_peers.findByLink(link);
         const bool subscribed = peer != nullptr && peer->name == m_source;
         m_actions.emplace_back(SendAction{{link}, ViewRequest{mine, subscribed}});
         return;
     }
-    // An older update would bring back a key that was deleted since.
-    std::vector<KeyUpdate> updates;
-    std::copy_if(delta.updates.begin(), delta.updates.end(), std::back_inserter(updates),
-                 [mine](const KeyUpdate &it) { return it.revision > mine; });
-    apply(updates, delta.toRevision, false, now);
+    case DeltaOutcome::Apply:
+        apply(assembler.updates(), delta.toRevision, false, now);
+        return;
+    case DeltaOutcome::Replace:
+        apply(assembler.updates(), delta.toRevision, true, now);
+        return;
+    }
 }
 
 void ZoneNode::handle(LinkId link, const ViewRequest &request, TimePoint /*now*/)
@@ -401,8 +395,8 @@
                      TimePoint now)
 {
     const std::int64_t from = m_builder.view()->revision;
-    const auto result = full ? m_builder.replace(updates, revision)
-                             : m_builder.apply(updates, revision);
+    const auto result
+            = full ? m_builder.replace(updates, revision) : m_builder.apply(updates, revision);
     if (!result) {
         storeRegressed(result.error().detail);
         return;
@@ -593,10 +587,9 @@
     const Peer *best = nullptr;
     for (const auto &it : m_peers.all()) {
         const Peer &peer = it.second;
-        const bool ahead = peer.state == Peer::State::Alive && peer.usable
-                           && peer.viewRevision > mine
-                           && now - std::max(peer.aheadSince, m_lastProgress)
-                                      >= m_settings.repairAfter;
+        const bool ahead
+                = peer.state == Peer::State::Alive && peer.usable && peer.viewRevision > mine
+                  && now - std::max(peer.aheadSince, m_lastProgress) >= m_settings.repairAfter;
         if (ahead && (best == nullptr || peer.viewRevision > best->viewRevision))
             best = &peer;
     }
@@ -714,11 +707,25 @@
     m_actions.emplace_back(SendAction{links, std::move(part)});
 }
 
+std::int64_t ZoneNode::liveMembers() const
+{
+    const auto &peers = m_peers.all();
+    return 1 + std::count_if(peers.begin(), peers.end(), [](const auto &it) {
+               return it.second.state == Peer::State::Alive;
+           });
+}
+
+std::int64_t ZoneNode::subscribers() const
+{
+    return std::count_if(m_remotes.begin(), m_remotes.end(),
+                         [](const auto &it) { return it.second.subscribed; });
+}
+
 void ZoneNode::reportSelf()
 {
-    m_actions.emplace_back(ReportAction{{m_settings.self.name, m_settings.self.incarnation, true,
-                                         m_entryRevision, m_builder.view()->configuration.ticket,
-                                         m_drained}});
+    m_actions.emplace_back(
+            ReportAction{{m_settings.self.name, m_settings.self.incarnation, true, m_entryRevision,
+                          m_builder.view()->configuration.ticket, m_drained}});
 }
 
 void ZoneNode::emit(EventKind kind, std::string subject, std::string detail)
