Move the request path's adapters into links and wire in at-most-once claims

Tests and in-process measurements can then use them; the program keeps settings, wiring and shutdown.

--- a/programs/dragonflysill-entry/connectionpool.h
+++ b/include/dragonflysill/links/connectionpool.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "backendsocket.h"
-
 #include "dragonflysill/base/time.h"
+#include "dragonflysill/links/backendsocket.h"
 
 #include <map>
 #include <memory>
--- a/programs/dragonflysill-entry/entrymetrics.h
+++ b/include/dragonflysill/links/entrymetrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflysill/links/attempt.h"
+#include "dragonflysill/links/claimbatcher.h"
 #include "dragonflysill/links/outcome.h"
 
 #include <prometheus/counter.h>
@@ -25,6 +26,7 @@
 
     /** Sets the gauges; called at intervals, not per request. */
     void setLoad(int inFlight, std::size_t queued);
+    void setClaims(const ClaimCounters &counters);
 
 private:
     static constexpr std::size_t outcomeCount = 3;
@@ -43,6 +45,8 @@
     prometheus::Counter *m_retries = nullptr;
     prometheus::Gauge *m_inFlight = nullptr;
     prometheus::Gauge *m_queued = nullptr;
+    prometheus::Gauge *m_claimsGranted = nullptr;
+    prometheus::Gauge *m_claimCalls = nullptr;
 };
 
 } // namespace dragonflysill
--- a/programs/dragonflysill-entry/entryserver.h
+++ b/include/dragonflysill/links/entryserver.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "requesthandler.h"
-
 #include "dragonflysill/base/result.h"
+#include "dragonflysill/links/requesthandler.h"
 
 #include <httplib.h>
 
--- a/programs/dragonflysill-entry/exchange.h
+++ b/include/dragonflysill/links/exchange.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "connectionpool.h"
-
 #include "dragonflysill/links/attempt.h"
+#include "dragonflysill/links/connectionpool.h"
 #include "dragonflysill/links/responseparser.h"
 
 #include <string>
--- a/programs/dragonflysill-entry/requesthandler.h
+++ b/include/dragonflysill/links/requesthandler.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "dispatchhub.h"
-#include "entrymetrics.h"
-#include "exchange.h"
+#include "dragonflysill/links/claimwriter.h"
+#include "dragonflysill/links/dispatchhub.h"
+#include "dragonflysill/links/entrymetrics.h"
+#include "dragonflysill/links/exchange.h"
 
 #include <httplib.h>
 
@@ -18,8 +19,10 @@
     /**
      * @param name name of this entry process, part of the request IDs that it creates
      * @param hub, exchange, metrics belong to the caller and must outlive the handler
+     * @param claims at-most-once claims; without one (null), requests that need a claim are refused
      */
-    RequestHandler(std::string name, DispatchHub &hub, Exchange &exchange, EntryMetrics &metrics);
+    RequestHandler(std::string name, DispatchHub &hub, Exchange &exchange, EntryMetrics &metrics,
+                   ClaimWriter *claims);
 
     /** Serves a request; blocks until the response is complete or the deadline passed. */
     void serve(const httplib::Request &request, httplib::Response &response);
@@ -34,19 +37,22 @@
     struct Call;
 
     std::optional<Failure> prepare(const httplib::Request &request, Call &call);
-    void run(Call &call, httplib::Response &response);
+    bool claim(const httplib::Request &request, Call &call, httplib::Response &response);
+    void run(Call &call);
     bool attempt(Call &call, const GrantedAttempt &granted);
     bool again(Call &call, const ExchangeEnd &end);
     static OutgoingRequest outgoing(const Call &call, const GrantedAttempt &granted);
     static Failure failureOf(const ExchangeEnd &end, bool late);
     static AttemptEnd judge(const Call &call, const GrantedAttempt &granted, const ExchangeEnd &end,
                             TimePoint now);
+    static Failure finalFailure(const Call &call);
     void answer(Call &call, httplib::Response &response);
 
     const std::string m_name;
     DispatchHub &m_hub;
     Exchange &m_exchange;
     EntryMetrics &m_metrics;
+    ClaimWriter *const m_claims;
     const std::string m_idPrefix;
     std::atomic<RequestKey> m_nextKey = 1;
 };
--- a/programs/dragonflysill-entry/entryprocess.cpp
+++ b/programs/dragonflysill-entry/entryprocess.cpp
@@ -4,6 +4,7 @@
 
 #include "dragonflysill/telemetry/log.h"
 
+#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -14,6 +15,10 @@
 // Also the longest delay of a drain report and of a grant that depends on time alone.
 constexpr std::chrono::milliseconds housekeepingInterval{50};
 
+// Shorter than the usual deadline of a request, so that a slow store gives "not run" in time.
+constexpr std::chrono::milliseconds storeCallTimeout{500};
+constexpr std::chrono::milliseconds storeConnectTimeout{200};
+
 std::set<std::string> usableAddresses(const View &view)
 {
     std::set<std::string> addresses;
@@ -34,7 +39,9 @@
     , m_metrics(*m_registry)
     , m_hub(m_settings.dispatch(), m_timeline)
     , m_exchange(m_connections)
-    , m_handler(m_settings.name, m_hub, m_exchange, m_metrics)
+    , m_store(makeStore(m_settings))
+    , m_claims(makeClaims(m_settings, m_store.get()))
+    , m_handler(m_settings.name, m_hub, m_exchange, m_metrics, m_claims.get())
     , m_admin(m_registry, m_timeline)
     , m_server(m_handler, m_settings.workers)
 {
@@ -46,6 +53,29 @@
     stopHousekeeping();
 }
 
+std::unique_ptr<StoreClient> EntryProcess::makeStore(const EntrySettings &settings)
+{
+    if (settings.store.empty())
+        return nullptr;
+    StoreClientSettings client;
+    client.endpoints = {settings.store};
+    client.clientName = settings.name;
+    client.connectTimeout = internal::storeConnectTimeout;
+    client.callTimeout = internal::storeCallTimeout;
+    return std::make_unique<StoreClient>(client);
+}
+
+std::unique_ptr<ClaimWriter> EntryProcess::makeClaims(const EntrySettings &settings, Store *store)
+{
+    if (store == nullptr)
+        return nullptr;
+    ClaimWriterSettings claims;
+    claims.entry = settings.name;
+    claims.incarnation = unixMilliseconds();
+    claims.claims.seed = settings.seed;
+    return std::make_unique<ClaimWriter>(*store, claims);
+}
+
 Result<Done> EntryProcess::start()
 {
     m_timeline.record(EventKind::ProcessStarted, m_settings.name);
@@ -82,7 +112,12 @@
 {
     m_hub.install(view);
     m_connections.retain(internal::usableAddresses(*view), steadyNow());
-    m_admin.setReady(true);
+    if (m_claims) {
+        m_claims->setEntryCount(std::max<int>(1, static_cast<int>(view->entries.size())));
+        m_claims->noteRevision(view->revision);
+    }
+    if (m_readyAllowed)
+        m_admin.setReady(true);
     // A leaving instance without work is reported at once, not after the next interval.
     m_wake.notify_all();
 }
@@ -103,6 +138,8 @@
     m_hub.tick();
     m_metrics.setLoad(m_hub.inFlight(), m_hub.queued());
     m_connections.retain(internal::usableAddresses(*m_view.get()), steadyNow());
+    if (m_claims)
+        m_metrics.setClaims(m_claims->counters());
     if (m_viewClient)
         m_viewClient->reportDrained(m_hub.drained());
 }
@@ -111,11 +148,14 @@
 {
     logState("stopping");
     m_timeline.record(EventKind::ProcessStopping, m_settings.name);
+    m_readyAllowed = false;
     m_admin.setReady(false);
     m_server.announceStop();
     // The load balancer notices /readyz and sends no further connections.
     std::this_thread::sleep_for(std::chrono::milliseconds(m_settings.stopGraceMs));
     m_server.finish();
+    if (m_claims)
+        m_claims->stop();
     stopHousekeeping();
     reportAllDrained();
     if (m_viewClient)
--- a/programs/dragonflysill-entry/entryprocess.h
+++ b/programs/dragonflysill-entry/entryprocess.h
@@ -1,21 +1,23 @@
 #pragma once
 
-#include "connectionpool.h"
-#include "dispatchhub.h"
-#include "entrymetrics.h"
-#include "entryserver.h"
-#include "entrysettings.h"
-#include "exchange.h"
-#include "requesthandler.h"
-
 #include "dragonflysill/base/result.h"
+#include "dragonflysill/links/claimwriter.h"
+#include "dragonflysill/links/connectionpool.h"
+#include "dragonflysill/links/dispatchhub.h"
+#include "dragonflysill/links/entrymetrics.h"
+#include "dragonflysill/links/entryserver.h"
+#include "dragonflysill/links/exchange.h"
+#include "dragonflysill/links/requesthandler.h"
+#include "dragonflysill/platform/storeclient.h"
 #include "dragonflysill/telemetry/adminserver.h"
 #include "dragonflysill/telemetry/timeline.h"
 #include "dragonflysill/zones/sharedview.h"
 #include "dragonflysill/zones/viewclient.h"
+#include "entrysettings.h"
 
 #include <prometheus/registry.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -40,6 +42,8 @@
     void stop();
 
 private:
+    static std::unique_ptr<StoreClient> makeStore(const EntrySettings &settings);
+    static std::unique_ptr<ClaimWriter> makeClaims(const EntrySettings &settings, Store *store);
     Result<Done> startView();
     void installView(const ViewPointer &view);
     void runHousekeeping();
@@ -55,10 +59,13 @@
     DispatchHub m_hub;
     ConnectionPool m_connections;
     Exchange m_exchange;
+    std::unique_ptr<StoreClient> m_store; ///< Null without --store, as is m_claims.
+    std::unique_ptr<ClaimWriter> m_claims;
     RequestHandler m_handler;
     AdminServer m_admin;
     EntryServer m_server;
     std::unique_ptr<ViewClient> m_viewClient; ///< Null with a view file.
+    std::atomic<bool> m_readyAllowed = true; ///< False while stopping.
     std::mutex m_mutex;
     std::condition_variable m_wake;
     bool m_stopping = false;
--- a/programs/dragonflysill-entry/entrysettings.cpp
+++ b/programs/dragonflysill-entry/entrysettings.cpp
@@ -29,7 +29,8 @@
             ->required();
     parser.addAddress("control", control, "Peer address of the control process on this instance");
     parser.addAddress("store", store,
-                      "Address of the store for at-most-once claims; empty for none");
+                      "Address of the store; without it, requests with an idempotency key on "
+                      "routes that are not repeatable are refused");
     parser.add("view-file", viewFile, "JSON array of {key,value} to use instead of --control");
     parser.add("policy", policy,
                "Backend server selection; baseline also queues first in, first out")
--- a/programs/dragonflysill-entry/entrysettings.h
+++ b/programs/dragonflysill-entry/entrysettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dispatchhub.h"
+#include "dragonflysill/links/dispatchhub.h"
 
 #include <cstddef>
 #include <optional>
--- a/programs/dragonflysill-entry/backendsocket.cpp
+++ b/src/links/backendsocket.cpp
@@ -1,4 +1,4 @@
-#include "backendsocket.h"
+#include "dragonflysill/links/backendsocket.h"
 
 #include "dragonflysill/telemetry/settings.h"
 
--- a/programs/dragonflysill-entry/callerconnection.cpp
+++ b/src/links/callerconnection.cpp
@@ -1,4 +1,4 @@
-#include "callerconnection.h"
+#include "dragonflysill/links/callerconnection.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/programs/dragonflysill-entry/connectionpool.cpp
+++ b/src/links/connectionpool.cpp
@@ -1,4 +1,4 @@
-#include "connectionpool.h"
+#include "dragonflysill/links/connectionpool.h"
 
 #include <algorithm>
 #include <iterator>
--- a/programs/dragonflysill-entry/dispatchhub.cpp
+++ b/src/links/dispatchhub.cpp
@@ -1,4 +1,4 @@
-#include "dispatchhub.h"
+#include "dragonflysill/links/dispatchhub.h"
 
 #include "dragonflysill/base/hash.h"
 
--- a/programs/dragonflysill-entry/entrymetrics.cpp
+++ b/src/links/entrymetrics.cpp
@@ -1,4 +1,4 @@
-#include "entrymetrics.h"
+#include "dragonflysill/links/entrymetrics.h"
 
 #include <string>
 
@@ -51,6 +51,16 @@
                                      "Requests in flight on backend servers");
     m_queued = &internal::addGauge(registry, "dragonflysill_entry_queued",
                                    "Requests that wait for a backend server");
+    m_claimsGranted = &internal::addGauge(registry, "dragonflysill_entry_claims_granted",
+                                          "At-most-once claims granted since the start");
+    m_claimCalls = &internal::addGauge(registry, "dragonflysill_entry_claim_store_calls",
+                                       "Store calls for claims since the start");
+}
+
+void EntryMetrics::setClaims(const ClaimCounters &counters)
+{
+    m_claimsGranted->Set(static_cast<double>(counters.granted));
+    m_claimCalls->Set(static_cast<double>(counters.calls));
 }
 
 void EntryMetrics::setLoad(int inFlight, std::size_t queued)
--- a/programs/dragonflysill-entry/entryserver.cpp
+++ b/src/links/entryserver.cpp
@@ -1,7 +1,7 @@
-#include "entryserver.h"
+#include "dragonflysill/links/entryserver.h"
 
-#include "callerconnection.h"
-#include "httptranslation.h"
+#include "dragonflysill/links/callerconnection.h"
+#include "dragonflysill/links/httptranslation.h"
 #include "workerthreads.h"
 
 #include "dragonflysill/links/headers.h"
@@ -15,6 +15,8 @@
 
 // The library's backlog of 5 drops connection attempts of a burst; they are repeated after 1 s.
 constexpr int acceptBacklog = 1024;
+constexpr std::size_t statedRequests = 1'000'000;
+
 /** Set by a handler to close the connection that the calling thread serves. */
 thread_local bool closeConnection = false;
 
@@ -46,6 +48,9 @@
     new_task_queue = [workers] { return new WorkerThreads(workers); };
     set_tcp_nodelay(true);
     set_payload_max_length(bodyLimit);
+    // process_and_close_socket() decides; the library only states these in the Keep-Alive header.
+    set_keep_alive_timeout(CallerConnection::idleLimit.count());
+    set_keep_alive_max_count(internal::statedRequests);
 }
 
 void EntryServer::addHandlers()
--- a/programs/dragonflysill-entry/exchange.cpp
+++ b/src/links/exchange.cpp
@@ -1,4 +1,4 @@
-#include "exchange.h"
+#include "dragonflysill/links/exchange.h"
 
 #include "dragonflysill/links/headers.h"
 
--- a/programs/dragonflysill-entry/httptranslation.cpp
+++ b/src/links/httptranslation.cpp
@@ -1,4 +1,4 @@
-#include "httptranslation.h"
+#include "dragonflysill/links/httptranslation.h"
 
 #include "dragonflysill/links/headers.h"
 
--- a/programs/dragonflysill-entry/requesthandler.cpp
+++ b/src/links/requesthandler.cpp
@@ -1,6 +1,6 @@
-#include "requesthandler.h"
+#include "dragonflysill/links/requesthandler.h"
 
-#include "httptranslation.h"
+#include "dragonflysill/links/httptranslation.h"
 
 #include "dragonflysill/links/headers.h"
 
@@ -45,17 +45,19 @@
     std::string head; ///< The part of the outgoing head that all attempts share.
     int retries = 0;
     int refusals = 0;
+    std::optional<ClaimDecision> claim; ///< Set if the request holds its idempotency key.
     bool mayHaveRun = false; ///< True once an attempt left the outcome open.
     std::optional<Failure> failure; ///< Reason if there is no response to pass on.
     BackendResponse response;
 };
 
 RequestHandler::RequestHandler(std::string name, DispatchHub &hub, Exchange &exchange,
-                               EntryMetrics &metrics)
+                               EntryMetrics &metrics, ClaimWriter *claims)
     : m_name(std::move(name))
     , m_hub(hub)
     , m_exchange(exchange)
     , m_metrics(metrics)
+    , m_claims(claims)
     , m_idPrefix(internal::makeIdPrefix(m_name))
 {
 }
@@ -86,7 +88,10 @@
         return;
     }
     m_hub.requestArrived();
-    run(call, response);
+    if (!claim(request, call, response))
+        return;
+    run(call);
+    answer(call, response);
 }
 
 std::optional<Failure> RequestHandler::prepare(const httplib::Request &request, Call &call)
@@ -118,7 +123,33 @@
     return std::nullopt;
 }
 
-void RequestHandler::run(Call &call, httplib::Response &response)
+bool RequestHandler::claim(const httplib::Request &request, Call &call, httplib::Response &response)
+{
+    if (call.match.route->repeatable)
+        return true;
+    const std::string key = request.get_header_value(headernames::idempotencyKey);
+    if (key.empty())
+        return true;
+    ClaimDecision decision;
+    decision.refusal = ClaimRefusal::StoreUnavailable;
+    if (m_claims != nullptr)
+        decision = m_claims->claim(call.dispatch.service, key, call.requestId,
+                                   call.dispatch.pending.deadline);
+    if (decision.kind == ClaimDecision::Kind::Granted) {
+        call.claim = std::move(decision);
+        return true;
+    }
+    Failure failure = Failure::DuplicateKey;
+    if (decision.kind == ClaimDecision::Kind::Refused)
+        failure = decision.refusal == ClaimRefusal::DeadlineExceeded ? Failure::QueueDeadline
+                                                                     : Failure::ClaimUnavailable;
+    fail(call.requestId, failure, response);
+    if (!decision.duplicateOf.empty())
+        response.set_header(headernames::duplicateOf, decision.duplicateOf);
+    return false;
+}
+
+void RequestHandler::run(Call &call)
 {
     for (;;) {
         auto grant = m_hub.acquire(call.dispatch);
@@ -129,7 +160,6 @@
         if (!attempt(call, std::get<GrantedAttempt>(grant)))
             break;
     }
-    answer(call, response);
 }
 
 OutgoingRequest RequestHandler::outgoing(const Call &call, const GrantedAttempt &granted)
@@ -213,14 +243,21 @@
     return true;
 }
 
+Failure RequestHandler::finalFailure(const Call &call)
+{
+    // "Not run" would be false if an earlier attempt may have run.
+    if (call.mayHaveRun && describe(*call.failure).outcome == Outcome::NotRun)
+        return *call.failure == Failure::QueueDeadline ? Failure::ResponseDeadline
+                                                       : Failure::ConnectionLost;
+    return *call.failure;
+}
+
 void RequestHandler::answer(Call &call, httplib::Response &response)
 {
     if (call.failure) {
-        Failure failure = *call.failure;
-        // "Not run" would be false if an earlier attempt may have run.
-        if (call.mayHaveRun && describe(failure).outcome == Outcome::NotRun)
-            failure = failure == Failure::QueueDeadline ? Failure::ResponseDeadline
-                                                        : Failure::ConnectionLost;
+        const Failure failure = finalFailure(call);
+        if (call.claim && describe(failure).outcome == Outcome::NotRun)
+            m_claims->abandon(*call.claim);
         fail(call.requestId, failure, response);
         return;
     }
