--- a/include/dragonflysill/links/admissionqueue.h
+++ b/include/dragonflysill/links/admissionqueue.h
@@ -18,6 +18,7 @@
     RequestKey key = 0;
     TimePoint deadline;
     bool repeatable = true;
+    Duration required{0}; ///< Time to keep for the attempt; set by the PoolDispatcher.
     int exclude = -1; ///< A backend server that already failed this request, or -1.
 };
 
--- a/include/dragonflysill/links/attempt.h
+++ b/include/dragonflysill/links/attempt.h
@@ -23,7 +23,7 @@
     std::string address; ///< IP and port.
     std::int64_t epoch = 0;
     bool checking = false; ///< Must use a new connection and a short attempt time.
-    int inFlight = 0; ///< Requests in flight there, this one included.
+    bool limitTrial = false; ///< Tries whether the backend server accepts more at once.
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/links/backendpool.h
+++ b/include/dragonflysill/links/backendpool.h
@@ -68,6 +68,9 @@
     std::optional<HealthEvent> finish(const Assignment &assignment, AttemptResult result,
                                       bool freshConnection, TimePoint now);
 
+    /** Tells the usual service time, from which the time until a slot becomes free is derived. */
+    void setServiceTime(Duration mean) { m_serviceTime = mean; }
+
     /** Returns the sum of the limits of all backend servers that accept work. */
     [[nodiscard]] int concurrency(TimePoint now);
 
@@ -103,6 +106,7 @@
     void removeDeparted();
     Backend *findBackend(const InstanceRecord &record);
     int limitOf(Backend &backend, TimePoint now) const;
+    Duration refusalPause();
     void collectCandidates(int exclude, bool repeatable, TimePoint now);
     bool mayEject(TimePoint now);
     std::optional<HealthEvent> noteHealth(Backend &backend, AttemptResult result,
@@ -113,6 +117,7 @@
     Random m_random;
     BackendLimits m_limits;
     Backends m_backends;
+    Duration m_serviceTime{0};
     int m_nextId = 0;
     std::vector<Candidate> m_candidates; ///< Reused, so that a decision does not allocate.
 };
--- a/include/dragonflysill/links/pooldispatcher.h
+++ b/include/dragonflysill/links/pooldispatcher.h
@@ -98,8 +98,9 @@
 
     ServiceState &stateOf(std::string_view service);
     const ServiceState *findState(std::string_view service) const;
+    void noteServiceTime(ServiceState &state, Duration took);
     ServiceState *nextToServe();
-    [[nodiscard]] Duration requiredTime(const ServiceState &state) const;
+    [[nodiscard]] Duration requiredTime(const ServiceState &state, Duration remaining) const;
     bool cannotMeet(const ServiceState &state, const PendingRequest &request, TimePoint now);
     bool serveFront(ServiceState &state, TimePoint now, DispatchActions &actions);
     void serveQueues(TimePoint now, DispatchActions &actions);
--- a/programs/dragonflysill-entry/entryprocess.cpp
+++ b/programs/dragonflysill-entry/entryprocess.cpp
@@ -6,13 +6,16 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace dragonflysill {
 
 namespace internal {
 
-// Also the longest delay of a drain report and of a grant that depends on time alone.
+// Longest delay of a grant that depends on time alone, such as the end of a refusal pause.
+constexpr std::chrono::milliseconds tickInterval{5};
+// Also the longest delay of a drain report.
 constexpr std::chrono::milliseconds housekeepingInterval{50};
 
 // Shorter than the usual deadline of a request, so that a slow store gives "not run" in time.
@@ -119,23 +122,32 @@
     if (m_readyAllowed)
         m_admin.setReady(true);
     // A leaving instance without work is reported at once, not after the next interval.
+    {
+        const std::lock_guard lock(m_mutex);
+        m_viewChanged = true;
+    }
     m_wake.notify_all();
 }
 
 void EntryProcess::runHousekeeping()
 {
+    TimePoint last{};
     std::unique_lock lock(m_mutex);
     while (!m_stopping) {
+        const bool viewChanged = std::exchange(m_viewChanged, false);
         lock.unlock();
-        housekeep();
+        m_hub.tick();
+        if (viewChanged || steadyNow() - last >= internal::housekeepingInterval) {
+            housekeep();
+            last = steadyNow();
+        }
         lock.lock();
-        m_wake.wait_for(lock, internal::housekeepingInterval);
+        m_wake.wait_for(lock, internal::tickInterval);
     }
 }
 
 void EntryProcess::housekeep()
 {
-    m_hub.tick();
     m_metrics.setLoad(m_hub.inFlight(), m_hub.queued());
     m_connections.retain(internal::usableAddresses(*m_view.get()), steadyNow());
     if (m_claims)
--- a/programs/dragonflysill-entry/entryprocess.h
+++ b/programs/dragonflysill-entry/entryprocess.h
@@ -68,6 +68,7 @@
     std::atomic<bool> m_readyAllowed = true; ///< False while stopping.
     std::mutex m_mutex;
     std::condition_variable m_wake;
+    bool m_viewChanged = false;
     bool m_stopping = false;
     std::thread m_housekeeping;
 };
--- a/src/links/adaptivelimit.cpp
+++ b/src/links/adaptivelimit.cpp
@@ -4,31 +4,35 @@
 
 namespace dragonflysill {
 
-namespace internal {
-
-// A larger increase causes more refusals per success, a smaller one leaves freed slots idle longer.
-constexpr double increase = 0.25;
-constexpr double decrease = 0.85;
-
-} // namespace internal
-
 AdaptiveLimit::AdaptiveLimit(int initial, int maximum)
     : m_limit(std::clamp(initial, 1, std::max(1, maximum)))
     , m_maximum(std::max(1, maximum))
 {
 }
 
-void AdaptiveLimit::succeeded(int inFlight)
+bool AdaptiveLimit::started(int inFlight, TimePoint now)
 {
-    if (inFlight < value())
-        return; // The limit was not reached, so the success says nothing about a higher one.
-    m_limit = std::min(m_maximum, m_limit + internal::increase / m_limit);
+    if (inFlight <= m_limit)
+        return false;
+    m_limit = std::min(inFlight, m_maximum);
+    m_nextTry = now + m_pause;
+    return true;
 }
 
-void AdaptiveLimit::refused(int inFlight)
+void AdaptiveLimit::trialSucceeded()
 {
-    const double reached = std::min(m_limit, static_cast<double>(inFlight));
-    m_limit = std::max(1.0, reached * internal::decrease);
+    m_refusals = 0;
+    m_pause = shortestPause;
+}
+
+void AdaptiveLimit::refused(int inFlight, Duration pause, TimePoint now)
+{
+    constexpr int maxDoublings = 4;
+    m_limit = std::min(m_limit, std::max(0, inFlight - 1));
+    const int factor = 1 << std::min(m_refusals, maxDoublings);
+    m_pause = std::clamp<Duration>(pause * factor, shortestPause, longestPause);
+    m_nextTry = now + m_pause;
+    ++m_refusals;
 }
 
 void AdaptiveLimit::setMaximum(int maximum)
@@ -37,4 +41,9 @@
     m_limit = std::min(m_limit, m_maximum);
 }
 
+int AdaptiveLimit::value(TimePoint now) const
+{
+    return std::min(m_maximum, now >= m_nextTry ? m_limit + 1 : m_limit);
+}
+
 } // namespace dragonflysill
--- a/src/links/backendpool.cpp
+++ b/src/links/backendpool.cpp
@@ -76,8 +76,10 @@
     if (limitKind(m_selector) == LimitKind::Share)
         limit = m_limits.slots / entries;
     else if (limitKind(m_selector) == LimitKind::Adaptive)
-        limit = backend.limit.value();
+        limit = backend.limit.value(now);
     limit = std::min(limit, m_limits.connections / entries);
+    if (limit == 0)
+        return 0;
     return std::max(1, static_cast<int>(limit * backend.slowStart.share(now)));
 }
 
@@ -107,8 +109,9 @@
     const int id = m_candidates[chosen].backend;
     Backend &backend = m_backends.at(id);
     ++backend.inFlight;
+    const bool limitTrial = backend.limit.started(backend.inFlight, now);
     const bool checking = backend.health.state(now) == HealthState::Checking;
-    return Assignment{id, backend.name, backend.address, backend.epoch, checking, backend.inFlight};
+    return Assignment{id, backend.name, backend.address, backend.epoch, checking, limitTrial};
 }
 
 std::optional<HealthEvent> BackendPool::finish(const Assignment &assignment, AttemptResult result,
@@ -119,9 +122,9 @@
         return std::nullopt;
     Backend &backend = it->second;
     if (result == AttemptResult::Refused)
-        backend.limit.refused(backend.inFlight);
-    else if (result == AttemptResult::Success)
-        backend.limit.succeeded(assignment.inFlight);
+        backend.limit.refused(backend.inFlight, refusalPause(), now);
+    else if (result == AttemptResult::Success && assignment.limitTrial)
+        backend.limit.trialSucceeded();
     --backend.inFlight;
     auto event = noteHealth(backend, result, freshConnection, now);
     if (!backend.present)
@@ -129,6 +132,14 @@
     return event;
 }
 
+Duration BackendPool::refusalPause()
+{
+    // Random, so that entry processes that were refused together do not try again together.
+    const double factor = 0.5 + m_random.unit();
+    const Duration untilFreeSlot = m_serviceTime / std::max(1, m_limits.slots);
+    return std::chrono::duration_cast<Duration>(untilFreeSlot * factor);
+}
+
 std::optional<HealthEvent> BackendPool::noteHealth(Backend &backend, AttemptResult result,
                                                    bool freshConnection, TimePoint now)
 {
--- a/src/links/latencyestimate.cpp
+++ b/src/links/latencyestimate.cpp
@@ -6,9 +6,10 @@
 
 namespace internal {
 
-// Gains of the original estimator: 1/8 for the mean, 1/4 for the deviation.
-constexpr int meanDivisor = 8;
-constexpr int deviationDivisor = 4;
+// Smaller gains than the original 1/8 and 1/4: there is a sample for every request, and admission
+// must not follow single long ones.
+constexpr int meanDivisor = 32;
+constexpr int deviationDivisor = 16;
 
 } // namespace internal
 
--- a/src/links/pooldispatcher.cpp
+++ b/src/links/pooldispatcher.cpp
@@ -7,8 +7,11 @@
 
 namespace internal {
 
-// A response later than this many mean deviations is rare, so the time is kept free for it.
-constexpr int requiredDeviations = 2;
+// With an exponential service time 1 % of the responses take longer. With 2 deviations 8 % did, and
+// under overload each of them is a slot's work without a good response.
+constexpr int requiredDeviations = 5;
+// Leaves time for the queue if the deadline is short compared with the service time.
+constexpr double largestRequiredShare = 0.75;
 // Beyond this, a missing response points to the connection rather than to a slow request.
 constexpr int silenceDeviations = 8;
 constexpr Duration shortestSilence = std::chrono::milliseconds(50);
@@ -37,9 +40,13 @@
     return it == m_services.end() ? nullptr : &it->second;
 }
 
-Duration PoolDispatcher::requiredTime(const ServiceState &state) const
+Duration PoolDispatcher::requiredTime(const ServiceState &state, Duration remaining) const
 {
-    return m_policy.shedEarly ? state.latency.bound(internal::requiredDeviations) : Duration(0);
+    if (!m_policy.shedEarly)
+        return Duration(0);
+    const auto largest
+            = std::chrono::duration_cast<Duration>(remaining * internal::largestRequiredShare);
+    return std::min(largest, state.latency.bound(internal::requiredDeviations));
 }
 
 DispatchActions PoolDispatcher::update(std::span<const InstanceRecord *const> records,
@@ -64,7 +71,9 @@
             return actions;
         }
     }
-    if (cannotMeet(state, request, now) || !state.queue.push(request))
+    PendingRequest waiting = request;
+    waiting.required = requiredTime(state, request.deadline - now);
+    if (cannotMeet(state, waiting, now) || !state.queue.push(waiting))
         actions.emplace_back(Rejection{request.key, Failure::Shed});
     serveQueues(now, actions);
     return actions;
@@ -80,19 +89,25 @@
         ahead += it.second.queue.ahead(request.deadline);
     const auto turns = static_cast<double>(ahead + 1) / std::max(1, m_backends.concurrency(now));
     const auto wait = std::chrono::duration_cast<Duration>(turns * state.latency.mean());
-    return now + wait + requiredTime(state) > request.deadline;
+    return now + wait + request.required > request.deadline;
 }
 
 DispatchActions PoolDispatcher::finish(std::string_view service, const Assignment &assignment,
                                        const AttemptEnd &end, TimePoint now)
 {
     if (end.result == AttemptResult::Success)
-        stateOf(service).latency.add(end.took);
+        noteServiceTime(stateOf(service), end.took);
     if (auto event = m_backends.finish(assignment, end.result, end.freshConnection, now))
         m_healthEvents.push_back(std::move(*event));
     return tick(now);
 }
 
+void PoolDispatcher::noteServiceTime(ServiceState &state, Duration took)
+{
+    state.latency.add(took);
+    m_backends.setServiceTime(state.latency.mean());
+}
+
 DispatchActions PoolDispatcher::tick(TimePoint now)
 {
     DispatchActions actions;
@@ -138,7 +153,7 @@
     const PendingRequest request = *state.queue.front();
     if (request.deadline <= now) {
         actions.emplace_back(Rejection{request.key, Failure::QueueDeadline});
-    } else if (request.deadline < now + requiredTime(state)) {
+    } else if (request.deadline < now + request.required) {
         actions.emplace_back(Rejection{request.key, Failure::Shed});
     } else {
         auto assignment = m_backends.assign(request.exclude, request.repeatable, now);
