--- a/include/dragonflysill/links/entryserver.h
+++ b/include/dragonflysill/links/entryserver.h
@@ -16,9 +16,6 @@
 class EntryServer : private httplib::Server
 {
 public:
-    /** Largest request body; larger ones get 413. */
-    static constexpr std::size_t bodyLimit = 8UL * 1024 * 1024;
-
     /**
      * @param handler belongs to the caller and must outlive the server
      * @param workers the largest number of connections that are served at once
--- a/include/dragonflysill/links/httptranslation.h
+++ b/include/dragonflysill/links/httptranslation.h
@@ -5,11 +5,15 @@
 
 #include <httplib.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
 namespace dragonflysill {
 
+/** Largest request body in bytes; larger ones get 413. */
+inline constexpr std::size_t requestBodyLimit = 8UL * 1024 * 1024;
+
 /**
  * Hides headers on which the HTTP library would act by itself: it decompresses bodies, splits
  * multipart bodies, slices responses by range and compresses them, all of which would change the
--- a/src/links/entryserver.cpp
+++ b/src/links/entryserver.cpp
@@ -47,7 +47,7 @@
 {
     new_task_queue = [workers] { return new WorkerThreads(workers); };
     set_tcp_nodelay(true);
-    set_payload_max_length(bodyLimit);
+    set_payload_max_length(requestBodyLimit);
     // process_and_close_socket() decides; the library only states these in the Keep-Alive header.
     set_keep_alive_timeout(CallerConnection::idleLimit.count());
     set_keep_alive_max_count(internal::statedRequests);
--- a/src/links/httptranslation.cpp
+++ b/src/links/httptranslation.cpp
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -71,17 +74,19 @@
 void hideRewrittenHeaders(httplib::Request &request)
 {
     bool framed = false;
+    std::vector<httplib::Headers::node_type> hidden;
     for (auto it = request.headers.begin(); it != request.headers.end();) {
         const auto current = it++;
         framed = framed || internal::isFraming(current->first);
         // A caller could otherwise pass any header, for example a second Content-Length, unchecked.
         if (internal::isHidden(current->first))
             request.headers.erase(current);
-        else if (internal::isRewritten(current->first)) {
-            auto node = request.headers.extract(current);
-            node.key().insert(0, internal::hiddenPrefix);
-            request.headers.insert(std::move(node));
-        }
+        else if (internal::isRewritten(current->first))
+            hidden.push_back(request.headers.extract(current));
+    }
+    for (auto &it : hidden) {
+        it.key().insert(0, internal::hiddenPrefix);
+        request.headers.insert(std::move(it));
     }
     request.ranges.clear();
     if (!framed && internal::readsBody(request.method))
@@ -93,6 +98,10 @@
 {
     if (!internal::isForwardable(request.method) || hasUnreadBody(request))
         return Failure::BadRequest;
+    // The library would read and drop an oversized body before it answers.
+    const std::string length = request.get_header_value("Content-Length");
+    if (std::strtoull(length.c_str(), nullptr, 10) > requestBodyLimit)
+        return Failure::TooLarge;
     for (const auto &it : request.headers) {
         if (!isSafeHeaderValue(it.second) || !isSafeHeaderValue(it.first))
             return Failure::BadRequest;
