--- a/src/links/requesthandler.cpp
+++ b/src/links/requesthandler.cpp
@@ -13,6 +13,16 @@
 
 namespace internal {
 
+// The deadline counts at the caller, 1 ms away in each direction; the rest is for scheduling.
+constexpr std::chrono::milliseconds deliveryMargin{10};
+constexpr int largestMarginDivisor = 10;
+
+/** Returns the time that remains for the request in this process. */
+Duration timeAtEntry(std::chrono::milliseconds deadline)
+{
+    return deadline - std::min<Duration>(deliveryMargin, Duration(deadline) / largestMarginDivisor);
+}
+
 /** Parses a positive number of milliseconds; nothing for any other text. */
 std::optional<std::chrono::milliseconds> parseMilliseconds(const std::string &text)
 {
@@ -112,7 +122,7 @@
     }
     PendingRequest &pending = call.dispatch.pending;
     pending.key = m_nextKey++;
-    pending.deadline = steadyNow() + deadline;
+    pending.deadline = steadyNow() + internal::timeAtEntry(deadline);
     pending.repeatable = call.match.route->repeatable;
     call.dispatch.pool = call.match.service->pool;
     call.dispatch.service = call.match.service->name;
