--- a/include/dragonflysill/standin/platformserver.h
+++ b/include/dragonflysill/standin/platformserver.h
@@ -3,6 +3,7 @@
 #include "dragonflysill/base/result.h"
 #include "dragonflysill/standin/instancelist.h"
 #include "dragonflysill/standin/memorystore.h"
+#include "dragonflysill/standin/workermodel.h"
 
 #include <httplib.h>
 
@@ -24,12 +25,13 @@
     std::chrono::milliseconds listLag{1000}; ///< How far the instance list lags behind.
     std::chrono::milliseconds rebootTime{2000}; ///< How long a reboot of an instance takes.
     std::size_t threads = 256; ///< Each open connection uses one.
+    WorkerModelSettings workers;
 };
 
 /**
  * The platform's stand-in over HTTP: the etcd v3 JSON gateway, the instance list with drain and
- * reboot, and the fault injection of docs/design.md, section 5. The faults of POST /standin/faults
- * are documented in programs/platform-standin/README.md. Owns its threads.
+ * reboot, workers and tasks, and the fault injection of docs/design.md, section 5. The faults of
+ * POST /standin/faults are documented in programs/platform-standin/README.md. Owns its threads.
  */
 class PlatformServer
 {
@@ -66,6 +68,7 @@
     };
 
     void addRoutes();
+    void addStandinRoutes();
     void addStoreRoute(const std::string &path, Handler handler);
     void addPlatformRoute(const std::string &method, const std::string &pattern, Handler handler);
     bool isCut(const httplib::Request &request);
@@ -85,6 +88,13 @@
     void drainInstance(const httplib::Request &request, httplib::Response &response);
     void rebootInstance(const httplib::Request &request, httplib::Response &response);
 
+    void listWorkers(const httplib::Request &request, httplib::Response &response);
+    void listTasks(const httplib::Request &request, httplib::Response &response);
+    void startTask(const httplib::Request &request, httplib::Response &response);
+    void changeTask(const httplib::Request &request, httplib::Response &response);
+
+    void setWorkers(const httplib::Request &request, httplib::Response &response);
+    void setJobs(const httplib::Request &request, httplib::Response &response);
     void setInstances(const httplib::Request &request, httplib::Response &response);
     void setFaults(const httplib::Request &request, httplib::Response &response);
     void getFaults(const httplib::Request &request, httplib::Response &response);
@@ -97,6 +107,7 @@
     ConnectionFaults m_faults;
     StoreEngine m_snapshot;
     InstanceList m_instances;
+    WorkerModel m_workers;
     std::map<std::string, std::int64_t> m_calls; ///< Platform calls by path.
     std::atomic<bool> m_stopping = false;
     httplib::Server m_server;
--- a/programs/platform-standin/main.cpp
+++ b/programs/platform-standin/main.cpp
@@ -4,6 +4,7 @@
 #include "dragonflysill/telemetry/stopsignal.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 using namespace dragonflysill;
@@ -15,12 +16,16 @@
     std::string logLevel = "info";
     int listLagMs = 1000;
     int rebootMs = 2000;
+    int usageLagMs = 2000;
+    std::uint64_t seed = 1;
     Settings settings("platform-standin",
                       "Stands in for the platform: store, instance list, workers and tasks.",
                       DRAGONFLYSILL_VERSION);
     settings.addAddress("listen", listen, "Address of all interfaces");
     settings.add("list-lag-ms", listLagMs, "How far the instance list lags behind, in ms");
     settings.add("reboot-ms", rebootMs, "How long a reboot of an instance takes, in ms");
+    settings.add("usage-lag-ms", usageLagMs, "How late the usage of tasks is reported, in ms");
+    settings.add("seed", seed, "Seed of the behaviour of jobs without a set one");
     settings.add("log-level", logLevel, "debug, info, warning or error");
     if (const auto exitCode = settings.parse(argc, argv))
         return *exitCode;
@@ -29,6 +34,8 @@
     PlatformServerSettings serverSettings;
     serverSettings.listLag = std::chrono::milliseconds(listLagMs);
     serverSettings.rebootTime = std::chrono::milliseconds(rebootMs);
+    serverSettings.workers.usageLag = std::chrono::milliseconds(usageLagMs);
+    serverSettings.workers.seed = seed;
     PlatformServer server(serverSettings);
     const auto endpoint = Endpoint::parse(listen);
     const auto port = server.start(endpoint->host, endpoint->port);
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -64,6 +64,14 @@
     return instances;
 }
 
+void replyTask(httplib::Response &response, const Result<PlatformTask> &task)
+{
+    if (task)
+        return reply(response, {{"task", *task}});
+    response.status = task.error().is(ErrorKind::NotFound) ? 404 : 409;
+    reply(response, {{"error", task.error().detail}});
+}
+
 std::int64_t milliseconds(TimePoint time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
@@ -134,6 +142,7 @@
 PlatformServer::PlatformServer(PlatformServerSettings settings)
     : m_settings(settings)
     , m_instances(settings.listLag, settings.rebootTime)
+    , m_workers(settings.workers)
 {
     addRoutes();
 }
@@ -193,11 +202,23 @@
     addPlatformRoute("GET", "/platform/instances", &PlatformServer::listInstances);
     addPlatformRoute("POST", "/platform/instances/([^/]+)/drain", &PlatformServer::drainInstance);
     addPlatformRoute("POST", "/platform/instances/([^/]+)/reboot", &PlatformServer::rebootInstance);
+    addPlatformRoute("GET", "/platform/workers", &PlatformServer::listWorkers);
+    addPlatformRoute("GET", "/platform/tasks", &PlatformServer::listTasks);
+    addPlatformRoute("POST", "/platform/workers/([^/]+)/tasks", &PlatformServer::startTask);
+    addPlatformRoute("POST", "/platform/tasks/(.+)/(renew|checkpoint|throttle|stop)",
+                     &PlatformServer::changeTask);
+    addStandinRoutes();
+}
+
+void PlatformServer::addStandinRoutes()
+{
     const auto bind = [this](Handler handler) {
         return [this, handler](const httplib::Request &request, httplib::Response &response) {
             (this->*handler)(request, response);
         };
     };
+    m_server.Post("/standin/workers", bind(&PlatformServer::setWorkers));
+    m_server.Post("/standin/jobs", bind(&PlatformServer::setJobs));
     m_server.Post("/standin/instances", bind(&PlatformServer::setInstances));
     m_server.Post("/standin/faults", bind(&PlatformServer::setFaults));
     m_server.Get("/standin/faults", bind(&PlatformServer::getFaults));
@@ -380,7 +401,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto result = m_instances.drain(request.matches[1].str(), steadyNow());
-    response.status = result ? 202 : 404;
+    response.status = result ? 200 : 404;
     internal::reply(response, internal::Json::object());
 }
 
@@ -388,7 +409,71 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto result = m_instances.reboot(request.matches[1].str(), steadyNow());
-    response.status = result ? 202 : 404;
+    response.status = result ? 200 : 404;
+    internal::reply(response, internal::Json::object());
+}
+
+void PlatformServer::listWorkers(const httplib::Request &, httplib::Response &response)
+{
+    const std::lock_guard lock(m_mutex);
+    internal::reply(response, {{"workers", m_workers.workers()}});
+}
+
+void PlatformServer::listTasks(const httplib::Request &, httplib::Response &response)
+{
+    const std::lock_guard lock(m_mutex);
+    internal::reply(response, {{"tasks", m_workers.tasks(steadyNow())}});
+}
+
+void PlatformServer::startTask(const httplib::Request &request, httplib::Response &response)
+{
+    const auto start = internal::Json::parse(request.body).get<TaskStart>();
+    const std::lock_guard lock(m_mutex);
+    internal::replyTask(response, m_workers.start(request.matches[1].str(), start, steadyNow()));
+}
+
+void PlatformServer::changeTask(const httplib::Request &request, httplib::Response &response)
+{
+    const std::string id = request.matches[1];
+    const std::string verb = request.matches[2];
+    const TimePoint now = steadyNow();
+    const std::lock_guard lock(m_mutex);
+    if (verb == "renew")
+        internal::replyTask(response, m_workers.renew(id, now));
+    else if (verb == "checkpoint")
+        internal::replyTask(response, m_workers.checkpoint(id, now));
+    else if (verb == "throttle")
+        internal::replyTask(response, m_workers.throttle(id, now));
+    else
+        internal::replyTask(response, m_workers.stop(id, now));
+}
+
+void PlatformServer::setWorkers(const httplib::Request &request, httplib::Response &response)
+{
+    const auto json = internal::Json::parse(request.body);
+    const std::lock_guard lock(m_mutex);
+    if (json.contains("workers"))
+        m_workers.setWorkers(json.at("workers").get<std::vector<PlatformWorker>>(), steadyNow());
+    if (json.contains("failing")) {
+        const auto failing = json.at("failing").get<std::set<std::string>>();
+        for (const PlatformWorker &it : m_workers.workers())
+            m_workers.setFailing(it.name, failing.count(it.name) > 0);
+    }
+    internal::reply(response, {{"workers", m_workers.workers()}});
+}
+
+void PlatformServer::setJobs(const httplib::Request &request, httplib::Response &response)
+{
+    const auto json = internal::Json::parse(request.body);
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[job, it] : json.items()) {
+        const JobProfile normal;
+        m_workers.setProfile(job,
+                             {it.value("cores_factor", normal.coresFactor),
+                              it.value("memory_factor", normal.memoryFactor),
+                              std::chrono::milliseconds(it.value("run_ms", normal.run.count())),
+                              it.value("fails", normal.fails)});
+    }
     internal::reply(response, internal::Json::object());
 }
 
--- a/tests/standin/gatewaytest.cpp
+++ b/tests/standin/gatewaytest.cpp
@@ -19,7 +19,7 @@
 /** A gateway on a free port and a client of it. */
 struct Gateway
 {
-    PlatformServer server{PlatformServerSettings{0ms, 50ms, 32}};
+    PlatformServer server{PlatformServerSettings{0ms, 50ms, 32, {}}};
     int port = server.start("127.0.0.1", 0).value();
     std::unique_ptr<StoreClient> client = connect("c");
 
@@ -165,7 +165,7 @@
 // Guards against an outage of one endpoint that stops all calls.
 BOOST_AUTO_TEST_CASE(UsesAnotherEndpointIfOneRefusesConnections)
 {
-    PlatformServer closed{PlatformServerSettings{0ms, 50ms, 2}};
+    PlatformServer closed{PlatformServerSettings{0ms, 50ms, 2, {}}};
     const int closedPort = closed.start("127.0.0.1", 0).value();
     closed.stop();
     StoreClientSettings settings;
