--- a/include/dragonflysill/standin/peersocket.h
+++ b/include/dragonflysill/standin/peersocket.h
@@ -24,4 +24,11 @@
     int m_descriptor = -1; ///< Owned by the HTTP server.
 };
 
+/**
+ * Ends the idle connections of a stopped cpp-httplib server, which otherwise waits for its
+ * keep-alive timeout. Answers that are being sent are still sent.
+ * @param localPort the port of the server in this process
+ */
+void endIdleConnections(int localPort);
+
 } // namespace dragonflysill
--- a/include/dragonflysill/standin/platformserver.h
+++ b/include/dragonflysill/standin/platformserver.h
@@ -111,6 +111,7 @@
     std::map<std::string, std::int64_t> m_calls; ///< Platform calls by path.
     std::atomic<bool> m_stopping = false;
     httplib::Server m_server;
+    int m_port = 0;
     std::thread m_thread;
 };
 
--- a/programs/backend-standin/backendserver.h
+++ b/programs/backend-standin/backendserver.h
@@ -69,6 +69,7 @@
     std::atomic<bool> m_draining = false;
     std::atomic<bool> m_stopping = false;
     httplib::Server m_server;
+    int m_port = 0;
     std::thread m_thread;
 };
 
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -148,12 +148,14 @@
                              "history starts at " + std::to_string(answer.compactRevision));
             if (answer.canceled)
                 return count<Done>(Error(ErrorKind::StoreUnavailable, "the watch was cancelled"));
-            if (answer.created)
-                continue;
             updates = answer.updates;
             // etcd sends all changes of one revision in one message, but the header of a message
-            // that catches up names a revision whose changes are still to come.
-            complete = updates.empty() ? answer.revision : updates.back().revision;
+            // that catches up names a revision whose changes are still to come. The handler is
+            // called for the first message too, so that it learns that the watch is established.
+            if (!updates.empty())
+                complete = updates.back().revision;
+            else if (!answer.created)
+                complete = answer.revision;
         }
         if (!handler(updates, complete))
             return Done{};
--- a/src/standin/peersocket.cpp
+++ b/src/standin/peersocket.cpp
@@ -8,16 +8,23 @@
 
 namespace internal {
 
-bool matches(int descriptor, const httplib::Request &request)
+struct Ports
+{
+    int local = 0;
+    int peer = 0;
+};
+
+/** Returns the ports of a connected socket, or zeros. */
+Ports portsOf(int descriptor)
 {
     sockaddr_in peer{};
     sockaddr_in local{};
     socklen_t peerSize = sizeof peer;
     socklen_t localSize = sizeof local;
-    return getpeername(descriptor, reinterpret_cast<sockaddr *>(&peer), &peerSize) == 0
-           && getsockname(descriptor, reinterpret_cast<sockaddr *>(&local), &localSize) == 0
-           && ntohs(peer.sin_port) == request.remote_port
-           && ntohs(local.sin_port) == request.local_port;
+    if (getpeername(descriptor, reinterpret_cast<sockaddr *>(&peer), &peerSize) != 0
+        || getsockname(descriptor, reinterpret_cast<sockaddr *>(&local), &localSize) != 0)
+        return {};
+    return {ntohs(local.sin_port), ntohs(peer.sin_port)};
 }
 
 } // namespace internal
@@ -26,13 +33,22 @@
 {
     // select() limits the descriptors that cpp-httplib serves to this number.
     for (int n = 0; n < FD_SETSIZE; ++n) {
-        if (internal::matches(n, request)) {
+        const internal::Ports ports = internal::portsOf(n);
+        if (ports.local == request.local_port && ports.peer == request.remote_port) {
             m_descriptor = n;
             return;
         }
     }
 }
 
+void endIdleConnections(int localPort)
+{
+    for (int n = 0; n < FD_SETSIZE; ++n) {
+        if (internal::portsOf(n).local == localPort)
+            shutdown(n, SHUT_RD);
+    }
+}
+
 void PeerSocket::shutDown() const
 {
     if (m_descriptor >= 0)
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -160,6 +160,7 @@
         port = -1;
     if (port < 0)
         return Error(ErrorKind::Unreachable, "cannot listen on " + host);
+    m_port = port;
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
     return port;
 }
@@ -173,6 +174,7 @@
     while (!m_server.is_running())
         std::this_thread::yield();
     m_server.stop();
+    endIdleConnections(m_port);
     m_thread.join();
 }
 
--- a/tests/standin/gatewaytest.cpp
+++ b/tests/standin/gatewaytest.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -290,3 +291,27 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ServerStop)
+
+// Guards against a stop that waits for the keep-alive timeout of clients' idle connections.
+BOOST_AUTO_TEST_CASE(EndsIdleConnections)
+{
+    PlatformServer server{PlatformServerSettings{0ms, 50ms, 4, {}}};
+    httplib::Client client("127.0.0.1", server.start("127.0.0.1", 0).value());
+    client.set_keep_alive(true);
+    BOOST_REQUIRE(client.Get("/standin/calls"));
+    BOOST_TEST(client.is_socket_open() == 1U);
+    std::atomic<bool> stopped = false;
+    std::thread stopper([&] {
+        server.stop();
+        stopped = true;
+    });
+    for (int n = 0; n < 2000 && !stopped; ++n)
+        std::this_thread::sleep_for(10ms);
+    BOOST_TEST(stopped);
+    client.stop();
+    stopper.join();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
