Stop a hanging test program after 120 s

Cause: standin-test hung in ADownStoreIsUnavailable and held ctest for its limit of 300 s. The longest test program takes 8 s, so 120 s still leaves room for a busy machine. The hang itself is not fixed by this.

--- a/cmake/dragonflysill.cmake
+++ b/cmake/dragonflysill.cmake
@@ -45,7 +45,7 @@
         endforeach()
     endif()
     add_test(NAME ${name} COMMAND ${name}-test --color_output=no ${filters})
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 120)
 endfunction()
 
 # Adds one program for each folder below DIRECTORY. A file dependencies.txt in the folder names what
