--- a/src/contracts/validation.cpp
+++ b/src/contracts/validation.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <utility>
 
 namespace dragonflysill {
@@ -40,6 +41,14 @@
     return nullptr;
 }
 
+/** Returns a number without needless decimals. */
+std::string plain(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
 std::string inQuotes(std::string_view text)
 {
     return "'" + std::string(text) + "'";
@@ -341,10 +350,10 @@
             if (!place)
                 return;
             report(*place,
-                   "job " + inQuotes(name) + " needs " + nlohmann::json(needed).dump() + " " + field
+                   "job " + inQuotes(name) + " needs " + plain(needed) + " " + field
                            + (job.gang ? " for its gang" : " for one task")
                            + " at once, the quota of team " + inQuotes(quota.team) + " is "
-                           + nlohmann::json(allowed).dump(),
+                           + plain(allowed),
                    "raise the quota, or lower what the job needs");
         };
         exceeds("cores", job.cores * count, quota.cores);
