--- a/include/dragonflysill/links/claimbatcher.h
+++ b/include/dragonflysill/links/claimbatcher.h
@@ -188,6 +188,7 @@
         std::string requestId;
         TimePoint added;
         TimePoint deadline;
+        bool checked = false; ///< An earlier call read that the key is absent.
         bool maybeWritten = false; ///< The answer of an earlier commit was lost.
     };
 
--- a/src/links/claimbatcher.cpp
+++ b/src/links/claimbatcher.cpp
@@ -49,7 +49,7 @@
         return actions;
     }
     m_idByKey.emplace(claim.key, id);
-    m_requests.emplace(id, Request{std::move(claim), std::move(requestId), now, deadline, false});
+    m_requests.emplace(id, Request{std::move(claim), std::move(requestId), now, deadline});
     m_deadlines.emplace(deadline, id);
     if (m_stopping)
         refuse(id, ClaimRefusal::Stopping, now, actions);
@@ -195,12 +195,18 @@
     if (m_waiting.empty() || !m_budget.take(now))
         return;
     Call call;
+    // Claims that were read as absent are not joined with new ones, of which any may be a duplicate
+    // that makes the whole commit fail again.
+    bool isChecked = false;
     while (!m_waiting.empty() && call.ids.size() < maxClaimsPerCall) {
         const ClaimId id = m_waiting.front();
-        m_waiting.pop_front();
         const auto it = m_requests.find(id);
+        if (it != m_requests.end() && !call.ids.empty() && it->second.checked != isChecked)
+            break;
+        m_waiting.pop_front();
         if (it == m_requests.end())
             continue;
+        isChecked = it->second.checked;
         call.ids.push_back(id);
         call.claims.push_back(it->second.claim);
         call.maybeWritten = call.maybeWritten || it->second.maybeWritten;
@@ -364,6 +370,8 @@
         const auto found = result.values.find(call.claims[n].key);
         const bool isOwn = found != result.values.end() && found->second == call.claims[n].value;
         if (found == result.values.end()) {
+            if (const auto it = m_requests.find(id); it != m_requests.end())
+                it->second.checked = true;
             absent.ids.push_back(id);
             absent.claims.push_back(call.claims[n]);
         } else if (m_requests.count(id) == 0) {
