Send the instance list of the demo as JSON

Cause: curl's default content type is a form, for which cpp-httplib limits the body to 8,192 bytes, so the stand-in answered 413 to 56 instances.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -33,7 +33,7 @@
 # publish_instances TICKET: tells the platform stand-in which instances are live.
 publish_instances() {
     jq '{instances: [.pools[].instances[] | {name, zone, rack, address, state: "live"}]}' "$1" |
-        curl -fsS -X POST --data-binary @- "http://$platform_address/standin/instances" >/dev/null
+        curl -fsS -X POST -H 'Content-Type: application/json' --data-binary @- "http://$platform_address/standin/instances" >/dev/null
 }
 
 # start_backends TICKET [OPTION...]: one backend stand-in for each instance of a local ticket.
