--- a/bench/bench-placement/main.cpp
+++ b/bench/bench-placement/main.cpp
@@ -28,6 +28,8 @@
     report.add("useful work", ours.usefulCoreHours, "core-hours", none, base.usefulCoreHours);
     report.add("work lost by stops and failures", ours.wastedCoreHours, "core-hours", none,
                base.wastedCoreHours);
+    report.add("cores used, mean", 100 * ours.coresUsed, "%", none, 100 * base.coresUsed);
+    report.add("memory used, mean", 100 * ours.memoryUsed, "%", none, 100 * base.memoryUsed);
     report.add("tasks finished", ours.tasksFinished, "", none, base.tasksFinished);
     report.add("tasks lost to bad workers", ours.tasksLostToBadWorkers, "", none,
                base.tasksLostToBadWorkers);
--- a/bench/bench-placement/run.cpp
+++ b/bench/bench-placement/run.cpp
@@ -84,6 +84,9 @@
         case PlacementAction::Kind::Throttle:
             m_running.at({m_jobs.at(it.job), it.index}).throttled = true;
             break;
+        case PlacementAction::Kind::Resume:
+            m_running.at({m_jobs.at(it.job), it.index}).throttled = false;
+            break;
         case PlacementAction::Kind::Refuse:
             ++(m_workload.jobs[m_jobs.at(it.job)].possible ? m_figures.possibleRefused
                                                            : m_figures.impossibleRefused);
@@ -157,6 +160,17 @@
     const double share
             = std::min(1.0, static_cast<double>(capacity.milliCores)
                                     / std::max(1.0, static_cast<double>(used.milliCores)));
+    constexpr double steps = static_cast<double>(endMs) / stepMs;
+    if (!m_workload.bad[worker]) {
+        const auto good = static_cast<double>(
+                std::count(m_workload.bad.begin(), m_workload.bad.end(), false));
+        m_figures.coresUsed += std::min(1.0, static_cast<double>(used.milliCores)
+                                                     / static_cast<double>(capacity.milliCores))
+                               / good / steps;
+        m_figures.memoryUsed += std::min(1.0, static_cast<double>(used.memoryMb)
+                                                      / static_cast<double>(capacity.memoryMb))
+                                / good / steps;
+    }
     auto tasks = m_onWorker[worker];
     if (used.memoryMb > capacity.memoryMb && !m_workload.bad[worker]) {
         ++m_figures.tasksOutOfMemory;
--- a/bench/bench-placement/run.h
+++ b/bench/bench-placement/run.h
@@ -17,6 +17,8 @@
     double usefulCoreHours = 0; ///< Work of tasks that ended well.
     double wastedCoreHours = 0; ///< Work that was lost by stops and failures.
     double tasksFinished = 0;
+    double coresUsed = 0; ///< Mean part of the good workers' cores that tasks really use.
+    double memoryUsed = 0; ///< Mean part of their memory.
     double tasksLostToBadWorkers = 0;
     double tasksOutOfMemory = 0;
     double urgentMeanWaitSeconds = 0;
--- a/include/dragonflysill/machines/jobentry.h
+++ b/include/dragonflysill/machines/jobentry.h
@@ -21,6 +21,7 @@
     bool throttled = false;
     bool leaseQueued = false; ///< The planner will check the end of its lease.
     std::int64_t leaseUntilMs = 0;
+    std::int64_t startedMs = 0;
 };
 
 /** A job in a planner with its tasks and what is known about their real needs. */
--- a/include/dragonflysill/machines/placementaction.h
+++ b/include/dragonflysill/machines/placementaction.h
@@ -11,6 +11,7 @@
         Start,
         Checkpoint, ///< Save the task's progress and end it; it waits again.
         Throttle, ///< Let the task run on with a quarter of its cores.
+        Resume, ///< Let a throttled task use all its cores again.
         Stop,
         Refuse, ///< The job can never run; `reason` says why.
         Quarantine, ///< The worker gets no tasks for a time.
--- a/include/dragonflysill/machines/placementplanner.h
+++ b/include/dragonflysill/machines/placementplanner.h
@@ -22,7 +22,7 @@
 struct PlacementSettings
 {
     /** A task is planned with its largest observed usage times this margin. */
-    double usageMargin = 1.2;
+    double usageMargin = 1.1;
     /** A task's lease; a task that is not renewed for this time is started elsewhere. */
     std::chrono::milliseconds taskLease{30'000};
     /** First quarantine of a worker on which tasks of several jobs failed in a row. */
@@ -118,11 +118,16 @@
     int findInRange(const JobEntry &entry, const WorkerTable::Range &range) const;
     [[nodiscard]] bool withinQuota(const JobEntry &entry) const;
     bool reclaim(std::uint32_t id, std::int64_t nowMs);
+    [[nodiscard]] std::vector<WorkerTable::Range> rotatedRanges(std::string_view pool) const;
     std::vector<std::size_t> findReclaimable(const JobEntry &entry);
+    [[nodiscard]] std::vector<std::size_t> findReclaimableGang(const JobEntry &entry) const;
     void relieveOverloaded();
+    void resumeThrottled();
+    /** Resumes tasks as far as the cores allow; returns true if none is throttled any more. */
+    bool resumeOn(std::size_t worker);
     void preempt(const Victim &victim, std::string_view reason);
     void preemptOne(const TaskReference &task, PlacementAction::Kind kind, std::string_view reason);
-    void occupy(std::uint32_t id, std::uint32_t index, std::uint32_t worker, std::int64_t untilMs);
+    void occupy(std::uint32_t id, std::uint32_t index, std::uint32_t worker, std::int64_t nowMs);
     void release(std::uint32_t id, std::uint32_t index);
     void makeWaiting(std::uint32_t id, std::uint32_t index);
     void adjust(std::size_t worker, const JobEntry &entry, const Resources &change);
@@ -147,7 +152,10 @@
     std::deque<std::pair<std::int64_t, TaskReference>> m_leases; ///< By end of the lease.
     std::set<std::pair<std::int64_t, std::string>> m_quarantines; ///< By end of the quarantine.
     std::set<std::size_t> m_overloaded; ///< Workers whose planned sizes exceed the capacity.
+    std::set<std::size_t> m_throttled; ///< Workers with throttled tasks.
     std::vector<PlacementAction> m_actions; ///< Collected for the next decide().
+    /** Where the next search for victims starts, so that preemption spreads over the workers. */
+    std::size_t m_reclaimCursor = 0;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_freeVersion = 1; ///< Grows when capacity or quota becomes free.
     std::uint64_t m_limitVersion = 1; ///< Grows when workers or quotas change.
--- a/include/dragonflysill/machines/preemption.h
+++ b/include/dragonflysill/machines/preemption.h
@@ -31,7 +31,7 @@
 /**
  * Selects tasks of a worker that make room. Checkpointable tasks come first, then, if only cores
  * are missing, tasks are throttled, and at last tasks are stopped; in each step batch tasks before
- * normal ones. Urgent tasks are never selected.
+ * normal ones and young tasks before old ones. Urgent tasks are never selected.
  * @param jobs the planner's jobs by id
  * @param missing what must become free; components that are not positive are satisfied
  */
--- a/src/machines/placementplanner.cpp
+++ b/src/machines/placementplanner.cpp
@@ -39,6 +39,13 @@
     return std::min(std::max(wanted, smallest), std::max(capacity, smallest));
 }
 
+Resources scaled(const Resources &resources, double factor)
+{
+    return {static_cast<std::int64_t>(static_cast<double>(resources.milliCores) * factor),
+            static_cast<std::int64_t>(static_cast<double>(resources.memoryMb) * factor),
+            resources.accelerators};
+}
+
 /** Returns how many tasks of a job may run in one rack, so that its failure spares others. */
 int rackLimit(const Job &job)
 {
@@ -184,8 +191,7 @@
         return;
     const auto task = static_cast<std::uint32_t>(index);
     std::erase(entry->waiting, task);
-    occupy(m_ids.find(job)->second, task, static_cast<std::uint32_t>(*position),
-           nowMs + m_settings.taskLease.count());
+    occupy(m_ids.find(job)->second, task, static_cast<std::uint32_t>(*position), nowMs);
 }
 
 void PlacementPlanner::renewTask(std::string_view job, int index, std::int64_t nowMs)
@@ -243,6 +249,7 @@
     expireLeases(nowMs);
     readmitWorkers(nowMs);
     relieveOverloaded();
+    resumeThrottled();
     retryRefused();
     runQueue(Priority::Urgent, nowMs);
     runQueue(Priority::Normal, nowMs);
@@ -327,6 +334,36 @@
     for (const auto it : m_overloaded)
         overloaded.insert(moved[it]);
     m_overloaded = std::move(overloaded);
+    std::set<std::size_t> throttled;
+    for (const auto it : m_throttled)
+        throttled.insert(moved[it]);
+    m_throttled = std::move(throttled);
+}
+
+void PlacementPlanner::resumeThrottled()
+{
+    std::erase_if(m_throttled, [this](std::size_t it) { return resumeOn(it); });
+}
+
+bool PlacementPlanner::resumeOn(std::size_t worker)
+{
+    bool all = true;
+    for (const auto &it : m_workers.at(worker).tasks) {
+        JobEntry &entry = *m_jobs[it.job];
+        TaskSlot &slot = entry.tasks[it.index];
+        if (!slot.throttled)
+            continue;
+        const auto more = entry.planned - occupiedBy(entry, slot);
+        const auto &target = m_workers.at(worker);
+        if (!(target.worker.capacity - target.used).covers(more)) {
+            all = false;
+            continue;
+        }
+        slot.throttled = false;
+        adjust(worker, entry, more);
+        add(PlacementAction::Kind::Resume, entry, it.index, worker, "its worker has cores again");
+    }
+    return all;
 }
 
 void PlacementPlanner::expireLeases(std::int64_t nowMs)
@@ -508,7 +545,7 @@
         return false;
     const auto index = entry.waiting.back();
     entry.waiting.pop_back();
-    occupy(id, index, static_cast<std::uint32_t>(worker), nowMs + m_settings.taskLease.count());
+    occupy(id, index, static_cast<std::uint32_t>(worker), nowMs);
     add(PlacementAction::Kind::Start, entry, index, static_cast<std::size_t>(worker));
     return true;
 }
@@ -591,61 +628,89 @@
             preempt(it, "makes room for urgent job " + entry.job.name);
         const auto index = entry.waiting.back();
         entry.waiting.pop_back();
-        occupy(id, index, static_cast<std::uint32_t>(worker), nowMs + m_settings.taskLease.count());
+        occupy(id, index, static_cast<std::uint32_t>(worker), nowMs);
         add(PlacementAction::Kind::Start, entry, index, worker);
     }
     return true;
 }
 
+std::vector<WorkerTable::Range> PlacementPlanner::rotatedRanges(std::string_view pool) const
+{
+    std::vector<WorkerTable::Range> first;
+    std::vector<WorkerTable::Range> last;
+    for (const auto &it : m_workers.ranges(pool)) {
+        const auto middle = std::clamp(m_reclaimCursor, it.first, it.second);
+        first.emplace_back(middle, it.second);
+        last.emplace_back(it.first, middle);
+    }
+    first.insert(first.end(), last.begin(), last.end());
+    return first;
+}
+
 std::vector<std::size_t> PlacementPlanner::findReclaimable(const JobEntry &entry)
 {
-    const bool gang = entry.job.gang && entry.running == 0;
-    std::vector<std::size_t> chosen;
+    if (entry.job.gang && entry.running == 0)
+        return findReclaimableGang(entry);
+    std::vector<std::size_t> best;
     int bestCost = 0;
     int candidates = 0;
-    Resources pending;
-    std::size_t pendingWorker = m_workers.size();
-    for (const auto &range : m_workers.ranges(entry.job.pool)) {
-        for (std::size_t from = range.first; from < range.second;) {
+    for (const auto &range : rotatedRanges(entry.job.pool)) {
+        for (std::size_t from = range.first; from < range.second; ++from) {
             const int found = m_workers.reclaimable().findFirst(from, range.second, entry.planned);
             if (found < 0)
                 break;
-            const auto worker = static_cast<std::size_t>(found);
-            const auto &target = m_workers.at(worker);
-            if (worker != pendingWorker)
-                pending = {};
-            pendingWorker = worker;
-            pending += entry.planned;
-            const auto missing = pending - (target.worker.capacity - target.used);
+            from = static_cast<std::size_t>(found);
+            const auto &target = m_workers.at(from);
+            const auto missing = entry.planned - (target.worker.capacity - target.used);
             const auto selection = selectVictims(target, m_jobs, missing);
-            if (!selection.sufficient) {
-                from = worker + 1;
-                continue;
+            if (selection.sufficient && (best.empty() || selection.cost < bestCost)) {
+                best = {from};
+                bestCost = selection.cost;
             }
-            if (gang) {
-                chosen.push_back(worker);
-                if (chosen.size() == entry.waiting.size())
-                    return chosen;
-                from = worker;
+            if (++candidates < internal::reclaimCandidates)
+                continue;
+            m_reclaimCursor = from + 1;
+            return best;
+        }
+    }
+    return best;
+}
+
+std::vector<std::size_t> PlacementPlanner::findReclaimableGang(const JobEntry &entry) const
+{
+    std::vector<std::size_t> chosen;
+    for (const auto &range : m_workers.ranges(entry.job.pool)) {
+        Resources onWorker;
+        for (std::size_t from = range.first; from < range.second;) {
+            const int found = m_workers.reclaimable().findFirst(from, range.second, entry.planned);
+            if (found < 0)
+                break;
+            if (static_cast<std::size_t>(found) != from)
+                onWorker = {};
+            from = static_cast<std::size_t>(found);
+            const auto &target = m_workers.at(from);
+            const auto missing = onWorker + entry.planned - (target.worker.capacity - target.used);
+            if (!selectVictims(target, m_jobs, missing).sufficient) {
+                onWorker = {};
+                ++from;
                 continue;
             }
-            if (chosen.empty() || selection.cost < bestCost) {
-                chosen = {worker};
-                bestCost = selection.cost;
-            }
-            if (++candidates >= internal::reclaimCandidates)
+            onWorker += entry.planned;
+            chosen.push_back(from);
+            if (chosen.size() == entry.waiting.size())
                 return chosen;
-            from = worker + 1;
         }
     }
-    return gang ? std::vector<std::size_t>() : chosen;
+    return {};
 }
 
 void PlacementPlanner::relieveOverloaded()
 {
     for (const auto worker : std::exchange(m_overloaded, {})) {
         const auto &target = m_workers.at(worker);
-        const auto missing = target.used - target.worker.capacity;
+        // The margin of the plan may be exceeded; only real usage beyond the capacity costs work.
+        const auto tolerated = internal::scaled(target.worker.capacity, m_settings.usageMargin);
+        const auto missing = target.used - tolerated;
         if (Resources{}.covers(missing))
             continue;
         const auto selection = selectVictims(target, m_jobs, missing);
@@ -683,17 +748,20 @@
     }
     const auto before = occupiedBy(entry, slot);
     slot.throttled = true;
+    m_throttled.insert(slot.worker);
     adjust(slot.worker, entry, occupiedBy(entry, slot) - before);
 }
 
 void PlacementPlanner::occupy(std::uint32_t id, std::uint32_t index, std::uint32_t worker,
-                              std::int64_t untilMs)
+                              std::int64_t nowMs)
 {
+    const std::int64_t untilMs = nowMs + m_settings.taskLease.count();
     JobEntry &entry = *m_jobs[id];
     TaskSlot &slot = entry.tasks[index];
     slot.worker = worker;
     slot.throttled = false;
     slot.leaseUntilMs = untilMs;
+    slot.startedMs = nowMs;
     if (!slot.leaseQueued) {
         slot.leaseQueued = true;
         m_leases.emplace_back(untilMs, TaskReference{id, index});
--- a/src/machines/preemption.cpp
+++ b/src/machines/preemption.cpp
@@ -23,7 +23,12 @@
                 m_tasks.push_back(it);
         }
         std::stable_sort(m_tasks.begin(), m_tasks.end(), [this](const auto &a, const auto &b) {
-            return m_jobs[a.job]->job.priority < m_jobs[b.job]->job.priority;
+            const auto &left = *m_jobs[a.job];
+            const auto &right = *m_jobs[b.job];
+            if (left.job.priority != right.job.priority)
+                return left.job.priority < right.job.priority;
+            // A stop loses all work since the start, so the youngest tasks go first.
+            return left.tasks[a.index].startedMs > right.tasks[b.index].startedMs;
         });
     }
 
--- a/tests/machines/placementtest.cpp
+++ b/tests/machines/placementtest.cpp
@@ -52,8 +52,8 @@
 
 std::string text(const std::vector<PlacementAction> &actions, std::int64_t nowMs)
 {
-    constexpr const char *names[]
-            = {"start", "checkpoint", "throttle", "stop", "refuse", "quarantine", "readmit"};
+    constexpr const char *names[] = {"start", "checkpoint", "throttle",   "resume",
+                                     "stop",  "refuse",     "quarantine", "readmit"};
     std::ostringstream out;
     for (const auto &it : actions)
         out << nowMs << " " << names[static_cast<int>(it.kind)] << " " << it.job << "/" << it.index
@@ -173,6 +173,21 @@
     }
 }
 
+// Guards against tasks that stay throttled although their worker has free cores.
+BOOST_AUTO_TEST_CASE(ThrottledTasksAreResumed)
+{
+    PlacementPlanner planner;
+    planner.setWorker(makeWorker("w1"));
+    planner.setJob(makeJob("other", 2, 8));
+    planner.decide(1);
+    planner.setJob(makeJob("urgent", 1, 8, Priority::Urgent));
+    BOOST_TEST(count(planner.decide(2), Kind::Throttle) == 2U);
+    BOOST_TEST(count(planner.decide(3), Kind::Resume) == 0U);
+    planner.endTask("urgent", 0, TaskOutcome::Succeeded, 4);
+    BOOST_TEST(count(planner.decide(4), Kind::Resume) == 2U);
+    BOOST_TEST(planner.used("team").milliCores == 16'000);
+}
+
 // Guards against urgent work that takes the place of other urgent work.
 BOOST_AUTO_TEST_CASE(UrgentDoesNotPreemptUrgent)
 {
