Fail to bind a port that another stand-in uses

A platform-standin left running on the same port shared its connections through SO_REUSEPORT: a run of claims-processes.sh counted 17 keys run twice on two separate stores.

--- a/programs/backend-standin/backendserver.cpp
+++ b/programs/backend-standin/backendserver.cpp
@@ -53,6 +53,7 @@
 
 void BackendServer::addRoutes()
 {
+    useExclusivePort(m_server);
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
     m_server.set_keep_alive_timeout(internal::keepAliveTimeout.count());
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -180,6 +180,7 @@
 
 void PlatformServer::addRoutes()
 {
+    useExclusivePort(m_server);
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
     m_server.set_keep_alive_timeout(internal::keepAliveTimeout.count());
--- a/tests/standin/gatewaytest.cpp
+++ b/tests/standin/gatewaytest.cpp
@@ -294,6 +294,15 @@
 
 BOOST_AUTO_TEST_SUITE(ServerStop)
 
+// Guards against two stores on one port, between which the kernel distributes the connections.
+BOOST_AUTO_TEST_CASE(RefusesAPortThatIsInUse)
+{
+    PlatformServer first{PlatformServerSettings{0ms, 50ms, 4, {}}};
+    const int port = first.start("127.0.0.1", 0).value();
+    PlatformServer second{PlatformServerSettings{0ms, 50ms, 4, {}}};
+    BOOST_TEST(second.start("127.0.0.1", port).error().is(ErrorKind::Unreachable));
+}
+
 // Guards against a stop that waits for the keep-alive timeout of clients' idle connections.
 BOOST_AUTO_TEST_CASE(EndsIdleConnections)
 {
