--- a/programs/dragonflysill-control/fleetloop.cpp
+++ b/programs/dragonflysill-control/fleetloop.cpp
@@ -53,7 +53,8 @@
 
 FleetLoop::FleetLoop(ControlContext &context)
     : m_context(context)
-    , m_runner(context.name, context.store, context.fence)
+    , m_platform(context.platformAddress)
+    , m_runner(context.name, context.store, context.fence, m_platform)
     , m_moves(internal::addCounter(*context.registry, "dragonflysill_moves_total",
                                    "Instances moved between pools by this process."))
     , m_passErrors(internal::addCounter(*context.registry, "dragonflysill_fleet_pass_errors_total",
@@ -104,7 +105,7 @@
     publish(m_runner.step(collectInputs()));
 }
 
-FleetInputs FleetLoop::collectInputs() const
+FleetInputs FleetLoop::collectInputs()
 {
     const auto view = m_context.view.get();
     FleetInputs inputs;
@@ -118,6 +119,9 @@
         for (const auto &n : it.drained)
             inputs.acknowledgements.add(it.name, n.name, n.epoch);
     }
+    auto platform = m_platform.instances();
+    if (platform)
+        inputs.platform = std::move(*platform);
     return inputs;
 }
 
