--- a/bench/bench-fleetday/day.cpp
+++ b/bench/bench-fleetday/day.cpp
@@ -83,7 +83,7 @@
         closeTickets();
         measure();
     }
-    m_figures.idleInstances /= static_cast<double>(dayMs / stepMs);
+    m_figures.idleInstances /= (static_cast<double>(dayMs) / stepMs);
     m_figures.waveHours = static_cast<double>(m_waveEndMs - m_waveStartMs) / hourMs;
     if (m_figures.ticketsComplete > 0)
         m_figures.meanRolloutSeconds = m_rolloutSum / m_figures.ticketsComplete;
--- a/bench/bench-placement/cluster.cpp
+++ b/bench/bench-placement/cluster.cpp
@@ -12,7 +12,7 @@
 constexpr Resources capacity{64'000, 262'144, 0};
 /** About twice the work that the workers can do in the time, so that policies differ. */
 constexpr std::size_t jobCount = 6000;
-constexpr std::int64_t submitWindowMs = 3 * 3'600'000;
+constexpr std::int64_t submitWindowMs = 3LL * 3'600'000;
 
 /** Returns a factor between 1/10 and 10, uniform on a logarithmic scale. */
 double wrongFactor(Random &random)
--- a/bench/bench-placement/run.cpp
+++ b/bench/bench-placement/run.cpp
@@ -112,8 +112,8 @@
     m_running[key] = task;
     m_onWorker[task.worker].push_back(key);
     if (m_startedOnce.emplace(key, true).second && job.declared.priority == Priority::Urgent)
-        m_urgentWaits.push_back(static_cast<double>(m_nowMs - job.submitMs / stepMs * stepMs)
-                                / 1000);
+        m_urgentWaits.push_back(
+                static_cast<double>(m_nowMs - (job.submitMs - job.submitMs % stepMs)) / 1000);
 }
 
 void Run::stop(const PlacementAction &action)
--- a/bench/bench-placement/run.h
+++ b/bench/bench-placement/run.h
@@ -45,7 +45,7 @@
 
 private:
     static constexpr std::int64_t stepMs = 1000;
-    static constexpr std::int64_t endMs = 4 * 3'600'000;
+    static constexpr std::int64_t endMs = 4LL * 3'600'000;
 
     struct Task
     {
--- a/bench/bench-planner/maintenancereplay.h
+++ b/bench/bench-planner/maintenancereplay.h
@@ -33,7 +33,7 @@
 private:
     /** Half an hour for drain, reboot and slow start of one instance. */
     static constexpr std::int64_t stepMs = 1'800'000;
-    static constexpr std::int64_t repairMs = 4 * 3'600'000;
+    static constexpr std::int64_t repairMs = 4LL * 3'600'000;
     static constexpr int steps = 35 * 48;
     static constexpr int parallel = 12;
 
--- a/include/dragonflysill/machines/placementplanner.h
+++ b/include/dragonflysill/machines/placementplanner.h
@@ -31,6 +31,8 @@
     int failuresUntilQuarantine = 3;
     /** Failed runs in a row, on any workers, after which a job is refused. */
     int failuresUntilRefusal = 12;
+    /** Throttled tasks are resumed; off because the platform has no request for it. */
+    bool resumesThrottled = false;
     /** Waiting jobs below urgent that one decision tries; bounds its time. */
     int attemptsPerDecision = 256;
 };
--- a/src/machines/placementplanner.cpp
+++ b/src/machines/placementplanner.cpp
@@ -249,7 +249,8 @@
     expireLeases(nowMs);
     readmitWorkers(nowMs);
     relieveOverloaded();
-    resumeThrottled();
+    if (m_settings.resumesThrottled)
+        resumeThrottled();
     retryRefused();
     runQueue(Priority::Urgent, nowMs);
     runQueue(Priority::Normal, nowMs);
@@ -652,7 +653,7 @@
     if (entry.job.gang && entry.running == 0)
         return findReclaimableGang(entry);
     std::vector<std::size_t> best;
-    int bestCost = 0;
+    std::pair<int, std::int64_t> bestCost;
     int candidates = 0;
     for (const auto &range : rotatedRanges(entry.job.pool)) {
         for (std::size_t from = range.first; from < range.second; ++from) {
@@ -663,9 +664,12 @@
             const auto &target = m_workers.at(from);
             const auto missing = entry.planned - (target.worker.capacity - target.used);
             const auto selection = selectVictims(target, m_jobs, missing);
-            if (selection.sufficient && (best.empty() || selection.cost < bestCost)) {
+            // Urgent tasks are packed together: a large one needs a worker without others.
+            const auto urgent = (target.used - target.preemptible).milliCores;
+            const auto cost = std::make_pair(selection.cost, -urgent);
+            if (selection.sufficient && (best.empty() || cost < bestCost)) {
                 best = {from};
-                bestCost = selection.cost;
+                bestCost = cost;
             }
             if (++candidates < internal::reclaimCandidates)
                 continue;
@@ -708,9 +712,10 @@
 {
     for (const auto worker : std::exchange(m_overloaded, {})) {
         const auto &target = m_workers.at(worker);
-        // The margin of the plan may be exceeded; only real usage beyond the capacity costs work.
+        // Tasks share cores, and the margin of the plan may be exceeded. Only memory that is really
+        // used beyond the capacity makes the platform end tasks.
         const auto tolerated = internal::scaled(target.worker.capacity, m_settings.usageMargin);
-        const auto missing = target.used - tolerated;
+        const Resources missing{0, target.used.memoryMb - tolerated.memoryMb, 0};
         if (Resources{}.covers(missing))
             continue;
         const auto selection = selectVictims(target, m_jobs, missing);
