Run placement from the fleet runner

Seen: build/bin/machines-test passes 42 cases; among them a job that two processes run in turn, lost store answers and lost platform requests: every task succeeds once and none runs twice at once.

--- a/include/dragonflysill/machines/fleetrunner.h
+++ b/include/dragonflysill/machines/fleetrunner.h
@@ -6,12 +6,14 @@
 #include "dragonflysill/machines/fleetplatform.h"
 #include "dragonflysill/machines/fleetstatus.h"
 #include "dragonflysill/machines/movedecision.h"
+#include "dragonflysill/machines/placementrunner.h"
 #include "dragonflysill/machines/poolleases.h"
 #include "dragonflysill/machines/rebootdecision.h"
 #include "dragonflysill/machines/sharedbuffer.h"
 #include "dragonflysill/machines/waverunner.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -23,6 +25,7 @@
 struct FleetReport
 {
     std::optional<Error> error; ///< Why the pass ended early.
+    std::optional<Error> placementError; ///< Why placement made no progress.
     std::vector<FleetEvent> events;
     FleetStatus status; ///< Of the owned pools; complete also if the pass wrote nothing.
     std::set<std::string, std::less<>> ownedPools;
@@ -46,6 +49,9 @@
     FleetRunner(std::string self, Store &store, const Fence &fence, FleetPlatform &platform,
                 MoveSettings settings = {});
 
+    /** Adds the placement of jobs on workers; @p tasks must outlive the object. */
+    void addPlacement(TaskPlatform &tasks);
+
     /** Runs one pass; blocks for its store calls. */
     FleetReport step(FleetInputs inputs);
 
@@ -61,6 +67,7 @@
                                   FleetReport &report);
     void decideInstances(const FleetInputs &inputs, const ByName<DeclaredInstance> &declared,
                          const ByName<WaveProgress> &waves, FleetReport &report);
+    void runPlacement(const FleetInputs &inputs, FleetReport &report);
     void requestReboots(const FleetInputs &inputs, const ByName<WaveProgress> &waves,
                         const FleetReport &report);
     void apply(const RecordChange &change, FleetReport &report);
@@ -76,6 +83,7 @@
     PoolLeases m_leases;
     WaveRunner m_waves;
     RebootDecision m_reboots;
+    std::unique_ptr<PlacementRunner> m_placement;
     ByName<std::int64_t> m_requiredRevision; ///< By pool: the view must have reached this.
     ByName<std::set<std::string>> m_unknownKeys; ///< By pool: keys with an unknown last write.
 };
--- a/include/dragonflysill/machines/placementplanner.h
+++ b/include/dragonflysill/machines/placementplanner.h
@@ -62,7 +62,10 @@
     void setQuota(const Quota &quota);
     void removeQuota(std::string_view team);
 
-    /** Adds or changes a job; the tasks of a cancelled one are stopped by the next decide(). */
+    /**
+     * Adds a job or starts a changed one anew; also a new ticket number is a change. The tasks of
+     * the old one, or of a cancelled one, are stopped by the next decide().
+     */
     void setJob(const Job &job);
 
     /** Removes a job; its tasks are stopped by the next decide(). */
--- a/include/dragonflysill/machines/placementrunner.h
+++ b/include/dragonflysill/machines/placementrunner.h
@@ -46,6 +46,9 @@
     Result<std::vector<JobStatus>> step(const FleetInputs &inputs, const Compare &condition,
                                         std::vector<FleetEvent> &events);
 
+    /** Returns true while it holds state. */
+    [[nodiscard]] bool active() const { return m_planner != nullptr; }
+
     /** Forgets all state; called in each pass in which another process owns placement. */
     void drop();
 
@@ -75,7 +78,7 @@
     Result<Done> execute(const std::vector<PlacementAction> &actions, std::int64_t nowMs,
                          const Compare &condition, std::vector<FleetEvent> &events);
     void requestStart(Held &held, std::int64_t nowMs);
-    void requestChange(const PlacementAction &action);
+    Result<Done> requestChange(const PlacementAction &action);
     Result<Done> removeStaleRecords(const FleetInputs &inputs, const Compare &condition);
 
     Store &m_store;
--- a/src/machines/fleetrunner.cpp
+++ b/src/machines/fleetrunner.cpp
@@ -122,6 +122,7 @@
     applyLoans(inputs, buffer.sparePool(), declared);
     decideInstances(inputs, declared, waves, report);
     requestReboots(inputs, waves, report);
+    runPlacement(inputs, report);
     return report;
 }
 
@@ -215,6 +216,30 @@
     return waves;
 }
 
+void FleetRunner::addPlacement(TaskPlatform &tasks)
+{
+    m_placement = std::make_unique<PlacementRunner>(m_store, m_fence, tasks);
+}
+
+void FleetRunner::runPlacement(const FleetInputs &inputs, FleetReport &report)
+{
+    if (!m_placement || inputs.configuration.pools.empty())
+        return;
+    const auto &first = inputs.configuration.pools.begin()->first;
+    if (!report.ownedPools.contains(first)) {
+        m_placement->drop();
+        return;
+    }
+    if (inputs.configuration.jobs.empty() && inputs.configuration.quotas.empty()
+        && !m_placement->active())
+        return;
+    auto jobs = m_placement->step(inputs, m_leases.condition(first), report.events);
+    if (jobs)
+        report.status.jobs = std::move(*jobs);
+    else
+        report.placementError = jobs.error();
+}
+
 void FleetRunner::requestReboots(const FleetInputs &inputs, const ByName<WaveProgress> &waves,
                                  const FleetReport &report)
 {
--- a/src/machines/placementplanner.cpp
+++ b/src/machines/placementplanner.cpp
@@ -135,13 +135,6 @@
         const JobEntry &old = *m_jobs[known->second];
         if (old.job == job)
             return;
-        Job sameExceptCancelled = job;
-        sameExceptCancelled.cancelled = old.job.cancelled;
-        sameExceptCancelled.ticket = old.job.ticket;
-        if (!job.cancelled && sameExceptCancelled == old.job && !old.job.cancelled) {
-            m_jobs[known->second]->job.ticket = job.ticket;
-            return;
-        }
         removeJob(job.name);
     }
     std::uint32_t id = static_cast<std::uint32_t>(m_jobs.size());
--- a/src/machines/placementrunner.cpp
+++ b/src/machines/placementrunner.cpp
@@ -261,7 +261,8 @@
     std::vector<TaskKey> started;
     for (const auto &it : actions) {
         if (it.kind != PlacementAction::Kind::Start) {
-            requestChange(it);
+            if (auto changed = requestChange(it); !changed)
+                return changed;
             continue;
         }
         const TaskKey key{it.job, it.index};
@@ -303,24 +304,31 @@
     (void)m_platform.start(held.record.worker, start);
 }
 
-void PlacementRunner::requestChange(const PlacementAction &action)
+Result<Done> PlacementRunner::requestChange(const PlacementAction &action)
 {
     const auto held = m_held.find({action.job, action.index});
     if (held == m_held.end() || held->second.record.worker.empty())
-        return;
+        return Done{};
     const auto id = held->second.record.platformId();
-    // A request that is lost leaves a task running whose lease is no longer renewed.
-    if (action.kind == PlacementAction::Kind::Throttle) {
-        (void)m_platform.throttle(id);
-        return;
-    }
-    if (action.kind == PlacementAction::Kind::Checkpoint)
-        (void)m_platform.checkpoint(id);
-    else if (action.kind == PlacementAction::Kind::Stop)
-        (void)m_platform.stop(id);
-    else
-        return;
-    held->second.record.worker.clear();
+    const auto request = [&]() -> Result<PlatformTask> {
+        if (action.kind == PlacementAction::Kind::Throttle)
+            return m_platform.throttle(id);
+        if (action.kind == PlacementAction::Kind::Checkpoint)
+            return m_platform.checkpoint(id);
+        return m_platform.stop(id);
+    };
+    const bool ends = action.kind == PlacementAction::Kind::Checkpoint
+                      || action.kind == PlacementAction::Kind::Stop;
+    if (!ends && action.kind != PlacementAction::Kind::Throttle)
+        return Done{};
+    const auto result = request();
+    // A task that may still run must not be started a second time.
+    if (!result && ends && !result.error().is(ErrorKind::NotFound)
+        && !result.error().is(ErrorKind::Conflict))
+        return result.error();
+    if (ends)
+        held->second.record.worker.clear();
+    return Done{};
 }
 
 } // namespace dragonflysill
