Wire placement and fleet metrics into FleetLoop

Cause: placement decisions ran in tests only. The control process now reads workers and tasks from the platform, runs placement and exports buffer cost and moves.

--- a/programs/dragonflysill-control/fleetloop.cpp
+++ b/programs/dragonflysill-control/fleetloop.cpp
@@ -2,8 +2,6 @@
 
 #include "dragonflysill/base/time.h"
 
-#include <prometheus/family.h>
-
 #include <utility>
 
 namespace dragonflysill {
@@ -43,23 +41,17 @@
     return EventKind::LeaseLost;
 }
 
-prometheus::Counter &addCounter(prometheus::Registry &registry, const std::string &name,
-                                const std::string &help)
-{
-    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
-}
-
 } // namespace internal
 
 FleetLoop::FleetLoop(ControlContext &context)
     : m_context(context)
     , m_platform(context.platformAddress)
+    , m_workers({context.platformAddress, context.name})
     , m_runner(context.name, context.store, context.fence, m_platform)
-    , m_moves(internal::addCounter(*context.registry, "dragonflysill_moves_total",
-                                   "Instances moved between pools by this process."))
-    , m_passErrors(internal::addCounter(*context.registry, "dragonflysill_fleet_pass_errors_total",
-                                        "Fleet passes that ended early."))
+    , m_metrics(*context.registry)
 {
+    if (!context.platformAddress.empty())
+        m_runner.addPlacement(m_workers);
     m_context.view.onChange([this](const ViewPointer &) { m_wake.notify_one(); });
 }
 
@@ -102,7 +94,9 @@
 
 void FleetLoop::pass()
 {
-    publish(m_runner.step(collectInputs()));
+    auto inputs = collectInputs();
+    const auto ticket = inputs.configuration.ticket;
+    publish(m_runner.step(std::move(inputs)), ticket);
 }
 
 FleetInputs FleetLoop::collectInputs()
@@ -125,21 +119,24 @@
     return inputs;
 }
 
-void FleetLoop::publish(const FleetReport &report)
+void FleetLoop::publish(const FleetReport &report, std::int64_t ticket)
 {
+    m_metrics.note(report, ticket, unixMilliseconds());
+    for (const auto &it : report.events)
+        m_context.timeline.record(internal::timelineKind(it.kind), it.subject, it.detail);
     if (report.error) {
-        m_passErrors.Increment();
         publishError(*report.error);
-    }
-    for (const auto &it : report.events) {
-        m_context.timeline.record(internal::timelineKind(it.kind), it.subject, it.detail);
-        if (it.kind == FleetEvent::Kind::MoveFinished)
-            m_moves.Increment();
-    }
-    if (report.error)
         return;
+    }
     FleetStatus status = report.status;
-    status.movesFinished = static_cast<std::int64_t>(m_moves.Value());
+    status.movesFinished = m_metrics.moves();
+    if (report.placementError) {
+        status.jobs = m_context.fleetStatus->get().jobs;
+        for (auto &it : status.jobs) {
+            it.reason = report.placementError->text();
+            it.remedy = "no task is started until store and platform answer";
+        }
+    }
     m_context.fleetStatus->set(std::move(status));
 }
 
--- a/programs/dragonflysill-control/fleetloop.h
+++ b/programs/dragonflysill-control/fleetloop.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "controlcontext.h"
+#include "fleetmetrics.h"
 #include "platformrequests.h"
+#include "workerrequests.h"
 
 #include "dragonflysill/machines/fleetrunner.h"
 
-#include <prometheus/counter.h>
-
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -39,15 +39,15 @@
     void run();
     void pass();
     FleetInputs collectInputs();
-    void publish(const FleetReport &report);
+    void publish(const FleetReport &report, std::int64_t ticket);
     void publishError(const Error &error);
     bool waitForNextPass();
 
     ControlContext &m_context;
     PlatformRequests m_platform;
+    WorkerRequests m_workers;
     FleetRunner m_runner;
-    prometheus::Counter &m_moves;
-    prometheus::Counter &m_passErrors;
+    FleetMetrics m_metrics;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     bool m_stopping = false;
