--- a/programs/dragonflysill-entry/entryserver.cpp
+++ b/src/links/entryserver.cpp
@@ -1,6 +1,7 @@
-#include "entryserver.h"
+#include "dragonflysill/links/entryserver.h"
 
-#include "httptranslation.h"
+#include "dragonflysill/links/callerconnection.h"
+#include "dragonflysill/links/httptranslation.h"
 #include "workerthreads.h"
 
 #include "dragonflysill/links/headers.h"
@@ -8,18 +9,16 @@
 
 #include <sys/socket.h>
 
-#include <limits>
-
 namespace dragonflysill {
 
 namespace internal {
 
 // The library's backlog of 5 drops connection attempts of a burst; they are repeated after 1 s.
 constexpr int acceptBacklog = 1024;
-// The library's default closes a connection after 5 requests.
-constexpr std::size_t requestsPerConnection = std::numeric_limits<std::size_t>::max();
-constexpr std::time_t keepAliveSeconds = 5;
-constexpr std::time_t readTimeoutSeconds = 5;
+constexpr std::size_t statedRequests = 1'000'000;
+
+/** Set by a handler to close the connection that the calling thread serves. */
+thread_local bool closeConnection = false;
 
 /**
  * Returns the request for changes. The library passes its own non-constant object by constant
@@ -48,10 +47,10 @@
 {
     new_task_queue = [workers] { return new WorkerThreads(workers); };
     set_tcp_nodelay(true);
-    set_keep_alive_max_count(internal::requestsPerConnection);
-    set_keep_alive_timeout(internal::keepAliveSeconds);
-    set_read_timeout(internal::readTimeoutSeconds);
     set_payload_max_length(bodyLimit);
+    // process_and_close_socket() decides; the library only states these in the Keep-Alive header.
+    set_keep_alive_timeout(CallerConnection::idleLimit.count());
+    set_keep_alive_max_count(internal::statedRequests);
 }
 
 void EntryServer::addHandlers()
@@ -87,11 +86,30 @@
     return HandlerResponse::Handled;
 }
 
+bool EntryServer::process_and_close_socket(socket_t socket)
+{
+    CallerConnection connection(socket);
+    bool keep = true;
+    while (keep && connection.awaitRequest(m_stopping)) {
+        bool callerCloses = false;
+        internal::closeConnection = false;
+        const bool closing = m_closing;
+        const bool processed = process_request(connection, closing, callerCloses, nullptr);
+        keep = connection.flush() && processed && !callerCloses && !closing
+               && !internal::closeConnection;
+    }
+    return true;
+}
+
+void EntryServer::closeAfterResponse(httplib::Response &response)
+{
+    response.set_header("Connection", "close");
+    internal::closeConnection = true;
+}
+
 void EntryServer::serve(const httplib::Request &request, httplib::Response &response)
 {
     m_handler.serve(request, response);
-    if (m_stopping)
-        response.set_header("Connection", "close");
 }
 
 void EntryServer::completeLibraryError(const httplib::Request &request, httplib::Response &response)
@@ -128,6 +146,8 @@
         return;
     while (!is_running())
         std::this_thread::yield();
+    m_closing = true;
+    m_stopping = true;
     stop();
     m_thread.join();
 }
