--- a/programs/backend-standin/backendserver.cpp
+++ b/programs/backend-standin/backendserver.cpp
@@ -53,6 +53,7 @@
 
 void BackendServer::addRoutes()
 {
+    useExclusivePort(m_server);
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
     m_server.set_keep_alive_timeout(internal::keepAliveTimeout.count());
@@ -97,6 +98,7 @@
         port = -1;
     if (port < 0)
         return Error(ErrorKind::Unreachable, "cannot listen on " + host);
+    m_port = port;
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
     return port;
 }
@@ -115,6 +117,7 @@
     while (!m_server.is_running())
         std::this_thread::yield();
     m_server.stop();
+    endIdleConnections(m_port);
     m_thread.join();
 }
 
