Limit the stand-in's store calls on request

Cause: the platform's store takes several hundred writes and about 2,000 reads a second, and the stand-in had no limit. Adds the limits and their test.

--- a/include/dragonflysill/standin/platformserver.h
+++ b/include/dragonflysill/standin/platformserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflysill/base/result.h"
+#include "dragonflysill/platform/callbudget.h"
 #include "dragonflysill/standin/instancelist.h"
 #include "dragonflysill/standin/memorystore.h"
 #include "dragonflysill/standin/workermodel.h"
@@ -26,6 +27,8 @@
     std::chrono::milliseconds rebootTime{2000}; ///< How long a reboot of an instance takes.
     std::size_t threads = 256; ///< Each open connection uses one.
     WorkerModelSettings workers;
+    double maxWritesPerSecond = 0; ///< Further writes are refused; 0 is no limit.
+    double maxReadsPerSecond = 0; ///< Further reads are refused; 0 is no limit.
 };
 
 /**
@@ -71,6 +74,7 @@
     void addStandinRoutes();
     void addStoreRoute(const std::string &path, Handler handler);
     void addPlatformRoute(const std::string &method, const std::string &pattern, Handler handler);
+    bool isOverLimit(const httplib::Request &request);
     bool isCut(const httplib::Request &request);
     void answerStore(const httplib::Request &request, httplib::Response &response,
                      const Error &error);
@@ -108,6 +112,9 @@
     StoreEngine m_snapshot;
     InstanceList m_instances;
     WorkerModel m_workers;
+    CallBudget m_writes;
+    CallBudget m_reads;
+    std::int64_t m_overLimit = 0; ///< Store calls that were refused because of the limits.
     std::map<std::string, std::int64_t> m_calls; ///< Platform calls by path.
     std::atomic<bool> m_stopping = false;
     httplib::Server m_server;
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -143,6 +143,8 @@
     : m_settings(settings)
     , m_instances(settings.listLag, settings.rebootTime)
     , m_workers(settings.workers)
+    , m_writes(settings.maxWritesPerSecond, settings.maxWritesPerSecond / 10)
+    , m_reads(settings.maxReadsPerSecond, settings.maxReadsPerSecond / 10)
 {
     addRoutes();
 }
@@ -261,6 +263,17 @@
         m_server.Post(pattern, function);
 }
 
+bool PlatformServer::isOverLimit(const httplib::Request &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool isRead = request.path == gateway::rangePath || request.path == gateway::watchPath;
+    const double limit = isRead ? m_settings.maxReadsPerSecond : m_settings.maxWritesPerSecond;
+    if (limit <= 0 || (isRead ? m_reads : m_writes).take(steadyNow()))
+        return false;
+    ++m_overLimit;
+    return true;
+}
+
 bool PlatformServer::isCut(const httplib::Request &request)
 {
     const std::string client = request.get_header_value("Dragonflysill-Client");
@@ -548,6 +561,7 @@
                                {"lease_calls", calls.leaseCalls},
                                {"watches", calls.watches},
                                {"store_total", calls.total()},
+                               {"over_limit", m_overLimit},
                                {"platform", m_calls}});
 }
 
--- a/tests/standin/gatewaytest.cpp
+++ b/tests/standin/gatewaytest.cpp
@@ -20,7 +20,7 @@
 /** A gateway on a free port and a client of it. */
 struct Gateway
 {
-    PlatformServer server{PlatformServerSettings{0ms, 50ms, 32, {}}};
+    PlatformServer server{PlatformServerSettings{0ms, 50ms, 32, {}, 0, 0}};
     int port = server.start("127.0.0.1", 0).value();
     std::unique_ptr<StoreClient> client = connect("c");
 
@@ -163,10 +163,25 @@
     BOOST_TEST(small.range({"b", {}}).ok());
 }
 
+// Guards against a refused call that is taken for an unknown one, or runs.
+BOOST_AUTO_TEST_CASE(CallsAboveTheLimitAreNotExecuted)
+{
+    PlatformServerSettings settings{0ms, 50ms, 8, {}, 0, 0};
+    settings.maxWritesPerSecond = 1e-6;
+    PlatformServer limited{settings};
+    StoreClientSettings clientSettings;
+    clientSettings.endpoints
+            = {"127.0.0.1:" + std::to_string(limited.start("127.0.0.1", 0).value())};
+    StoreClient other(clientSettings);
+    BOOST_TEST(other.commit(write("a", "1")).ok());
+    BOOST_TEST(other.commit(write("a", "2")).error().is(ErrorKind::StoreUnavailable));
+    BOOST_TEST(other.range({"a", {}})->keyValues.front().value == "1");
+}
+
 // Guards against an outage of one endpoint that stops all calls.
 BOOST_AUTO_TEST_CASE(UsesAnotherEndpointIfOneRefusesConnections)
 {
-    PlatformServer closed{PlatformServerSettings{0ms, 50ms, 2, {}}};
+    PlatformServer closed{PlatformServerSettings{0ms, 50ms, 2, {}, 0, 0}};
     const int closedPort = closed.start("127.0.0.1", 0).value();
     closed.stop();
     StoreClientSettings settings;
@@ -297,16 +312,16 @@
 // Guards against two stores on one port, between which the kernel distributes the connections.
 BOOST_AUTO_TEST_CASE(RefusesAPortThatIsInUse)
 {
-    PlatformServer first{PlatformServerSettings{0ms, 50ms, 4, {}}};
+    PlatformServer first{PlatformServerSettings{0ms, 50ms, 4, {}, 0, 0}};
     const int port = first.start("127.0.0.1", 0).value();
-    PlatformServer second{PlatformServerSettings{0ms, 50ms, 4, {}}};
+    PlatformServer second{PlatformServerSettings{0ms, 50ms, 4, {}, 0, 0}};
     BOOST_TEST(second.start("127.0.0.1", port).error().is(ErrorKind::Unreachable));
 }
 
 // Guards against a stop that waits for the keep-alive timeout of clients' idle connections.
 BOOST_AUTO_TEST_CASE(EndsIdleConnections)
 {
-    PlatformServer server{PlatformServerSettings{0ms, 50ms, 4, {}}};
+    PlatformServer server{PlatformServerSettings{0ms, 50ms, 4, {}, 0, 0}};
     httplib::Client client("127.0.0.1", server.start("127.0.0.1", 0).value());
     client.set_keep_alive(true);
     BOOST_REQUIRE(client.Get("/standin/calls"));
--- a/tests/standin/workertest.cpp
+++ b/tests/standin/workertest.cpp
@@ -115,7 +115,7 @@
 // Guards against messages that differ between client and platform.
 BOOST_AUTO_TEST_CASE(ClientAndPlatformAgree)
 {
-    PlatformServer server{PlatformServerSettings{0ms, 50ms, 8, {}}};
+    PlatformServer server{PlatformServerSettings{0ms, 50ms, 8, {}, 0, 0}};
     const int port = server.start("127.0.0.1", 0).value();
     const std::string address = "127.0.0.1:" + std::to_string(port);
     WorkerClient client({address, "c", 1000ms});
