--- a/bench/bench-policycost/main.cpp
+++ b/bench/bench-policycost/main.cpp
@@ -66,6 +66,7 @@
 double median(const Selector &selector, const AdmissionPolicy &policy)
 {
     std::vector<double> values;
+    values.reserve(rounds);
     for (int n = 0; n < rounds; ++n)
         values.push_back(nanosecondsPerDecision(selector, policy));
     std::sort(values.begin(), values.end());
--- a/include/dragonflysill/links/backendpool.h
+++ b/include/dragonflysill/links/backendpool.h
@@ -106,6 +106,7 @@
     void removeDeparted();
     Backend *findBackend(const InstanceRecord &record);
     int limitOf(Backend &backend, TimePoint now) const;
+    void updateLargestShare(TimePoint now);
     Duration refusalPause();
     void collectCandidates(int exclude, bool repeatable, TimePoint now);
     bool mayEject(TimePoint now);
@@ -117,6 +118,8 @@
     Random m_random;
     BackendLimits m_limits;
     Backends m_backends;
+    /** Slow start is relative to it: a pool that is all new must not lose its capacity. */
+    double m_largestShare = 1;
     Duration m_serviceTime{0};
     int m_nextId = 0;
     std::vector<Candidate> m_candidates; ///< Reused, so that a decision does not allocate.
--- a/src/links/backendpool.cpp
+++ b/src/links/backendpool.cpp
@@ -80,12 +80,24 @@
     limit = std::min(limit, m_limits.connections / entries);
     if (limit == 0)
         return 0;
-    return std::max(1, static_cast<int>(limit * backend.slowStart.share(now)));
+    const double share = backend.slowStart.share(now) / m_largestShare;
+    return std::max(1, static_cast<int>(limit * share));
+}
+
+void BackendPool::updateLargestShare(TimePoint now)
+{
+    double largest = 0;
+    for (const auto &it : m_backends) {
+        if (it.second.accepts())
+            largest = std::max(largest, it.second.slowStart.share(now));
+    }
+    m_largestShare = largest > 0 ? largest : 1;
 }
 
 void BackendPool::collectCandidates(int exclude, bool repeatable, TimePoint now)
 {
     m_candidates.clear();
+    updateLargestShare(now);
     for (auto &it : m_backends) {
         Backend &backend = it.second;
         const int limit = limitOf(backend, now);
@@ -168,6 +180,7 @@
 
 int BackendPool::concurrency(TimePoint now)
 {
+    updateLargestShare(now);
     int sum = 0;
     for (auto &it : m_backends)
         sum += limitOf(it.second, now);
