--- a/tests/dragonflysill/clienttest.cpp
+++ b/tests/dragonflysill/clienttest.cpp
@@ -105,6 +105,7 @@
 ControlClient clientOf(const std::vector<int> &ports)
 {
     std::vector<Endpoint> endpoints;
+    endpoints.reserve(ports.size());
     for (const int port : ports)
         endpoints.push_back({"127.0.0.1", port});
     constexpr std::chrono::milliseconds limit{5000};
