--- a/programs/dragonflysill/render.cpp
+++ b/programs/dragonflysill/render.cpp
@@ -173,7 +173,10 @@
         return result;
     for (const auto &it : list) {
         const std::string name = fieldText(it, kind == "quota" ? "team" : "name");
-        result += fieldText(it, "delete") == "true" ? kind + " " + name + ": deleted\n" : text(it);
+        if (fieldText(it, "delete") == "true")
+            result.append(kind).append(" ").append(name).append(": deleted\n");
+        else
+            result += text(it);
     }
     return result;
 }
