--- a/include/dragonflysill/machines/instancerecord.h
+++ b/include/dragonflysill/machines/instancerecord.h
@@ -28,7 +28,8 @@
     std::string zone; ///< Availability zone.
     std::string rack;
     std::string pool;
-    std::int64_t epoch = 0; ///< Grows by one each time the pool changes.
+    /** Grows each time the instance may receive work again after a drain, also in the same pool. */
+    std::int64_t epoch = 0;
     InstancePhase phase = InstancePhase::Serving;
     std::string targetPool; ///< The pool it moves to; empty if it is not moving.
     std::int64_t sinceMs = 0; ///< Unix time of the last phase change.
--- a/tests/machines/placementrunnertest.cpp
+++ b/tests/machines/placementrunnertest.cpp
@@ -189,6 +189,46 @@
     BOOST_TEST(platform.copies == 0);
 }
 
+// Guards against a task that is started elsewhere although its stop was lost and it still runs.
+BOOST_FIXTURE_TEST_CASE(LostStopsStartNothingTwice, Fixture)
+{
+    step(0, 10);
+    Job urgent = inputs.configuration.jobs["job"];
+    urgent.name = "urgent";
+    urgent.priority = Priority::Urgent;
+    urgent.tasks = 1;
+    urgent.cores = 14;
+    inputs.configuration.jobs["urgent"] = urgent;
+    platform.model().setProfile("urgent", {1, 1, std::chrono::seconds(1), false});
+    platform.loseEvery = 1;
+    step(0, 6);
+    platform.loseEvery = 0;
+    step(0, 200);
+    BOOST_REQUIRE(status.size() == 2U);
+    BOOST_TEST(status[0].finished == 12);
+    BOOST_TEST(status[1].finished == 1);
+    BOOST_TEST(platform.copies == 0);
+}
+
+// Guards against a task that runs without a record, so that the next owner starts it again.
+BOOST_FIXTURE_TEST_CASE(LostWriteStartsNoTaskWithoutARecord, Fixture)
+{
+    StoreFaults faults;
+    faults.loseRequests = 1;
+    store.setFaults(faults);
+    step(0, 1);
+    store.setFaults({});
+    step(0, 30);
+    BOOST_TEST(records() >= 8U);
+    for (const auto &it : platform.model().tasks(now)) {
+        const auto key = storekeys::join(storekeys::tasks, it.job) + "/" + std::to_string(it.index);
+        BOOST_TEST(!store.range({key, {}})->keyValues.empty(), it.id << " has no record");
+    }
+    step(1, 200);
+    BOOST_TEST(platform.succeeded.size() == 12U);
+    BOOST_TEST(platform.copies == 0);
+}
+
 // Guards against a process whose lease expired and that still starts tasks.
 BOOST_FIXTURE_TEST_CASE(LostRegistrationStartsNothing, Fixture)
 {
