--- a/programs/dragonflysill/render.cpp
+++ b/programs/dragonflysill/render.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <ctime>
 #include <initializer_list>
+#include <sstream>
 #include <utility>
 
 namespace dragonflysill {
@@ -30,7 +31,13 @@
 {
     if (value.is_null())
         return {};
-    return value.is_string() ? value.get<std::string>() : value.dump();
+    if (value.is_string())
+        return value.get<std::string>();
+    if (!value.is_number_float())
+        return value.dump();
+    std::ostringstream text; // without the trailing ".0" of JSON
+    text << value.get<double>();
+    return text.str();
 }
 
 std::string joined(const nlohmann::json &array)
@@ -166,7 +173,10 @@
         return result;
     for (const auto &it : list) {
         const std::string name = fieldText(it, kind == "quota" ? "team" : "name");
-        result += fieldText(it, "delete") == "true" ? kind + " " + name + ": deleted\n" : text(it);
+        if (fieldText(it, "delete") == "true")
+            result.append(kind).append(" ").append(name).append(": deleted\n");
+        else
+            result += text(it);
     }
     return result;
 }
--- a/src/links/httptranslation.cpp
+++ b/src/links/httptranslation.cpp
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -71,17 +74,19 @@
 void hideRewrittenHeaders(httplib::Request &request)
 {
     bool framed = false;
+    std::vector<httplib::Headers::node_type> hidden;
     for (auto it = request.headers.begin(); it != request.headers.end();) {
         const auto current = it++;
         framed = framed || internal::isFraming(current->first);
         // A caller could otherwise pass any header, for example a second Content-Length, unchecked.
         if (internal::isHidden(current->first))
             request.headers.erase(current);
-        else if (internal::isRewritten(current->first)) {
-            auto node = request.headers.extract(current);
-            node.key().insert(0, internal::hiddenPrefix);
-            request.headers.insert(std::move(node));
-        }
+        else if (internal::isRewritten(current->first))
+            hidden.push_back(request.headers.extract(current));
+    }
+    for (auto &it : hidden) {
+        it.key().insert(0, internal::hiddenPrefix);
+        request.headers.insert(std::move(it));
     }
     request.ranges.clear();
     if (!framed && internal::readsBody(request.method))
@@ -93,6 +98,10 @@
 {
     if (!internal::isForwardable(request.method) || hasUnreadBody(request))
         return Failure::BadRequest;
+    // The library would read and drop an oversized body before it answers.
+    const std::string length = request.get_header_value("Content-Length");
+    if (std::strtoull(length.c_str(), nullptr, 10) > requestBodyLimit)
+        return Failure::TooLarge;
     for (const auto &it : request.headers) {
         if (!isSafeHeaderValue(it.second) || !isSafeHeaderValue(it.first))
             return Failure::BadRequest;
@@ -112,12 +121,12 @@
     return request.has_header("Transfer-Encoding") || (!length.empty() && length != "0");
 }
 
-std::string forwardedHead(const httplib::Request &request)
+httplib::Request forwardedRequest(const httplib::Request &request)
 {
-    constexpr std::size_t typicalSize = 512;
-    std::string head;
-    head.reserve(typicalSize);
-    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    httplib::Request forwarded;
+    forwarded.method = request.method;
+    forwarded.path = request.target;
+    forwarded.body = request.body;
     const std::string connection = request.get_header_value("Connection");
     for (const auto &it : request.headers) {
         std::string_view name = it.first;
@@ -125,20 +134,18 @@
             continue;
         if (internal::isHidden(name))
             name.remove_prefix(internal::hiddenPrefix.size());
-        appendHeader(head, name, it.second);
+        forwarded.headers.emplace(name, it.second);
     }
-    if (internal::readsBody(request.method) || !request.body.empty())
-        appendHeader(head, "Content-Length", std::to_string(request.body.size()));
-    return head;
+    return forwarded;
 }
 
-void copyResponse(BackendResponse &&from, const std::string &method, httplib::Response &to)
+void copyResponse(httplib::Response &&from, const std::string &method, httplib::Response &to)
 {
-    const std::string connection(from.header("Connection"));
+    const std::string connection = from.get_header_value("Connection");
     to.status = from.status;
     for (auto &it : from.headers) {
         if (!isHopByHop(it.first, connection) && !internal::isReplaced(it.first, method))
-            to.headers.emplace(std::move(it.first), std::move(it.second));
+            to.headers.emplace(it.first, std::move(it.second));
     }
     to.body = std::move(from.body);
 }
