--- a/bench/distribution.sh
+++ b/bench/distribution.sh
@@ -142,6 +142,11 @@
 
 calls() { curl -fsS "http://$store/standin/calls" | jq .store_total; }
 cpu_ticks() { awk '{print $14 + $15}' "/proc/${pid_of[control-$1]}/stat"; }
+# zone_ticks N: processor time of the threads for membership and distribution only.
+zone_ticks() {
+    cat /proc/"${pid_of[control-$1]}"/task/*/stat |
+        awk '/\((message-loop|registrar|store-watcher)\)/ {sum += $14 + $15} END {print sum + 0}'
+}
 peer_bytes() {
     curl -fsS "http://$(address "$1" 3)/metrics" |
         awk '/^dragonflysill_peer_bytes/ {sum += $2} END {printf "%d", sum}'
@@ -149,7 +154,7 @@
 memory_kb() { awk '/VmHWM/ {print $2}' "/proc/${pid_of[control-$1]}/status"; }
 
 # sample NAME: notes the figures of control 8, which no fault touches, and of the store.
-sample() { echo "$1 $(now_ms) $(cpu_ticks "$members") $(peer_bytes "$members") $(calls)" >>"$run_dir/samples"; }
+sample() { echo "$1 $(now_ms) $(cpu_ticks "$members") $(peer_bytes "$members") $(calls) $(zone_ticks "$members")" >>"$run_dir/samples"; }
 
 start platform build/bin/platform-standin --listen "$store"
 await_http "$store" /standin/calls || exit 1
@@ -247,6 +252,8 @@
     figure("store calls under load"; rate("load-begin"; "load-end"; 3); "/s"; null),
     figure("control processor idle"; rate("idle-begin"; "idle-end"; 1) / $hz * 100; "% core"; 4.5),
     figure("control processor under load"; rate("load-begin"; "load-end"; 1) / $hz * 100; "% core"; 4.5),
+    figure("membership and distribution processor idle"; rate("idle-begin"; "idle-end"; 4) / $hz * 100; "% core"; null),
+    figure("membership and distribution processor under load"; rate("load-begin"; "load-end"; 4) / $hz * 100; "% core"; null),
     figure("control memory, largest"; $memory / 1024; "MB"; 64),
     figure("control bytes idle"; rate("idle-begin"; "idle-end"; 2); "B/s"; 13312),
     figure("control bytes under load"; rate("load-begin"; "load-end"; 2); "B/s"; 13312)]}' \
--- a/bench/scaling.sh
+++ b/bench/scaling.sh
@@ -22,10 +22,11 @@
     --slurpfile o1 build/bench/scaling-records-2100.json \
     --slurpfile o2 build/bench/scaling-records-21000.json '
 def value($run; $name): $run[0].figures[] | select(.name == $name) | .value;
-def points($label; $run): ["control processor idle", "control processor under load",
+def points($name_of_run; $run): ["control processor idle", "control processor under load",
+    "membership and distribution processor idle", "membership and distribution processor under load",
     "control memory, largest", "control bytes idle", "control bytes under load",
     "store calls idle", "in effect everywhere, p99"][] as $name
-    | $run[0].figures[] | select(.name == $name) | .name = "\($label): \($name)";
+    | $run[0].figures[] | select(.name == $name) | .name = "\($name_of_run): \($name)";
 def slope($name; $a; $b; $from; $to; $unit): {name: "slope of \($name) \($unit)",
     value: ((value($b; $name) - value($a; $name)) / ($to - $from)),
     unit: ([$a[0].figures[] | select(.name == $name)][0].unit), target: null, baseline: null, met: null};
@@ -34,7 +35,7 @@
     points("8 members, 2,100 records"; $o1), points("8 members, 21,000 records"; $o2)]
   + [("control processor idle", "control bytes idle", "control memory, largest", "store calls idle")
      | slope(.; $m4; $m16; 4; 16; "per member")]
-  + [("control processor under load", "control memory, largest", "control bytes under load")
+  + [("control processor under load", "membership and distribution processor under load", "control memory, largest", "control bytes under load")
      | slope(.; $m8; $o2; 0; 21; "per 1,000 records")]
   + [("control processor under load", "control bytes under load")
      | slope(.; $m8; $r8; 2; 8; "per ticket/s")])}' >build/bench/scaling.json || exit 1
--- a/src/wire/messageloop.cpp
+++ b/src/wire/messageloop.cpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <pthread.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -208,6 +209,8 @@
 
 void MessageLoop::Implementation::run()
 {
+    // Named threads let a measurement attribute processor time.
+    pthread_setname_np(pthread_self(), "message-loop");
     TimePoint nextTick = steadyNow();
     while (!m_stopping) {
         const TimePoint now = steadyNow();
--- a/src/zones/registrar.cpp
+++ b/src/zones/registrar.cpp
@@ -5,6 +5,8 @@
 #include "dragonflysill/base/time.h"
 #include "dragonflysill/telemetry/log.h"
 
+#include <pthread.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -52,6 +54,7 @@
 
 void Registrar::run()
 {
+    pthread_setname_np(pthread_self(), "registrar");
     // Three attempts to renew fit into the time of a lease.
     const std::chrono::milliseconds renewInterval(m_leaseSeconds * 1000 / 3);
     TimePoint nextRenewal;
--- a/src/zones/storewatcher.cpp
+++ b/src/zones/storewatcher.cpp
@@ -4,6 +4,7 @@
 #include "dragonflysill/telemetry/log.h"
 
 #include <nlohmann/json.hpp>
+#include <pthread.h>
 
 #include <algorithm>
 #include <utility>
@@ -70,6 +71,7 @@
 
 void StoreWatcher::run()
 {
+    pthread_setname_np(pthread_self(), "store-watcher");
     while (!m_stopping) {
         if (m_readOnce.exchange(false))
             readFull();
--- a/src/zones/zonenode.cpp
+++ b/src/zones/zonenode.cpp
@@ -324,7 +324,8 @@
     m_entryRevision = ack.revision;
     auto drained = internal::fromStates(ack.drained);
     // Moves wait for drained instances, so these do not wait for the next heartbeat. An applied
-    // revision does: a heartbeat to all peers for each change doubled the bytes at 2 changes a second.
+    // revision does: a heartbeat to all peers for each change doubled the bytes at 2 changes a
+    // second.
     if (drained != m_drained)
         m_nextHeartbeat = {};
     m_drained = std::move(drained);
