--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -143,6 +143,8 @@
     : m_settings(settings)
     , m_instances(settings.listLag, settings.rebootTime)
     , m_workers(settings.workers)
+    , m_writes(settings.maxWritesPerSecond, settings.maxWritesPerSecond / 10)
+    , m_reads(settings.maxReadsPerSecond, settings.maxReadsPerSecond / 10)
 {
     addRoutes();
 }
@@ -160,6 +162,7 @@
         port = -1;
     if (port < 0)
         return Error(ErrorKind::Unreachable, "cannot listen on " + host);
+    m_port = port;
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
     return port;
 }
@@ -173,11 +176,13 @@
     while (!m_server.is_running())
         std::this_thread::yield();
     m_server.stop();
+    endIdleConnections(m_port);
     m_thread.join();
 }
 
 void PlatformServer::addRoutes()
 {
+    useExclusivePort(m_server);
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
     m_server.set_keep_alive_timeout(internal::keepAliveTimeout.count());
@@ -258,6 +263,17 @@
         m_server.Post(pattern, function);
 }
 
+bool PlatformServer::isOverLimit(const httplib::Request &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool isRead = request.path == gateway::rangePath || request.path == gateway::watchPath;
+    const double limit = isRead ? m_settings.maxReadsPerSecond : m_settings.maxWritesPerSecond;
+    if (limit <= 0 || (isRead ? m_reads : m_writes).take(steadyNow()))
+        return false;
+    ++m_overLimit;
+    return true;
+}
+
 bool PlatformServer::isCut(const httplib::Request &request)
 {
     const std::string client = request.get_header_value("Dragonflysill-Client");
@@ -545,6 +561,7 @@
                                {"lease_calls", calls.leaseCalls},
                                {"watches", calls.watches},
                                {"store_total", calls.total()},
+                               {"over_limit", m_overLimit},
                                {"platform", m_calls}});
 }
 
