--- a/tests/contracts/sessiontest.cpp
+++ b/tests/contracts/sessiontest.cpp
@@ -31,7 +31,7 @@
     {
         transcript << nowMs << " ms " << operatorName << " applies a ticket of " << text.size()
                    << " bytes\n";
-        const auto outcome = at.accept(text, 0);
+        auto outcome = at.accept(text, 0);
         transcript << nowMs << " ms " << operatorName << " is answered\n"
                    << outcomeToJson(outcome).dump(2) << "\n";
         return outcome;
@@ -129,6 +129,7 @@
     apply(desk, "ana", poolTicket("first", 0, "depot").dump());
     constexpr int operators{6};
     std::vector<std::unique_ptr<TicketDesk>> desks;
+    desks.reserve(operators);
     for (int n = 0; n < operators; ++n)
         desks.push_back(std::make_unique<TicketDesk>(store, fence, settings("c1")));
     // Each operator's write is delayed until some of the others have been answered.
--- a/tests/contracts/ticketfixture.h
+++ b/tests/contracts/ticketfixture.h
@@ -85,7 +85,9 @@
     const std::string prefix = "10.0." + std::to_string(network) + ".";
     for (int n = 1; n <= count; ++n) {
         const std::string number = std::to_string(n);
-        instances.push_back({{"name", name + "-" + number},
+        std::string instance = name;
+        instance.append("-").append(number);
+        instances.push_back({{"name", instance},
                              {"address", prefix + number + ":80"},
                              {"zone", "zone-" + std::to_string(n / 2 % 3)},
                              {"rack", "rack-" + std::to_string(n / 2)}});
