--- a/bench/distribution.sh
+++ b/bench/distribution.sh
@@ -18,7 +18,6 @@
 store=127.0.0.1:$port_base
 idle_seconds=10
 limit_ms=2000
-# A killed process that did not apply a ticket within this time after its acceptance counts as late.
 : >"$run_dir/outages"
 : >"$run_dir/accepted"
 : >"$run_dir/down"
