--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -233,11 +233,17 @@
 
 void PlatformServer::addStoreRoute(const std::string &path, Handler handler)
 {
-    m_server.Post(path,
-                  [this, handler](const httplib::Request &request, httplib::Response &response) {
-                      if (!isCut(request))
-                          (this->*handler)(request, response);
-                  });
+    m_server.Post(
+            path, [this, handler](const httplib::Request &request, httplib::Response &response) {
+                if (isCut(request))
+                    return;
+                if (isOverLimit(request)) {
+                    internal::replyError(response, 429, gateway::StatusCode::ResourceExhausted,
+                                         "etcdserver: too many requests");
+                    return;
+                }
+                (this->*handler)(request, response);
+            });
 }
 
 void PlatformServer::addPlatformRoute(const std::string &method, const std::string &pattern,
