--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,9 +15,9 @@
 # order of the instances' names, which is the same for every ticket that has the same names.
 local_ticket() {
     jq --argjson base "$((port_base + 200))" --slurpfile names "$run_dir/instance-names.json" '
-        .pools |= (if . then map(if .instances then .instances |= map(
+        if .pools then .pools |= map(if .instances then .instances |= map(
             .name as $n | .address = "127.0.0.1:\($base + ($names[0] | index($n)))") else . end)
-        else . end)' "$1"
+        else . end' "$1"
 }
 
 # name_instances FILE...: fixes the number of every instance named in the tickets.
