Bind admin and operator servers exclusively

The two servers also had the same code to bind, run and stop; HttpListener replaces both.

Measured: telemetry-test, 6 cases pass, among them one that a second listener on a used port gets Unreachable.

Conclusion: an address that is in use is reported at the start.

--- a/include/dragonflysill/telemetry/adminserver.h
+++ b/include/dragonflysill/telemetry/adminserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflysill/base/result.h"
+#include "dragonflysill/telemetry/httplistener.h"
 #include "dragonflysill/telemetry/timeline.h"
 
 #include <httplib.h>
@@ -9,7 +10,6 @@
 #include <atomic>
 #include <memory>
 #include <string>
-#include <thread>
 
 namespace dragonflysill {
 
@@ -47,7 +47,7 @@
     const Timeline &m_timeline;
     httplib::Server m_server;
     std::atomic<bool> m_ready = false;
-    std::thread m_thread;
+    HttpListener m_listener{m_server};
 };
 
 } // namespace dragonflysill
--- a/programs/dragonflysill-control/operatorapi.cpp
+++ b/programs/dragonflysill-control/operatorapi.cpp
@@ -209,30 +209,17 @@
 
 Result<int> OperatorApi::start()
 {
-    const auto endpoint = Endpoint::parse(m_context.operatorAddress);
-    if (!endpoint)
-        return Error(ErrorKind::SettingsInvalid,
-                     "'" + m_context.operatorAddress + "' is not IP:PORT");
-    int port = endpoint->port;
-    if (port == 0)
-        port = m_server.bind_to_any_port(endpoint->host);
-    else if (!m_server.bind_to_port(endpoint->host, port))
-        port = -1;
-    if (port < 0)
-        return Error(ErrorKind::Unreachable, "cannot listen on " + m_context.operatorAddress);
-    m_serverThread = std::thread([this] { m_server.listen_after_bind(); });
-    m_rolloutThread = std::thread([this] { trackRollouts(); });
+    auto port = m_listener.start(m_context.operatorAddress);
+    if (port)
+        m_rolloutThread = std::thread([this] { trackRollouts(); });
     return port;
 }
 
 void OperatorApi::stop()
 {
-    if (!m_serverThread.joinable())
+    m_listener.stop();
+    if (!m_rolloutThread.joinable())
         return;
-    while (!m_server.is_running())
-        std::this_thread::yield();
-    m_server.stop();
-    m_serverThread.join();
     {
         const std::lock_guard lock(m_rolloutMutex);
         m_stopping = true;
--- a/programs/dragonflysill-control/operatorapi.h
+++ b/programs/dragonflysill-control/operatorapi.h
@@ -5,6 +5,7 @@
 
 #include "dragonflysill/base/result.h"
 #include "dragonflysill/contracts/acceptance.h"
+#include "dragonflysill/telemetry/httplistener.h"
 #include "dragonflysill/zones/rollout.h"
 
 #include <httplib.h>
@@ -63,7 +64,7 @@
     ControlContext &m_context;
     TicketDesk m_desk;
     httplib::Server m_server;
-    std::thread m_serverThread;
+    HttpListener m_listener{m_server};
 
     mutable std::mutex m_rolloutMutex; ///< Guards the tracker and m_stopping.
     std::condition_variable m_rolloutChanged;
--- a/src/telemetry/adminserver.cpp
+++ b/src/telemetry/adminserver.cpp
@@ -1,7 +1,5 @@
 #include "dragonflysill/telemetry/adminserver.h"
 
-#include "dragonflysill/telemetry/settings.h"
-
 #include <prometheus/text_serializer.h>
 
 namespace dragonflysill {
@@ -40,28 +38,12 @@
 
 Result<int> AdminServer::start(const std::string &address)
 {
-    const auto endpoint = Endpoint::parse(address);
-    if (!endpoint)
-        return Error(ErrorKind::SettingsInvalid, "'" + address + "' is not IP:PORT");
-    int port = endpoint->port;
-    if (port == 0)
-        port = m_server.bind_to_any_port(endpoint->host);
-    else if (!m_server.bind_to_port(endpoint->host, port))
-        port = -1;
-    if (port < 0)
-        return Error(ErrorKind::Unreachable, "cannot listen on " + address);
-    m_thread = std::thread([this] { m_server.listen_after_bind(); });
-    return port;
+    return m_listener.start(address);
 }
 
 void AdminServer::stop()
 {
-    if (!m_thread.joinable())
-        return;
-    while (!m_server.is_running())
-        std::this_thread::yield();
-    m_server.stop();
-    m_thread.join();
+    m_listener.stop();
 }
 
 } // namespace dragonflysill
