Close idle connections early while others wait for a thread

With every worker thread on an idle kept-alive connection, a new connection waited up to the idle limit of 30 s; now at most about 1 s.

--- a/include/dragonflysill/links/callerconnection.h
+++ b/include/dragonflysill/links/callerconnection.h
@@ -26,6 +26,9 @@
     /** Longest time without a request. */
     static constexpr std::chrono::seconds idleLimit{30};
 
+    /** Longest time without a request while other connections wait for a thread. */
+    static constexpr std::chrono::seconds crowdedIdleLimit{1};
+
     explicit CallerConnection(socket_t socket);
     ~CallerConnection() override;
     CallerConnection(const CallerConnection &) = delete;
@@ -33,9 +36,12 @@
 
     /**
      * Waits for the first byte of the next request.
-     * @return false if the caller closed the connection, was idle too long, or @p stopping is set
+     * @param stopping ends the wait
+     * @param waiting connections that wait for a thread; unless it is 0, an idle one is closed
+     * early
+     * @return false if the caller closed the connection, was idle too long, or the wait was ended
      */
-    bool awaitRequest(const std::atomic<bool> &stopping);
+    bool awaitRequest(const std::atomic<bool> &stopping, const std::atomic<std::size_t> &waiting);
 
     /** Sends what was written; returns false if the caller does not take it. */
     bool flush();
--- a/include/dragonflysill/links/entryserver.h
+++ b/include/dragonflysill/links/entryserver.h
@@ -46,6 +46,7 @@
     void completeLibraryError(const httplib::Request &request, httplib::Response &response);
 
     RequestHandler &m_handler;
+    std::atomic<std::size_t> m_waiting = 0; ///< Connections that wait for a thread.
     std::atomic<bool> m_closing = false;
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
--- a/src/links/callerconnection.cpp
+++ b/src/links/callerconnection.cpp
@@ -45,7 +45,8 @@
     ::close(m_socket);
 }
 
-bool CallerConnection::awaitRequest(const std::atomic<bool> &stopping)
+bool CallerConnection::awaitRequest(const std::atomic<bool> &stopping,
+                                    const std::atomic<std::size_t> &waiting)
 {
     if (m_begin < m_end)
         return true; // The caller sent the next request before the response to the last one.
@@ -55,6 +56,8 @@
             return true;
         if (n == 0 || !internal::timedOut() || stopping)
             return false;
+        if (waiting > 0 && waited >= crowdedIdleLimit)
+            return false;
     }
     return false;
 }
--- a/src/links/entryserver.cpp
+++ b/src/links/entryserver.cpp
@@ -45,7 +45,7 @@
 
 void EntryServer::configure(std::size_t workers)
 {
-    new_task_queue = [workers] { return new WorkerThreads(workers); };
+    new_task_queue = [this, workers] { return new WorkerThreads(workers, m_waiting); };
     set_tcp_nodelay(true);
     set_payload_max_length(requestBodyLimit);
     // process_and_close_socket() decides; the library only states these in the Keep-Alive header.
@@ -90,7 +90,7 @@
 {
     CallerConnection connection(socket);
     bool keep = true;
-    while (keep && connection.awaitRequest(m_stopping)) {
+    while (keep && connection.awaitRequest(m_stopping, m_waiting)) {
         bool callerCloses = false;
         internal::closeConnection = false;
         const bool closing = m_closing;
--- a/src/links/workerthreads.cpp
+++ b/src/links/workerthreads.cpp
@@ -2,8 +2,9 @@
 
 namespace dragonflysill {
 
-WorkerThreads::WorkerThreads(std::size_t limit)
+WorkerThreads::WorkerThreads(std::size_t limit, std::atomic<std::size_t> &waiting)
     : m_limit(limit)
+    , m_waiting(waiting)
 {
 }
 
@@ -11,6 +12,7 @@
 {
     const std::lock_guard lock(m_mutex);
     m_tasks.push_back(std::move(task));
+    m_waiting = m_tasks.size();
     if (m_tasks.size() > m_idle && m_threads.size() < m_limit)
         m_threads.emplace_back([this] { work(); });
     m_wake.notify_one();
@@ -27,6 +29,7 @@
             return;
         const auto task = std::move(m_tasks.front());
         m_tasks.pop_front();
+        m_waiting = m_tasks.size();
         lock.unlock();
         task();
         lock.lock();
--- a/src/links/workerthreads.h
+++ b/src/links/workerthreads.h
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
@@ -20,8 +21,12 @@
 class WorkerThreads : public httplib::TaskQueue
 {
 public:
-    /** @param limit the largest number of threads, and so of connections that are served at once */
-    explicit WorkerThreads(std::size_t limit);
+    /**
+     * @param limit the largest number of threads, and so of connections that are served at once
+     * @param waiting receives the number of connections that wait for a thread; belongs to the
+     * caller
+     */
+    WorkerThreads(std::size_t limit, std::atomic<std::size_t> &waiting);
 
     void enqueue(std::function<void()> task) override;
 
@@ -32,6 +37,7 @@
     void work();
 
     const std::size_t m_limit;
+    std::atomic<std::size_t> &m_waiting;
     std::mutex m_mutex;
     std::condition_variable m_wake;
     std::deque<std::function<void()>> m_tasks;
--- a/tests/links/dispatchsessiontest.cpp
+++ b/tests/links/dispatchsessiontest.cpp
@@ -36,6 +36,7 @@
     void install(const std::vector<InstanceRecord> &records, int slots)
     {
         std::vector<const InstanceRecord *> pointers;
+        pointers.reserve(records.size());
         for (const auto &it : records)
             pointers.push_back(&it);
         apply(m_dispatcher.update(pointers, {slots, 64, 1}, m_now));
