--- a/bench/bench-policycost/main.cpp
+++ b/bench/bench-policycost/main.cpp
@@ -42,6 +42,7 @@
     const auto records = makeRecords();
     std::vector<const InstanceRecord *> pointers;
     pointers.reserve(records.size());
+    pointers.reserve(records.size());
     for (const auto &it : records)
         pointers.push_back(&it);
     PoolDispatcher dispatcher(policy, BackendPool(selector, "zone-0", seed));
