Leave out fleet passes in which nothing can change

Cause: FleetRunner decided every instance twice a second although nothing had changed; at 21,000 instance records that was most of control's processor time, and each pass reads the store. PassGate now compares view revision, acknowledgements and platform list, runs a pass if they changed or work is unfinished, and otherwise one every 5 s.

--- a/programs/dragonflysill-control/fleetloop.cpp
+++ b/programs/dragonflysill-control/fleetloop.cpp
@@ -94,28 +94,43 @@
 
 void FleetLoop::pass()
 {
-    auto inputs = collectInputs();
-    const auto ticket = inputs.configuration.ticket;
-    publish(m_runner.step(std::move(inputs)), ticket);
+    const auto view = m_context.view.get();
+    PassTrigger trigger = collectTrigger();
+    trigger.revision = view->revision;
+    const std::int64_t nowMs = unixMilliseconds();
+    if (!m_gate.needed(trigger, nowMs))
+        return;
+    const FleetReport report = m_runner.step(collectInputs(*view, trigger));
+    publish(report, view->configuration.ticket);
+    m_gate.ran(std::move(trigger), report, nowMs);
 }
 
-FleetInputs FleetLoop::collectInputs()
+PassTrigger FleetLoop::collectTrigger()
+{
+    PassTrigger trigger;
+    for (const auto &it : m_context.reports.snapshot()) {
+        for (const auto &n : it.drained)
+            trigger.drained.push_back(it.name + "/" + n.name + "/" + std::to_string(n.epoch));
+    }
+    if (auto platform = m_platform.instances())
+        trigger.platform = std::move(*platform);
+    return trigger;
+}
+
+FleetInputs FleetLoop::collectInputs(const View &view, const PassTrigger &trigger) const
 {
-    const auto view = m_context.view.get();
     FleetInputs inputs;
-    inputs.revision = view->revision;
+    inputs.revision = view.revision;
     inputs.nowMs = unixMilliseconds();
-    inputs.configuration = view->configuration;
-    inputs.records = view->instances;
-    for (const auto &it : view->members)
+    inputs.configuration = view.configuration;
+    inputs.records = view.instances;
+    for (const auto &it : view.members)
         inputs.members.push_back(it.first);
     for (const auto &it : m_context.reports.snapshot()) {
         for (const auto &n : it.drained)
             inputs.acknowledgements.add(it.name, n.name, n.epoch);
     }
-    auto platform = m_platform.instances();
-    if (platform)
-        inputs.platform = std::move(*platform);
+    inputs.platform = trigger.platform;
     return inputs;
 }
 
--- a/programs/dragonflysill-control/fleetloop.h
+++ b/programs/dragonflysill-control/fleetloop.h
@@ -6,6 +6,7 @@
 #include "workerrequests.h"
 
 #include "dragonflysill/machines/fleetrunner.h"
+#include "dragonflysill/machines/passgate.h"
 
 #include <chrono>
 #include <condition_variable>
@@ -38,7 +39,8 @@
 private:
     void run();
     void pass();
-    FleetInputs collectInputs();
+    PassTrigger collectTrigger();
+    [[nodiscard]] FleetInputs collectInputs(const View &view, const PassTrigger &trigger) const;
     void publish(const FleetReport &report, std::int64_t ticket);
     void publishError(const Error &error);
     bool waitForNextPass();
@@ -47,6 +49,7 @@
     PlatformRequests m_platform;
     WorkerRequests m_workers;
     FleetRunner m_runner;
+    PassGate m_gate;
     FleetMetrics m_metrics;
     std::mutex m_mutex;
     std::condition_variable m_wake;
