Bind in one way and read acknowledgements once for a fleet pass

Cause, found while reading the whole change again: - the stand-ins had their own copy of the exclusive bind that HttpListener uses; both now call bindExclusively(), and standin links telemetry; - FleetLoop took the members' reports twice for a pass, once as text for PassGate and once for the decisions, which could differ; PassTrigger now holds the Acknowledgements that the decisions read; - appendHeader() had no caller since the HTTP library writes requests. Behaviour is unchanged, but an unusable host of a stand-in is now reported as settings-invalid instead of unreachable. Assertions of passgatetest are the same, with Acknowledgements in place of text.

Left as it is: the stop sequences of the two stand-ins differ from HttpListener's because they end idle connections first.

--- a/include/dragonflysill/links/headers.h
+++ b/include/dragonflysill/links/headers.h
@@ -30,9 +30,6 @@
 /** Returns true if two header names are equal; case does not count. */
 bool sameHeaderName(std::string_view a, std::string_view b);
 
-/** Appends "name: value" and a line end to a message head. */
-void appendHeader(std::string &head, std::string_view name, std::string_view value);
-
 /** Returns true if a header value contains no byte that could end the header. */
 bool isSafeHeaderValue(std::string_view value);
 
--- a/include/dragonflysill/machines/fleetinputs.h
+++ b/include/dragonflysill/machines/fleetinputs.h
@@ -30,6 +30,8 @@
     [[nodiscard]] bool has(std::string_view entry, std::string_view instance,
                            std::int64_t epoch) const;
 
+    bool operator==(const Acknowledgements &) const = default;
+
 private:
     std::map<std::string, std::map<std::string, std::int64_t, std::less<>>, std::less<>> m_epochs;
 };
--- a/include/dragonflysill/machines/passgate.h
+++ b/include/dragonflysill/machines/passgate.h
@@ -4,8 +4,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <string>
-#include <vector>
 
 namespace dragonflysill {
 
@@ -13,7 +11,7 @@
 struct PassTrigger
 {
     std::int64_t revision = 0; ///< Of the view.
-    std::vector<std::string> drained; ///< Acknowledgements of the entries, in a fixed order.
+    Acknowledgements acknowledgements;
     ByName<PlatformState> platform;
 
     bool operator==(const PassTrigger &) const = default;
--- a/include/dragonflysill/standin/peersocket.h
+++ b/include/dragonflysill/standin/peersocket.h
@@ -24,13 +24,6 @@
     int m_descriptor = -1; ///< Owned by the HTTP server.
 };
 
-/**
- * Makes a cpp-httplib server fail to bind a port that another process listens on. By default the
- * library sets SO_REUSEPORT, and the kernel then distributes connections over both processes: two
- * stores on one port gave the same claim to two requests.
- */
-void useExclusivePort(httplib::Server &server);
-
 /**
  * Ends the idle connections of a stopped cpp-httplib server, which otherwise waits for its
  * keep-alive timeout. Answers that are being sent are still sent.
--- a/programs/backend-standin/backendserver.cpp
+++ b/programs/backend-standin/backendserver.cpp
@@ -1,6 +1,7 @@
 #include "backendserver.h"
 
 #include "dragonflysill/standin/peersocket.h"
+#include "dragonflysill/telemetry/httplistener.h"
 
 #include <limits>
 #include <utility>
@@ -53,7 +54,6 @@
 
 void BackendServer::addRoutes()
 {
-    useExclusivePort(m_server);
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
     m_server.set_keep_alive_timeout(internal::keepAliveTimeout.count());
@@ -92,15 +92,12 @@
 
 Result<int> BackendServer::start(const std::string &host, int port)
 {
-    if (port == 0)
-        port = m_server.bind_to_any_port(host);
-    else if (!m_server.bind_to_port(host, port))
-        port = -1;
-    if (port < 0)
-        return Error(ErrorKind::Unreachable, "cannot listen on " + host);
-    m_port = port;
+    auto bound = bindExclusively(m_server, host + ":" + std::to_string(port));
+    if (!bound)
+        return bound;
+    m_port = *bound;
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
-    return port;
+    return bound;
 }
 
 void BackendServer::drainAndStop()
--- a/programs/dragonflysill-control/fleetloop.cpp
+++ b/programs/dragonflysill-control/fleetloop.cpp
@@ -95,41 +95,39 @@
 void FleetLoop::pass()
 {
     const auto view = m_context.view.get();
-    PassTrigger trigger = collectTrigger();
-    trigger.revision = view->revision;
+    PassTrigger trigger = collectTrigger(view->revision);
     const std::int64_t nowMs = unixMilliseconds();
     if (!m_gate.needed(trigger, nowMs))
         return;
-    const FleetReport report = m_runner.step(collectInputs(*view, trigger));
+    const FleetReport report = m_runner.step(collectInputs(*view, trigger, nowMs));
     publish(report, view->configuration.ticket);
     m_gate.ran(std::move(trigger), report, nowMs);
 }
 
-PassTrigger FleetLoop::collectTrigger()
+PassTrigger FleetLoop::collectTrigger(std::int64_t revision)
 {
     PassTrigger trigger;
+    trigger.revision = revision;
     for (const auto &it : m_context.reports.snapshot()) {
         for (const auto &n : it.drained)
-            trigger.drained.push_back(it.name + "/" + n.name + "/" + std::to_string(n.epoch));
+            trigger.acknowledgements.add(it.name, n.name, n.epoch);
     }
     if (auto platform = m_platform.instances())
         trigger.platform = std::move(*platform);
     return trigger;
 }
 
-FleetInputs FleetLoop::collectInputs(const View &view, const PassTrigger &trigger) const
+FleetInputs FleetLoop::collectInputs(const View &view, const PassTrigger &trigger,
+                                     std::int64_t nowMs)
 {
     FleetInputs inputs;
     inputs.revision = view.revision;
-    inputs.nowMs = unixMilliseconds();
+    inputs.nowMs = nowMs;
     inputs.configuration = view.configuration;
     inputs.records = view.instances;
     for (const auto &it : view.members)
         inputs.members.push_back(it.first);
-    for (const auto &it : m_context.reports.snapshot()) {
-        for (const auto &n : it.drained)
-            inputs.acknowledgements.add(it.name, n.name, n.epoch);
-    }
+    inputs.acknowledgements = trigger.acknowledgements;
     inputs.platform = trigger.platform;
     return inputs;
 }
--- a/programs/dragonflysill-control/fleetloop.h
+++ b/programs/dragonflysill-control/fleetloop.h
@@ -39,8 +39,9 @@
 private:
     void run();
     void pass();
-    PassTrigger collectTrigger();
-    [[nodiscard]] FleetInputs collectInputs(const View &view, const PassTrigger &trigger) const;
+    PassTrigger collectTrigger(std::int64_t revision);
+    static FleetInputs collectInputs(const View &view, const PassTrigger &trigger,
+                                     std::int64_t nowMs);
     void publish(const FleetReport &report, std::int64_t ticket);
     void publishError(const Error &error);
     bool waitForNextPass();
--- a/src/links/headers.cpp
+++ b/src/links/headers.cpp
@@ -56,11 +56,6 @@
            || internal::listContains(connection, name);
 }
 
-void appendHeader(std::string &head, std::string_view name, std::string_view value)
-{
-    head.append(name).append(": ").append(value).append("\r\n");
-}
-
 bool isSafeHeaderValue(std::string_view value)
 {
     return value.find_first_of(std::string_view("\r\n\0", 3)) == std::string_view::npos;
--- a/src/standin/peersocket.cpp
+++ b/src/standin/peersocket.cpp
@@ -41,14 +41,6 @@
     }
 }
 
-void useExclusivePort(httplib::Server &server)
-{
-    server.set_socket_options([](socket_t descriptor) {
-        const int yes = 1;
-        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
-    });
-}
-
 void endIdleConnections(int localPort)
 {
     for (int n = 0; n < FD_SETSIZE; ++n) {
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/platform/gatewaycodec.h"
 #include "dragonflysill/standin/peersocket.h"
+#include "dragonflysill/telemetry/httplistener.h"
 
 #include <nlohmann/json.hpp>
 
@@ -156,15 +157,12 @@
 
 Result<int> PlatformServer::start(const std::string &host, int port)
 {
-    if (port == 0)
-        port = m_server.bind_to_any_port(host);
-    else if (!m_server.bind_to_port(host, port))
-        port = -1;
-    if (port < 0)
-        return Error(ErrorKind::Unreachable, "cannot listen on " + host);
-    m_port = port;
+    auto bound = bindExclusively(m_server, host + ":" + std::to_string(port));
+    if (!bound)
+        return bound;
+    m_port = *bound;
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
-    return port;
+    return bound;
 }
 
 void PlatformServer::stop()
@@ -182,7 +180,6 @@
 
 void PlatformServer::addRoutes()
 {
-    useExclusivePort(m_server);
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
     m_server.set_keep_alive_timeout(internal::keepAliveTimeout.count());
--- a/tests/machines/passgatetest.cpp
+++ b/tests/machines/passgatetest.cpp
@@ -8,6 +8,13 @@
 
 constexpr std::int64_t now = 100000;
 
+Acknowledgements acknowledged(std::int64_t epoch)
+{
+    Acknowledgements result;
+    result.add("e1", "a", epoch);
+    return result;
+}
+
 PassGate idleGate(const PassTrigger &trigger)
 {
     PassGate gate;
@@ -36,11 +43,11 @@
 // Guards against a change that waits for the idle interval.
 BOOST_AUTO_TEST_CASE(EachInputAloneTriggersAPass)
 {
-    const PassGate gate = idleGate({7, {"e1/a/1"}, {{"a", PlatformState::Live}}});
-    BOOST_TEST(!gate.needed({7, {"e1/a/1"}, {{"a", PlatformState::Live}}}, now));
-    BOOST_TEST(gate.needed({8, {"e1/a/1"}, {{"a", PlatformState::Live}}}, now));
-    BOOST_TEST(gate.needed({7, {"e1/a/2"}, {{"a", PlatformState::Live}}}, now));
-    BOOST_TEST(gate.needed({7, {"e1/a/1"}, {{"a", PlatformState::Terminated}}}, now));
+    const PassGate gate = idleGate({7, acknowledged(1), {{"a", PlatformState::Live}}});
+    BOOST_TEST(!gate.needed({7, acknowledged(1), {{"a", PlatformState::Live}}}, now));
+    BOOST_TEST(gate.needed({8, acknowledged(1), {{"a", PlatformState::Live}}}, now));
+    BOOST_TEST(gate.needed({7, acknowledged(2), {{"a", PlatformState::Live}}}, now));
+    BOOST_TEST(gate.needed({7, acknowledged(1), {{"a", PlatformState::Terminated}}}, now));
 }
 
 // Guards against a warm-up, wave, waiting job or failed write that is not continued.
