--- a/cmake/dragonflysill.cmake
+++ b/cmake/dragonflysill.cmake
@@ -1,16 +1,21 @@
-# Adds library NAME from src/NAME and its test program from tests/NAME.
-# Sources are found by pattern, so that adding a file needs no change here.
+# Adds library NAME from src/NAME, or from DIRECTORY, and its test program from tests/NAME; the other
+# arguments are the libraries it links. Sources are found by pattern, so that adding a file needs no
+# change here.
 function(dragonflysill_library name)
-    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cpp)
+    cmake_parse_arguments(PARSE_ARGV 1 arg "" "DIRECTORY" "")
+    if(NOT arg_DIRECTORY)
+        set(arg_DIRECTORY src/${name})
+    endif()
+    file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${arg_DIRECTORY}/*.cpp)
     if(sources)
         add_library(${name} STATIC ${sources})
         target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/include)
-        target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src/${name})
-        target_link_libraries(${name} PUBLIC ${ARGN} Threads::Threads)
+        target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/${arg_DIRECTORY})
+        target_link_libraries(${name} PUBLIC ${arg_UNPARSED_ARGUMENTS} Threads::Threads)
     else()
         add_library(${name} INTERFACE)
         target_include_directories(${name} INTERFACE ${PROJECT_SOURCE_DIR}/include)
-        target_link_libraries(${name} INTERFACE ${ARGN} Threads::Threads)
+        target_link_libraries(${name} INTERFACE ${arg_UNPARSED_ARGUMENTS} Threads::Threads)
     endif()
     dragonflysill_test(${name} LIBRARIES ${name} standin)
 endfunction()
@@ -21,7 +26,7 @@
 function(dragonflysill_test name)
     cmake_parse_arguments(arg "" "" "SOURCES;LIBRARIES" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${name}/*.cpp)
-    if(NOT sources)
+    if(NOT sources OR DRAGONFLYSILL_NODE_ONLY)
         return()
     endif()
     add_executable(${name}-test ${sources} ${arg_SOURCES}
@@ -48,25 +53,31 @@
     set_tests_properties(${name} PROPERTIES TIMEOUT 120)
 endfunction()
 
-# Adds one program for each folder below DIRECTORY. A file dependencies.txt in the folder names what
-# the program links. Tests in tests/NAME link all sources but main.cpp, which a folder below programs
-# may lack as long as only its tests are built.
+# Adds program NAME from DIRECTORY/NAME. A file dependencies.txt in the folder names what the program
+# links. Tests in tests/NAME link all sources but main.cpp, which a folder below programs may lack as
+# long as only its tests are built.
+function(dragonflysill_program directory name)
+    set(folder ${PROJECT_SOURCE_DIR}/${directory}/${name})
+    file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
+    if(NOT sources OR NOT EXISTS ${folder}/dependencies.txt)
+        return()
+    endif()
+    file(STRINGS ${folder}/dependencies.txt dependencies)
+    if(EXISTS ${folder}/main.cpp OR NOT directory STREQUAL programs)
+        add_executable(${name} ${sources})
+        target_link_libraries(${name} PRIVATE ${dependencies})
+        target_compile_definitions(${name} PRIVATE
+            DRAGONFLYSILL_VERSION="${PROJECT_VERSION}")
+    endif()
+    list(REMOVE_ITEM sources ${folder}/main.cpp)
+    dragonflysill_test(${name} SOURCES ${sources} LIBRARIES ${dependencies} standin)
+endfunction()
+
+# Adds one program for each folder below DIRECTORY.
 function(dragonflysill_programs directory)
     file(GLOB folders CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${directory}/*)
     foreach(folder ${folders})
         get_filename_component(name ${folder} NAME)
-        file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
-        if(NOT sources OR NOT EXISTS ${folder}/dependencies.txt)
-            continue()
-        endif()
-        file(STRINGS ${folder}/dependencies.txt dependencies)
-        if(EXISTS ${folder}/main.cpp OR NOT directory STREQUAL programs)
-            add_executable(${name} ${sources})
-            target_link_libraries(${name} PRIVATE ${dependencies})
-            target_compile_definitions(${name} PRIVATE
-                DRAGONFLYSILL_VERSION="${PROJECT_VERSION}")
-        endif()
-        list(REMOVE_ITEM sources ${folder}/main.cpp)
-        dragonflysill_test(${name} SOURCES ${sources} LIBRARIES ${dependencies} standin)
+        dragonflysill_program(${directory} ${name})
     endforeach()
 endfunction()
--- a/include/dragonflysill/contracts/acceptance.h
+++ b/include/dragonflysill/contracts/acceptance.h
@@ -5,8 +5,8 @@
 #include "dragonflysill/contracts/problem.h"
 #include "dragonflysill/contracts/ticket.h"
 #include "dragonflysill/contracts/validation.h"
-#include "dragonflysill/platform/fence.h"
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/fence.h"
+#include "dragonflysill/store/store.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/dragonflysill/links/claimbatcher.h
+++ b/include/dragonflysill/links/claimbatcher.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "dragonflysill/base/backoff.h"
+#include "dragonflysill/base/callbudget.h"
 #include "dragonflysill/base/time.h"
 #include "dragonflysill/links/claimrecord.h"
-#include "dragonflysill/platform/backoff.h"
-#include "dragonflysill/platform/callbudget.h"
 
 #include <chrono>
 #include <cstddef>
--- a/include/dragonflysill/links/claimrecord.h
+++ b/include/dragonflysill/links/claimrecord.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dragonflysill/base/result.h"
-#include "dragonflysill/platform/storetypes.h"
+#include "dragonflysill/store/storetypes.h"
 
 #include <cstdint>
 #include <map>
--- a/include/dragonflysill/links/claimwriter.h
+++ b/include/dragonflysill/links/claimwriter.h
@@ -2,7 +2,7 @@
 
 #include "dragonflysill/base/time.h"
 #include "dragonflysill/links/claimbatcher.h"
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/store.h"
 
 #include <condition_variable>
 #include <cstddef>
--- a/include/dragonflysill/machines/jobentry.h
+++ b/include/dragonflysill/machines/jobentry.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "dragonflysill/base/resources.h"
 #include "dragonflysill/contracts/job.h"
 #include "dragonflysill/machines/fleetstatus.h"
-#include "dragonflysill/machines/resources.h"
 
 #include <cstdint>
 #include <limits>
--- a/include/dragonflysill/machines/placementrunner.h
+++ b/include/dragonflysill/machines/placementrunner.h
@@ -6,8 +6,8 @@
 #include "dragonflysill/machines/placementplanner.h"
 #include "dragonflysill/machines/taskplatform.h"
 #include "dragonflysill/machines/taskrecord.h"
-#include "dragonflysill/platform/fence.h"
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/fence.h"
+#include "dragonflysill/store/store.h"
 
 #include <cstdint>
 #include <map>
--- a/include/dragonflysill/machines/taskplatform.h
+++ b/include/dragonflysill/machines/taskplatform.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dragonflysill/base/result.h"
-#include "dragonflysill/platform/workertypes.h"
+#include "dragonflysill/store/workertypes.h"
 
 #include <string>
 #include <vector>
--- a/include/dragonflysill/machines/workerindex.h
+++ b/include/dragonflysill/machines/workerindex.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflysill/machines/resources.h"
+#include "dragonflysill/base/resources.h"
 
 #include <cstddef>
 #include <vector>
--- /dev/null
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "dragonflysill/jobs/queuetable.h"
+#include "dragonflysill/jobs/scheduler.h"
+#include "dragonflysill/net/httpclient.h"
+#include "dragonflysill/node/prefixwatcher.h"
+#include "dragonflysill/node/statereplica.h"
+#include "dragonflysill/node/workerlinks.h"
+#include "dragonflysill/store/asyncstore.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace dragonflysill {
+
+namespace platform {
+struct NodeSettings;
+}
+
+/** What a ScheduleOwner works with; all of it outlives the owner. */
+struct OwnerContext
+{
+    EventLoop &loop;
+    AsyncStore &store;
+    HttpClient &client;
+    StateReplica &replica;
+    const platform::NodeSettings &settings;
+    std::function<bool()> mayOrder; ///< Tells whether this node still owns the schedule.
+    std::function<void()> replaced; ///< Called when another owner was seen.
+};
+
+/**
+ * Schedules while this node owns the schedule: follows jobs and workers, carries out the decisions
+ * and saves what they lead to. Every write depends on the owner's key, so that one that is late
+ * changes nothing for the next owner.
+ */
+class ScheduleOwner
+{
+public:
+    ScheduleOwner(OwnerContext context, std::int64_t fence, std::int64_t generation);
+    ~ScheduleOwner();
+    ScheduleOwner(const ScheduleOwner &) = delete;
+    ScheduleOwner &operator=(const ScheduleOwner &) = delete;
+
+    /** Takes over a job that was added or changed in the replica. */
+    void jobChanged(const std::string &id, const ReplicatedJob &job);
+
+    /** Takes over a configuration. */
+    void setConfiguration(const FleetConfiguration &configuration);
+
+    [[nodiscard]] const Scheduler &scheduler() const { return m_scheduler; }
+    [[nodiscard]] const WorkerLinkCounts &linkCounts() const { return m_links.counts(); }
+
+private:
+    void begin();
+    void addJob(const std::string &id, const ReplicatedJob &job, bool inherited);
+    void resetWorkers(std::span<const KeyValue> items);
+    void changeWorkers(std::span<const KeyUpdate> updates);
+    void describe(const std::string &id, const std::string &bytes);
+    void unlist(const std::string &id);
+    void recordWorkers();
+    void workersRecorded(const ConditionalWrite &write, const std::vector<std::string> &ids,
+                         const Result<WriteOutcome> &outcome);
+    void expectRecorded();
+    void tick();
+    void decideSoon();
+    void decide();
+    void saveProgress();
+    void progressSaved(std::vector<ProgressUpdate> updates, const ConditionalWrite &write,
+                       const Result<WriteOutcome> &outcome);
+    void publishPending(ConditionalWrite &write);
+
+    OwnerContext m_context;
+    std::int64_t m_fence;
+    Scheduler m_scheduler;
+    WorkerLinks m_links;
+    PrefixWatcher m_workerWatcher;
+    bool m_begun = false;
+    bool m_decisionDue = false;
+    bool m_saving = false;
+    TimePoint m_savedAt{};
+    std::string m_publishedPending;
+    TimePoint m_pendingAt{};
+    std::unordered_map<std::string, WorkerDescription> m_listed; ///< Workers in the store.
+    std::set<std::string> m_recorded; ///< Ids in the durable record of workers.
+    std::map<std::string, std::int64_t> m_recordRevisions; ///< Of the record by pool.
+    bool m_recording = false;
+    std::unordered_map<std::string, TimePoint> m_finalSince;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace dragonflysill
--- a/include/dragonflysill/standin/memorystore.h
+++ b/include/dragonflysill/standin/memorystore.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dragonflysill/base/time.h"
-#include "dragonflysill/platform/store.h"
 #include "dragonflysill/standin/storeengine.h"
+#include "dragonflysill/store/store.h"
 
 #include <chrono>
 #include <condition_variable>
--- a/include/dragonflysill/standin/platformserver.h
+++ b/include/dragonflysill/standin/platformserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "dragonflysill/base/callbudget.h"
 #include "dragonflysill/base/result.h"
-#include "dragonflysill/platform/callbudget.h"
 #include "dragonflysill/standin/instancelist.h"
 #include "dragonflysill/standin/memorystore.h"
 #include "dragonflysill/standin/workermodel.h"
--- a/include/dragonflysill/standin/storeengine.h
+++ b/include/dragonflysill/standin/storeengine.h
@@ -3,7 +3,7 @@
 #include "dragonflysill/base/keyupdate.h"
 #include "dragonflysill/base/result.h"
 #include "dragonflysill/base/time.h"
-#include "dragonflysill/platform/storetypes.h"
+#include "dragonflysill/store/storetypes.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/dragonflysill/standin/workermodel.h
+++ b/include/dragonflysill/standin/workermodel.h
@@ -3,7 +3,7 @@
 #include "dragonflysill/base/random.h"
 #include "dragonflysill/base/result.h"
 #include "dragonflysill/base/time.h"
-#include "dragonflysill/platform/workertypes.h"
+#include "dragonflysill/store/workertypes.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/dragonflysill/platform/confirmedwrite.h
+++ b/include/dragonflysill/store/confirmedwrite.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "dragonflysill/base/backoff.h"
 #include "dragonflysill/base/time.h"
-#include "dragonflysill/platform/backoff.h"
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/store.h"
 
 #include <functional>
 #include <string>
--- a/include/dragonflysill/platform/fence.h
+++ b/include/dragonflysill/store/fence.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflysill/platform/storetypes.h"
+#include "dragonflysill/store/storetypes.h"
 
 #include <mutex>
 #include <optional>
--- a/include/dragonflysill/platform/store.h
+++ b/include/dragonflysill/store/store.h
@@ -2,7 +2,7 @@
 
 #include "dragonflysill/base/keyupdate.h"
 #include "dragonflysill/base/result.h"
-#include "dragonflysill/platform/storetypes.h"
+#include "dragonflysill/store/storetypes.h"
 
 #include <functional>
 #include <span>
--- a/include/dragonflysill/platform/storeclient.h
+++ b/include/dragonflysill/store/storeclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/store.h"
 
 #include <chrono>
 #include <cstddef>
--- a/include/dragonflysill/zones/zoneservice.h
+++ b/include/dragonflysill/zones/zoneservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "dragonflysill/platform/fence.h"
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/fence.h"
+#include "dragonflysill/store/store.h"
 #include "dragonflysill/telemetry/timeline.h"
 #include "dragonflysill/zones/memberreport.h"
 #include "dragonflysill/zones/sharedview.h"
--- a/programs/dragonflysill-control/controlcontext.h
+++ b/programs/dragonflysill-control/controlcontext.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dragonflysill/machines/fleetstatus.h"
-#include "dragonflysill/platform/fence.h"
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/fence.h"
+#include "dragonflysill/store/store.h"
 #include "dragonflysill/telemetry/timeline.h"
 #include "dragonflysill/zones/memberreport.h"
 #include "dragonflysill/zones/sharedview.h"
--- a/programs/dragonflysill-control/controlmetrics.h
+++ b/programs/dragonflysill-control/controlmetrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflysill/platform/storeclient.h"
+#include "dragonflysill/store/storeclient.h"
 #include "dragonflysill/zones/zoneservice.h"
 
 #include <prometheus/gauge.h>
--- a/programs/dragonflysill-control/main.cpp
+++ b/programs/dragonflysill-control/main.cpp
@@ -4,7 +4,7 @@
 #include "operatorapi.h"
 
 #include "dragonflysill/base/hash.h"
-#include "dragonflysill/platform/storeclient.h"
+#include "dragonflysill/store/storeclient.h"
 #include "dragonflysill/telemetry/adminserver.h"
 #include "dragonflysill/telemetry/log.h"
 #include "dragonflysill/telemetry/settings.h"
--- a/programs/dragonflysill-control/workerrequests.h
+++ b/programs/dragonflysill-control/workerrequests.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dragonflysill/machines/taskplatform.h"
-#include "dragonflysill/platform/workerclient.h"
+#include "dragonflysill/store/workerclient.h"
 
 #include <string>
 #include <vector>
--- a/programs/dragonflysill-entry/entryprocess.h
+++ b/programs/dragonflysill-entry/entryprocess.h
@@ -8,7 +8,7 @@
 #include "dragonflysill/links/entryserver.h"
 #include "dragonflysill/links/exchange.h"
 #include "dragonflysill/links/requesthandler.h"
-#include "dragonflysill/platform/storeclient.h"
+#include "dragonflysill/store/storeclient.h"
 #include "dragonflysill/telemetry/adminserver.h"
 #include "dragonflysill/telemetry/timeline.h"
 #include "dragonflysill/zones/sharedview.h"
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -5,6 +5,7 @@
     cmake g++ make ninja-build ccache pkg-config clang-format clang-tidy curl jq
     prometheus-cpp-dev libcpp-httplib-dev libcli11-dev libspdlog-dev libboost-test-dev
     libflatbuffers-dev nlohmann-json3-dev librapidcheck-dev libbenchmark-dev
+    libboost-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/platform/backoff.cpp
+++ b/src/base/backoff.cpp
@@ -1,4 +1,4 @@
-#include "dragonflysill/platform/backoff.h"
+#include "dragonflysill/base/backoff.h"
 
 #include <algorithm>
 
--- a/src/platform/base64.cpp
+++ b/src/base/base64.cpp
@@ -1,4 +1,4 @@
-#include "dragonflysill/platform/base64.h"
+#include "dragonflysill/base/base64.h"
 
 #include <array>
 #include <cstddef>
--- a/src/platform/callbudget.cpp
+++ b/src/base/callbudget.cpp
@@ -1,4 +1,4 @@
-#include "dragonflysill/platform/callbudget.h"
+#include "dragonflysill/base/callbudget.h"
 
 #include <algorithm>
 #include <chrono>
--- /dev/null
+++ b/src/jobs/jobcodec.cpp
@@ -0,0 +1,178 @@
+#include "dragonflysill/jobs/jobcodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace dragonflysill {
+
+using Json = nlohmann::json;
+
+namespace internal {
+
+constexpr std::array stateNames{"queued", "running", "completed", "failed", "cancelled"};
+
+/** Writes a field unless it has its default. */
+template <typename T>
+void put(Json &json, const char *name, const T &value, const T &standard = {})
+{
+    if (value != standard)
+        json[name] = value;
+}
+
+Json encodeStep(const JobStep &step)
+{
+    Json json{{"n", step.count}, {"cpu", step.need.milliCores}, {"mem", step.need.memoryMb}};
+    put(json, "acc", step.need.accelerators);
+    put(json, "est", step.estimate.count());
+    put(json, "after", step.after);
+    put(json, "label", step.requiredLabel);
+    put(json, "rack", step.dataRack);
+    put(json, "image", step.image);
+    put(json, "spread", step.maxPerWorker);
+    put(json, "down", step.maxUnavailable);
+    put(json, "target", step.latencyTarget.count());
+    put(json, "gang", step.gang);
+    put(json, "tight", step.sameRack);
+    put(json, "saves", step.savesProgress);
+    put(json, "copies", step.speculative);
+    put(json, "lasts", step.persistent);
+    put(json, "fills", step.fills);
+    return json;
+}
+
+JobStep decodeStep(const Json &json)
+{
+    JobStep step;
+    step.count = json.at("n");
+    step.need = {json.at("cpu"), json.at("mem"), json.value("acc", std::int64_t{0})};
+    step.estimate = Milliseconds(json.value("est", std::int64_t{0}));
+    step.after = json.value("after", std::vector<int>{});
+    step.requiredLabel = json.value("label", "");
+    step.dataRack = json.value("rack", "");
+    step.image = json.value("image", "");
+    step.maxPerWorker = json.value("spread", 0);
+    step.maxUnavailable = json.value("down", 0);
+    step.latencyTarget = Milliseconds(json.value("target", std::int64_t{0}));
+    step.gang = json.value("gang", false);
+    step.sameRack = json.value("tight", false);
+    step.savesProgress = json.value("saves", false);
+    step.speculative = json.value("copies", false);
+    step.persistent = json.value("lasts", false);
+    step.fills = json.value("fills", false);
+    return step;
+}
+
+JobSpec decodeSpec(const Json &json)
+{
+    JobSpec spec;
+    spec.payload = json.at("payload");
+    for (const auto &it : json.at("steps"))
+        spec.steps.push_back(decodeStep(it));
+    spec.occurrences = json.value("times", 1);
+    spec.scheduled = json.value("timed", false);
+    spec.firstDueMs = json.value("first", std::int64_t{0});
+    spec.interval = Milliseconds(json.value("every", std::int64_t{0}));
+    return spec;
+}
+
+JobStatus parseState(const std::string &name)
+{
+    for (std::size_t n = 0; n < stateNames.size(); ++n) {
+        if (name == stateNames[n])
+            return static_cast<JobStatus>(n);
+    }
+    throw std::invalid_argument("unknown state " + name);
+}
+
+/** Runs a decoder and turns the JSON library's exceptions into Corrupt. */
+template <typename T, typename Decode>
+Result<T> decoding(std::string_view bytes, Decode decode)
+{
+    try {
+        return decode(Json::parse(bytes));
+    } catch (const std::exception &e) {
+        return Error(ErrorKind::Corrupt, e.what());
+    }
+}
+
+} // namespace internal
+
+std::string encodeJob(const SubmittedJob &job)
+{
+    Json steps = Json::array();
+    for (const auto &it : job.spec.steps)
+        steps.push_back(internal::encodeStep(it));
+    Json json{{"queue", job.queue},
+              {"pool", job.pool},
+              {"attempts", job.policy.attempts},
+              {"slack", job.policy.slackFactor},
+              {"runtime", job.policy.targetRuntime.count()},
+              {"accepted", job.acceptedMs},
+              {"payload", job.spec.payload},
+              {"steps", std::move(steps)}};
+    internal::put(json, "priority", job.policy.priority);
+    internal::put(json, "times", job.spec.occurrences, 1);
+    internal::put(json, "timed", job.spec.scheduled);
+    internal::put(json, "first", job.spec.firstDueMs);
+    internal::put(json, "every", job.spec.interval.count());
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<SubmittedJob> decodeJob(std::string_view id, std::string_view bytes)
+{
+    return internal::decoding<SubmittedJob>(bytes, [id](const Json &json) {
+        SubmittedJob job;
+        job.id = id;
+        job.queue = json.at("queue");
+        job.pool = json.at("pool");
+        job.policy.attempts = json.at("attempts");
+        job.policy.priority = json.value("priority", 0);
+        job.policy.slackFactor = json.at("slack");
+        job.policy.targetRuntime = Milliseconds(json.at("runtime").get<std::int64_t>());
+        job.acceptedMs = json.at("accepted");
+        job.spec = internal::decodeSpec(json);
+        return job;
+    });
+}
+
+std::string encodeProgress(const JobProgress &progress)
+{
+    Json done = Json::array();
+    for (const auto &[key, indexes] : progress.done)
+        done.push_back({key.first, key.second, indexes});
+    Json failures = Json::array();
+    for (const auto &[key, runs] : progress.failures)
+        failures.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), runs});
+    Json json{{"state", internal::stateNames.at(static_cast<std::size_t>(progress.state))}};
+    if (!progress.stepsDone.empty())
+        json["steps"] = progress.stepsDone;
+    if (!done.empty())
+        json["done"] = std::move(done);
+    if (!failures.empty())
+        json["failures"] = std::move(failures);
+    return json.dump();
+}
+
+Result<JobProgress> decodeProgress(std::string_view bytes)
+{
+    return internal::decoding<JobProgress>(bytes, [](const Json &json) {
+        JobProgress progress;
+        progress.state = internal::parseState(json.at("state"));
+        if (json.contains("steps"))
+            progress.stepsDone = json.at("steps").get<std::set<JobProgress::StepKey>>();
+        for (const auto &it : json.value("done", Json::array()))
+            progress.done[{it.at(0), it.at(1)}] = it.at(2).get<std::set<int>>();
+        for (const auto &it : json.value("failures", Json::array()))
+            progress.failures[{it.at(0), it.at(1), it.at(2)}] = it.at(3).get<std::set<int>>();
+        return progress;
+    });
+}
+
+Result<JobStatus> decodeState(std::string_view bytes)
+{
+    return internal::decoding<JobStatus>(
+            bytes, [](const Json &json) { return internal::parseState(json.at("state")); });
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/jobs/scheduler.cpp
@@ -0,0 +1,242 @@
+#include "dragonflysill/jobs/scheduler.h"
+
+#include "schedulertimes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflysill {
+
+Scheduler::Scheduler(SchedulerSettings settings, std::int64_t fence, int runOffset)
+    : m_settings(settings)
+    , m_fence(fence)
+    , m_runOffset(runOffset)
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+JobRun *Scheduler::find(std::string_view id)
+{
+    const auto it = m_jobs.find(std::string(id));
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+const JobRun *Scheduler::job(std::string_view id) const
+{
+    const auto it = m_jobs.find(std::string(id));
+    return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+WorkerState *Scheduler::findWorker(std::string_view id)
+{
+    const auto it = m_workers.find(std::string(id));
+    return it == m_workers.end() ? nullptr : &it->second;
+}
+
+const WorkerState *Scheduler::worker(std::string_view id) const
+{
+    const auto it = m_workers.find(std::string(id));
+    return it == m_workers.end() ? nullptr : &it->second;
+}
+
+void Scheduler::addJob(SubmittedJob job, JobProgress progress, bool inherited, Duration age,
+                       TimePoint now)
+{
+    if (m_jobs.contains(job.id))
+        return;
+    const std::string id = job.id;
+    auto run = std::make_unique<JobRun>(std::move(job), std::move(progress), m_runOffset);
+    const auto &policy = run->job().policy;
+    const auto chain = m_runTimes.longestChain(run->job());
+    run->inherited = inherited;
+    run->accepted = now - age;
+    run->objective = run->accepted + policy.targetRuntime
+                     + Duration(static_cast<Duration::rep>(static_cast<double>(chain.count())
+                                                           * policy.slackFactor));
+    if (!run->final())
+        m_open[id] = run.get();
+    m_jobs.emplace(id, std::move(run));
+}
+
+void Scheduler::cancelJob(std::string_view id, TimePoint now)
+{
+    auto *it = find(id);
+    if (it == nullptr || it->final())
+        return;
+    it->cancel();
+    endJob(*it, now);
+}
+
+void Scheduler::removeJob(std::string_view id)
+{
+    const auto it = m_jobs.find(std::string(id));
+    if (it != m_jobs.end() && it->second->final())
+        m_jobs.erase(it);
+}
+
+void Scheduler::markDirty(JobRun &job)
+{
+    if (job.dirty || job.changes() == job.saved())
+        return;
+    job.dirty = true;
+    if (job.final()) {
+        m_urgent = true;
+        m_dirty.push_front(job.job().id);
+    } else {
+        m_dirty.push_back(job.job().id);
+    }
+}
+
+void Scheduler::endJob(JobRun &job, TimePoint now)
+{
+    const std::string id = job.job().id;
+    m_open.erase(id);
+    for (auto &[name, worker] : m_workers) {
+        const auto first = worker.runs.lower_bound(TaskId{id, 0, 0, 0});
+        for (auto it = first; it != worker.runs.end() && it->first.job == id; ++it)
+            stopRun(worker, it->second, now);
+    }
+    markDirty(job);
+}
+
+void Scheduler::describeWorker(const WorkerDescription &description, TimePoint now)
+{
+    auto &worker = m_workers[description.id];
+    const bool known = !worker.description.id.empty();
+    if (known && description.born < worker.description.born)
+        return;
+    if (known && description.born > worker.description.born) {
+        // Another life: nothing is started there before its list of runs has been read.
+        worker.reachable = false;
+        worker.fenced = false;
+    }
+    if (!known || worker.description.pool != description.pool) {
+        if (known)
+            std::erase(m_pools[worker.description.pool], &worker);
+        m_pools[description.pool].push_back(&worker);
+    }
+    worker.description = description;
+    worker.listed = true;
+    if (!known)
+        worker.lastContact = now;
+}
+
+void Scheduler::expectWorker(const WorkerDescription &description, TimePoint now)
+{
+    describeWorker(description, now);
+    auto &worker = m_workers[description.id];
+    worker.listed = false;
+    worker.heldUntil = now + m_settings.previousOwner + internal::holdLength(m_settings.hold);
+}
+
+void Scheduler::unlistWorker(std::string_view id, TimePoint /*now*/)
+{
+    if (auto *it = findWorker(id))
+        it->listed = false;
+}
+
+void Scheduler::setLeaving(std::string_view id, bool leaving)
+{
+    if (auto *it = findWorker(id))
+        it->leaving = leaving;
+}
+
+void Scheduler::stopRun(WorkerState &worker, TaskRun &run, TimePoint now)
+{
+    if (run.phase == TaskRun::Phase::Stopping)
+        return;
+    run.moved = run.phase == TaskRun::Phase::Running && run.percent >= internal::AT_WORK;
+    run.phase = TaskRun::Phase::Stopping;
+    run.stopSentAt = now;
+    run.stopAnswered = false;
+    m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
+}
+
+void Scheduler::stopOtherRuns(const TaskId &task, const std::string &except, TimePoint now)
+{
+    auto *owner = find(task.job);
+    const auto *it = owner == nullptr ? nullptr : owner->task(task);
+    if (it == nullptr)
+        return;
+    for (const auto &id : std::vector<std::string>(it->workers)) {
+        auto *worker = findWorker(id);
+        if (id == except || worker == nullptr)
+            continue;
+        const auto run = worker->runs.find(task);
+        if (run != worker->runs.end())
+            stopRun(*worker, run->second, now);
+    }
+}
+
+std::vector<ProgressUpdate> Scheduler::takeUpdates(std::size_t limit)
+{
+    std::vector<ProgressUpdate> updates;
+    while (updates.size() < limit && !m_dirty.empty()) {
+        auto *it = find(m_dirty.front());
+        m_dirty.pop_front();
+        if (it == nullptr)
+            continue;
+        it->dirty = false;
+        updates.push_back({it->job().id, it->changes(), it->progress()});
+    }
+    m_urgent = false;
+    return updates;
+}
+
+void Scheduler::updatesSaved(std::span<const ProgressUpdate> updates, bool saved)
+{
+    for (const auto &update : updates) {
+        auto *it = find(update.job);
+        if (it == nullptr)
+            continue;
+        if (saved)
+            it->noteSaved(update.change);
+        markDirty(*it);
+    }
+    if (!saved)
+        return;
+    for (auto &[id, worker] : m_workers)
+        acknowledgeSaved(worker);
+}
+
+std::vector<SchedulerAction> Scheduler::decide(TimePoint now, std::int64_t unixMs)
+{
+    openOccurrences(unixMs, now);
+    checkWorkers(now);
+    dispatch(now);
+    return std::exchange(m_actions, {});
+}
+
+void Scheduler::openOccurrences(std::int64_t unixMs, TimePoint now)
+{
+    for (const auto &[id, job] : m_open) {
+        const auto due = job->nextDueMs();
+        if (due != 0 ? due <= unixMs : job->occurrences().empty())
+            job->openDue(unixMs, now);
+    }
+}
+
+std::unordered_map<std::string, int> Scheduler::pendingByQueue() const
+{
+    std::unordered_map<std::string, int> pending;
+    for (const auto &[id, job] : m_open)
+        pending[job->job().queue] += static_cast<int>(!job->started());
+    return pending;
+}
+
+std::int64_t Scheduler::waitingCpu(std::string_view pool) const
+{
+    std::int64_t total = 0;
+    for (const auto &[id, job] : m_open) {
+        if (job->job().pool != pool || job->waitingTasks() == 0)
+            continue;
+        for (const auto &[occurrence, run] : job->occurrences()) {
+            for (std::size_t n = 0; n < run.steps.size(); ++n)
+                total += job->job().spec.steps[n].reserved().milliCores * run.steps[n].waiting;
+        }
+    }
+    return total;
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/jobs/schedulerchecks.cpp
@@ -0,0 +1,105 @@
+// What the passing of time changes: lost workers, stalled runs, repeated stops, emptying workers.
+
+#include "dragonflysill/jobs/scheduler.h"
+
+#include "schedulertimes.h"
+
+#include <algorithm>
+
+namespace dragonflysill {
+
+void Scheduler::checkWorkers(TimePoint now)
+{
+    m_unresolved.clear();
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        auto &worker = it->second;
+        if (!worker.fenced && now < worker.heldUntil)
+            ++m_unresolved[worker.description.pool];
+        if (!worker.reachable && now >= worker.heldUntil)
+            loseRuns(worker, now);
+        for (auto &[task, run] : worker.runs)
+            checkRun(worker, run, now);
+        if (worker.leaving || worker.description.draining)
+            moveAway(worker, now);
+        const bool gone = !worker.listed && worker.runs.empty() && now >= worker.heldUntil
+                          && (worker.pendingEnds.empty() || !worker.reachable);
+        if (gone) {
+            std::erase(m_pools[worker.description.pool], &worker);
+            it = m_workers.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+void Scheduler::checkRun(WorkerState &worker, TaskRun &run, TimePoint now)
+{
+    if (run.phase == TaskRun::Phase::Stopping) {
+        // The answer or the end may have been lost; a stop can be repeated.
+        if (now - run.stopSentAt > internal::STOP_REPEAT && worker.reachable) {
+            run.stopSentAt = now;
+            run.stopAnswered = false;
+            m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
+        }
+        return;
+    }
+    if (run.phase != TaskRun::Phase::Running || !worker.reachable)
+        return;
+    auto *owner = find(run.task.job);
+    if (owner == nullptr)
+        return;
+    const auto &step = owner->step(run.task);
+    if (step.persistent) {
+        if (run.percent < internal::AT_WORK && now - run.settledAt > internal::STARTUP_TIME) {
+            worker.health.failed(run.task.job, now);
+            stopRun(worker, run, now);
+        }
+        return;
+    }
+    if (step.fills || step.gang || run.pace < internal::AT_WORK)
+        return;
+    const auto expected = m_runTimes.expected(owner->job().queue, step);
+    if (now - run.progressAt > std::max<Duration>(internal::STALL_TIME, expected / 2)) {
+        worker.health.failed(run.task.job, now);
+        owner->task(run.task)->failedOn.insert(worker.description.id);
+        stopRun(worker, run, now);
+    }
+}
+
+int Scheduler::unavailable(const JobRun &job, const TaskId &task) const
+{
+    int count = 0;
+    const auto &run
+            = job.occurrences().at(task.occurrence).steps[static_cast<std::size_t>(task.step)];
+    for (std::size_t n = 0; n < run.tasks.size(); ++n) {
+        if (static_cast<int>(n) == task.index)
+            continue;
+        const TaskId other{task.job, task.occurrence, task.step, static_cast<int>(n)};
+        const bool atWork = std::ranges::any_of(run.tasks[n].workers, [&](const std::string &id) {
+            const auto *holder = worker(id);
+            if (holder == nullptr || !holder->reachable)
+                return false;
+            const auto known = holder->runs.find(other);
+            return known != holder->runs.end() && known->second.phase == TaskRun::Phase::Running
+                   && known->second.percent >= internal::AT_WORK;
+        });
+        count += static_cast<int>(!atWork);
+    }
+    return count;
+}
+
+void Scheduler::moveAway(WorkerState &worker, TimePoint now)
+{
+    for (auto &[id, run] : worker.runs) {
+        auto *owner = find(id.job);
+        if (owner == nullptr || run.phase != TaskRun::Phase::Running || !owner->step(id).persistent)
+            continue;
+        const auto *task = owner->task(id);
+        const int budget = std::max(1, owner->step(id).maxUnavailable);
+        if (task != nullptr && unavailable(*owner, id) < budget
+            && choose(*owner, id, *task, now) != nullptr)
+            stopRun(worker, run, now);
+    }
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/jobs/schedulerdispatch.cpp
@@ -0,0 +1,268 @@
+// Which waiting task goes next, and to which worker.
+
+#include "dragonflysill/jobs/scheduler.h"
+
+#include "schedulertimes.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dragonflysill {
+
+/** A step with waiting tasks and its place in the order of service. */
+struct Scheduler::Candidate
+{
+    /** Service classes, most urgent first. */
+    enum class Tier {
+        Persistent, ///< Its users are without service until it is back.
+        InTime, ///< Its job can still meet its objective.
+        Late, ///< Its job runs in what the others leave.
+    };
+
+    JobRun *job = nullptr;
+    int occurrence = 0;
+    int step = 0;
+    Tier tier = Tier::InTime;
+    bool fresh = true; ///< No step of the job has completed.
+    Duration slack{0}; ///< Time until it must start, or the work left of late jobs.
+
+    [[nodiscard]] auto order() const
+    {
+        return std::tuple(tier, job->job().policy.priority, fresh, slack, job->job().id);
+    }
+};
+
+Duration Scheduler::remainingWork(const JobRun &job) const
+{
+    const auto &spec = job.job().spec;
+    std::vector<Duration> finish(spec.steps.size(), Duration{0});
+    Duration longest{0};
+    const auto open = job.occurrences().begin();
+    for (std::size_t n = 0; n < spec.steps.size(); ++n) {
+        if (open != job.occurrences().end()
+            && job.progress().stepsDone.contains({open->first, static_cast<int>(n)}))
+            continue;
+        Duration start{0};
+        for (const int before : spec.steps[n].after)
+            start = std::max(start, finish[static_cast<std::size_t>(before)]);
+        finish[n] = start + m_runTimes.expected(job.job().queue, spec.steps[n]);
+        longest = std::max(longest, finish[n]);
+    }
+    return longest;
+}
+
+bool Scheduler::blockedByUnknownRuns(const JobRun &job) const
+{
+    if (!job.inherited)
+        return false;
+    const auto it = m_unresolved.find(job.job().pool);
+    return it != m_unresolved.end() && it->second > 0;
+}
+
+void Scheduler::dispatch(TimePoint now)
+{
+    std::map<std::string, std::vector<Candidate>> pools;
+    for (const auto &[id, job] : m_open) {
+        if (job->waitingTasks() == 0 || blockedByUnknownRuns(*job))
+            continue;
+        const auto work = remainingWork(*job);
+        const bool inTime = now + work <= job->objective || job->job().spec.scheduled;
+        for (auto &[occurrence, run] : job->occurrences()) {
+            for (int n = 0; n < static_cast<int>(run.steps.size()); ++n) {
+                if (run.steps[static_cast<std::size_t>(n)].waiting == 0)
+                    continue;
+                Candidate candidate{job, occurrence, n};
+                candidate.fresh = run.stepsDone == 0;
+                candidate.slack = inTime ? job->objective - now - work : work;
+                candidate.tier = inTime ? Candidate::Tier::InTime : Candidate::Tier::Late;
+                if (job->job().spec.steps[static_cast<std::size_t>(n)].persistent)
+                    candidate.tier = Candidate::Tier::Persistent;
+                pools[job->job().pool].push_back(candidate);
+            }
+        }
+    }
+    for (auto &[pool, candidates] : pools)
+        dispatchPool(pool, candidates, now);
+    startCopies(now);
+}
+
+void Scheduler::dispatchPool(const std::string &pool, std::vector<Candidate> &candidates,
+                             TimePoint now)
+{
+    const auto workers = m_pools.find(pool);
+    if (workers == m_pools.end()
+        || std::ranges::none_of(workers->second, [now](const auto *it) { return it->usable(now); }))
+        return;
+    std::ranges::sort(candidates, {}, [](const Candidate &it) { return it.order(); });
+    // Amounts that no worker had room for; larger ones need not be tried.
+    std::vector<Resources> tooLarge;
+    for (const auto &it : candidates) {
+        const auto &step = it.job->job().spec.steps[static_cast<std::size_t>(it.step)];
+        const auto need = step.reserved();
+        const bool hopeless = std::ranges::any_of(
+                tooLarge, [&need](const Resources &amount) { return need.covers(amount); });
+        if (hopeless)
+            continue;
+        if (step.gang)
+            startGang(*it.job, it.occurrence, it.step, now);
+        else
+            startWaiting(*it.job, it.occurrence, it.step, now);
+        const bool constrained = step.gang || step.maxPerWorker > 0 || !step.requiredLabel.empty();
+        if (!constrained
+            && it.job->occurrences()[it.occurrence].steps[static_cast<std::size_t>(it.step)].waiting
+                       > 0)
+            tooLarge.push_back(need);
+    }
+}
+
+void Scheduler::startWaiting(JobRun &job, int occurrence, int step, TimePoint now)
+{
+    TaskId id{job.job().id, occurrence, step, 0};
+    const int count = job.job().spec.steps[static_cast<std::size_t>(step)].count;
+    for (; id.index < count; ++id.index) {
+        auto *task = job.task(id);
+        if (task == nullptr || task->phase != Task::Phase::Waiting)
+            continue;
+        auto *worker = choose(job, id, *task, now);
+        if (worker == nullptr && task->failedOn.empty())
+            return;
+        if (worker != nullptr)
+            start(job, id, *task, *worker, now);
+    }
+}
+
+void Scheduler::startGang(JobRun &job, int occurrence, int step, TimePoint now)
+{
+    const auto &spec = job.job().spec.steps[static_cast<std::size_t>(step)];
+    auto &run = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)];
+    if (run.waiting != static_cast<int>(run.tasks.size()))
+        return;
+    std::vector<std::pair<TaskId, WorkerState *>> placed;
+    int lastRun = 0;
+    std::string checkpoint;
+    for (int n = 0; n < spec.count; ++n) {
+        const TaskId id{job.job().id, occurrence, step, n};
+        auto &task = run.tasks[static_cast<std::size_t>(n)];
+        lastRun = std::max(lastRun, task.lastRun);
+        if (!task.checkpoint.empty())
+            checkpoint = task.checkpoint;
+        auto *worker = choose(job, id, task, now);
+        if (worker == nullptr)
+            break;
+        worker->reserved += spec.reserved();
+        // Reserves the place for the spreading limit; replaced by the run or taken back below.
+        worker->runs[id] = {};
+        placed.emplace_back(id, worker);
+    }
+    for (const auto &[id, worker] : placed) {
+        worker->reserved -= spec.reserved();
+        worker->runs.erase(id);
+    }
+    if (static_cast<int>(placed.size()) < spec.count)
+        return;
+    for (const auto &[id, worker] : placed) {
+        auto &task = run.tasks[static_cast<std::size_t>(id.index)];
+        task.lastRun = lastRun;
+        task.checkpoint = checkpoint;
+        start(job, id, task, *worker, now);
+    }
+}
+
+WorkerState *Scheduler::choose(const JobRun &job, const TaskId &id, const Task &task, TimePoint now)
+{
+    const auto &step = job.step(id);
+    const auto need = step.reserved();
+    const auto pool = m_pools.find(job.job().pool);
+    WorkerState *best = nullptr;
+    std::tuple<bool, bool, bool, double> bestScore;
+    for (auto *it : pool->second) {
+        if (!it->usable(now) || !it->free().covers(need) || it->runs.contains(id)
+            || !it->description.hasLabel(step.requiredLabel))
+            continue;
+        if (step.maxPerWorker > 0) {
+            const auto first = it->runs.lower_bound(TaskId{id.job, id.occurrence, id.step, 0});
+            const auto last = it->runs.lower_bound(TaskId{id.job, id.occurrence, id.step + 1, 0});
+            if (std::distance(first, last) >= step.maxPerWorker)
+                continue;
+        }
+        const bool failedHere = task.failedOn.contains(it->description.id);
+        const bool suspect = !task.failedOn.empty() && it->health.suspect(now);
+        const bool remote = !step.dataRack.empty() && !it->description.hasLabel(step.dataRack);
+        const double load = static_cast<double>(it->reserved.milliCores)
+                            / static_cast<double>(
+                                    std::max<std::int64_t>(1, it->description.capacity.milliCores));
+        const std::tuple score(failedHere, suspect, remote, load);
+        if (best == nullptr || score < bestScore) {
+            best = it;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void Scheduler::start(JobRun &job, const TaskId &id, Task &task, WorkerState &worker, TimePoint now)
+{
+    TaskRun run;
+    run.task = id;
+    run.run = ++task.lastRun;
+    run.reserved = job.step(id).reserved();
+    run.startedAt = now;
+    run.progressAt = now;
+    worker.reserved += run.reserved;
+    StartTask action;
+    action.worker = worker.description.id;
+    action.task = id;
+    action.run = run.run;
+    action.payload = job.job().spec.payload;
+    action.checkpoint = task.checkpoint;
+    action.holdUntil = worker.time.at(now, m_settings.hold);
+    worker.heldUntil = std::max(worker.heldUntil,
+                                worker.time.latest(action.holdUntil) + internal::HOLD_MARGIN);
+    worker.runs[id] = std::move(run);
+    job.activate(id, worker.description.id);
+    job.noteStarted();
+    markDirty(job);
+    m_actions.emplace_back(std::move(action));
+}
+
+void Scheduler::startCopies(TimePoint now)
+{
+    for (const auto &[id, job] : m_open) {
+        const auto &steps = job->job().spec.steps;
+        if (std::ranges::none_of(steps, &JobStep::speculative) || blockedByUnknownRuns(*job))
+            continue;
+        for (auto &[occurrence, run] : job->occurrences()) {
+            for (int n = 0; n < static_cast<int>(steps.size()); ++n) {
+                auto &step = run.steps[static_cast<std::size_t>(n)];
+                if (steps[static_cast<std::size_t>(n)].speculative && step.ready)
+                    startStepCopies(*job, occurrence, n, now);
+            }
+        }
+    }
+}
+
+void Scheduler::startStepCopies(JobRun &job, int occurrence, int step, TimePoint now)
+{
+    auto &run = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)];
+    for (std::size_t n = 0; n < run.tasks.size(); ++n) {
+        auto &task = run.tasks[n];
+        if (task.phase != Task::Phase::Active || task.workers.size() != 1)
+            continue;
+        const TaskId id{job.job().id, occurrence, step, static_cast<int>(n)};
+        const auto *holder = worker(task.workers.front());
+        const auto known = holder->runs.find(id);
+        if (known == holder->runs.end())
+            continue;
+        const auto limit
+                = internal::COPY_FACTOR * m_runTimes.expected(job.job().queue, job.step(id));
+        const bool doubtful = !holder->reachable || holder->health.quarantined(now)
+                              || known->second.phase == TaskRun::Phase::Stopping
+                              || now - known->second.startedAt > limit;
+        if (!doubtful)
+            continue;
+        if (auto *other = choose(job, id, task, now))
+            start(job, id, task, *other, now);
+    }
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/jobs/schedulerreports.cpp
@@ -0,0 +1,329 @@
+// What workers answer: reports of runs and ends, and the outcome of starts and stops.
+
+#include "dragonflysill/jobs/scheduler.h"
+
+#include "schedulertimes.h"
+
+#include <algorithm>
+
+namespace dragonflysill {
+
+HoldRequest Scheduler::holdRequest(std::string_view id, TimePoint now)
+{
+    HoldRequest request;
+    auto *it = findWorker(id);
+    if (it == nullptr)
+        return request;
+    request.acknowledgedEnds = it->endsAcknowledged;
+    if (it->time.known()) {
+        request.holdUntil = it->time.at(now, m_settings.hold);
+        it->heldUntil = std::max(it->heldUntil,
+                                 it->time.latest(*request.holdUntil) + internal::HOLD_MARGIN);
+    }
+    return request;
+}
+
+void Scheduler::reported(std::string_view id, const WorkerReport &report, TimePoint sentAt,
+                         TimePoint now)
+{
+    auto *it = findWorker(id);
+    if (it == nullptr || report.born < it->born)
+        return;
+    it->lastContact = now;
+    it->reachable = true;
+    it->fenced = true;
+    if (it->born != report.born)
+        beginLife(*it, report.born, report, now);
+    it->time.observe(report.clock, now);
+    for (const auto &end : report.ended) {
+        if (end.number <= it->endsSeen)
+            continue;
+        it->endsSeen = end.number;
+        applyEnd(*it, end, now);
+    }
+    applyRunning(*it, report, sentAt, now);
+    acknowledgeSaved(*it);
+}
+
+void Scheduler::holdUnanswered(std::string_view id, TimePoint /*now*/)
+{
+    if (auto *it = findWorker(id))
+        it->reachable = false;
+}
+
+void Scheduler::beginLife(WorkerState &worker, std::int64_t born, const WorkerReport &report,
+                          TimePoint now)
+{
+    const bool first = worker.born == 0;
+    worker.born = born;
+    worker.time.forget();
+    worker.endsSeen = 0;
+    worker.endsAcknowledged = 0;
+    worker.pendingEnds.clear();
+    if (first)
+        return;
+    worker.health = {};
+    worker.heldUntil = now;
+    for (auto it = worker.runs.begin(); it != worker.runs.end();) {
+        const auto run = it++;
+        const bool listed = std::ranges::any_of(report.running, [&](const RunningReport &row) {
+            return row.task == run->first && row.run == run->second.run;
+        });
+        if (!listed && run->second.phase != TaskRun::Phase::Starting)
+            releaseRun(worker, run, now);
+    }
+}
+
+void Scheduler::releaseRun(WorkerState &worker, std::map<TaskId, TaskRun>::iterator run,
+                           TimePoint now)
+{
+    worker.reserved -= run->second.reserved;
+    if (auto *owner = find(run->first.job)) {
+        if (auto *task = owner->task(run->first);
+            task != nullptr && !run->second.checkpoint.empty())
+            task->checkpoint = run->second.checkpoint;
+        owner->deactivate(run->first, worker.description.id, now);
+    }
+    worker.runs.erase(run);
+}
+
+void Scheduler::loseRuns(WorkerState &worker, TimePoint now)
+{
+    for (auto it = worker.runs.begin(); it != worker.runs.end();) {
+        const auto run = it++;
+        if (run->second.phase != TaskRun::Phase::Starting)
+            releaseRun(worker, run, now);
+    }
+}
+
+void Scheduler::applyEnd(WorkerState &worker, const EndReport &end, TimePoint now)
+{
+    const auto run = worker.runs.find(end.task);
+    const bool current = run != worker.runs.end() && run->second.run == end.run;
+    auto *owner = find(end.task.job);
+    auto *task = owner == nullptr ? nullptr : owner->task(end.task);
+    std::uint64_t change = 0;
+    if (task != nullptr && !owner->final()) {
+        task->lastRun = std::max(task->lastRun, end.run);
+        if (!end.checkpoint.empty()) {
+            task->checkpoint = end.checkpoint;
+            if (current)
+                run->second.checkpoint = end.checkpoint;
+        }
+        if (end.end == RunEnd::Done && !owner->step(end.task).persistent)
+            applyDone(worker, end, current ? &run->second : nullptr, now);
+        else if (end.end == RunEnd::Failed && !owner->step(end.task).persistent)
+            applyFailure(worker, end, now);
+        change = owner->changes();
+        markDirty(*owner);
+    }
+    if (current)
+        releaseRun(worker, worker.runs.find(end.task), now);
+    const bool unsaved = change != 0 && owner->saved() < change;
+    worker.pendingEnds.push_back({end.number, unsaved ? end.task.job : std::string(), change});
+}
+
+void Scheduler::applyDone(WorkerState &worker, const EndReport &end, const TaskRun *run,
+                          TimePoint now)
+{
+    auto &owner = *find(end.task.job);
+    worker.health.succeeded(now);
+    if (run != nullptr && run->checkpoint.empty() && run->settledAt != TimePoint{})
+        m_runTimes.observe(owner.job().queue, owner.step(end.task), now - run->startedAt);
+    if (!owner.complete(end.task, now))
+        return;
+    stopOtherRuns(end.task, worker.description.id, now);
+    if (owner.final())
+        endJob(owner, now);
+}
+
+void Scheduler::applyFailure(WorkerState &worker, const EndReport &end, TimePoint now)
+{
+    auto &owner = *find(end.task.job);
+    worker.health.failed(end.task.job, now);
+    owner.task(end.task)->failedOn.insert(worker.description.id);
+    if (!owner.fail(end.task, end.run))
+        return;
+    for (auto &[id, other] : m_workers)
+        other.health.exonerate(end.task.job);
+    endJob(owner, now);
+}
+
+void Scheduler::applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
+                             TimePoint now)
+{
+    std::map<TaskId, int> listed;
+    for (const auto &row : report.running) {
+        listed[row.task] = row.run;
+        const auto run = worker.runs.find(row.task);
+        if (run == worker.runs.end()) {
+            adopt(worker, row, now);
+            continue;
+        }
+        auto &known = run->second;
+        if (known.run != row.run)
+            continue;
+        if (known.phase == TaskRun::Phase::Starting || known.phase == TaskRun::Phase::Unconfirmed) {
+            known.phase = TaskRun::Phase::Running;
+            known.settledAt = now;
+            known.progressAt = now;
+        }
+        if (known.percent != row.percent)
+            known.progressAt = now;
+        known.percent = row.percent;
+        known.usage = row.usage;
+        if (!row.checkpoint.empty())
+            known.checkpoint = row.checkpoint;
+    }
+    if (report.ended.size() >= internal::ENDS_PER_REPORT)
+        return;
+    for (auto it = worker.runs.begin(); it != worker.runs.end();) {
+        const auto run = it++;
+        const auto row = listed.find(run->first);
+        if (row != listed.end() && row->second == run->second.run)
+            continue;
+        const auto &known = run->second;
+        const bool running = known.phase == TaskRun::Phase::Running && known.settledAt < sentAt;
+        const bool stopped = known.phase == TaskRun::Phase::Stopping && known.stopAnswered
+                             && known.settledAt + m_settings.stopTime < sentAt;
+        if (running || stopped)
+            releaseRun(worker, run, now);
+    }
+}
+
+void Scheduler::adopt(WorkerState &worker, const RunningReport &report, TimePoint now)
+{
+    TaskRun run;
+    run.task = report.task;
+    run.run = report.run;
+    run.phase = TaskRun::Phase::Running;
+    run.startedAt = now;
+    run.settledAt = now;
+    run.progressAt = now;
+    run.percent = report.percent;
+    run.checkpoint = report.checkpoint;
+    run.usage = report.usage;
+    auto *owner = find(report.task.job);
+    auto *task = owner == nullptr ? nullptr : owner->task(report.task);
+    const bool wanted = task != nullptr && !owner->final() && task->phase != Task::Phase::Done
+                        && (task->workers.empty()
+                            || (owner->step(report.task).speculative && task->workers.size() < 2));
+    auto &known = worker.runs[report.task] = std::move(run);
+    if (!wanted) {
+        stopRun(worker, known, now);
+        return;
+    }
+    task->lastRun = std::max(task->lastRun, report.run);
+    known.reserved = owner->step(report.task).reserved();
+    worker.reserved += known.reserved;
+    owner->activate(report.task, worker.description.id);
+    owner->noteStarted();
+    markDirty(*owner);
+}
+
+void Scheduler::acknowledgeSaved(WorkerState &worker)
+{
+    while (!worker.pendingEnds.empty()) {
+        const auto &end = worker.pendingEnds.front();
+        const auto *owner = end.job.empty() ? nullptr : find(end.job);
+        if (owner != nullptr && owner->saved() < end.change)
+            return;
+        worker.endsAcknowledged = end.number;
+        worker.pendingEnds.pop_front();
+    }
+}
+
+void Scheduler::startConfirmed(const StartTask &start, WorkerClock clock, TimePoint now)
+{
+    auto *worker = findWorker(start.worker);
+    if (worker == nullptr)
+        return;
+    worker->lastContact = now;
+    worker->time.observe(clock, now);
+    const auto it = worker->runs.find(start.task);
+    if (it == worker->runs.end() || it->second.run != start.run)
+        return;
+    it->second.settledAt = now;
+    it->second.progressAt = now;
+    if (it->second.phase == TaskRun::Phase::Starting)
+        it->second.phase = TaskRun::Phase::Running;
+}
+
+void Scheduler::startRefused(const StartTask &start, StartRefusal refusal, TimePoint now)
+{
+    auto *worker = findWorker(start.worker);
+    if (worker == nullptr)
+        return;
+    switch (refusal) {
+    case StartRefusal::Fence:
+        m_replaced = true;
+        break;
+    case StartRefusal::Room:
+    case StartRefusal::Old:
+    case StartRefusal::Ticket:
+        worker->pausedUntil = now + internal::ROOM_PAUSE;
+        break;
+    case StartRefusal::Unhealthy:
+        worker->pausedUntil = now + internal::UNHEALTHY_PAUSE;
+        break;
+    case StartRefusal::Late:
+    case StartRefusal::OtherLife:
+    case StartRefusal::Invalid:
+        // The next report gives the clock and the life anew.
+        worker->reachable = false;
+        break;
+    }
+    const auto it = worker->runs.find(start.task);
+    if (it != worker->runs.end() && it->second.run == start.run)
+        releaseRun(*worker, it, now);
+}
+
+void Scheduler::startUnanswered(const StartTask &start, TimePoint now)
+{
+    auto *worker = findWorker(start.worker);
+    if (worker == nullptr)
+        return;
+    const auto it = worker->runs.find(start.task);
+    if (it == worker->runs.end() || it->second.run != start.run
+        || it->second.phase != TaskRun::Phase::Starting)
+        return;
+    // It may still take effect, so that it has to be blocked before the task starts elsewhere.
+    it->second.phase = TaskRun::Phase::Unconfirmed;
+    it->second.settledAt = now;
+    stopRun(*worker, it->second, now);
+}
+
+void Scheduler::stopConfirmed(const StopTask &stop, TimePoint now)
+{
+    auto *worker = findWorker(stop.worker);
+    if (worker == nullptr)
+        return;
+    worker->lastContact = now;
+    const auto it = worker->runs.find(stop.task);
+    if (it == worker->runs.end() || it->second.run != stop.run)
+        return;
+    it->second.stopAnswered = true;
+    it->second.settledAt = now;
+}
+
+void Scheduler::stopUnanswered(const StopTask &stop, TimePoint now)
+{
+    auto *worker = findWorker(stop.worker);
+    if (worker == nullptr)
+        return;
+    const auto it = worker->runs.find(stop.task);
+    if (it != worker->runs.end() && it->second.run == stop.run)
+        it->second.settledAt = now;
+}
+
+void Scheduler::paceAnswered(const PaceTask &pace, bool confirmed)
+{
+    auto *worker = findWorker(pace.worker);
+    if (worker == nullptr)
+        return;
+    const auto it = worker->runs.find(pace.task);
+    if (it != worker->runs.end() && it->second.run == pace.run)
+        it->second.paceConfirmed = confirmed && it->second.pace == pace.percent;
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/jobs/schedulertimes.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "dragonflysill/base/time.h"
+#include "dragonflysill/jobs/job.h"
+
+namespace dragonflysill::internal {
+
+using namespace std::chrono_literals;
+
+/** Percentage at which a persistent task serves its users, from the worker protocol. */
+constexpr int AT_WORK = 100;
+/** A worker's clock may run this much slower than the local one, from the worker protocol. */
+constexpr double CLOCK_DRIFT = 0.02;
+/** Delay of the network and of the worker that a hold may outlast its length by. */
+constexpr Duration HOLD_MARGIN = 100ms;
+/** An unanswered stop is sent again after this time. */
+constexpr Duration STOP_REPEAT = 500ms;
+/** Shortest time without progress after which a run counts as stalled. */
+constexpr Duration STALL_TIME = 1500ms;
+/** Longest start-up of a persistent task before it is tried elsewhere. */
+constexpr Duration STARTUP_TIME = 5000ms;
+/** Pause of starts on a worker that refused one for lack of room. */
+constexpr Duration ROOM_PAUSE = 100ms;
+/** Pause of starts on a worker that refused one because it is overloaded or unwell. */
+constexpr Duration UNHEALTHY_PAUSE = 500ms;
+/** Workers list at most this many ends in one report, from the worker protocol. */
+constexpr std::size_t ENDS_PER_REPORT = 500;
+/** A run that takes this many times its expected time gets a second copy, if that is allowed. */
+constexpr int COPY_FACTOR = 2;
+
+/** Returns the longest local time that a hold of this length may last. */
+inline Duration holdLength(Duration hold)
+{
+    return hold
+           + Duration(static_cast<Duration::rep>(static_cast<double>(hold.count()) * CLOCK_DRIFT))
+           + HOLD_MARGIN;
+}
+
+} // namespace dragonflysill::internal
--- /dev/null
+++ b/src/jobs/workerstate.cpp
@@ -0,0 +1,31 @@
+#include "dragonflysill/jobs/workerstate.h"
+
+namespace dragonflysill {
+
+namespace internal {
+
+/** A worker's clock may run this much slower than the local one, from the worker protocol. */
+constexpr double SLOWEST_CLOCK = 0.98;
+
+} // namespace internal
+
+void WorkerTime::observe(WorkerClock clock, TimePoint now)
+{
+    m_clock = clock;
+    m_observed = now;
+    m_known = true;
+}
+
+WorkerClock WorkerTime::at(TimePoint now, Duration ahead) const
+{
+    const auto passed = now - m_observed + ahead;
+    return m_clock + std::chrono::duration_cast<Milliseconds>(passed).count();
+}
+
+TimePoint WorkerTime::latest(WorkerClock clock) const
+{
+    const auto ms = static_cast<double>(clock - m_clock) / internal::SLOWEST_CLOCK;
+    return m_observed + Milliseconds(static_cast<std::int64_t>(ms) + 1);
+}
+
+} // namespace dragonflysill
--- a/src/links/claimwriter.cpp
+++ b/src/links/claimwriter.cpp
@@ -1,6 +1,6 @@
 #include "dragonflysill/links/claimwriter.h"
 
-#include "dragonflysill/platform/confirmedwrite.h"
+#include "dragonflysill/store/confirmedwrite.h"
 
 #include <algorithm>
 #include <utility>
--- /dev/null
+++ b/src/net/httpmessage.cpp
@@ -0,0 +1,35 @@
+#include "dragonflysill/net/httpmessage.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace dragonflysill {
+
+std::string_view HttpRequest::header(std::string_view name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (boost::algorithm::iequals(key, name))
+            return value;
+    }
+    return {};
+}
+
+std::string percentEncode(std::string_view text)
+{
+    static constexpr std::string_view digits = "0123456789ABCDEF";
+    static constexpr std::string_view unreserved = "-._~/";
+    std::string encoded;
+    encoded.reserve(text.size());
+    for (const unsigned char c : text) {
+        if (std::isalnum(c) != 0
+            || unreserved.find(static_cast<char>(c)) != std::string_view::npos) {
+            encoded += static_cast<char>(c);
+            continue;
+        }
+        encoded += '%';
+        encoded += digits[c >> 4U];
+        encoded += digits[c & 15U];
+    }
+    return encoded;
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,195 @@
+#include "dragonflysill/node/node.h"
+
+#include "dragonflysill/base/hash.h"
+#include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/telemetry/log.h"
+#include "ingress.h"
+#include "jobformat.h"
+#include "kvstore.h"
+#include "names.h"
+#include "nodesettings.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using namespace std::chrono_literals;
+
+/** Length of the ownership's lease: the longest time without scheduling after a sudden end. */
+constexpr Milliseconds OWNER_LEASE = 1500ms;
+/** Changes of jobs gather this long between two waits, at the owner and elsewhere. */
+constexpr Duration OWNER_WATCH_PAUSE = 20ms;
+constexpr Duration FOLLOWER_WATCH_PAUSE = 200ms;
+/** Without an answer for this long the store counts as unreachable. */
+constexpr Duration STORE_SILENCE = 2300ms;
+/** Time between two looks at the store's reachability. */
+constexpr Duration STORE_CHECK = 100ms;
+/** Part of the grace time that is left unused, so that the process ends by itself. */
+constexpr Duration STOP_MARGIN = 1500ms;
+
+std::uint64_t seedFrom(const platform::NodeSettings &settings)
+{
+    return stableHash(settings.name)
+           ^ static_cast<std::uint64_t>(EventLoop::now().time_since_epoch().count());
+}
+
+} // namespace internal
+
+Node::Node(EventLoop &loop, const platform::NodeSettings &settings)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_client(loop)
+    , m_store(std::make_unique<platform::KvStore>(m_client, settings.storeAddress))
+    , m_service(loop, *m_store, m_replica, internal::seedFrom(settings))
+    , m_front(loop,
+              [this](const HttpRequest &request, HttpServer::Respond respond) {
+                  m_service.handle(request, std::move(respond));
+              })
+    , m_readiness(loop,
+                  [this](const HttpRequest &request, const HttpServer::Respond &respond) {
+                      if (!platform::isReadyRequest(request))
+                          respond({404, {}, {}});
+                      else
+                          respond({ready() ? 200 : 503, {}, {}});
+                  })
+    , m_stateWatcher(loop, *m_store, std::string(nodekeys::ROOT), internal::FOLLOWER_WATCH_PAUSE,
+                     {[this](std::span<const KeyValue> items, std::int64_t asOf) {
+                          m_replica.reset(items, asOf);
+                          replicaChanged();
+                      },
+                      [this](std::span<const KeyUpdate> updates, std::int64_t asOf) {
+                          m_replica.apply(updates, asOf);
+                          replicaChanged();
+                      }})
+    , m_operatorWatcher(loop, *m_store, platform::PREFIX_OPERATOR, Duration{0},
+                        {[this](std::span<const KeyValue> items, std::int64_t) {
+                             for (const auto &it : items) {
+                                 if (it.key == platform::KEY_CONFIGURATION)
+                                     configurationChanged(it.modRevision, it.value);
+                             }
+                         },
+                         [this](std::span<const KeyUpdate> updates, std::int64_t) {
+                             for (const auto &it : updates) {
+                                 if (it.key == platform::KEY_CONFIGURATION && !it.deleted)
+                                     configurationChanged(it.revision, it.value);
+                             }
+                         }})
+    , m_ownership(
+              loop, *m_store, m_replica, settings.name,
+              std::max(internal::OWNER_LEASE, settings.shortestLease),
+              {[this](std::int64_t fence, std::int64_t generation) { gained(fence, generation); },
+               [this](const std::string &reason) { lost(reason); }})
+{
+    m_replica.setListener([this](const std::string &id, const ReplicatedJob &job) {
+        if (m_owner)
+            m_owner->jobChanged(id, job);
+    });
+}
+
+Node::~Node() = default;
+
+Result<Done> Node::start()
+{
+    if (auto opened = m_front.listen(m_settings.frontAddress); !opened)
+        return opened;
+    if (auto opened = m_readiness.listen(m_settings.readyAddress); !opened)
+        return opened;
+    m_stateWatcher.start();
+    m_operatorWatcher.start();
+    m_ownership.start();
+    watchStore();
+    return Done();
+}
+
+void Node::watchStore()
+{
+    const auto contact = std::max(m_stateWatcher.lastContact(), m_operatorWatcher.lastContact());
+    const bool reachable = EventLoop::now() - contact < internal::STORE_SILENCE;
+    if (reachable != m_storeReachable) {
+        m_storeReachable = reachable;
+        m_service.setStoreReachable(reachable);
+        if (reachable)
+            logState("store-reached");
+        else
+            logWarning("store-lost");
+    }
+    m_loop.after(internal::STORE_CHECK, [this] { watchStore(); });
+}
+
+bool Node::ready() const
+{
+    return !m_stopping && m_storeReachable && m_replica.loaded() && m_service.configuration();
+}
+
+void Node::configurationChanged(std::int64_t revision, const std::string &bytes)
+{
+    auto configuration = platform::decodeConfiguration(bytes);
+    if (!configuration) {
+        logWarning("configuration-unusable", {{"revision", std::to_string(revision)},
+                                              {"error", configuration.error().text()}});
+        return;
+    }
+    const auto &current = m_service.configuration();
+    if (current && configuration->version <= current->version)
+        return;
+    logState("configuration-applied", {{"version", std::to_string(configuration->version)},
+                                       {"revision", std::to_string(revision)}});
+    const auto &limits = configuration->limits;
+    m_front.setLimits(
+            {limits.headerBytes, limits.bodyBytes, limits.idleTimeout, limits.headerTimeout});
+    m_service.setConfiguration(std::move(*configuration));
+    if (m_owner)
+        m_owner->setConfiguration(*m_service.configuration());
+}
+
+void Node::replicaChanged()
+{
+    m_ownership.check();
+}
+
+void Node::gained(std::int64_t fence, std::int64_t generation)
+{
+    logState("ownership-gained",
+             {{"fence", std::to_string(fence)}, {"generation", std::to_string(generation)}});
+    m_stateWatcher.setPause(internal::OWNER_WATCH_PAUSE);
+    m_owner = std::make_unique<ScheduleOwner>(
+            OwnerContext{m_loop, *m_store, m_client, m_replica, m_settings,
+                         [this] { return m_ownership.valid(); },
+                         [this] { m_loop.post([this] { m_ownership.replaced(); }); }},
+            fence, generation);
+    if (m_service.configuration())
+        m_owner->setConfiguration(*m_service.configuration());
+}
+
+void Node::lost(const std::string &reason)
+{
+    logState("ownership-lost", {{"reason", reason}});
+    m_stateWatcher.setPause(internal::FOLLOWER_WATCH_PAUSE);
+    // The owner may be on the call stack.
+    m_loop.post([owner = std::shared_ptr<ScheduleOwner>(std::move(m_owner))] {});
+}
+
+void Node::stop()
+{
+    if (std::exchange(m_stopping, true))
+        return;
+    logState("stopping", {{"connections", std::to_string(m_front.connections())}});
+    m_ownership.resign();
+    m_front.drain();
+    finishStop(EventLoop::now() + m_settings.grace - internal::STOP_MARGIN);
+}
+
+void Node::finishStop(TimePoint latest)
+{
+    if (EventLoop::now() >= latest) {
+        logState("stopped", {{"connections", std::to_string(m_front.connections())}});
+        m_loop.stop();
+        return;
+    }
+    m_loop.after(internal::STORE_CHECK, [this, latest] { finishStop(latest); });
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/node/ownership.cpp
@@ -0,0 +1,136 @@
+#include "dragonflysill/node/ownership.h"
+
+#include "dragonflysill/node/nodekeys.h"
+
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using namespace std::chrono_literals;
+
+/** Time between two looks at the lease. */
+constexpr Duration TICK = 100ms;
+/** The lease is renewed this many times within its length, so that some renewals may fail. */
+constexpr int RENEWALS_PER_LEASE = 5;
+/** Part of the lease that the owner does not use, for the difference between the clocks. */
+constexpr double UNUSED_PART = 0.1;
+
+} // namespace internal
+
+Ownership::Ownership(EventLoop &loop, AsyncStore &store, const StateReplica &replica,
+                     std::string node, std::chrono::milliseconds leaseLength, Handlers handlers)
+    : m_loop(loop)
+    , m_store(store)
+    , m_replica(replica)
+    , m_node(std::move(node))
+    , m_leaseLength(leaseLength)
+    , m_handlers(std::move(handlers))
+{
+}
+
+void Ownership::start()
+{
+    tick();
+}
+
+void Ownership::tick()
+{
+    check();
+    m_loop.after(internal::TICK, [this] { tick(); });
+}
+
+void Ownership::check()
+{
+    if (m_fence != 0) {
+        const bool superseded
+                = m_replica.asOf() >= m_fence && m_replica.owner().revision != m_fence;
+        if (superseded)
+            lose("the store names another owner or none");
+        else if (!valid())
+            lose("the lease was not renewed in time");
+        else if (!m_renewing
+                 && EventLoop::now() - m_renewedAt >= m_leaseLength / internal::RENEWALS_PER_LEASE)
+            renew();
+        return;
+    }
+    if (!m_campaigning && !m_resigned && m_replica.loaded() && m_replica.owner().revision == 0)
+        campaign();
+}
+
+void Ownership::campaign()
+{
+    m_campaigning = true;
+    const auto sentAt = EventLoop::now();
+    m_store.grantLease(m_leaseLength, [this, sentAt](const Result<GrantedLease> &lease) {
+        if (lease)
+            claim(lease->id, sentAt);
+        else
+            m_campaigning = false;
+    });
+}
+
+void Ownership::claim(LeaseId lease, TimePoint grantedAt)
+{
+    const auto generation = m_replica.generation();
+    ConditionalWrite write;
+    write.expected = {{std::string(nodekeys::OWNER), 0},
+                      {std::string(nodekeys::GENERATION), m_replica.generationRevision()}};
+    write.writes = {{std::string(nodekeys::OWNER), m_node, lease},
+                    {std::string(nodekeys::GENERATION), std::to_string(generation + 1), 0}};
+    m_store.write(write, [this, lease, grantedAt, generation](const Result<WriteOutcome> &outcome) {
+        m_campaigning = false;
+        if (!outcome || !outcome->applied || m_resigned) {
+            // Also takes back a claim whose answer was lost.
+            m_store.endLease(lease, [](const Result<Done> &) {});
+            return;
+        }
+        m_lease = lease;
+        m_fence = outcome->revision;
+        m_renewedAt = grantedAt;
+        m_validUntil = grantedAt
+                       + Duration(static_cast<Duration::rep>(
+                               static_cast<double>(Duration(m_leaseLength).count())
+                               * (1 - internal::UNUSED_PART)));
+        m_handlers.gained(m_fence, generation);
+    });
+}
+
+void Ownership::renew()
+{
+    m_renewing = true;
+    const auto sentAt = EventLoop::now();
+    m_store.renewLease(m_lease, [this, sentAt, lease = m_lease](const Result<Done> &renewed) {
+        m_renewing = false;
+        if (m_fence == 0 || lease != m_lease)
+            return;
+        if (renewed) {
+            m_renewedAt = sentAt;
+            m_validUntil = sentAt
+                           + Duration(static_cast<Duration::rep>(
+                                   static_cast<double>(Duration(m_leaseLength).count())
+                                   * (1 - internal::UNUSED_PART)));
+        } else if (renewed.error().is(ErrorKind::LeaseLost)) {
+            lose("the lease has expired");
+        }
+    });
+}
+
+void Ownership::resign()
+{
+    m_resigned = true;
+    if (m_fence != 0)
+        lose("the node stops");
+}
+
+void Ownership::lose(const std::string &reason)
+{
+    if (m_fence == 0)
+        return;
+    m_fence = 0;
+    m_store.endLease(m_lease, [](const Result<Done> &) {});
+    m_handlers.lost(reason);
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/node/scheduleowner.cpp
@@ -0,0 +1,372 @@
+#include "dragonflysill/node/scheduleowner.h"
+
+#include "dragonflysill/base/time.h"
+#include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/workerrecord.h"
+#include "names.h"
+#include "nodesettings.h"
+#include "workerformat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using namespace std::chrono_literals;
+
+/** Time between two looks at what the passing of time changes. */
+constexpr Duration TICK = 50ms;
+/** Events gather this long before a decision. */
+constexpr Duration DECISION_DELAY = 3ms;
+/** Changes of workers gather this long between two waits; draining must be seen within 2 s. */
+constexpr Duration WORKER_WATCH_PAUSE = 200ms;
+/** Least time between two writes of progress, unless a job has ended. */
+constexpr Duration SAVE_SPACING = 60ms;
+/** Least time between two publications of the waiting jobs, which may be 2 s old. */
+constexpr Duration PENDING_SPACING = 900ms;
+/** The store takes 32 entries a transaction: the owner's condition, and two for each job. */
+constexpr std::size_t UPDATES_PER_WRITE = 14;
+/** Jobs removed in one transaction, with three keys each. */
+constexpr std::size_t REMOVALS_PER_WRITE = 10;
+/** Run numbers that one owner may use for a task. */
+constexpr int RUNS_PER_OWNER = 1000;
+/** Ended jobs are kept this much longer than callers may ask for them. */
+constexpr Duration RETENTION_MARGIN = 30s;
+
+SchedulerSettings schedulerSettings(const platform::NodeSettings &settings)
+{
+    SchedulerSettings result;
+    result.longestHold = settings.longestHold;
+    result.hold = std::min(result.hold, settings.longestHold);
+    result.stopTime = settings.stopTime;
+    result.remoteFactor = settings.remoteFactor;
+    return result;
+}
+
+} // namespace internal
+
+ScheduleOwner::ScheduleOwner(OwnerContext context, std::int64_t fence, std::int64_t generation)
+    : m_context(std::move(context))
+    , m_fence(fence)
+    , m_scheduler(internal::schedulerSettings(m_context.settings), fence,
+                  static_cast<int>(generation) * internal::RUNS_PER_OWNER)
+    , m_links(m_context.loop, m_context.client, m_scheduler, fence, m_context.mayOrder,
+              [this] { decideSoon(); })
+    , m_workerWatcher(
+              m_context.loop, m_context.store, platform::PREFIX_WORKERS,
+              internal::WORKER_WATCH_PAUSE,
+              {[this](std::span<const KeyValue> items, std::int64_t) { resetWorkers(items); },
+               [this](std::span<const KeyUpdate> updates, std::int64_t) {
+                   changeWorkers(updates);
+               }})
+{
+    begin();
+}
+
+ScheduleOwner::~ScheduleOwner()
+{
+    *m_alive = false;
+}
+
+void ScheduleOwner::begin()
+{
+    // The replica must contain all that earlier owners wrote.
+    if (m_context.replica.asOf() < m_fence) {
+        m_context.loop.after(internal::DECISION_DELAY, [this, alive = m_alive] {
+            if (*alive)
+                begin();
+        });
+        return;
+    }
+    for (const auto &[id, job] : m_context.replica.jobs())
+        addJob(id, job, true);
+    expectRecorded();
+    m_begun = true;
+    m_workerWatcher.start();
+    tick();
+}
+
+void ScheduleOwner::addJob(const std::string &id, const ReplicatedJob &job, bool inherited)
+{
+    if (job.acceptedRevision == 0 || job.record == REJECTED_RECORD || isFinal(job.status))
+        return;
+    auto decoded = decodeJob(id, job.record);
+    if (!decoded)
+        return;
+    JobProgress progress;
+    if (!job.progress.empty()) {
+        auto saved = decodeProgress(job.progress);
+        if (!saved)
+            return;
+        progress = std::move(*saved);
+    }
+    const auto now = EventLoop::now();
+    const auto age = std::max<std::int64_t>(0, unixMilliseconds() - decoded->acceptedMs);
+    m_scheduler.addJob(std::move(*decoded), std::move(progress), inherited, Milliseconds(age), now);
+    if (job.cancelled)
+        m_scheduler.cancelJob(id, now);
+}
+
+void ScheduleOwner::jobChanged(const std::string &id, const ReplicatedJob &job)
+{
+    if (!m_begun)
+        return;
+    if (m_scheduler.job(id) == nullptr)
+        addJob(id, job, false);
+    else if (job.cancelled)
+        m_scheduler.cancelJob(id, EventLoop::now());
+    decideSoon();
+}
+
+void ScheduleOwner::setConfiguration(const FleetConfiguration & /*configuration*/) { }
+
+void ScheduleOwner::expectRecorded()
+{
+    const auto now = EventLoop::now();
+    for (const auto &item : m_context.replica.others(nodekeys::WORKERS)) {
+        const std::string pool(nodekeys::nameIn(nodekeys::WORKERS, item.key));
+        m_recordRevisions[pool] = item.modRevision;
+        const auto workers = decodeWorkerRecord(pool, item.value);
+        if (!workers)
+            continue;
+        for (const auto &it : *workers) {
+            m_recorded.insert(it.id);
+            m_scheduler.expectWorker(it, now);
+        }
+    }
+}
+
+void ScheduleOwner::resetWorkers(std::span<const KeyValue> items)
+{
+    std::set<std::string> present;
+    for (const auto &it : items) {
+        const std::string id(nodekeys::nameIn(platform::PREFIX_WORKERS, it.key));
+        present.insert(id);
+        describe(id, it.value);
+    }
+    std::vector<std::string> gone;
+    for (const auto &[id, description] : m_listed) {
+        if (!present.contains(id))
+            gone.push_back(id);
+    }
+    for (const auto &id : gone)
+        unlist(id);
+    recordWorkers();
+    decideSoon();
+}
+
+void ScheduleOwner::changeWorkers(std::span<const KeyUpdate> updates)
+{
+    for (const auto &it : updates) {
+        const std::string id(nodekeys::nameIn(platform::PREFIX_WORKERS, it.key));
+        if (it.deleted)
+            unlist(id);
+        else
+            describe(id, it.value);
+    }
+    recordWorkers();
+    decideSoon();
+}
+
+void ScheduleOwner::describe(const std::string &id, const std::string &bytes)
+{
+    const auto description = platform::decodeWorker(id, bytes);
+    if (!description) {
+        // The entry of another writer names no worker to use.
+        unlist(id);
+        return;
+    }
+    m_listed[id] = *description;
+    if (m_recorded.contains(id))
+        m_scheduler.describeWorker(*description, EventLoop::now());
+}
+
+void ScheduleOwner::unlist(const std::string &id)
+{
+    if (m_listed.erase(id) > 0)
+        m_scheduler.unlistWorker(id, EventLoop::now());
+}
+
+void ScheduleOwner::recordWorkers()
+{
+    if (m_recording)
+        return;
+    std::map<std::string, std::vector<WorkerDescription>> pools;
+    std::set<std::string> changed;
+    for (const auto &[id, description] : m_listed) {
+        pools[description.pool].push_back(description);
+        if (!m_recorded.contains(id))
+            changed.insert(description.pool);
+    }
+    if (changed.empty())
+        return;
+    // Unlisted workers that may still hold runs stay in the record.
+    for (const auto &[id, worker] : m_scheduler.workers()) {
+        if (!m_listed.contains(id))
+            pools[worker.description.pool].push_back(worker.description);
+    }
+    ConditionalWrite write;
+    write.expected.push_back({std::string(nodekeys::OWNER), m_fence});
+    std::vector<std::string> ids;
+    for (const auto &pool : changed) {
+        if (write.writes.size() >= internal::UPDATES_PER_WRITE)
+            break;
+        const auto key = nodekeys::key(nodekeys::WORKERS, pool);
+        write.expected.push_back({key, m_recordRevisions[pool]});
+        write.writes.push_back({key, encodeWorkerRecord(pools[pool]), 0});
+        for (const auto &it : pools[pool])
+            ids.push_back(it.id);
+    }
+    m_recording = true;
+    m_context.store.write(write,
+                          [this, alive = m_alive, write, ids](const Result<WriteOutcome> &outcome) {
+                              if (*alive)
+                                  workersRecorded(write, ids, outcome);
+                          });
+}
+
+void ScheduleOwner::workersRecorded(const ConditionalWrite &write,
+                                    const std::vector<std::string> &ids,
+                                    const Result<WriteOutcome> &outcome)
+{
+    m_recording = false;
+    const bool applied = outcome && outcome->applied;
+    if (outcome && !outcome->applied) {
+        for (const auto &it : outcome->current) {
+            if (it.key.starts_with(nodekeys::WORKERS))
+                m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::WORKERS, it.key))]
+                        = it.modRevision;
+        }
+    }
+    if (!applied) {
+        m_context.loop.after(internal::SAVE_SPACING, [this, alive = m_alive] {
+            if (*alive)
+                recordWorkers();
+        });
+        return;
+    }
+    for (const auto &it : write.writes)
+        m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::WORKERS, it.key))]
+                = outcome->revision;
+    for (const auto &id : ids) {
+        m_recorded.insert(id);
+        if (const auto it = m_listed.find(id); it != m_listed.end())
+            m_scheduler.describeWorker(it->second, EventLoop::now());
+    }
+    recordWorkers();
+    decideSoon();
+}
+
+void ScheduleOwner::tick()
+{
+    decide();
+    m_context.loop.after(internal::TICK, [this, alive = m_alive] {
+        if (*alive)
+            tick();
+    });
+}
+
+void ScheduleOwner::decideSoon()
+{
+    if (std::exchange(m_decisionDue, true))
+        return;
+    m_context.loop.after(internal::DECISION_DELAY, [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        m_decisionDue = false;
+        decide();
+    });
+}
+
+void ScheduleOwner::decide()
+{
+    if (!m_begun || !m_context.mayOrder())
+        return;
+    if (m_scheduler.replaced()) {
+        m_context.replaced();
+        return;
+    }
+    const auto now = EventLoop::now();
+    for (const auto &action : m_scheduler.decide(now, unixMilliseconds()))
+        m_links.execute(action);
+    m_links.pump(now);
+    saveProgress();
+}
+
+void ScheduleOwner::saveProgress()
+{
+    const auto now = EventLoop::now();
+    const bool due = m_scheduler.hasUrgentUpdates() || now - m_savedAt >= internal::SAVE_SPACING;
+    if (m_saving || !due
+        || (!m_scheduler.hasUpdates() && now - m_pendingAt < internal::PENDING_SPACING))
+        return;
+    auto updates = m_scheduler.takeUpdates(internal::UPDATES_PER_WRITE);
+    ConditionalWrite write;
+    write.expected.push_back({std::string(nodekeys::OWNER), m_fence});
+    for (const auto &it : updates) {
+        const auto *job = m_context.replica.job(it.job);
+        const auto key = nodekeys::key(nodekeys::PROGRESS, it.job);
+        write.expected.push_back({key, job == nullptr ? 0 : job->progressRevision});
+        write.writes.push_back({key, encodeProgress(it.progress), 0});
+    }
+    publishPending(write);
+    if (write.writes.empty())
+        return;
+    m_saving = true;
+    m_savedAt = now;
+    m_context.store.write(write, [this, alive = m_alive, write, updates = std::move(updates)](
+                                         const Result<WriteOutcome> &outcome) mutable {
+        if (*alive)
+            progressSaved(std::move(updates), write, outcome);
+    });
+}
+
+void ScheduleOwner::progressSaved(std::vector<ProgressUpdate> updates,
+                                  const ConditionalWrite &write,
+                                  const Result<WriteOutcome> &outcome)
+{
+    m_saving = false;
+    const bool applied = outcome && outcome->applied;
+    if (applied) {
+        for (const auto &it : write.writes)
+            m_context.replica.applyOwn(it.key, it.value, outcome->revision);
+    } else if (outcome) {
+        // An earlier write whose answer was lost may have taken effect.
+        for (const auto &it : outcome->current)
+            m_context.replica.applyOwn(it.key, it.value, it.modRevision);
+    }
+    m_scheduler.updatesSaved(updates, applied);
+    if (applied) {
+        for (const auto &it : updates) {
+            if (isFinal(it.progress.state))
+                m_finalSince.emplace(it.job, EventLoop::now());
+        }
+    } else {
+        m_publishedPending.clear();
+        // The next try waits for the usual spacing, also for ended jobs.
+        m_context.loop.after(internal::SAVE_SPACING, [this, alive = m_alive] {
+            if (*alive)
+                decideSoon();
+        });
+        return;
+    }
+    decideSoon();
+}
+
+void ScheduleOwner::publishPending(ConditionalWrite &write)
+{
+    const auto now = EventLoop::now();
+    if (now - m_pendingAt < internal::PENDING_SPACING)
+        return;
+    m_pendingAt = now;
+    auto counts = encodePendingCounts(m_scheduler.pendingByQueue());
+    if (counts == m_publishedPending)
+        return;
+    write.writes.push_back({std::string(nodekeys::PENDING), counts, 0});
+    m_publishedPending = std::move(counts);
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/node/statereplica.cpp
@@ -0,0 +1,182 @@
+#include "dragonflysill/node/statereplica.h"
+
+#include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/node/nodekeys.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+std::map<std::string, int, std::less<>> decodePendingCounts(const std::string &bytes)
+{
+    const auto json = nlohmann::json::parse(bytes, nullptr, false);
+    std::map<std::string, int, std::less<>> counts;
+    if (!json.is_object())
+        return counts;
+    for (const auto &[queue, count] : json.items()) {
+        if (count.is_number_integer())
+            counts[queue] = count.get<int>();
+    }
+    return counts;
+}
+
+std::int64_t parseCount(const std::string &text)
+{
+    std::int64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+} // namespace internal
+
+void StateReplica::reset(std::span<const KeyValue> items, std::int64_t asOf)
+{
+    m_jobs.clear();
+    m_pending.clear();
+    m_others.clear();
+    m_owner = {};
+    m_ownerChanged = 0;
+    m_generation = 0;
+    m_generationRevision = 0;
+    m_asOf = asOf;
+    m_loaded = true;
+    for (const auto &it : items)
+        set(it.key, it.value, it.modRevision);
+}
+
+void StateReplica::apply(std::span<const KeyUpdate> updates, std::int64_t asOf)
+{
+    for (const auto &it : updates) {
+        if (it.deleted)
+            remove(it.key, it.revision);
+        else
+            set(it.key, it.value, it.revision);
+    }
+    m_asOf = std::max(m_asOf, asOf);
+}
+
+void StateReplica::applyOwn(const std::string &key, const std::string &value, std::int64_t revision)
+{
+    set(key, value, revision);
+}
+
+void StateReplica::set(const std::string &key, const std::string &value, std::int64_t revision)
+{
+    if (key == nodekeys::OWNER) {
+        if (revision > m_ownerChanged) {
+            m_owner = {value, revision};
+            m_ownerChanged = revision;
+        }
+    } else if (key == nodekeys::GENERATION) {
+        if (revision > m_generationRevision) {
+            m_generation = internal::parseCount(value);
+            m_generationRevision = revision;
+        }
+    } else if (key == nodekeys::PENDING) {
+        m_pending = internal::decodePendingCounts(value);
+    } else if (key.starts_with(nodekeys::JOBS) || key.starts_with(nodekeys::PROGRESS)
+               || key.starts_with(nodekeys::CANCELLED)) {
+        setJobKey(key, value, revision);
+    } else {
+        auto &item = m_others[key];
+        if (revision > item.modRevision)
+            item = {key, value, revision, revision, 0};
+    }
+}
+
+void StateReplica::setJobKey(const std::string &key, const std::string &value,
+                             std::int64_t revision)
+{
+    std::string id;
+    if (const auto name = nodekeys::nameIn(nodekeys::JOBS, key); !name.empty()) {
+        id = name;
+        auto &job = m_jobs[id];
+        if (job.acceptedRevision != 0)
+            return;
+        job.acceptedRevision = revision;
+        job.record = value;
+    } else if (const auto name = nodekeys::nameIn(nodekeys::PROGRESS, key); !name.empty()) {
+        id = name;
+        auto &job = m_jobs[id];
+        if (revision <= job.progressRevision)
+            return;
+        const auto status = decodeState(value);
+        if (!status)
+            return;
+        job.progressRevision = revision;
+        job.progress = value;
+        job.status = *status;
+    } else {
+        id = nodekeys::nameIn(nodekeys::CANCELLED, key);
+        auto &job = m_jobs[id];
+        if (std::exchange(job.cancelled, true))
+            return;
+    }
+    if (m_listener)
+        m_listener(id, m_jobs[id]);
+}
+
+void StateReplica::remove(const std::string &key, std::int64_t revision)
+{
+    if (key == nodekeys::OWNER) {
+        if (revision > m_ownerChanged) {
+            m_owner = {};
+            m_ownerChanged = revision;
+        }
+        return;
+    }
+    if (const auto id = nodekeys::nameIn(nodekeys::JOBS, key); !id.empty())
+        m_jobs.erase(std::string(id));
+    m_others.erase(key);
+}
+
+const ReplicatedJob *StateReplica::job(std::string_view id) const
+{
+    const auto it = m_jobs.find(std::string(id));
+    return it == m_jobs.end() || it->second.acceptedRevision == 0
+                           || it->second.record == REJECTED_RECORD
+                   ? nullptr
+                   : &it->second;
+}
+
+std::optional<JobStatus> StateReplica::status(std::string_view id) const
+{
+    const auto *it = job(id);
+    if (it == nullptr)
+        return std::nullopt;
+    if (it->cancelled && !isFinal(it->status))
+        return JobStatus::Cancelled;
+    return it->status;
+}
+
+int StateReplica::pending(std::string_view queue) const
+{
+    const auto it = m_pending.find(queue);
+    return it == m_pending.end() ? 0 : it->second;
+}
+
+std::vector<KeyValue> StateReplica::others(std::string_view prefix) const
+{
+    std::vector<KeyValue> found;
+    for (auto it = m_others.lower_bound(prefix);
+         it != m_others.end() && it->first.starts_with(prefix); ++it)
+        found.push_back(it->second);
+    return found;
+}
+
+std::string encodePendingCounts(const std::unordered_map<std::string, int> &counts)
+{
+    nlohmann::json json = nlohmann::json::object();
+    for (const auto &[queue, count] : counts) {
+        if (count > 0)
+            json[queue] = count;
+    }
+    return json.dump();
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/node/workerlinks.cpp
@@ -0,0 +1,154 @@
+#include "dragonflysill/node/workerlinks.h"
+
+#include "workercalls.h"
+
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using namespace std::chrono_literals;
+
+/** How long a worker with runs may wait for an end before it answers a hold. */
+constexpr Milliseconds HOLD_WAIT = 800ms;
+/** Time beyond the wait after which a worker counts as unreachable. */
+constexpr Duration HOLD_TIMEOUT = 500ms;
+/** Time for the answer to an order. */
+constexpr Duration ORDER_TIMEOUT = 500ms;
+/** Least time between two holds of one worker, so that several ends share one answer. */
+constexpr Duration HOLD_SPACING = 25ms;
+/** The same while ends wait to be saved, since such a hold is answered at once. */
+constexpr Duration UNSAVED_SPACING = 80ms;
+/** Time between two looks at a worker without runs. */
+constexpr Duration IDLE_SPACING = 2000ms;
+/** Time between two tries to reach a worker that did not answer. */
+constexpr Duration RETRY_SPACING = 250ms;
+
+} // namespace internal
+
+WorkerLinks::WorkerLinks(EventLoop &loop, HttpClient &client, Scheduler &scheduler,
+                         std::int64_t fence, std::function<bool()> mayOrder,
+                         std::function<void()> changed)
+    : m_loop(loop)
+    , m_scheduler(scheduler)
+    , m_calls(std::make_unique<platform::WorkerCalls>(client, fence))
+    , m_mayOrder(std::move(mayOrder))
+    , m_changed(std::move(changed))
+{
+}
+
+WorkerLinks::~WorkerLinks()
+{
+    *m_alive = false;
+}
+
+void WorkerLinks::execute(const SchedulerAction &action)
+{
+    std::visit(
+            [this](const auto &order) {
+                const auto *worker = m_scheduler.worker(order.worker);
+                if (worker != nullptr && m_mayOrder())
+                    carry(order, worker->description.address);
+            },
+            action);
+}
+
+void WorkerLinks::carry(const StartTask &start, const std::string &address)
+{
+    ++m_counts.starts;
+    m_calls->start(address, start, internal::ORDER_TIMEOUT,
+                   [this, alive = m_alive, start](const platform::OrderOutcome &outcome) {
+                       if (!*alive)
+                           return;
+                       const auto now = EventLoop::now();
+                       if (const auto *it = std::get_if<platform::OrderConfirmed>(&outcome)) {
+                           m_scheduler.startConfirmed(start, it->clock, now);
+                       } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
+                           ++m_counts.startsRefused;
+                           m_scheduler.startRefused(start, *it, now);
+                       } else {
+                           ++m_counts.startsUnanswered;
+                           m_scheduler.startUnanswered(start, now);
+                       }
+                       m_changed();
+                   });
+}
+
+void WorkerLinks::carry(const StopTask &stop, const std::string &address)
+{
+    ++m_counts.stops;
+    m_calls->stop(address, stop, internal::ORDER_TIMEOUT,
+                  [this, alive = m_alive, stop](const platform::OrderOutcome &outcome) {
+                      if (!*alive)
+                          return;
+                      if (std::holds_alternative<platform::OrderConfirmed>(outcome))
+                          m_scheduler.stopConfirmed(stop, EventLoop::now());
+                      else
+                          m_scheduler.stopUnanswered(stop, EventLoop::now());
+                      m_changed();
+                  });
+}
+
+void WorkerLinks::carry(const PaceTask &pace, const std::string &address)
+{
+    ++m_counts.paces;
+    m_calls->pace(address, pace, internal::ORDER_TIMEOUT,
+                  [this, alive = m_alive, pace](const platform::OrderOutcome &outcome) {
+                      if (*alive)
+                          m_scheduler.paceAnswered(
+                                  pace, std::holds_alternative<platform::OrderConfirmed>(outcome));
+                  });
+}
+
+void WorkerLinks::pump(TimePoint now)
+{
+    for (const auto &[id, worker] : m_scheduler.workers()) {
+        auto &link = m_links[id];
+        if (link.holding || now < link.nextHold)
+            continue;
+        hold(id, worker, link, now);
+    }
+    if (m_links.size() > m_scheduler.workers().size())
+        std::erase_if(m_links, [this](const auto &it) {
+            return !it.second.holding && m_scheduler.worker(it.first) == nullptr;
+        });
+}
+
+void WorkerLinks::hold(const std::string &id, const WorkerState &worker, Link &link, TimePoint now)
+{
+    const bool waits = worker.reachable && !worker.runs.empty() && worker.pendingEnds.empty()
+                       && worker.time.known();
+    link.holding = true;
+    ++m_counts.holds;
+    m_calls->hold(worker.description.address, id, m_scheduler.holdRequest(id, now),
+                  waits ? internal::HOLD_WAIT : Milliseconds(0), internal::HOLD_TIMEOUT,
+                  [this, alive = m_alive, id, now](const Result<WorkerReport> &report) {
+                      if (*alive)
+                          held(id, report, now);
+                  });
+}
+
+void WorkerLinks::held(const std::string &id, const Result<WorkerReport> &report, TimePoint sentAt)
+{
+    const auto now = EventLoop::now();
+    auto &link = m_links[id];
+    link.holding = false;
+    if (report) {
+        m_scheduler.reported(id, *report, sentAt, now);
+        const auto *worker = m_scheduler.worker(id);
+        const bool idle = worker == nullptr || worker->runs.empty();
+        const bool unsaved = worker != nullptr && !worker->pendingEnds.empty();
+        link.nextHold = now
+                        + (unsaved ? internal::UNSAVED_SPACING
+                           : idle  ? internal::IDLE_SPACING
+                                   : internal::HOLD_SPACING);
+    } else {
+        ++m_counts.holdsUnanswered;
+        m_scheduler.holdUnanswered(id, now);
+        link.nextHold = now + internal::RETRY_SPACING;
+    }
+    m_changed();
+}
+
+} // namespace dragonflysill
--- a/src/standin/platformserver.cpp
+++ b/src/standin/platformserver.cpp
@@ -1,7 +1,7 @@
 #include "dragonflysill/standin/platformserver.h"
 
-#include "dragonflysill/platform/gatewaycodec.h"
 #include "dragonflysill/standin/peersocket.h"
+#include "dragonflysill/store/gatewaycodec.h"
 #include "dragonflysill/telemetry/httplistener.h"
 
 #include <nlohmann/json.hpp>
--- a/src/platform/confirmedwrite.cpp
+++ b/src/store/confirmedwrite.cpp
@@ -1,4 +1,4 @@
-#include "dragonflysill/platform/confirmedwrite.h"
+#include "dragonflysill/store/confirmedwrite.h"
 
 #include <algorithm>
 #include <optional>
--- a/src/platform/fence.cpp
+++ b/src/store/fence.cpp
@@ -1,4 +1,4 @@
-#include "dragonflysill/platform/fence.h"
+#include "dragonflysill/store/fence.h"
 
 #include <utility>
 
--- a/src/platform/gatewaycodec.cpp
+++ b/src/store/gatewaycodec.cpp
@@ -1,6 +1,6 @@
-#include "dragonflysill/platform/gatewaycodec.h"
+#include "dragonflysill/store/gatewaycodec.h"
 
-#include "dragonflysill/platform/base64.h"
+#include "dragonflysill/base/base64.h"
 
 #include <array>
 #include <charconv>
--- a/src/platform/storeclient.cpp
+++ b/src/store/storeclient.cpp
@@ -1,10 +1,10 @@
-#include "dragonflysill/platform/storeclient.h"
+#include "dragonflysill/store/storeclient.h"
 
 #include "httpcaller.h"
 #include "watchstream.h"
 
 #include "dragonflysill/base/storekeys.h"
-#include "dragonflysill/platform/gatewaycodec.h"
+#include "dragonflysill/store/gatewaycodec.h"
 
 #include <algorithm>
 #include <atomic>
--- a/src/platform/watchstream.h
+++ b/src/store/watchstream.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dragonflysill/base/result.h"
-#include "dragonflysill/platform/gatewaycodec.h"
+#include "dragonflysill/store/gatewaycodec.h"
 
 #include <httplib.h>
 
--- a/src/platform/workerclient.cpp
+++ b/src/store/workerclient.cpp
@@ -1,4 +1,4 @@
-#include "dragonflysill/platform/workerclient.h"
+#include "dragonflysill/store/workerclient.h"
 
 #include "httpcaller.h"
 
--- a/src/platform/workertypes.cpp
+++ b/src/store/workertypes.cpp
@@ -1,4 +1,4 @@
-#include "dragonflysill/platform/workertypes.h"
+#include "dragonflysill/store/workertypes.h"
 
 #include <array>
 #include <utility>
--- a/src/zones/registrar.h
+++ b/src/zones/registrar.h
@@ -3,8 +3,8 @@
 #include "storebackoff.h"
 
 #include "dragonflysill/base/result.h"
-#include "dragonflysill/platform/fence.h"
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/fence.h"
+#include "dragonflysill/store/store.h"
 #include "dragonflysill/telemetry/timeline.h"
 #include "dragonflysill/zones/member.h"
 
--- a/src/zones/storewatcher.h
+++ b/src/zones/storewatcher.h
@@ -4,7 +4,7 @@
 
 #include "dragonflysill/base/keyupdate.h"
 #include "dragonflysill/base/time.h"
-#include "dragonflysill/platform/store.h"
+#include "dragonflysill/store/store.h"
 #include "dragonflysill/zones/sharedview.h"
 
 #include <atomic>
--- a/tests/standin/gatewaytest.cpp
+++ b/tests/standin/gatewaytest.cpp
@@ -1,6 +1,6 @@
-#include "dragonflysill/platform/confirmedwrite.h"
-#include "dragonflysill/platform/storeclient.h"
 #include "dragonflysill/standin/platformserver.h"
+#include "dragonflysill/store/confirmedwrite.h"
+#include "dragonflysill/store/storeclient.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
--- a/tests/standin/workertest.cpp
+++ b/tests/standin/workertest.cpp
@@ -1,6 +1,6 @@
-#include "dragonflysill/platform/workerclient.h"
 #include "dragonflysill/standin/platformserver.h"
 #include "dragonflysill/standin/workermodel.h"
+#include "dragonflysill/store/workerclient.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/platform/decisiontest.cpp
+++ b/tests/store/decisiontest.cpp
@@ -1,7 +1,7 @@
-#include "dragonflysill/platform/backoff.h"
-#include "dragonflysill/platform/base64.h"
-#include "dragonflysill/platform/callbudget.h"
-#include "dragonflysill/platform/gatewaycodec.h"
+#include "dragonflysill/base/backoff.h"
+#include "dragonflysill/base/base64.h"
+#include "dragonflysill/base/callbudget.h"
+#include "dragonflysill/store/gatewaycodec.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
--- a/tests/platform/sessiontest.cpp
+++ b/tests/store/sessiontest.cpp
@@ -1,6 +1,6 @@
-#include "dragonflysill/platform/callbudget.h"
-#include "dragonflysill/platform/confirmedwrite.h"
+#include "dragonflysill/base/callbudget.h"
 #include "dragonflysill/standin/memorystore.h"
+#include "dragonflysill/store/confirmedwrite.h"
 #include "support/goldenfile.h"
 
 #include <boost/test/unit_test.hpp>
