--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -79,7 +79,10 @@
         return m_job.spec.steps[static_cast<std::size_t>(id.step)];
     }
 
-    /** Returns the task, or nothing if its occurrence is not open or the id is out of range. */
+    /** Returns true if the id names a task of the job. */
+    [[nodiscard]] bool valid(const TaskId &id) const;
+
+    /** Returns the task, or nothing if its step is not ready or the id is out of range. */
     [[nodiscard]] Task *task(const TaskId &id);
 
     /** Marks a task as active on a worker. */
@@ -89,7 +92,8 @@
     void deactivate(const TaskId &id, const std::string &worker, TimePoint now);
 
     /**
-     * Records a completed task; a member of a gang completes its whole step.
+     * Records a completed task; a member of a gang completes its whole step. The step need not be
+     * ready: after a take-over its end may be known before those of the steps it depends on.
      * @return true if the end was new
      */
     bool complete(const TaskId &id, TimePoint now);
@@ -130,7 +134,7 @@
 
 private:
     void open(int occurrence, TimePoint now);
-    void makeReady(OccurrenceRun &occurrence, int step, TimePoint now);
+    void makeReady(int occurrence, int step, TimePoint now);
     void finishStep(int occurrence, int step, TimePoint now);
     [[nodiscard]] bool dependenciesDone(int occurrence, int step) const;
 
--- /dev/null
+++ b/include/dragonflysill/jobs/poolbalancer.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "dragonflysill/jobs/fleetview.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dragonflysill {
+
+/** Moves an instance, which is empty, to another pool. */
+struct MoveInstance
+{
+    std::string instance;
+    std::string pool;
+};
+
+/**
+ * Lets instances follow demand that moves from pool to pool: a pool that is asked for more than it
+ * holds gets idle instances of other pools and of the standby pool, and instances that stay idle
+ * go to the standby pool, where they cost nothing.
+ */
+class PoolBalancer
+{
+public:
+    /** Returns the moves to order now. */
+    std::vector<MoveInstance> decide(const FleetView &fleet, TimePoint now);
+
+    /** Returns how many instances a pool needs for its present load. */
+    [[nodiscard]] int needed(const std::string &pool) const;
+
+    /** Returns how many instances serve a pool or are on their way to it. */
+    [[nodiscard]] int present(const std::string &pool) const;
+
+    /** Returns true if a pool has fewer instances than its load needs. */
+    [[nodiscard]] bool shortOf(const std::string &pool) const;
+
+private:
+    struct Demand
+    {
+        double rate = 0; ///< Cores that the arriving work keeps busy.
+        double arrivedWork = 0;
+        TimePoint measuredAt{};
+        int needed = 0;
+        int present = 0; ///< Instances that serve it or are on their way to it.
+        int shortSince = 0; ///< Evaluations in a row in which it was short.
+    };
+
+    void measure(const FleetView &fleet, TimePoint now);
+    [[nodiscard]] const InstanceView *donor(const FleetView &fleet, const std::string &pool) const;
+    [[nodiscard]] bool spareable(const InstanceView &instance) const;
+
+    std::map<std::string, Demand> m_demand;
+    int m_floor = 0; ///< Instances that an idle pool keeps.
+};
+
+} // namespace dragonflysill
--- a/include/dragonflysill/jobs/runtimemodel.h
+++ b/include/dragonflysill/jobs/runtimemodel.h
@@ -10,7 +10,7 @@
 
 /**
  * Learns how long tasks take against what their jobs declare. The declared estimate is the prior;
- * the ratio of observed to declared time is averaged for each queue.
+ * the ratio of observed to declared time is learnt for each queue.
  */
 class RunTimeModel
 {
@@ -25,13 +25,14 @@
     [[nodiscard]] Duration longestChain(const SubmittedJob &job) const;
 
 private:
-    struct Ratio
+    /** Sums, because the mean of the single ratios is dominated by far too low declarations. */
+    struct Totals
     {
-        double mean = 1;
-        double weight = 0;
+        double declared = 0; ///< Seconds.
+        double observed = 0; ///< Seconds.
     };
 
-    std::map<std::string, Ratio, std::less<>> m_ratios;
+    std::map<std::string, Totals, std::less<>> m_totals; ///< By queue.
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflysill/base/random.h"
+#include "dragonflysill/jobs/fleetview.h"
 #include "dragonflysill/jobs/jobrun.h"
 #include "dragonflysill/jobs/runtimemodel.h"
 #include "dragonflysill/jobs/workerstate.h"
@@ -75,7 +76,7 @@
     /** Longest time a worker needs to stop a run, from the platform's settings. */
     Milliseconds stopTime{200};
     /** How long a previous owner may go on extending holds after its ownership ended. */
-    Milliseconds previousOwner{2000};
+    Milliseconds previousOwner{0};
     /** Slowdown of a task away from its data, from the platform's settings. */
     double remoteFactor = 1;
 };
@@ -166,8 +167,8 @@
     /** Returns how many jobs of each queue wait for the start of their first task. */
     [[nodiscard]] std::unordered_map<std::string, int> pendingByQueue() const;
 
-    /** Returns how many milli-cores the waiting tasks of a pool's due steps ask for. */
-    [[nodiscard]] std::int64_t waitingCpu(std::string_view pool) const;
+    /** Returns the load of a pool: tasks that wait or run, persistent ones included. */
+    [[nodiscard]] PoolLoad load(std::string_view pool) const;
 
     /** Returns the jobs that have not ended. */
     [[nodiscard]] std::size_t openJobs() const { return m_open.size(); }
@@ -185,7 +186,9 @@
                    TimePoint now);
     void applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                       TimePoint now);
+    void settleStrays(WorkerState &worker, TimePoint now);
     void adopt(WorkerState &worker, const RunningReport &report, TimePoint now);
+    void keepCheckpoint(JobRun &job, const EndReport &end, TaskRun *run);
     void applyEnd(WorkerState &worker, const EndReport &end, TimePoint now);
     void applyDone(WorkerState &worker, const EndReport &end, const TaskRun *run, TimePoint now);
     void applyFailure(WorkerState &worker, const EndReport &end, TimePoint now);
@@ -208,6 +211,7 @@
     void start(JobRun &job, const TaskId &id, Task &task, WorkerState &worker, TimePoint now);
     [[nodiscard]] bool blockedByUnknownRuns(const JobRun &job) const;
     [[nodiscard]] Duration remainingWork(const JobRun &job) const;
+    [[nodiscard]] double expectedWork(const JobRun &job) const;
 
     SchedulerSettings m_settings;
     std::int64_t m_fence;
@@ -221,6 +225,7 @@
     std::deque<std::string> m_dirty; ///< Jobs with unsaved changes, oldest first.
     std::unordered_map<std::string, int> m_unresolved; ///< Unreached workers by pool.
     std::vector<SchedulerAction> m_actions;
+    std::map<std::string, double, std::less<>> m_arrivedWork; ///< Core-seconds by pool.
     RunTimeModel m_runTimes;
     Random m_random{1};
 };
--- a/include/dragonflysill/jobs/taskrun.h
+++ b/include/dragonflysill/jobs/taskrun.h
@@ -25,9 +25,10 @@
     Resources reserved;
     TimePoint startedAt{}; ///< When the start was sent.
     TimePoint settledAt{}; ///< When the last start or stop was answered or given up.
-    TimePoint progressAt{}; ///< When the percentage last changed.
+    TimePoint progressAt{}; ///< When a report first listed it or its percentage last changed.
     TimePoint stopSentAt{};
     bool stopAnswered = false;
+    bool persistent = false; ///< Its step's tasks run until the job is cancelled.
     bool moved = false; ///< Stopped by an order of this system while it was at work.
     int percent = 0;
     int pace = 100; ///< Share of its speed that it may use, in percent.
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -56,13 +56,16 @@
     std::int64_t born = 0; ///< Life that the runs belong to; 0 before the first contact.
     WorkerTime time;
     TimePoint lastContact{}; ///< Last answer of any kind.
+    TimePoint lastReport{}; ///< Last answer to a hold.
     TimePoint heldUntil{}; ///< Runs may go on until then without another hold.
     bool reachable = false; ///< The last hold was answered.
     bool fenced = false; ///< It has been shown this owner's fencing token.
     bool leaving = false; ///< It is being emptied.
     TimePoint pausedUntil{}; ///< No starts until then, after a refusal.
     std::map<TaskId, TaskRun> runs;
+    std::map<TaskId, RunningReport> strays; ///< Reported runs that this owner did not start.
     Resources reserved; ///< By the runs.
+    int persistentRuns = 0;
     std::int64_t endsSeen = 0; ///< Highest number of an end that was processed.
     std::int64_t endsAcknowledged = 0; ///< Ends up to this number may be forgotten.
     std::deque<PendingEnd> pendingEnds;
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -8,6 +8,7 @@
 #include "dragonflysill/node/scheduleowner.h"
 #include "dragonflysill/node/statereplica.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -41,7 +42,7 @@
 
 private:
     void configurationChanged(std::int64_t revision, const std::string &bytes);
-    void operatorKeys(std::span<const KeyValue> items);
+    void operatorKey(const std::string &key, std::int64_t revision, const std::string &bytes);
     void replicaChanged();
     void gained(std::int64_t fence, std::int64_t generation);
     void lost(const std::string &reason);
@@ -61,6 +62,7 @@
     PrefixWatcher m_operatorWatcher;
     Ownership m_ownership;
     std::unique_ptr<ScheduleOwner> m_owner;
+    std::map<std::int64_t, MaintenanceWave> m_waves; ///< All that the operators asked for.
     bool m_stopping = false;
     bool m_storeReachable = false;
 };
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -3,6 +3,7 @@
 #include "dragonflysill/jobs/queuetable.h"
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/net/httpclient.h"
+#include "dragonflysill/node/fleetkeeper.h"
 #include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/statereplica.h"
 #include "dragonflysill/node/workerlinks.h"
@@ -53,6 +54,9 @@
     /** Takes over a configuration. */
     void setConfiguration(const FleetConfiguration &configuration);
 
+    /** Takes over a maintenance wave that the operators want; a known one is ignored. */
+    void addWave(const MaintenanceWave &wave);
+
     [[nodiscard]] const Scheduler &scheduler() const { return m_scheduler; }
     [[nodiscard]] const WorkerLinkCounts &linkCounts() const { return m_links.counts(); }
 
@@ -79,11 +83,14 @@
     std::int64_t m_fence;
     Scheduler m_scheduler;
     WorkerLinks m_links;
+    FleetKeeper m_fleet;
     PrefixWatcher m_workerWatcher;
     bool m_begun = false;
     bool m_decisionDue = false;
     bool m_saving = false;
     TimePoint m_savedAt{};
+    TimePoint m_fleetAt{};
+    std::vector<MaintenanceWave> m_waves; ///< Until the replica is complete.
     std::string m_publishedPending;
     TimePoint m_pendingAt{};
     std::unordered_map<std::string, WorkerDescription> m_listed; ///< Workers in the store.
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -37,24 +37,12 @@
         opened.stepsDone += static_cast<int>(m_progress.stepsDone.contains({occurrence, n}));
     if (opened.stepsDone == stepCount)
         return;
-    auto &run = m_occurrences[occurrence] = std::move(opened);
+    m_occurrences[occurrence] = std::move(opened);
     for (int n = 0; n < stepCount; ++n) {
-        if (!m_progress.stepsDone.contains({occurrence, n}) && dependenciesDone(occurrence, n))
-            makeReady(run, n, now);
-    }
-    // Tasks that completed before a take-over.
-    for (const auto &[key, indexes] : m_progress.done) {
-        if (key.first != occurrence || m_progress.stepsDone.contains(key))
-            continue;
-        auto &step = run.steps[static_cast<std::size_t>(key.second)];
-        for (const int index : indexes) {
-            if (!step.ready || index >= static_cast<int>(step.tasks.size()))
-                continue;
-            step.tasks[static_cast<std::size_t>(index)].phase = Task::Phase::Done;
-            ++step.done;
-            --step.waiting;
-            --m_waitingTasks;
-        }
+        const auto &step = m_occurrences[occurrence].steps[static_cast<std::size_t>(n)];
+        if (!step.ready && !m_progress.stepsDone.contains({occurrence, n})
+            && dependenciesDone(occurrence, n))
+            makeReady(occurrence, n, now);
     }
 }
 
@@ -65,9 +53,9 @@
     });
 }
 
-void JobRun::makeReady(OccurrenceRun &occurrence, int step, TimePoint now)
+void JobRun::makeReady(int occurrence, int step, TimePoint now)
 {
-    auto &run = occurrence.steps[static_cast<std::size_t>(step)];
+    auto &run = m_occurrences[occurrence].steps[static_cast<std::size_t>(step)];
     const int count = m_job.spec.steps[static_cast<std::size_t>(step)].count;
     Task task;
     task.lastRun = m_runOffset;
@@ -76,6 +64,20 @@
     run.waiting = count;
     run.ready = true;
     m_waitingTasks += count;
+    // Tasks that completed before a take-over.
+    const auto done = m_progress.done.find({occurrence, step});
+    if (done == m_progress.done.end())
+        return;
+    for (const int index : done->second) {
+        if (index < 0 || index >= count)
+            continue;
+        run.tasks[static_cast<std::size_t>(index)].phase = Task::Phase::Done;
+        ++run.done;
+        --run.waiting;
+        --m_waitingTasks;
+    }
+    if (run.done == count)
+        finishStep(occurrence, step, now);
 }
 
 Task *JobRun::task(const TaskId &id)
@@ -121,14 +123,25 @@
 
 bool JobRun::complete(const TaskId &id, TimePoint now)
 {
-    auto *it = task(id);
-    if (it == nullptr || it->phase == Task::Phase::Done || final())
+    const JobProgress::StepKey key{id.occurrence, id.step};
+    if (final() || !valid(id) || m_progress.stepsDone.contains(key))
+        return false;
+    const int first = step(id).gang ? 0 : id.index;
+    const int last = step(id).gang ? step(id).count - 1 : id.index;
+    bool changed = false;
+    for (int index = first; index <= last; ++index)
+        changed = m_progress.done[key].insert(index).second || changed;
+    if (!changed)
         return false;
+    ++m_changes;
+    noteStarted();
+    auto *open = task(id);
+    if (open == nullptr)
+        return true;
     auto &run = m_occurrences[id.occurrence].steps[static_cast<std::size_t>(id.step)];
-    const bool gang = step(id).gang;
-    for (std::size_t n = 0; n < run.tasks.size(); ++n) {
-        auto &task = run.tasks[n];
-        if ((!gang && static_cast<int>(n) != id.index) || task.phase == Task::Phase::Done)
+    for (int index = first; index <= last; ++index) {
+        auto &task = run.tasks[static_cast<std::size_t>(index)];
+        if (task.phase == Task::Phase::Done)
             continue;
         if (task.phase == Task::Phase::Waiting) {
             --run.waiting;
@@ -136,27 +149,32 @@
         }
         task.phase = Task::Phase::Done;
         ++run.done;
-        m_progress.done[{id.occurrence, id.step}].insert(static_cast<int>(n));
     }
-    ++m_changes;
-    noteStarted();
     if (run.done == static_cast<int>(run.tasks.size()))
         finishStep(id.occurrence, id.step, now);
     return true;
 }
 
+bool JobRun::valid(const TaskId &id) const
+{
+    return id.occurrence >= 0 && id.occurrence < m_job.spec.occurrences && id.step >= 0
+            && id.step < static_cast<int>(m_job.spec.steps.size()) && id.index >= 0
+            && id.index < step(id).count;
+}
+
 void JobRun::finishStep(int occurrence, int step, TimePoint now)
 {
     m_progress.stepsDone.insert({occurrence, step});
     m_progress.done.erase({occurrence, step});
     auto &run = m_occurrences[occurrence];
     const int stepCount = static_cast<int>(run.steps.size());
-    if (++run.stepsDone < stepCount) {
+    ++run.stepsDone;
+    if (run.stepsDone < stepCount) {
         for (int n = 0; n < stepCount; ++n) {
             if (!run.steps[static_cast<std::size_t>(n)].ready
                 && !m_progress.stepsDone.contains({occurrence, n})
                 && dependenciesDone(occurrence, n))
-                makeReady(run, n, now);
+                makeReady(occurrence, n, now);
         }
         return;
     }
@@ -167,7 +185,7 @@
 
 bool JobRun::fail(const TaskId &id, int run)
 {
-    if (final() || step(id).persistent)
+    if (final() || !valid(id) || step(id).persistent)
         return false;
     // The members of a gang fail together, which counts once.
     const int index = step(id).gang ? 0 : id.index;
--- /dev/null
+++ b/src/jobs/maintenanceplanner.cpp
@@ -0,0 +1,145 @@
+#include "dragonflysill/jobs/maintenanceplanner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using namespace std::chrono_literals;
+
+/** Time that one round of a wave's ceiling takes: emptying, order and restart. */
+constexpr Duration ROUND_TIME = 4000ms;
+/** Instances of one pool that are emptied at once. */
+constexpr int EMPTYING_PER_POOL = 2;
+
+} // namespace internal
+
+void MaintenancePlanner::addWave(const MaintenanceWave &wave, std::set<std::string> done,
+                                 TimePoint now)
+{
+    if (m_waves.contains(wave.number))
+        return;
+    auto &it = m_waves[wave.number];
+    it.request = wave;
+    it.done = std::move(done);
+    it.deadline = now + wave.duration;
+}
+
+void MaintenancePlanner::accepted(std::int64_t wave, const std::string &instance,
+                                  TimePoint /*now*/)
+{
+    const auto it = m_waves.find(wave);
+    if (it == m_waves.end())
+        return;
+    it->second.done.insert(instance);
+    it->second.down.insert(instance);
+}
+
+void MaintenancePlanner::excluded(std::int64_t wave, const std::string &instance)
+{
+    const auto it = m_waves.find(wave);
+    if (it != m_waves.end())
+        it->second.done.insert(instance);
+}
+
+const std::set<std::string> &MaintenancePlanner::done(std::int64_t wave) const
+{
+    static const std::set<std::string> none;
+    const auto it = m_waves.find(wave);
+    return it == m_waves.end() ? none : it->second.done;
+}
+
+bool MaintenancePlanner::completed(std::int64_t wave) const
+{
+    const auto it = m_waves.find(wave);
+    return it != m_waves.end() && it->second.completed;
+}
+
+std::vector<std::int64_t> MaintenancePlanner::waves() const
+{
+    std::vector<std::int64_t> numbers;
+    for (const auto &[number, wave] : m_waves)
+        numbers.push_back(number);
+    return numbers;
+}
+
+std::vector<std::int64_t> MaintenancePlanner::openWaves() const
+{
+    std::vector<std::int64_t> open;
+    for (const auto &[number, wave] : m_waves) {
+        if (!wave.completed)
+            open.push_back(number);
+    }
+    return open;
+}
+
+MaintenanceDecision
+MaintenancePlanner::decide(const FleetView &fleet,
+                           const std::function<bool(const std::string &)> &shortOf, TimePoint now)
+{
+    MaintenanceDecision decision;
+    for (auto &[number, wave] : m_waves) {
+        if (!wave.completed)
+            decideWave(wave, fleet, shortOf, now, decision);
+    }
+    return decision;
+}
+
+void MaintenancePlanner::decideWave(Wave &wave, const FleetView &fleet,
+                                    const std::function<bool(const std::string &)> &shortOf,
+                                    TimePoint now, MaintenanceDecision &decision)
+{
+    std::vector<const InstanceView *> open;
+    int present = 0;
+    for (const auto &name : wave.request.instances) {
+        const auto it = std::ranges::find(fleet.instances, name, &InstanceView::name);
+        if (it == fleet.instances.end()) {
+            wave.down.erase(name);
+            continue;
+        }
+        // Until the order has been confirmed it may be down for this wave.
+        if (it->state == FleetInstance::State::Up && !it->ordered)
+            wave.down.erase(name);
+        ++present;
+        if (!wave.done.contains(name))
+            open.push_back(&*it);
+    }
+    if (open.empty() && present > 0) {
+        wave.completed = true;
+        return;
+    }
+    const auto rounds = (static_cast<int>(open.size()) + wave.request.ceiling - 1)
+            / std::max(1, wave.request.ceiling);
+    const bool late = now + (rounds + 1) * internal::ROUND_TIME >= wave.deadline;
+    std::ranges::sort(open, {}, [](const InstanceView *it) {
+        return std::tuple(!it->standby, !it->empty, it->persistent, !it->leaving, it->name);
+    });
+    int down = static_cast<int>(wave.down.size());
+    for (const auto *it : open)
+        down += static_cast<int>(it->ordered);
+    std::map<std::string, int> emptying;
+    for (const auto *it : open) {
+        if (down >= wave.request.ceiling)
+            return;
+        if (it->ordered || it->draining || it->state != FleetInstance::State::Up)
+            continue;
+        if (!it->standby && !late && shortOf(it->pool) && !it->leaving)
+            continue;
+        if (it->standby || (it->empty && it->usable) || (it->empty && it->leaving)) {
+            decision.orders.push_back({it->name, wave.request.number});
+            decision.leaving.insert(it->name);
+            ++down;
+            continue;
+        }
+        if (it->usable || it->leaving) {
+            if (emptying[it->pool]++ >= internal::EMPTYING_PER_POOL)
+                continue;
+            decision.leaving.insert(it->name);
+            ++down;
+        }
+    }
+}
+
+} // namespace dragonflysill
--- /dev/null
+++ b/src/jobs/poolbalancer.cpp
@@ -0,0 +1,141 @@
+#include "dragonflysill/jobs/poolbalancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using namespace std::chrono_literals;
+
+/** Time constant of the arrival rate; a burst is seen within about half of it. */
+constexpr Duration RATE_MEMORY = 1000ms;
+/** Part of an instance's cores that tasks of uneven sizes can fill. */
+constexpr double PACKING = 0.85;
+/** Instances beyond the need that a pool keeps for what arrives next. */
+constexpr int RESERVE = 1;
+/**
+ * Part of an even share of all instances that a pool keeps although it is idle: what bears the
+ * start of a burst until others have arrived.
+ */
+constexpr double FLOOR_SHARE = 0.55;
+/** Evaluations in a row that must find a pool short before it gets instances. */
+constexpr int SHORT_EVALUATIONS = 2;
+/** An instance that has been idle for this long is moved to standby. */
+constexpr Duration IDLE_TIME = 2000ms;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace internal
+
+void PoolBalancer::measure(const FleetView &fleet, TimePoint now)
+{
+    double coresPerInstance = 1;
+    const auto pools = std::max<std::size_t>(1, fleet.load.size());
+    m_floor = static_cast<int>(internal::FLOOR_SHARE * static_cast<double>(fleet.instances.size())
+                               / static_cast<double>(pools));
+    for (auto &[pool, demand] : m_demand)
+        demand.present = 0;
+    for (const auto &it : fleet.instances) {
+        coresPerInstance = std::max(coresPerInstance, static_cast<double>(it.milliCores) / 1000);
+        if (!it.standby && !it.draining && (it.usable || it.ordered))
+            ++m_demand[it.pool].present;
+    }
+    for (const auto &[pool, load] : fleet.load) {
+        auto &demand = m_demand[pool];
+        if (demand.measuredAt != TimePoint{} && now > demand.measuredAt) {
+            const double passed = internal::seconds(now - demand.measuredAt);
+            const double weight
+                    = 1 - std::exp(-passed / internal::seconds(internal::RATE_MEMORY));
+            const double rate = (load.arrivedWork - demand.arrivedWork) / passed;
+            demand.rate += weight * (rate - demand.rate);
+        }
+        demand.arrivedWork = load.arrivedWork;
+        demand.measuredAt = now;
+        const double present = static_cast<double>(load.waitingCpu + load.runningCpu) / 1000;
+        demand.needed = static_cast<int>(std::ceil(std::max(present, demand.rate)
+                                                   / (coresPerInstance * internal::PACKING)));
+        demand.shortSince = demand.needed > demand.present ? demand.shortSince + 1 : 0;
+    }
+}
+
+int PoolBalancer::needed(const std::string &pool) const
+{
+    const auto it = m_demand.find(pool);
+    return it == m_demand.end() ? 0 : it->second.needed;
+}
+
+int PoolBalancer::present(const std::string &pool) const
+{
+    const auto it = m_demand.find(pool);
+    return it == m_demand.end() ? 0 : it->second.present;
+}
+
+bool PoolBalancer::shortOf(const std::string &pool) const
+{
+    const auto it = m_demand.find(pool);
+    return it != m_demand.end() && it->second.needed > it->second.present;
+}
+
+bool PoolBalancer::spareable(const InstanceView &instance) const
+{
+    if (instance.ordered || instance.draining || instance.leaving
+        || instance.state != FleetInstance::State::Up)
+        return false;
+    if (instance.standby)
+        return true;
+    const auto it = m_demand.find(instance.pool);
+    return instance.usable && instance.empty && it != m_demand.end()
+            && it->second.present > std::max(it->second.needed + internal::RESERVE, m_floor);
+}
+
+const InstanceView *PoolBalancer::donor(const FleetView &fleet, const std::string &pool) const
+{
+    const InstanceView *best = nullptr;
+    for (const auto &it : fleet.instances) {
+        if (it.pool == pool || !spareable(it))
+            continue;
+        // An idle instance of another pool would be moved anyway; standby is the second choice.
+        if (best == nullptr || std::pair(it.standby, it.idleSince) < std::pair(best->standby, best->idleSince))
+            best = &it;
+    }
+    return best;
+}
+
+std::vector<MoveInstance> PoolBalancer::decide(const FleetView &fleet, TimePoint now)
+{
+    measure(fleet, now);
+    std::vector<MoveInstance> moves;
+    auto remaining = fleet;
+    const auto order = [&](const InstanceView &instance, const std::string &pool) {
+        const std::string name = instance.name;
+        moves.push_back({name, pool});
+        if (!instance.standby)
+            --m_demand[instance.pool].present;
+        ++m_demand[pool].present;
+        std::ranges::find(remaining.instances, name, &InstanceView::name)->ordered = true;
+    };
+    for (auto &[pool, demand] : m_demand) {
+        while (demand.shortSince >= internal::SHORT_EVALUATIONS
+               && demand.present < demand.needed) {
+            const auto *it = donor(remaining, pool);
+            if (it == nullptr)
+                break;
+            order(*it, pool);
+        }
+    }
+    if (fleet.standbyPool.empty())
+        return moves;
+    for (const auto &it : remaining.instances) {
+        if (!it.standby && spareable(it) && now - it.idleSince >= internal::IDLE_TIME)
+            order(it, fleet.standbyPool);
+    }
+    return moves;
+}
+
+} // namespace dragonflysill
--- a/src/jobs/runtimemodel.cpp
+++ b/src/jobs/runtimemodel.cpp
@@ -7,13 +7,18 @@
 
 namespace internal {
 
-/** Observations that the declared estimate counts for. */
-constexpr double PRIOR_WEIGHT = 4;
 /** Observations after which older ones fade. */
 constexpr double MEMORY = 64;
+/** Declared time, in seconds, that counts as observed in advance and as correct. */
+constexpr double PRIOR_SECONDS = 4;
 /** Shortest run time that is assumed, against division by zero and declared zeros. */
 constexpr Duration SHORTEST_RUN = std::chrono::milliseconds(20);
 
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 Duration declared(const JobStep &step)
 {
     return std::max<Duration>(step.estimate, SHORTEST_RUN);
@@ -23,22 +28,23 @@
 
 void RunTimeModel::observe(std::string_view queue, const JobStep &step, Duration took)
 {
-    auto it = m_ratios.find(queue);
-    if (it == m_ratios.end())
-        it = m_ratios.emplace(std::string(queue), Ratio{1, internal::PRIOR_WEIGHT}).first;
-    auto &ratio = it->second;
-    const double observed = static_cast<double>(took.count())
-                            / static_cast<double>(internal::declared(step).count());
-    ratio.weight = std::min(ratio.weight + 1, internal::MEMORY);
-    ratio.mean += (std::min(observed, 10.0) - ratio.mean) / ratio.weight;
+    auto it = m_totals.find(queue);
+    if (it == m_totals.end())
+        it = m_totals.emplace(std::string(queue), Totals{}).first;
+    auto &totals = it->second;
+    const double fade = 1 - 1 / internal::MEMORY;
+    totals.declared = totals.declared * fade + internal::seconds(internal::declared(step));
+    totals.observed = totals.observed * fade + internal::seconds(took);
 }
 
 Duration RunTimeModel::expected(std::string_view queue, const JobStep &step) const
 {
-    const auto it = m_ratios.find(queue);
-    const double ratio = it == m_ratios.end() ? 1 : it->second.mean;
-    return Duration(static_cast<Duration::rep>(static_cast<double>(internal::declared(step).count())
-                                               * ratio));
+    const auto it = m_totals.find(queue);
+    const Totals totals = it == m_totals.end() ? Totals{} : it->second;
+    const double ratio = (totals.observed + internal::PRIOR_SECONDS)
+            / (totals.declared + internal::PRIOR_SECONDS);
+    return Duration(static_cast<Duration::rep>(
+            static_cast<double>(internal::declared(step).count()) * ratio));
 }
 
 Duration RunTimeModel::longestChain(const SubmittedJob &job) const
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -54,11 +54,26 @@
     run->objective = run->accepted + policy.targetRuntime
                      + Duration(static_cast<Duration::rep>(static_cast<double>(chain.count())
                                                            * policy.slackFactor));
-    if (!run->final())
+    if (!run->final()) {
         m_open[id] = run.get();
+        m_arrivedWork[run->job().pool] += expectedWork(*run);
+    }
     m_jobs.emplace(id, std::move(run));
 }
 
+double Scheduler::expectedWork(const JobRun &job) const
+{
+    double coreSeconds = 0;
+    for (const auto &step : job.job().spec.steps) {
+        if (step.persistent || step.fills)
+            continue;
+        const auto time = m_runTimes.expected(job.job().queue, step);
+        coreSeconds += std::chrono::duration<double>(time).count() * step.count
+                * static_cast<double>(step.need.milliCores) / 1000;
+    }
+    return coreSeconds;
+}
+
 void Scheduler::cancelJob(std::string_view id, TimePoint now)
 {
     auto *it = find(id);
@@ -225,18 +240,27 @@
     return pending;
 }
 
-std::int64_t Scheduler::waitingCpu(std::string_view pool) const
+PoolLoad Scheduler::load(std::string_view pool) const
 {
-    std::int64_t total = 0;
+    PoolLoad load;
+    if (const auto it = m_arrivedWork.find(pool); it != m_arrivedWork.end())
+        load.arrivedWork = it->second;
     for (const auto &[id, job] : m_open) {
-        if (job->job().pool != pool || job->waitingTasks() == 0)
+        if (job->job().pool != pool)
             continue;
         for (const auto &[occurrence, run] : job->occurrences()) {
-            for (std::size_t n = 0; n < run.steps.size(); ++n)
-                total += job->job().spec.steps[n].reserved().milliCores * run.steps[n].waiting;
+            for (std::size_t n = 0; n < run.steps.size(); ++n) {
+                const auto &step = job->job().spec.steps[n];
+                const auto &tasks = run.steps[n];
+                const auto cpu = step.reserved().milliCores;
+                load.waitingCpu += cpu * tasks.waiting;
+                if (tasks.ready)
+                    load.runningCpu += cpu
+                            * (static_cast<int>(tasks.tasks.size()) - tasks.waiting - tasks.done);
+            }
         }
     }
-    return total;
+    return load;
 }
 
 } // namespace dragonflysill
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -11,10 +11,13 @@
 void Scheduler::checkWorkers(TimePoint now)
 {
     m_unresolved.clear();
-    for (auto it = m_workers.begin(); it != m_workers.end();) {
-        auto &worker = it->second;
+    for (const auto &[id, worker] : m_workers) {
         if (!worker.fenced && now < worker.heldUntil)
             ++m_unresolved[worker.description.pool];
+    }
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        auto &worker = it->second;
+        settleStrays(worker, now);
         if (!worker.reachable && now >= worker.heldUntil)
             loseRuns(worker, now);
         for (auto &[task, run] : worker.runs)
@@ -59,7 +62,9 @@
     if (step.fills || step.gang || run.pace < internal::AT_WORK)
         return;
     const auto expected = m_runTimes.expected(owner->job().queue, step);
-    if (now - run.progressAt > std::max<Duration>(internal::STALL_TIME, expected / 2)) {
+    if (run.progressAt == TimePoint{})
+        return;
+    if (worker.lastReport - run.progressAt > std::max<Duration>(internal::STALL_TIME, expected / 2)) {
         worker.health.failed(run.task.job, now);
         owner->task(run.task)->failedOn.insert(worker.description.id);
         stopRun(worker, run, now);
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -174,7 +174,7 @@
     const auto need = step.reserved();
     const auto pool = m_pools.find(job.job().pool);
     WorkerState *best = nullptr;
-    std::tuple<bool, bool, bool, double> bestScore;
+    std::tuple<bool, bool, bool, bool, double> bestScore;
     for (auto *it : pool->second) {
         if (!it->usable(now) || !it->free().covers(need) || it->runs.contains(id)
             || !it->description.hasLabel(step.requiredLabel))
@@ -191,7 +191,9 @@
         const double load = static_cast<double>(it->reserved.milliCores)
                             / static_cast<double>(
                                     std::max<std::int64_t>(1, it->description.capacity.milliCores));
-        const std::tuple score(failedHere, suspect, remote, load);
+        // Fuller workers first, those with persistent tasks before all: the others become idle and
+        // can move to another pool or be maintained.
+        const std::tuple score(failedHere, suspect, remote, it->persistentRuns == 0, -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
@@ -207,7 +209,6 @@
     run.run = ++task.lastRun;
     run.reserved = job.step(id).reserved();
     run.startedAt = now;
-    run.progressAt = now;
     worker.reserved += run.reserved;
     StartTask action;
     action.worker = worker.description.id;
@@ -218,6 +219,8 @@
     action.holdUntil = worker.time.at(now, m_settings.hold);
     worker.heldUntil = std::max(worker.heldUntil,
                                 worker.time.latest(action.holdUntil) + internal::HOLD_MARGIN);
+    run.persistent = job.step(id).persistent;
+    worker.persistentRuns += static_cast<int>(run.persistent);
     worker.runs[id] = std::move(run);
     job.activate(id, worker.description.id);
     job.noteStarted();
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -15,7 +15,8 @@
     if (it == nullptr)
         return request;
     request.acknowledgedEnds = it->endsAcknowledged;
-    if (it->time.known()) {
+    // A hold that is not answered may arrive late; only reachable workers are promised more time.
+    if (it->time.known() && it->reachable) {
         request.holdUntil = it->time.at(now, m_settings.hold);
         it->heldUntil = std::max(it->heldUntil,
                                  it->time.latest(*request.holdUntil) + internal::HOLD_MARGIN);
@@ -30,6 +31,7 @@
     if (it == nullptr || report.born < it->born)
         return;
     it->lastContact = now;
+    it->lastReport = now;
     it->reachable = true;
     it->fenced = true;
     if (it->born != report.born)
@@ -78,6 +80,7 @@
                            TimePoint now)
 {
     worker.reserved -= run->second.reserved;
+    worker.persistentRuns -= static_cast<int>(run->second.persistent);
     if (auto *owner = find(run->first.job)) {
         if (auto *task = owner->task(run->first);
             task != nullptr && !run->second.checkpoint.empty())
@@ -101,15 +104,11 @@
     const auto run = worker.runs.find(end.task);
     const bool current = run != worker.runs.end() && run->second.run == end.run;
     auto *owner = find(end.task.job);
-    auto *task = owner == nullptr ? nullptr : owner->task(end.task);
     std::uint64_t change = 0;
-    if (task != nullptr && !owner->final()) {
-        task->lastRun = std::max(task->lastRun, end.run);
-        if (!end.checkpoint.empty()) {
-            task->checkpoint = end.checkpoint;
-            if (current)
-                run->second.checkpoint = end.checkpoint;
-        }
+    if (owner != nullptr && !owner->final() && owner->valid(end.task)) {
+        if (auto *task = owner->task(end.task))
+            task->lastRun = std::max(task->lastRun, end.run);
+        keepCheckpoint(*owner, end, current ? &run->second : nullptr);
         if (end.end == RunEnd::Done && !owner->step(end.task).persistent)
             applyDone(worker, end, current ? &run->second : nullptr, now);
         else if (end.end == RunEnd::Failed && !owner->step(end.task).persistent)
@@ -117,12 +116,23 @@
         change = owner->changes();
         markDirty(*owner);
     }
+    worker.strays.erase(end.task);
     if (current)
         releaseRun(worker, worker.runs.find(end.task), now);
     const bool unsaved = change != 0 && owner->saved() < change;
     worker.pendingEnds.push_back({end.number, unsaved ? end.task.job : std::string(), change});
 }
 
+void Scheduler::keepCheckpoint(JobRun &job, const EndReport &end, TaskRun *run)
+{
+    if (end.checkpoint.empty())
+        return;
+    if (auto *task = job.task(end.task))
+        task->checkpoint = end.checkpoint;
+    if (run != nullptr)
+        run->checkpoint = end.checkpoint;
+}
+
 void Scheduler::applyDone(WorkerState &worker, const EndReport &end, const TaskRun *run,
                           TimePoint now)
 {
@@ -141,7 +151,8 @@
 {
     auto &owner = *find(end.task.job);
     worker.health.failed(end.task.job, now);
-    owner.task(end.task)->failedOn.insert(worker.description.id);
+    if (auto *task = owner.task(end.task))
+        task->failedOn.insert(worker.description.id);
     if (!owner.fail(end.task, end.run))
         return;
     for (auto &[id, other] : m_workers)
@@ -153,11 +164,12 @@
                              TimePoint now)
 {
     std::map<TaskId, int> listed;
+    worker.strays.clear();
     for (const auto &row : report.running) {
         listed[row.task] = row.run;
         const auto run = worker.runs.find(row.task);
         if (run == worker.runs.end()) {
-            adopt(worker, row, now);
+            worker.strays[row.task] = row;
             continue;
         }
         auto &known = run->second;
@@ -166,9 +178,8 @@
         if (known.phase == TaskRun::Phase::Starting || known.phase == TaskRun::Phase::Unconfirmed) {
             known.phase = TaskRun::Phase::Running;
             known.settledAt = now;
-            known.progressAt = now;
         }
-        if (known.percent != row.percent)
+        if (known.percent != row.percent || known.progressAt == TimePoint{})
             known.progressAt = now;
         known.percent = row.percent;
         known.usage = row.usage;
@@ -191,6 +202,25 @@
     }
 }
 
+void Scheduler::settleStrays(WorkerState &worker, TimePoint now)
+{
+    for (auto it = worker.strays.begin(); it != worker.strays.end();) {
+        const auto *owner = find(it->first.job);
+        const auto unresolved = m_unresolved.find(worker.description.pool);
+        // Its step becomes ready as soon as the ends of earlier steps have been reported.
+        const bool early = owner != nullptr && owner->inherited && !owner->final()
+                && owner->valid(it->first) && find(it->first.job)->task(it->first) == nullptr
+                && unresolved != m_unresolved.end() && unresolved->second > 0;
+        if (early) {
+            ++it;
+            continue;
+        }
+        if (!worker.runs.contains(it->first))
+            adopt(worker, it->second, now);
+        it = worker.strays.erase(it);
+    }
+}
+
 void Scheduler::adopt(WorkerState &worker, const RunningReport &report, TimePoint now)
 {
     TaskRun run;
@@ -216,6 +246,8 @@
     task->lastRun = std::max(task->lastRun, report.run);
     known.reserved = owner->step(report.task).reserved();
     worker.reserved += known.reserved;
+    known.persistent = owner->step(report.task).persistent;
+    worker.persistentRuns += static_cast<int>(known.persistent);
     owner->activate(report.task, worker.description.id);
     owner->noteStarted();
     markDirty(*owner);
@@ -244,7 +276,6 @@
     if (it == worker->runs.end() || it->second.run != start.run)
         return;
     it->second.settledAt = now;
-    it->second.progressAt = now;
     if (it->second.phase == TaskRun::Phase::Starting)
         it->second.phase = TaskRun::Phase::Running;
 }
--- /dev/null
+++ b/src/node/fleetkeeper.cpp
@@ -0,0 +1,353 @@
+#include "dragonflysill/node/fleetkeeper.h"
+
+#include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/scheduleowner.h"
+#include "dragonflysill/telemetry/log.h"
+#include "machinecalls.h"
+#include "names.h"
+#include "nodesettings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using namespace std::chrono_literals;
+
+/** Time for the answer to an order or a page of the list. */
+constexpr Duration MACHINE_TIMEOUT = 1000ms;
+/** Time between two lists while waves or orders are open, and otherwise. */
+constexpr Duration BUSY_LIST_SPACING = 1000ms;
+constexpr Duration IDLE_LIST_SPACING = 3000ms;
+/** Time between two log lines about the pools' load. */
+constexpr Duration REPORT_SPACING = 500ms;
+/** An order whose effect is not seen for this long is given up and may be repeated. */
+constexpr Duration ORDER_PATIENCE = 6000ms;
+
+std::set<std::string> decodeDone(const std::string &bytes)
+{
+    const auto json = nlohmann::json::parse(bytes, nullptr, false);
+    std::set<std::string> done;
+    if (!json.is_array())
+        return done;
+    for (const auto &it : json) {
+        if (it.is_string())
+            done.insert(it.get<std::string>());
+    }
+    return done;
+}
+
+} // namespace internal
+
+FleetKeeper::FleetKeeper(const OwnerContext &context, Scheduler &scheduler, std::int64_t fence,
+                         TimePoint firstOrderAt)
+    : m_context(context)
+    , m_scheduler(scheduler)
+    , m_fence(fence)
+    , m_firstOrderAt(firstOrderAt)
+    , m_calls(std::make_unique<platform::MachineCalls>(
+              context.client, context.settings.machinesAddress,
+              platform::OrderAuthority{context.settings.name, fence}))
+{
+}
+
+FleetKeeper::~FleetKeeper()
+{
+    *m_alive = false;
+}
+
+void FleetKeeper::setConfiguration(const FleetConfiguration &configuration)
+{
+    m_configuration = configuration;
+}
+
+void FleetKeeper::addWave(const MaintenanceWave &wave)
+{
+    std::set<std::string> done;
+    const auto key = nodekeys::key(nodekeys::WAVES, std::to_string(wave.number));
+    for (const auto &it : m_context.replica.others(key)) {
+        if (it.key == key)
+            done = internal::decodeDone(it.value);
+    }
+    m_maintenance.addWave(wave, std::move(done), EventLoop::now());
+}
+
+bool FleetKeeper::isStandby(std::string_view pool) const
+{
+    const auto *settings = m_configuration.pool(pool);
+    return settings != nullptr && settings->standby;
+}
+
+void FleetKeeper::tick(TimePoint now)
+{
+    if (m_context.settings.machinesAddress.empty())
+        return;
+    const bool busy = !m_orders.empty() || !m_maintenance.openWaves().empty();
+    if (now - m_listedAt >= (busy ? internal::BUSY_LIST_SPACING : internal::IDLE_LIST_SPACING))
+        list(now);
+    saveWaves();
+    if (!m_listedOnce || now < m_firstOrderAt || !m_context.mayOrder())
+        return;
+    auto fleet = view(now);
+    const auto maintenance = m_maintenance.decide(
+            fleet, [this](const std::string &pool) { return m_balancer.shortOf(pool); }, now);
+    for (auto &it : fleet.instances)
+        it.leaving = maintenance.leaving.contains(it.name);
+    const auto moves = m_balancer.decide(fleet, now);
+    reportLoad(fleet, now);
+    for (const auto &it : maintenance.orders)
+        maintain(it, fleet, now);
+    for (const auto &it : moves)
+        move(it, fleet, now);
+    for (const auto &[id, worker] : m_scheduler.workers()) {
+        const auto &name = worker.description.instance;
+        m_scheduler.setLeaving(id, maintenance.leaving.contains(name) || m_orders.contains(name));
+    }
+}
+
+void FleetKeeper::reportLoad(const FleetView &fleet, TimePoint now)
+{
+    if (now - m_reportedAt < internal::REPORT_SPACING)
+        return;
+    m_reportedAt = now;
+    std::string text;
+    for (const auto &[pool, load] : fleet.load) {
+        text += (text.empty() ? "" : " ") + pool + "=" + std::to_string(m_balancer.needed(pool)) + "/"
+                + std::to_string(m_balancer.present(pool)) + "/"
+                + std::to_string(load.waitingCpu / 1000);
+    }
+    logState("pool-load", {{"needed/present/waiting-cores", text}});
+}
+
+void FleetKeeper::list(TimePoint now)
+{
+    if (std::exchange(m_listing, true))
+        return;
+    ++m_counts.lists;
+    m_listedAt = now;
+    m_calls->list(internal::MACHINE_TIMEOUT,
+                  [this, alive = m_alive, now](const Result<std::vector<FleetInstance>> &it) {
+                      if (*alive)
+                          listed(it, now);
+                  });
+}
+
+void FleetKeeper::listed(const Result<std::vector<FleetInstance>> &instances, TimePoint sentAt)
+{
+    m_listing = false;
+    if (!instances)
+        return;
+    m_listedOnce = true;
+    m_instances.clear();
+    for (const auto &it : *instances)
+        m_instances[it.name] = it;
+    // An order that was answered before this list was asked for is visible in it.
+    std::erase_if(m_orders, [&](const auto &entry) {
+        const auto &[name, order] = entry;
+        const auto it = m_instances.find(name);
+        if (it == m_instances.end())
+            return true;
+        if (sentAt - order.sentAt > internal::ORDER_PATIENCE)
+            return true;
+        const bool arrived = it->second.state == FleetInstance::State::Up
+                && it->second.pool == order.targetPool;
+        return order.answered && order.sentAt < sentAt && arrived
+                && (order.wave == 0 ? isStandby(order.targetPool)
+                                    : it->second.worker != order.workerBefore
+                                       || order.workerBefore.empty());
+    });
+}
+
+FleetView FleetKeeper::view(TimePoint now)
+{
+    std::map<std::string, const WorkerState *> workers;
+    for (const auto &[id, worker] : m_scheduler.workers()) {
+        auto &known = workers[worker.description.instance];
+        if (worker.listed
+            && (known == nullptr || known->description.born < worker.description.born))
+            known = &worker;
+    }
+    settleOrders(workers);
+    FleetView fleet;
+    for (const auto &it : m_configuration.pools) {
+        if (it.standby)
+            fleet.standbyPool = it.name;
+        else
+            fleet.load[it.name] = m_scheduler.load(it.name);
+    }
+    std::int64_t milliCores = 0;
+    for (const auto &[name, instance] : m_instances) {
+        InstanceView row;
+        row.name = name;
+        row.pool = instance.pool;
+        row.rack = instance.rack;
+        row.state = instance.state;
+        const auto worker = workers.find(name);
+        viewInstance(row, worker == workers.end() ? nullptr : worker->second, now);
+        milliCores = std::max(milliCores, row.milliCores);
+        fleet.instances.push_back(std::move(row));
+    }
+    for (auto &it : fleet.instances)
+        it.milliCores = it.milliCores == 0 ? milliCores : it.milliCores;
+    return fleet;
+}
+
+void FleetKeeper::viewInstance(InstanceView &row, const WorkerState *worker, TimePoint now)
+{
+    if (worker != nullptr) {
+        // The worker's entry is newer than the list.
+        row.pool = worker->description.pool;
+        row.state = FleetInstance::State::Up;
+        row.usable = worker->listed && worker->reachable && !worker->description.draining;
+        row.draining = worker->description.draining;
+        row.empty = worker->runs.empty() && worker->strays.empty();
+        row.milliCores = worker->description.capacity.milliCores;
+        row.leaving = worker->leaving;
+        row.persistent = worker->persistentRuns > 0;
+        auto &since = m_idleSince[worker->description.id];
+        if (!row.empty || since == TimePoint{})
+            since = now;
+        row.idleSince = since;
+    }
+    if (const auto order = m_orders.find(row.name); order != m_orders.end()) {
+        row.ordered = true;
+        row.pool = order->second.targetPool;
+    }
+    row.standby = isStandby(row.pool);
+}
+
+void FleetKeeper::settleOrders(const std::map<std::string, const WorkerState *> &workers)
+{
+    std::erase_if(m_orders, [&](const auto &entry) {
+        const auto &[name, order] = entry;
+        const auto it = workers.find(name);
+        return it != workers.end() && it->second != nullptr
+                && it->second->description.id != order.workerBefore
+                && it->second->description.pool == order.targetPool;
+    });
+    std::erase_if(m_idleSince,
+                  [this](const auto &it) { return m_scheduler.worker(it.first) == nullptr; });
+}
+
+FleetKeeper::Order &FleetKeeper::begin(const std::string &instance, const FleetView &fleet,
+                                       TimePoint now)
+{
+    Order order;
+    order.targetPool
+            = std::ranges::find(fleet.instances, instance, &InstanceView::name)->pool;
+    order.sentAt = now;
+    for (const auto &[id, worker] : m_scheduler.workers()) {
+        if (worker.description.instance != instance)
+            continue;
+        m_scheduler.setLeaving(id, true);
+        if (worker.listed)
+            order.workerBefore = id;
+    }
+    return m_orders[instance] = std::move(order);
+}
+
+void FleetKeeper::move(const MoveInstance &move, const FleetView &fleet, TimePoint now)
+{
+    ++m_counts.moves;
+    auto &order = begin(move.instance, fleet, now);
+    logState("instance-move", {{"instance", move.instance},
+                               {"from", order.targetPool},
+                               {"to", move.pool},
+                               {"needed", std::to_string(m_balancer.needed(move.pool))}});
+    order.targetPool = move.pool;
+    m_calls->move(move.instance, move.pool, internal::MACHINE_TIMEOUT,
+                  [this, alive = m_alive, name = move.instance](InstanceOrderOutcome outcome) {
+                      if (*alive)
+                          answered(name, outcome);
+                  });
+}
+
+void FleetKeeper::maintain(const MaintainInstance &maintenance, const FleetView &fleet,
+                           TimePoint now)
+{
+    logState("instance-maintenance", {{"instance", maintenance.instance},
+                                      {"wave", std::to_string(maintenance.wave)}});
+    begin(maintenance.instance, fleet, now).wave = maintenance.wave;
+    m_calls->maintain(
+            maintenance.instance, maintenance.wave, internal::MACHINE_TIMEOUT,
+            [this, alive = m_alive, name = maintenance.instance](InstanceOrderOutcome outcome) {
+                if (*alive)
+                    answered(name, outcome);
+            });
+}
+
+void FleetKeeper::answered(const std::string &instance, InstanceOrderOutcome outcome)
+{
+    const auto it = m_orders.find(instance);
+    if (it == m_orders.end())
+        return;
+    const auto wave = it->second.wave;
+    switch (outcome) {
+    case InstanceOrderOutcome::Accepted:
+        it->second.answered = true;
+        it->second.sentAt = EventLoop::now();
+        if (wave != 0) {
+            ++m_counts.maintained;
+            m_maintenance.accepted(wave, instance, EventLoop::now());
+        }
+        return;
+    case InstanceOrderOutcome::Unknown:
+        // It may have been carried out, or may yet be; the list will tell.
+        ++m_counts.ordersUnanswered;
+        return;
+    case InstanceOrderOutcome::OtherWave:
+        m_maintenance.excluded(wave, instance);
+        break;
+    case InstanceOrderOutcome::Fenced:
+        m_context.replaced();
+        break;
+    case InstanceOrderOutcome::Busy:
+    case InstanceOrderOutcome::Invalid:
+    case InstanceOrderOutcome::NotDone:
+        break;
+    }
+    ++m_counts.ordersRefused;
+    logWarning("instance-order-refused",
+               {{"instance", instance}, {"outcome", std::to_string(static_cast<int>(outcome))}});
+    m_orders.erase(it);
+}
+
+void FleetKeeper::saveWaves()
+{
+    if (m_saving || !m_context.mayOrder())
+        return;
+    for (const auto number : m_maintenance.waves()) {
+        const auto &done = m_maintenance.done(number);
+        const bool completed = m_maintenance.completed(number);
+        const auto saved = m_savedDone.find(number);
+        if (saved != m_savedDone.end() && saved->second == done.size()
+            && (!completed || m_savedCompleted.contains(number)))
+            continue;
+        const auto name = std::to_string(number);
+        const auto key = nodekeys::key(nodekeys::WAVES, name);
+        ConditionalWrite write;
+        write.expected.push_back({std::string(nodekeys::OWNER), m_fence});
+        write.writes.push_back({key, nlohmann::json(done).dump(), 0});
+        write.writes.push_back(
+                {platform::PREFIX_WAVE_STATUS + name, platform::encodeWaveStatus(completed), 0});
+        m_saving = true;
+        m_context.store.write(write, [this, alive = m_alive, number, count = done.size(),
+                                      completed](const Result<WriteOutcome> &outcome) {
+            if (!*alive)
+                return;
+            m_saving = false;
+            if (!outcome || !outcome->applied)
+                return;
+            m_savedDone[number] = count;
+            if (completed)
+                m_savedCompleted.insert(number);
+        });
+        return;
+    }
+}
+
+} // namespace dragonflysill
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -6,6 +6,7 @@
 #include "ingress.h"
 #include "jobformat.h"
 #include "kvstore.h"
+#include "machineformat.h"
 #include "names.h"
 #include "nodesettings.h"
 
@@ -66,15 +67,13 @@
                       }})
     , m_operatorWatcher(loop, *m_store, platform::PREFIX_OPERATOR, Duration{0},
                         {[this](std::span<const KeyValue> items, std::int64_t) {
-                             for (const auto &it : items) {
-                                 if (it.key == platform::KEY_CONFIGURATION)
-                                     configurationChanged(it.modRevision, it.value);
-                             }
+                             for (const auto &it : items)
+                                 operatorKey(it.key, it.modRevision, it.value);
                          },
                          [this](std::span<const KeyUpdate> updates, std::int64_t) {
                              for (const auto &it : updates) {
-                                 if (it.key == platform::KEY_CONFIGURATION && !it.deleted)
-                                     configurationChanged(it.revision, it.value);
+                                 if (!it.deleted)
+                                     operatorKey(it.key, it.revision, it.value);
                              }
                          }})
     , m_ownership(
@@ -124,6 +123,28 @@
     return !m_stopping && m_storeReachable && m_replica.loaded() && m_service.configuration();
 }
 
+void Node::operatorKey(const std::string &key, std::int64_t revision, const std::string &bytes)
+{
+    if (key == platform::KEY_CONFIGURATION) {
+        configurationChanged(revision, bytes);
+        return;
+    }
+    if (!key.starts_with(platform::PREFIX_WAVES))
+        return;
+    const auto wave = platform::decodeWave(bytes);
+    if (!wave) {
+        logWarning("wave-unusable", {{"key", key}, {"error", wave.error().text()}});
+        return;
+    }
+    if (!m_waves.emplace(wave->number, *wave).second)
+        return;
+    logState("wave-requested", {{"wave", std::to_string(wave->number)},
+                                {"instances", std::to_string(wave->instances.size())},
+                                {"ceiling", std::to_string(wave->ceiling)}});
+    if (m_owner)
+        m_owner->addWave(*wave);
+}
+
 void Node::configurationChanged(std::int64_t revision, const std::string &bytes)
 {
     auto configuration = platform::decodeConfiguration(bytes);
@@ -162,6 +183,8 @@
             fence, generation);
     if (m_service.configuration())
         m_owner->setConfiguration(*m_service.configuration());
+    for (const auto &[number, wave] : m_waves)
+        m_owner->addWave(wave);
 }
 
 void Node::lost(const std::string &reason)
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -19,6 +19,8 @@
 
 /** Time between two looks at what the passing of time changes. */
 constexpr Duration TICK = 50ms;
+/** Time between two decisions about moves and maintenance. */
+constexpr Duration FLEET_TICK = 100ms;
 /** Events gather this long before a decision. */
 constexpr Duration DECISION_DELAY = 3ms;
 /** Changes of workers gather this long between two waits; draining must be seen within 2 s. */
@@ -55,6 +57,9 @@
                   static_cast<int>(generation) * internal::RUNS_PER_OWNER)
     , m_links(m_context.loop, m_context.client, m_scheduler, fence, m_context.mayOrder,
               [this] { decideSoon(); })
+    , m_fleet(m_context, m_scheduler, fence,
+              generation == 0 ? EventLoop::now()
+                              : EventLoop::now() + m_context.settings.machineHolderPause)
     , m_workerWatcher(
               m_context.loop, m_context.store, platform::PREFIX_WORKERS,
               internal::WORKER_WATCH_PAUSE,
@@ -85,6 +90,8 @@
         addJob(id, job, true);
     expectRecorded();
     m_begun = true;
+    for (const auto &it : std::exchange(m_waves, {}))
+        m_fleet.addWave(it);
     m_workerWatcher.start();
     tick();
 }
@@ -121,7 +128,18 @@
     decideSoon();
 }
 
-void ScheduleOwner::setConfiguration(const FleetConfiguration & /*configuration*/) { }
+void ScheduleOwner::setConfiguration(const FleetConfiguration &configuration)
+{
+    m_fleet.setConfiguration(configuration);
+}
+
+void ScheduleOwner::addWave(const MaintenanceWave &wave)
+{
+    if (m_begun)
+        m_fleet.addWave(wave);
+    else
+        m_waves.push_back(wave);
+}
 
 void ScheduleOwner::expectRecorded()
 {
@@ -290,6 +308,10 @@
         return;
     }
     const auto now = EventLoop::now();
+    if (now - m_fleetAt >= internal::FLEET_TICK) {
+        m_fleetAt = now;
+        m_fleet.tick(now);
+    }
     for (const auto &action : m_scheduler.decide(now, unixMilliseconds()))
         m_links.execute(action);
     m_links.pump(now);
--- a/src/node/workerlinks.cpp
+++ b/src/node/workerlinks.cpp
@@ -2,6 +2,7 @@
 
 #include "workercalls.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dragonflysill {
@@ -62,6 +63,8 @@
                        if (!*alive)
                            return;
                        const auto now = EventLoop::now();
+                       auto &link = m_links[start.worker];
+                       link.nextHold = std::min(link.nextHold, now + internal::HOLD_SPACING);
                        if (const auto *it = std::get_if<platform::OrderConfirmed>(&outcome)) {
                            m_scheduler.startConfirmed(start, it->clock, now);
                        } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
