--- a/include/dragonflysill/base/time.h
+++ b/include/dragonflysill/base/time.h
@@ -21,6 +21,12 @@
 using Duration = DecisionClock::duration;
 using TimePoint = DecisionClock::time_point;
 
+/** Returns a length of time in seconds. */
+inline double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 /** Returns the machine's monotonic time. Only adapters and programs call it. */
 TimePoint steadyNow();
 
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -26,11 +26,6 @@
 /** An instance that has been idle for this long is moved to standby. */
 constexpr Duration IDLE_TIME = 2000ms;
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace internal
 
 void PoolBalancer::measure(const FleetView &fleet, TimePoint now)
@@ -49,9 +44,9 @@
     for (const auto &[pool, load] : fleet.load) {
         auto &demand = m_demand[pool];
         if (demand.measuredAt != TimePoint{} && now > demand.measuredAt) {
-            const double passed = internal::seconds(now - demand.measuredAt);
+            const double passed = toSeconds(now - demand.measuredAt);
             const double weight
-                    = 1 - std::exp(-passed / internal::seconds(internal::RATE_MEMORY));
+                    = 1 - std::exp(-passed / toSeconds(internal::RATE_MEMORY));
             const double rate = (load.arrivedWork - demand.arrivedWork) / passed;
             demand.rate += weight * (rate - demand.rate);
         }
--- a/src/jobs/runtimemodel.cpp
+++ b/src/jobs/runtimemodel.cpp
@@ -14,11 +14,6 @@
 /** Shortest run time that is assumed, against division by zero and declared zeros. */
 constexpr Duration SHORTEST_RUN = std::chrono::milliseconds(20);
 
-double seconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 Duration declared(const JobStep &step)
 {
     return std::max<Duration>(step.estimate, SHORTEST_RUN);
@@ -33,8 +28,8 @@
         it = m_totals.emplace(std::string(queue), Totals{}).first;
     auto &totals = it->second;
     const double fade = 1 - 1 / internal::MEMORY;
-    totals.declared = totals.declared * fade + internal::seconds(internal::declared(step));
-    totals.observed = totals.observed * fade + internal::seconds(took);
+    totals.declared = totals.declared * fade + toSeconds(internal::declared(step));
+    totals.observed = totals.observed * fade + toSeconds(took);
 }
 
 Duration RunTimeModel::expected(std::string_view queue, const JobStep &step) const
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -68,7 +68,7 @@
         if (step.persistent || step.fills)
             continue;
         const auto time = m_runTimes.expected(job.job().queue, step);
-        coreSeconds += std::chrono::duration<double>(time).count() * step.count
+        coreSeconds += toSeconds(time) * step.count
                 * static_cast<double>(step.need.milliCores) / 1000;
     }
     return coreSeconds;
