--- a/include/dragonflysill/jobs/maintenanceplanner.h
+++ b/include/dragonflysill/jobs/maintenanceplanner.h
@@ -32,6 +32,12 @@
 class MaintenancePlanner
 {
 public:
+    /** @param downTime how long an instance is down after its order at least */
+    explicit MaintenancePlanner(Milliseconds downTime)
+        : m_downTime(downTime)
+    {
+    }
+
     /** Adds a wave; a known one is ignored. @param done instances that have been maintained */
     void addWave(const MaintenanceWave &wave, std::set<std::string> done, TimePoint now);
 
@@ -68,13 +74,16 @@
         std::set<std::string> done;
         TimePoint deadline{};
         bool completed = false;
-        std::set<std::string> down; ///< Taken down and not seen up again.
+        std::map<std::string, TimePoint> down; ///< Since when; not seen up again.
     };
 
     void decideWave(Wave &wave, const FleetView &fleet,
                     const std::function<bool(const std::string &)> &shortOf, TimePoint now,
                     MaintenanceDecision &decision);
 
+    void countDown(Wave &wave, const InstanceView &instance, TimePoint now) const;
+
+    Milliseconds m_downTime;
     std::map<std::int64_t, Wave> m_waves;
 };
 
--- a/include/dragonflysill/node/statereplica.h
+++ b/include/dragonflysill/node/statereplica.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -54,7 +55,7 @@
     /** Applies one change that this node made itself, before the watch reports it. */
     void applyOwn(const std::string &key, const std::string &value, std::int64_t revision);
 
-    /** Sets who is told about changes of jobs. */
+    /** Sets who is told about changes of jobs, once all changes of a call have been applied. */
     void setListener(Listener listener) { m_listener = std::move(listener); }
 
     [[nodiscard]] bool loaded() const { return m_loaded; }
@@ -81,6 +82,7 @@
     void set(const std::string &key, const std::string &value, std::int64_t revision);
     void remove(const std::string &key, std::int64_t revision);
     void setJobKey(const std::string &key, const std::string &value, std::int64_t revision);
+    void notifyListener();
 
     bool m_loaded = false;
     std::int64_t m_asOf = 0;
@@ -92,6 +94,7 @@
     std::map<std::string, int, std::less<>> m_pending;
     std::map<std::string, KeyValue, std::less<>> m_others;
     Listener m_listener;
+    std::set<std::string> m_changed; ///< Jobs that the listener is to be told about.
 };
 
 /** Returns the stored form of the waiting jobs by queue. */
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -11,6 +11,8 @@
 
 /** Time that one round of a wave's ceiling takes: emptying, order and restart. */
 constexpr Duration ROUND_TIME = 4000ms;
+/** The list of instances may be this old. */
+constexpr Duration LIST_LAG = 1000ms;
 /** Instances of one pool that are emptied at once. */
 constexpr int EMPTYING_PER_POOL = 2;
 
@@ -28,13 +30,13 @@
 }
 
 void MaintenancePlanner::accepted(std::int64_t wave, const std::string &instance,
-                                  TimePoint /*now*/)
+                                  TimePoint now)
 {
     const auto it = m_waves.find(wave);
     if (it == m_waves.end())
         return;
     it->second.done.insert(instance);
-    it->second.down.insert(instance);
+    it->second.down[instance] = now;
 }
 
 void MaintenancePlanner::excluded(std::int64_t wave, const std::string &instance)
@@ -87,6 +89,20 @@
     return decision;
 }
 
+void MaintenancePlanner::countDown(Wave &wave, const InstanceView &instance, TimePoint now) const
+{
+    if (instance.state == FleetInstance::State::Maintenance) {
+        // Possibly by an order of the previous owner.
+        wave.down.emplace(instance.name, now);
+        return;
+    }
+    // The list of instances may be older than the order.
+    const auto it = wave.down.find(instance.name);
+    if (it != wave.down.end() && instance.state == FleetInstance::State::Up && !instance.ordered
+        && now - it->second >= m_downTime + internal::LIST_LAG)
+        wave.down.erase(it);
+}
+
 void MaintenancePlanner::decideWave(Wave &wave, const FleetView &fleet,
                                     const std::function<bool(const std::string &)> &shortOf,
                                     TimePoint now, MaintenanceDecision &decision)
@@ -99,9 +115,7 @@
             wave.down.erase(name);
             continue;
         }
-        // Until the order has been confirmed it may be down for this wave.
-        if (it->state == FleetInstance::State::Up && !it->ordered)
-            wave.down.erase(name);
+        countDown(wave, *it, now);
         ++present;
         if (!wave.done.contains(name))
             open.push_back(&*it);
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -52,6 +52,7 @@
     , m_calls(std::make_unique<platform::MachineCalls>(
               context.client, context.settings.machinesAddress,
               platform::OrderAuthority{context.settings.name, fence}))
+    , m_maintenance(context.settings.upkeepTime)
 {
 }
 
--- a/src/node/statereplica.cpp
+++ b/src/node/statereplica.cpp
@@ -47,6 +47,7 @@
     m_loaded = true;
     for (const auto &it : items)
         set(it.key, it.value, it.modRevision);
+    notifyListener();
 }
 
 void StateReplica::apply(std::span<const KeyUpdate> updates, std::int64_t asOf)
@@ -58,11 +59,22 @@
             set(it.key, it.value, it.revision);
     }
     m_asOf = std::max(m_asOf, asOf);
+    notifyListener();
 }
 
 void StateReplica::applyOwn(const std::string &key, const std::string &value, std::int64_t revision)
 {
     set(key, value, revision);
+    notifyListener();
+}
+
+void StateReplica::notifyListener()
+{
+    for (const auto &id : std::exchange(m_changed, {})) {
+        const auto it = m_jobs.find(id);
+        if (m_listener && it != m_jobs.end())
+            m_listener(id, it->second);
+    }
 }
 
 void StateReplica::set(const std::string &key, const std::string &value, std::int64_t revision)
@@ -117,8 +129,7 @@
         if (std::exchange(job.cancelled, true))
             return;
     }
-    if (m_listener)
-        m_listener(id, m_jobs[id]);
+    m_changed.insert(std::move(id));
 }
 
 void StateReplica::remove(const std::string &key, std::int64_t revision)
