See bursts earlier, lower floors in overload, order right after a take-over

The balancer has a fast arrival rate weighted by how many jobs speak for it, idle floors give way when all instances together are too few, idle instances leave after 1.2 s, and a new owner orders instances at once whose worker was up before (no recent order of the previous owner).

--- a/include/dragonflysill/jobs/fleetview.h
+++ b/include/dragonflysill/jobs/fleetview.h
@@ -24,6 +24,7 @@
     bool persistent = false; ///< Tasks run on it that have to be moved first.
     bool leaving = false; ///< It gets no new tasks.
     bool ordered = false; ///< An order for it is under way.
+    bool reserved = false; ///< The previous owner may have given it an order a moment ago.
     TimePoint idleSince{}; ///< Since when it has been empty.
     std::int64_t milliCores = 0; ///< Its capacity.
 };
@@ -34,6 +35,7 @@
     std::int64_t waitingCpu = 0; ///< Milli-cores that waiting tasks ask for.
     std::int64_t runningCpu = 0; ///< Milli-cores of running tasks.
     double arrivedWork = 0; ///< Core-seconds of work accepted so far, as expected.
+    std::int64_t arrivedJobs = 0; ///< Jobs accepted so far.
 };
 
 /** All that the decisions about instances depend on. */
--- a/include/dragonflysill/jobs/poolbalancer.h
+++ b/include/dragonflysill/jobs/poolbalancer.h
@@ -39,7 +39,10 @@
     struct Demand
     {
         double rate = 0; ///< Cores that the arriving work keeps busy.
+        double fastRate = 0; ///< The same over a shorter time.
+        double fastJobs = 0; ///< Jobs that the fast rate is based on.
         double arrivedWork = 0;
+        std::int64_t arrivedJobs = 0;
         TimePoint measuredAt{};
         int needed = 0;
         int present = 0; ///< Instances that serve it or are on their way to it.
@@ -47,11 +50,13 @@
     };
 
     void measure(const FleetView &fleet, TimePoint now);
+    void measureArrivals(Demand &demand, const PoolLoad &load, TimePoint now) const;
     [[nodiscard]] const InstanceView *donor(const FleetView &fleet, const std::string &pool) const;
     [[nodiscard]] bool spareable(const InstanceView &instance) const;
 
     std::map<std::string, Demand> m_demand;
     int m_floor = 0; ///< Instances that an idle pool keeps.
+    bool m_overloaded = false; ///< All instances together are too few for the present load.
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -225,7 +225,7 @@
     std::deque<std::string> m_dirty; ///< Jobs with unsaved changes, oldest first.
     std::unordered_map<std::string, int> m_unresolved; ///< Unreached workers by pool.
     std::vector<SchedulerAction> m_actions;
-    std::map<std::string, double, std::less<>> m_arrivedWork; ///< Core-seconds by pool.
+    std::map<std::string, PoolLoad, std::less<>> m_arrived; ///< Work and jobs by pool.
     RunTimeModel m_runTimes;
     Random m_random{1};
 };
--- a/include/dragonflysill/node/fleetkeeper.h
+++ b/include/dragonflysill/node/fleetkeeper.h
@@ -41,7 +41,8 @@
 {
 public:
     /**
-     * @param firstOrderAt no order is given before: the previous owner's may be recent
+     * @param firstOrderAt until then the previous owner's orders may be recent: only instances
+     *     that have been up for longer get orders
      */
     FleetKeeper(const OwnerContext &context, Scheduler &scheduler, std::int64_t fence,
                 TimePoint firstOrderAt);
@@ -86,6 +87,7 @@
     Scheduler &m_scheduler;
     std::int64_t m_fence;
     TimePoint m_firstOrderAt;
+    std::int64_t m_startedMs; ///< Time of day when the ownership began.
     std::unique_ptr<platform::MachineCalls> m_calls;
     FleetConfiguration m_configuration;
     PoolBalancer m_balancer;
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -137,7 +137,7 @@
     for (const auto *it : open) {
         if (down >= wave.request.ceiling)
             return;
-        if (it->ordered || it->draining || it->state != FleetInstance::State::Up)
+        if (it->ordered || it->reserved || it->draining || it->state != FleetInstance::State::Up)
             continue;
         if (!it->standby && !late && shortOf(it->pool) && !it->leaving)
             continue;
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -10,8 +10,10 @@
 
 using namespace std::chrono_literals;
 
-/** Time constant of the arrival rate; a burst is seen within about half of it. */
+/** Time constant of the arrival rate. */
 constexpr Duration RATE_MEMORY = 1000ms;
+/** Time constant of the rate that sees a burst early, where enough jobs speak for it. */
+constexpr Duration FAST_RATE_MEMORY = 300ms;
 /** Part of an instance's cores that tasks of uneven sizes can fill. */
 constexpr double PACKING = 0.85;
 /** Instances beyond the need that a pool keeps for what arrives next. */
@@ -24,7 +26,7 @@
 /** Evaluations in a row that must find a pool short before it gets instances. */
 constexpr int SHORT_EVALUATIONS = 2;
 /** An instance that has been idle for this long is moved to standby. */
-constexpr Duration IDLE_TIME = 2000ms;
+constexpr Duration IDLE_TIME = 1200ms;
 
 } // namespace internal
 
@@ -41,22 +43,36 @@
         if (!it.standby && !it.draining && (it.usable || it.ordered))
             ++m_demand[it.pool].present;
     }
+    int total = 0;
     for (const auto &[pool, load] : fleet.load) {
         auto &demand = m_demand[pool];
-        if (demand.measuredAt != TimePoint{} && now > demand.measuredAt) {
-            const double passed = toSeconds(now - demand.measuredAt);
-            const double weight
-                    = 1 - std::exp(-passed / toSeconds(internal::RATE_MEMORY));
-            const double rate = (load.arrivedWork - demand.arrivedWork) / passed;
-            demand.rate += weight * (rate - demand.rate);
-        }
-        demand.arrivedWork = load.arrivedWork;
-        demand.measuredAt = now;
+        measureArrivals(demand, load, now);
         const double present = static_cast<double>(load.waitingCpu + load.runningCpu) / 1000;
-        demand.needed = static_cast<int>(std::ceil(std::max(present, demand.rate)
-                                                   / (coresPerInstance * internal::PACKING)));
+        const double doubt = demand.fastJobs < 1 ? 1 : 1 / std::sqrt(demand.fastJobs);
+        const double cores = std::max({present, demand.rate, demand.fastRate * (1 - doubt)});
+        demand.needed = static_cast<int>(
+                std::ceil(cores / (coresPerInstance * internal::PACKING)));
         demand.shortSince = demand.needed > demand.present ? demand.shortSince + 1 : 0;
+        total += std::max(demand.needed, m_floor);
+    }
+    m_overloaded = total > static_cast<int>(fleet.instances.size());
+}
+
+void PoolBalancer::measureArrivals(Demand &demand, const PoolLoad &load, TimePoint now) const
+{
+    if (demand.measuredAt != TimePoint{} && now > demand.measuredAt) {
+        const double passed = toSeconds(now - demand.measuredAt);
+        const double rate = (load.arrivedWork - demand.arrivedWork) / passed;
+        const double weight = 1 - std::exp(-passed / toSeconds(internal::RATE_MEMORY));
+        const double fastWeight = 1 - std::exp(-passed / toSeconds(internal::FAST_RATE_MEMORY));
+        demand.rate += weight * (rate - demand.rate);
+        demand.fastRate += fastWeight * (rate - demand.fastRate);
+        demand.fastJobs = demand.fastJobs * (1 - fastWeight)
+                + static_cast<double>(load.arrivedJobs - demand.arrivedJobs);
     }
+    demand.arrivedWork = load.arrivedWork;
+    demand.arrivedJobs = load.arrivedJobs;
+    demand.measuredAt = now;
 }
 
 int PoolBalancer::needed(const std::string &pool) const
@@ -79,14 +95,15 @@
 
 bool PoolBalancer::spareable(const InstanceView &instance) const
 {
-    if (instance.ordered || instance.draining || instance.leaving
+    if (instance.ordered || instance.reserved || instance.draining || instance.leaving
         || instance.state != FleetInstance::State::Up)
         return false;
     if (instance.standby)
         return true;
     const auto it = m_demand.find(instance.pool);
+    const int floor = m_overloaded ? 0 : m_floor;
     return instance.usable && instance.empty && it != m_demand.end()
-            && it->second.present > std::max(it->second.needed + internal::RESERVE, m_floor);
+            && it->second.present > std::max(it->second.needed + internal::RESERVE, floor);
 }
 
 const InstanceView *PoolBalancer::donor(const FleetView &fleet, const std::string &pool) const
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -56,7 +56,9 @@
                                                            * policy.slackFactor));
     if (!run->final()) {
         m_open[id] = run.get();
-        m_arrivedWork[run->job().pool] += expectedWork(*run);
+        auto &arrived = m_arrived[run->job().pool];
+        arrived.arrivedWork += expectedWork(*run);
+        ++arrived.arrivedJobs;
     }
     m_jobs.emplace(id, std::move(run));
 }
@@ -243,8 +245,8 @@
 PoolLoad Scheduler::load(std::string_view pool) const
 {
     PoolLoad load;
-    if (const auto it = m_arrivedWork.find(pool); it != m_arrivedWork.end())
-        load.arrivedWork = it->second;
+    if (const auto it = m_arrived.find(pool); it != m_arrived.end())
+        load = it->second;
     for (const auto &[id, job] : m_open) {
         if (job->job().pool != pool)
             continue;
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -49,6 +49,7 @@
     , m_scheduler(scheduler)
     , m_fence(fence)
     , m_firstOrderAt(firstOrderAt)
+    , m_startedMs(unixMilliseconds())
     , m_calls(std::make_unique<platform::MachineCalls>(
               context.client, context.settings.machinesAddress,
               platform::OrderAuthority{context.settings.name, fence}))
@@ -91,7 +92,7 @@
     if (now - m_listedAt >= (busy ? internal::BUSY_LIST_SPACING : internal::IDLE_LIST_SPACING))
         list(now);
     saveWaves();
-    if (!m_listedOnce || now < m_firstOrderAt || !m_context.mayOrder())
+    if (!m_listedOnce || !m_context.mayOrder())
         return;
     auto fleet = view(now);
     const auto maintenance = m_maintenance.decide(
@@ -214,6 +215,10 @@
             since = now;
         row.idleSince = since;
     }
+    // An instance that was up before the take-over had no order that is still recent.
+    const bool settled = worker != nullptr && worker->description.born != 0
+            && worker->description.born <= m_startedMs - m_context.settings.machineHolderPause.count();
+    row.reserved = now < m_firstOrderAt && !settled;
     if (const auto order = m_orders.find(row.name); order != m_orders.end()) {
         row.ordered = true;
         row.pool = order->second.targetPool;
