Share spare instances by need and keep awake what was needed lately

Cause: in a burst all idle pools were drained and their next burst met 3 instances; idle instances went to standby just as the next pool's burst began; instances that are being emptied, and the spreading of persistent tasks, were not counted. Each pool's target is its need plus an equal share of what is left; instances needed in the last 6 s stay awake.

--- a/include/dragonflysill/jobs/fleetview.h
+++ b/include/dragonflysill/jobs/fleetview.h
@@ -36,6 +36,7 @@
     std::int64_t runningCpu = 0; ///< Milli-cores of running tasks.
     double arrivedWork = 0; ///< Core-seconds of work accepted so far, as expected.
     std::int64_t arrivedJobs = 0; ///< Jobs accepted so far.
+    int spread = 0; ///< Workers that the spreading of persistent tasks asks for.
 };
 
 /** All that the decisions about instances depend on. */
--- a/include/dragonflysill/jobs/poolbalancer.h
+++ b/include/dragonflysill/jobs/poolbalancer.h
@@ -2,8 +2,10 @@
 
 #include "dragonflysill/jobs/fleetview.h"
 
+#include <deque>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dragonflysill {
@@ -32,7 +34,7 @@
     /** Returns how many instances serve a pool or are on their way to it. */
     [[nodiscard]] int present(const std::string &pool) const;
 
-    /** Returns true if a pool has fewer instances than its load needs. */
+    /** Returns true if a pool has fewer instances than its present load asks for. */
     [[nodiscard]] bool shortOf(const std::string &pool) const;
 
 private:
@@ -44,19 +46,23 @@
         double arrivedWork = 0;
         std::int64_t arrivedJobs = 0;
         TimePoint measuredAt{};
-        int needed = 0;
+        int needed = 0; ///< Instances that the present load asks for.
+        int target = 0; ///< The same with what is kept for the start of a burst.
         int present = 0; ///< Instances that serve it or are on their way to it.
-        int shortSince = 0; ///< Evaluations in a row in which it was short.
+        TimePoint shortSince{}; ///< Since when it has had fewer than needed.
+        TimePoint belowTargetSince{};
     };
 
     void measure(const FleetView &fleet, TimePoint now);
     void measureArrivals(Demand &demand, const PoolLoad &load, TimePoint now) const;
     [[nodiscard]] const InstanceView *donor(const FleetView &fleet, const std::string &pool) const;
+    void keepAwake(int total, TimePoint now);
+    [[nodiscard]] bool wants(const Demand &demand, TimePoint now) const;
     [[nodiscard]] bool spareable(const InstanceView &instance) const;
 
     std::map<std::string, Demand> m_demand;
-    int m_floor = 0; ///< Instances that an idle pool keeps.
-    bool m_overloaded = false; ///< All instances together are too few for the present load.
+    std::deque<std::pair<TimePoint, int>> m_totals; ///< Falling maxima of what all pools need.
+    int m_awake = 0; ///< Instances that are kept out of standby.
 };
 
 } // namespace dragonflysill
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -16,15 +16,19 @@
 constexpr Duration FAST_RATE_MEMORY = 300ms;
 /** Part of an instance's cores that tasks of uneven sizes can fill. */
 constexpr double PACKING = 0.85;
-/** Instances beyond the need that a pool keeps for what arrives next. */
-constexpr int RESERVE = 1;
 /**
- * Part of an even share of all instances that a pool keeps although it is idle: what bears the
- * start of a burst until others have arrived.
+ * Part of an even share of all instances that a pool keeps beyond its need, as far as there are
+ * enough: it bears the start of a burst until others have arrived.
  */
-constexpr double FLOOR_SHARE = 0.55;
-/** Evaluations in a row that must find a pool short before it gets instances. */
-constexpr int SHORT_EVALUATIONS = 2;
+constexpr double SPARE_SHARE = 0.45;
+/** How long a pool must be short before it gets instances for its load, and for the start of a burst. */
+constexpr Duration SHORT_TIME = 100ms;
+constexpr Duration BELOW_TARGET_TIME = 1000ms;
+/**
+ * Instances that were needed within this time stay out of standby: when the demand of one pool ends,
+ * that of another begins, and the way back from standby takes as long as any move.
+ */
+constexpr Duration AWAKE_TIME = 6000ms;
 /** An instance that has been idle for this long is moved to standby. */
 constexpr Duration IDLE_TIME = 1200ms;
 
@@ -33,14 +37,13 @@
 void PoolBalancer::measure(const FleetView &fleet, TimePoint now)
 {
     double coresPerInstance = 1;
-    const auto pools = std::max<std::size_t>(1, fleet.load.size());
-    m_floor = static_cast<int>(internal::FLOOR_SHARE * static_cast<double>(fleet.instances.size())
-                               / static_cast<double>(pools));
+    std::erase_if(m_demand, [&](const auto &it) { return !fleet.load.contains(it.first); });
     for (auto &[pool, demand] : m_demand)
         demand.present = 0;
     for (const auto &it : fleet.instances) {
         coresPerInstance = std::max(coresPerInstance, static_cast<double>(it.milliCores) / 1000);
-        if (!it.standby && !it.draining && (it.usable || it.ordered))
+        if (fleet.load.contains(it.pool) && !it.draining && !it.leaving
+            && (it.usable || it.ordered))
             ++m_demand[it.pool].present;
     }
     int total = 0;
@@ -50,12 +53,40 @@
         const double present = static_cast<double>(load.waitingCpu + load.runningCpu) / 1000;
         const double doubt = demand.fastJobs < 1 ? 1 : 1 / std::sqrt(demand.fastJobs);
         const double cores = std::max({present, demand.rate, demand.fastRate * (1 - doubt)});
-        demand.needed = static_cast<int>(
-                std::ceil(cores / (coresPerInstance * internal::PACKING)));
-        demand.shortSince = demand.needed > demand.present ? demand.shortSince + 1 : 0;
-        total += std::max(demand.needed, m_floor);
+        demand.needed = std::max(load.spread,
+                                 static_cast<int>(std::ceil(
+                                         cores / (coresPerInstance * internal::PACKING))));
+        total += demand.needed;
+    }
+    const auto instances = static_cast<double>(fleet.instances.size());
+    const auto pools = static_cast<double>(std::max<std::size_t>(1, fleet.load.size()));
+    const double spare = std::clamp((instances - total) / pools, 0.0,
+                                    internal::SPARE_SHARE * instances / pools);
+    keepAwake(total + static_cast<int>(spare) * static_cast<int>(fleet.load.size()), now);
+    for (auto &[pool, demand] : m_demand) {
+        demand.target = demand.needed + static_cast<int>(spare);
+        if (demand.present >= demand.needed)
+            demand.shortSince = now;
+        if (demand.present >= demand.target)
+            demand.belowTargetSince = now;
     }
-    m_overloaded = total > static_cast<int>(fleet.instances.size());
+}
+
+void PoolBalancer::keepAwake(int total, TimePoint now)
+{
+    while (!m_totals.empty() && m_totals.back().second <= total)
+        m_totals.pop_back();
+    m_totals.emplace_back(now, total);
+    while (now - m_totals.front().first > internal::AWAKE_TIME)
+        m_totals.pop_front();
+    m_awake = m_totals.front().second;
+}
+
+bool PoolBalancer::wants(const Demand &demand, TimePoint now) const
+{
+    return (demand.present < demand.needed && now - demand.shortSince >= internal::SHORT_TIME)
+            || (demand.present < demand.target
+                && now - demand.belowTargetSince >= internal::BELOW_TARGET_TIME);
 }
 
 void PoolBalancer::measureArrivals(Demand &demand, const PoolLoad &load, TimePoint now) const
@@ -101,9 +132,8 @@
     if (instance.standby)
         return true;
     const auto it = m_demand.find(instance.pool);
-    const int floor = m_overloaded ? 0 : m_floor;
     return instance.usable && instance.empty && it != m_demand.end()
-            && it->second.present > std::max(it->second.needed + internal::RESERVE, floor);
+            && it->second.present > it->second.target;
 }
 
 const InstanceView *PoolBalancer::donor(const FleetView &fleet, const std::string &pool) const
@@ -129,12 +159,12 @@
         moves.push_back({name, pool});
         if (!instance.standby)
             --m_demand[instance.pool].present;
-        ++m_demand[pool].present;
+        if (pool != fleet.standbyPool)
+            ++m_demand[pool].present;
         std::ranges::find(remaining.instances, name, &InstanceView::name)->ordered = true;
     };
     for (auto &[pool, demand] : m_demand) {
-        while (demand.shortSince >= internal::SHORT_EVALUATIONS
-               && demand.present < demand.needed) {
+        while (wants(demand, now)) {
             const auto *it = donor(remaining, pool);
             if (it == nullptr)
                 break;
@@ -143,9 +173,15 @@
     }
     if (fleet.standbyPool.empty())
         return moves;
+    int awake = 0;
+    for (const auto &[pool, demand] : m_demand)
+        awake += demand.present;
     for (const auto &it : remaining.instances) {
-        if (!it.standby && spareable(it) && now - it.idleSince >= internal::IDLE_TIME)
+        if (awake > m_awake && !it.standby && spareable(it)
+            && now - it.idleSince >= internal::IDLE_TIME) {
             order(it, fleet.standbyPool);
+            --awake;
+        }
     }
     return moves;
 }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -254,6 +254,9 @@
             for (std::size_t n = 0; n < run.steps.size(); ++n) {
                 const auto &step = job->job().spec.steps[n];
                 const auto &tasks = run.steps[n];
+                if (step.persistent && step.maxPerWorker > 0)
+                    load.spread = std::max(load.spread,
+                                           (step.count + step.maxPerWorker - 1) / step.maxPerWorker);
                 const auto cpu = step.reserved().milliCores;
                 load.waitingCpu += cpu * tasks.waiting;
                 if (tasks.ready)
