Retire ordered-away workers and resume ownership after a store outage

Cause: every move left the old worker in the durable record, so each take-over waited 3 s for dead workers before it started inherited tasks; a store outage longer than the lease ended the owner although its lease lived on. A worker ends with the order for its instance or with a newer worker on it; the record is pruned; an owner whose lease could not be renewed pauses and goes on once the renewal and a read of its key succeed; holds go on 2 s longer, which the next owner waits out.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -76,7 +76,7 @@
     /** Longest time a worker needs to stop a run, from the platform's settings. */
     Milliseconds stopTime{200};
     /** How long a previous owner may go on extending holds after its ownership ended. */
-    Milliseconds previousOwner{0};
+    Milliseconds previousOwner{2000};
     /** Slowdown of a task away from its data, from the platform's settings. */
     double remoteFactor = 1;
 };
@@ -119,6 +119,8 @@
     /** Notes a worker that the previous owner used: its runs may go on although it is not listed.
      */
     void expectWorker(const WorkerDescription &description, TimePoint now);
+    /** Notes that a worker has ended for good, with all its runs. */
+    void retireWorker(std::string_view id, TimePoint now);
     /** Chooses whether a worker gets no new tasks and its persistent tasks are moved away. */
     void setLeaving(std::string_view id, bool leaving);
     [[nodiscard]] const WorkerState *worker(std::string_view id) const;
@@ -182,6 +184,8 @@
     void endJob(JobRun &job, TimePoint now);
     void releaseRun(WorkerState &worker, std::map<TaskId, TaskRun>::iterator run, TimePoint now);
     void loseRuns(WorkerState &worker, TimePoint now);
+    void retire(WorkerState &worker, TimePoint now);
+    void retireForerunners(const WorkerDescription &description, TimePoint now);
     void beginLife(WorkerState &worker, std::int64_t born, const WorkerReport &report,
                    TimePoint now);
     void applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -61,6 +61,7 @@
     bool reachable = false; ///< The last hold was answered.
     bool fenced = false; ///< It has been shown this owner's fencing token.
     bool leaving = false; ///< It is being emptied.
+    bool retired = false; ///< Its life is over; its entry may still be listed for a while.
     TimePoint pausedUntil{}; ///< No starts until then, after a refusal.
     std::map<TaskId, TaskRun> runs;
     std::map<TaskId, RunningReport> strays; ///< Reported runs that this owner did not start.
--- a/include/dragonflysill/node/ownership.h
+++ b/include/dragonflysill/node/ownership.h
@@ -12,12 +12,16 @@
 
 /**
  * Decides which node schedules: the one whose name stands in the store under a lease. The revision
- * of that key is its fencing token. An owner stops by its own clock before its lease can have
- * expired, also when the machine was suspended meanwhile.
+ * of that key is its fencing token. An owner stops giving orders by its own clock before its lease can
+ * have expired, also when the machine was suspended meanwhile. It goes on when the lease turns out to
+ * have outlived an outage of the store and the key is still its own.
  */
 class Ownership
 {
 public:
+    /** How long holds are extended without a valid lease; see SchedulerSettings::previousOwner. */
+    static constexpr std::chrono::milliseconds HOLD_AFTER_VALIDITY{2000};
+
     struct Handlers
     {
         /** The node owns the schedule. @p generation counts the owners before it. */
@@ -44,6 +48,15 @@
     /** Returns true if this node owns the schedule and may give orders. */
     [[nodiscard]] bool valid() const { return m_fence != 0 && EventLoop::now() < m_validUntil; }
 
+    /**
+     * Returns true if this node may still extend the holds of what runs: for a while after its last
+     * valid moment, which the next owner takes into account.
+     */
+    [[nodiscard]] bool mayHold() const
+    {
+        return m_fence != 0 && EventLoop::now() < m_validUntil + HOLD_AFTER_VALIDITY;
+    }
+
     [[nodiscard]] std::int64_t fence() const { return m_fence; }
 
 private:
@@ -51,6 +64,9 @@
     void campaign();
     void claim(LeaseId lease, TimePoint grantedAt);
     void renew();
+    void renewed(TimePoint sentAt);
+    void resume(TimePoint sentAt);
+    [[nodiscard]] Duration usableLease() const;
     void lose(const std::string &reason);
 
     EventLoop &m_loop;
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -32,6 +32,7 @@
     StateReplica &replica;
     const platform::NodeSettings &settings;
     std::function<bool()> mayOrder; ///< Tells whether this node still owns the schedule.
+    std::function<bool()> mayHold; ///< Tells whether it may still extend what runs.
     std::function<void()> replaced; ///< Called when another owner was seen.
 };
 
@@ -68,7 +69,9 @@
     void describe(const std::string &id, const std::string &bytes);
     void unlist(const std::string &id);
     void recordWorkers();
-    void workersRecorded(const ConditionalWrite &write, const std::vector<std::string> &ids,
+    void workersRecorded(const ConditionalWrite &write,
+                         const std::map<std::string, std::string> &ids,
+                         const std::set<std::string> &pools,
                          const Result<WriteOutcome> &outcome);
     void expectRecorded();
     void tick();
@@ -94,7 +97,8 @@
     std::string m_publishedPending;
     TimePoint m_pendingAt{};
     std::unordered_map<std::string, WorkerDescription> m_listed; ///< Workers in the store.
-    std::set<std::string> m_recorded; ///< Ids in the durable record of workers.
+    std::map<std::string, std::string> m_recorded; ///< Pools in the durable record by worker.
+    TimePoint m_recordedAt{};
     std::map<std::string, std::int64_t> m_recordRevisions; ///< Of the record by pool.
     bool m_recording = false;
     std::unordered_map<std::string, TimePoint> m_finalSince;
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -109,6 +109,7 @@
 {
     std::vector<const InstanceView *> open;
     int present = 0;
+    int unsure = 0;
     for (const auto &name : wave.request.instances) {
         const auto it = std::ranges::find(fleet.instances, name, &InstanceView::name);
         if (it == fleet.instances.end()) {
@@ -117,6 +118,9 @@
         }
         countDown(wave, *it, now);
         ++present;
+        // The previous owner may have taken it down a moment ago.
+        unsure += static_cast<int>(it->reserved && !it->usable && !it->ordered
+                                   && !wave.down.contains(name));
         if (!wave.done.contains(name))
             open.push_back(&*it);
     }
@@ -130,7 +134,7 @@
     std::ranges::sort(open, {}, [](const InstanceView *it) {
         return std::tuple(!it->standby, !it->empty, it->persistent, !it->leaving, it->name);
     });
-    int down = static_cast<int>(wave.down.size());
+    int down = static_cast<int>(wave.down.size()) + unsure;
     for (const auto *it : open)
         down += static_cast<int>(it->ordered);
     std::map<std::string, int> emptying;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -121,7 +121,7 @@
 {
     auto &worker = m_workers[description.id];
     const bool known = !worker.description.id.empty();
-    if (known && description.born < worker.description.born)
+    if (worker.retired || (known && description.born < worker.description.born))
         return;
     if (known && description.born > worker.description.born) {
         // Another life: nothing is started there before its list of runs has been read.
@@ -135,8 +135,38 @@
     }
     worker.description = description;
     worker.listed = true;
-    if (!known)
+    if (!known) {
         worker.lastContact = now;
+        retireForerunners(description, now);
+    }
+}
+
+void Scheduler::retireForerunners(const WorkerDescription &description, TimePoint now)
+{
+    if (description.instance.empty() || description.born == 0)
+        return;
+    for (auto &[id, other] : m_workers) {
+        if (id != description.id && other.description.instance == description.instance
+            && std::max(other.born, other.description.born) < description.born)
+            retire(other, now);
+    }
+}
+
+void Scheduler::retireWorker(std::string_view id, TimePoint now)
+{
+    if (auto *it = findWorker(id))
+        retire(*it, now);
+}
+
+void Scheduler::retire(WorkerState &worker, TimePoint now)
+{
+    worker.listed = false;
+    worker.reachable = false;
+    worker.retired = true;
+    worker.heldUntil = now;
+    worker.strays.clear();
+    for (auto it = worker.runs.begin(); it != worker.runs.end();)
+        releaseRun(worker, it++, now);
 }
 
 void Scheduler::expectWorker(const WorkerDescription &description, TimePoint now)
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -12,7 +12,7 @@
 {
     m_unresolved.clear();
     for (const auto &[id, worker] : m_workers) {
-        if (!worker.fenced && now < worker.heldUntil)
+        if (!worker.fenced && !worker.retired && now < worker.heldUntil)
             ++m_unresolved[worker.description.pool];
     }
     for (auto it = m_workers.begin(); it != m_workers.end();) {
@@ -24,8 +24,11 @@
             checkRun(worker, run, now);
         if (worker.leaving || worker.description.draining)
             moveAway(worker, now);
+        // A retired worker is remembered as long as its entry may still be reported.
+        const bool forgettable
+                = !worker.retired || now - worker.heldUntil >= internal::RETIRED_TIME;
         const bool gone = !worker.listed && worker.runs.empty() && now >= worker.heldUntil
-                          && (worker.pendingEnds.empty() || !worker.reachable);
+                          && forgettable && (worker.pendingEnds.empty() || !worker.reachable);
         if (gone) {
             std::erase(m_pools[worker.description.pool], &worker);
             it = m_workers.erase(it);
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -28,7 +28,7 @@
                          TimePoint now)
 {
     auto *it = findWorker(id);
-    if (it == nullptr || report.born < it->born)
+    if (it == nullptr || it->retired || report.born < it->born)
         return;
     it->lastContact = now;
     it->lastReport = now;
--- a/src/jobs/schedulertimes.h
+++ b/src/jobs/schedulertimes.h
@@ -23,6 +23,8 @@
 constexpr Duration ROOM_PAUSE = 100ms;
 /** Pause of starts on a worker that refused one because it is overloaded or unwell. */
 constexpr Duration UNHEALTHY_PAUSE = 500ms;
+/** The entry of a worker that has ended may stand in the store for this long. */
+constexpr Duration RETIRED_TIME = 10s;
 /** Workers list at most this many ends in one report, from the worker protocol. */
 constexpr std::size_t ENDS_PER_REPORT = 500;
 /** A run that takes this many times its expected time gets a second copy, if that is allowed. */
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -201,9 +201,11 @@
 void FleetKeeper::viewInstance(InstanceView &row, const WorkerState *worker, TimePoint now)
 {
     if (worker != nullptr) {
-        // The worker's entry is newer than the list.
-        row.pool = worker->description.pool;
-        row.state = FleetInstance::State::Up;
+        if (worker->reachable) {
+            // The worker is newer than the list; the entry of one that is gone stays for a while.
+            row.pool = worker->description.pool;
+            row.state = FleetInstance::State::Up;
+        }
         row.usable = worker->listed && worker->reachable && !worker->description.draining;
         row.draining = worker->description.draining;
         row.empty = worker->runs.empty() && worker->strays.empty();
@@ -216,7 +218,7 @@
         row.idleSince = since;
     }
     // An instance that was up before the take-over had no order that is still recent.
-    const bool settled = worker != nullptr && worker->description.born != 0
+    const bool settled = worker != nullptr && worker->reachable && worker->description.born != 0
             && worker->description.born <= m_startedMs - m_context.settings.machineHolderPause.count();
     row.reserved = now < m_firstOrderAt && !settled;
     if (const auto order = m_orders.find(row.name); order != m_orders.end()) {
@@ -294,6 +296,8 @@
     const auto wave = it->second.wave;
     switch (outcome) {
     case InstanceOrderOutcome::Accepted:
+        // Everything on the instance has ended with the order.
+        m_scheduler.retireWorker(it->second.workerBefore, EventLoop::now());
         it->second.answered = true;
         it->second.sentAt = EventLoop::now();
         if (wave != 0) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -179,6 +179,7 @@
     m_owner = std::make_unique<ScheduleOwner>(
             OwnerContext{m_loop, *m_store, m_client, m_replica, m_settings,
                          [this] { return m_ownership.valid(); },
+                         [this] { return m_ownership.mayHold(); },
                          [this] { m_loop.post([this] { m_ownership.replaced(); }); }},
             fence, generation);
     if (m_service.configuration())
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -48,8 +48,6 @@
                 = m_replica.asOf() >= m_fence && m_replica.owner().revision != m_fence;
         if (superseded)
             lose("the store names another owner or none");
-        else if (!valid())
-            lose("the lease was not renewed in time");
         else if (!m_renewing
                  && EventLoop::now() - m_renewedAt >= m_leaseLength / internal::RENEWALS_PER_LEASE)
             renew();
@@ -101,22 +99,49 @@
 {
     m_renewing = true;
     const auto sentAt = EventLoop::now();
-    m_store.renewLease(m_lease, [this, sentAt, lease = m_lease](const Result<Done> &renewed) {
+    m_store.renewLease(m_lease, [this, sentAt, lease = m_lease](const Result<Done> &answer) {
         m_renewing = false;
         if (m_fence == 0 || lease != m_lease)
             return;
-        if (renewed) {
-            m_renewedAt = sentAt;
-            m_validUntil = sentAt
-                           + Duration(static_cast<Duration::rep>(
-                                   static_cast<double>(Duration(m_leaseLength).count())
-                                   * (1 - internal::UNUSED_PART)));
-        } else if (renewed.error().is(ErrorKind::LeaseLost)) {
+        if (answer)
+            renewed(sentAt);
+        else if (answer.error().is(ErrorKind::LeaseLost))
             lose("the lease has expired");
-        }
     });
 }
 
+void Ownership::renewed(TimePoint sentAt)
+{
+    m_renewedAt = sentAt;
+    if (valid())
+        m_validUntil = sentAt + usableLease();
+    else
+        resume(sentAt);
+}
+
+void Ownership::resume(TimePoint sentAt)
+{
+    // The key may have been taken away although the lease lives.
+    m_renewing = true;
+    m_store.get(std::string(nodekeys::OWNER),
+                [this, sentAt, fence = m_fence](const Result<KeyValue> &owner) {
+                    m_renewing = false;
+                    if (fence != m_fence)
+                        return;
+                    const bool missing = !owner && owner.error().is(ErrorKind::NotFound);
+                    if (missing || (owner && owner->modRevision != m_fence))
+                        lose("the store names another owner or none");
+                    else if (owner)
+                        m_validUntil = sentAt + usableLease();
+                });
+}
+
+Duration Ownership::usableLease() const
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(Duration(m_leaseLength).count())
+                                               * (1 - internal::UNUSED_PART)));
+}
+
 void Ownership::resign()
 {
     m_resigned = true;
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t REMOVALS_PER_WRITE = 10;
 /** Run numbers that one owner may use for a task. */
 constexpr int RUNS_PER_OWNER = 1000;
+/** Least time between two writes that only remove workers from their record. */
+constexpr Duration RECORD_SPACING = 1000ms;
 /** Ended jobs are kept this much longer than callers may ask for them. */
 constexpr Duration RETENTION_MARGIN = 30s;
 
@@ -151,7 +153,7 @@
         if (!workers)
             continue;
         for (const auto &it : *workers) {
-            m_recorded.insert(it.id);
+            m_recorded[it.id] = pool;
             m_scheduler.expectWorker(it, now);
         }
     }
@@ -212,42 +214,61 @@
 {
     if (m_recording)
         return;
+    const auto now = EventLoop::now();
     std::map<std::string, std::vector<WorkerDescription>> pools;
     std::set<std::string> changed;
+    std::set<std::string> kept;
+    const auto keep = [&](const WorkerDescription &it) {
+        if (kept.insert(it.id).second)
+            pools[it.pool].push_back(it);
+    };
     for (const auto &[id, description] : m_listed) {
-        pools[description.pool].push_back(description);
+        const auto *worker = m_scheduler.worker(id);
+        if (worker != nullptr && worker->retired)
+            continue;
+        keep(description);
         if (!m_recorded.contains(id))
             changed.insert(description.pool);
     }
-    if (changed.empty())
-        return;
     // Unlisted workers that may still hold runs stay in the record.
     for (const auto &[id, worker] : m_scheduler.workers()) {
-        if (!m_listed.contains(id))
-            pools[worker.description.pool].push_back(worker.description);
+        if (!worker.retired)
+            keep(worker.description);
+    }
+    if (changed.empty() && now - m_recordedAt >= internal::RECORD_SPACING) {
+        for (const auto &[id, pool] : m_recorded) {
+            if (!kept.contains(id))
+                changed.insert(pool);
+        }
     }
+    if (changed.empty())
+        return;
+    m_recordedAt = now;
     ConditionalWrite write;
     write.expected.push_back({std::string(nodekeys::OWNER), m_fence});
-    std::vector<std::string> ids;
+    std::map<std::string, std::string> ids;
+    std::set<std::string> written;
     for (const auto &pool : changed) {
         if (write.writes.size() >= internal::UPDATES_PER_WRITE)
             break;
         const auto key = nodekeys::key(nodekeys::WORKERS, pool);
         write.expected.push_back({key, m_recordRevisions[pool]});
         write.writes.push_back({key, encodeWorkerRecord(pools[pool]), 0});
+        written.insert(pool);
         for (const auto &it : pools[pool])
-            ids.push_back(it.id);
+            ids[it.id] = pool;
     }
     m_recording = true;
     m_context.store.write(write,
-                          [this, alive = m_alive, write, ids](const Result<WriteOutcome> &outcome) {
+                          [this, alive = m_alive, write, ids, written](const Result<WriteOutcome> &outcome) {
                               if (*alive)
-                                  workersRecorded(write, ids, outcome);
+                                  workersRecorded(write, ids, written, outcome);
                           });
 }
 
 void ScheduleOwner::workersRecorded(const ConditionalWrite &write,
-                                    const std::vector<std::string> &ids,
+                                    const std::map<std::string, std::string> &ids,
+                                    const std::set<std::string> &pools,
                                     const Result<WriteOutcome> &outcome)
 {
     m_recording = false;
@@ -269,8 +290,9 @@
     for (const auto &it : write.writes)
         m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::WORKERS, it.key))]
                 = outcome->revision;
-    for (const auto &id : ids) {
-        m_recorded.insert(id);
+    std::erase_if(m_recorded, [&](const auto &it) { return pools.contains(it.second); });
+    for (const auto &[id, pool] : ids) {
+        m_recorded[id] = pool;
         if (const auto it = m_listed.find(id); it != m_listed.end())
             m_scheduler.describeWorker(it->second, EventLoop::now());
     }
@@ -301,8 +323,14 @@
 
 void ScheduleOwner::decide()
 {
-    if (!m_begun || !m_context.mayOrder())
+    if (!m_begun)
         return;
+    if (!m_context.mayOrder()) {
+        // Runs go on for a while under this owner's holds; it may get its lease back.
+        if (m_context.mayHold())
+            m_links.pump(EventLoop::now());
+        return;
+    }
     if (m_scheduler.replaced()) {
         m_context.replaced();
         return;
@@ -311,6 +339,7 @@
     if (now - m_fleetAt >= internal::FLEET_TICK) {
         m_fleetAt = now;
         m_fleet.tick(now);
+        recordWorkers();
     }
     for (const auto &action : m_scheduler.decide(now, unixMilliseconds()))
         m_links.execute(action);
--- a/src/node/workerlinks.cpp
+++ b/src/node/workerlinks.cpp
@@ -108,7 +108,7 @@
 {
     for (const auto &[id, worker] : m_scheduler.workers()) {
         auto &link = m_links[id];
-        if (link.holding || now < link.nextHold)
+        if (link.holding || worker.retired || now < link.nextHold)
             continue;
         hold(id, worker, link, now);
     }
--- a/src/node/workerrecord.cpp
+++ b/src/node/workerrecord.cpp
@@ -10,7 +10,7 @@
 {
     Json rows = Json::array();
     for (const auto &it : workers)
-        rows.push_back({it.id, it.address});
+        rows.push_back({it.id, it.address, it.instance});
     return rows.dump();
 }
 
@@ -23,6 +23,7 @@
             WorkerDescription worker;
             worker.id = row.at(0);
             worker.address = row.at(1);
+            worker.instance = row.at(2);
             worker.pool = pool;
             workers.push_back(std::move(worker));
         }
