Judge arrivals by one short rate with its confidence

Cause: the slow arrival rate of pools with few large jobs rose to 40 instances for a single job; what waits and runs already counts such a job exactly. Only the short rate is left, counted as far as enough jobs speak for it.

--- a/include/dragonflysill/jobs/poolbalancer.h
+++ b/include/dragonflysill/jobs/poolbalancer.h
@@ -41,8 +41,7 @@
     struct Demand
     {
         double rate = 0; ///< Cores that the arriving work keeps busy.
-        double fastRate = 0; ///< The same over a shorter time.
-        double fastJobs = 0; ///< Jobs that the fast rate is based on.
+        double jobs = 0; ///< Jobs that the rate is based on.
         double arrivedWork = 0;
         std::int64_t arrivedJobs = 0;
         TimePoint measuredAt{};
--- a/include/dragonflysill/node/ownership.h
+++ b/include/dragonflysill/node/ownership.h
@@ -12,9 +12,9 @@
 
 /**
  * Decides which node schedules: the one whose name stands in the store under a lease. The revision
- * of that key is its fencing token. An owner stops giving orders by its own clock before its lease can
- * have expired, also when the machine was suspended meanwhile. It goes on when the lease turns out to
- * have outlived an outage of the store and the key is still its own.
+ * of that key is its fencing token. An owner stops giving orders by its own clock before its lease
+ * can have expired, also when the machine was suspended meanwhile. It goes on when the lease turns
+ * out to have outlived an outage of the store and the key is still its own.
  */
 class Ownership
 {
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -71,8 +71,7 @@
     void recordWorkers();
     void workersRecorded(const ConditionalWrite &write,
                          const std::map<std::string, std::string> &ids,
-                         const std::set<std::string> &pools,
-                         const Result<WriteOutcome> &outcome);
+                         const std::set<std::string> &pools, const Result<WriteOutcome> &outcome);
     void expectRecorded();
     void tick();
     void decideSoon();
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -158,8 +158,8 @@
 bool JobRun::valid(const TaskId &id) const
 {
     return id.occurrence >= 0 && id.occurrence < m_job.spec.occurrences && id.step >= 0
-            && id.step < static_cast<int>(m_job.spec.steps.size()) && id.index >= 0
-            && id.index < step(id).count;
+           && id.step < static_cast<int>(m_job.spec.steps.size()) && id.index >= 0
+           && id.index < step(id).count;
 }
 
 void JobRun::finishStep(int occurrence, int step, TimePoint now)
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -29,8 +29,7 @@
     it.deadline = now + wave.duration;
 }
 
-void MaintenancePlanner::accepted(std::int64_t wave, const std::string &instance,
-                                  TimePoint now)
+void MaintenancePlanner::accepted(std::int64_t wave, const std::string &instance, TimePoint now)
 {
     const auto it = m_waves.find(wave);
     if (it == m_waves.end())
@@ -129,7 +128,7 @@
         return;
     }
     const auto rounds = (static_cast<int>(open.size()) + wave.request.ceiling - 1)
-            / std::max(1, wave.request.ceiling);
+                        / std::max(1, wave.request.ceiling);
     const bool late = now + (rounds + 1) * internal::ROUND_TIME >= wave.deadline;
     std::ranges::sort(open, {}, [](const InstanceView *it) {
         return std::tuple(!it->standby, !it->empty, it->persistent, !it->leaving, it->name);
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -10,10 +10,8 @@
 
 using namespace std::chrono_literals;
 
-/** Time constant of the arrival rate. */
-constexpr Duration RATE_MEMORY = 1000ms;
-/** Time constant of the rate that sees a burst early, where enough jobs speak for it. */
-constexpr Duration FAST_RATE_MEMORY = 300ms;
+/** Time constant of the arrival rate: short, so that a burst is seen early. */
+constexpr Duration RATE_MEMORY = 300ms;
 /** Part of an instance's cores that tasks of uneven sizes can fill. */
 constexpr double PACKING = 0.85;
 /**
@@ -21,17 +19,24 @@
  * enough: it bears the start of a burst until others have arrived.
  */
 constexpr double SPARE_SHARE = 0.45;
-/** How long a pool must be short before it gets instances for its load, and for the start of a burst. */
+/** How long a pool must be short before it gets instances for its load, and for the start of a
+ * burst. */
 constexpr Duration SHORT_TIME = 100ms;
 constexpr Duration BELOW_TARGET_TIME = 1000ms;
 /**
- * Instances that were needed within this time stay out of standby: when the demand of one pool ends,
- * that of another begins, and the way back from standby takes as long as any move.
+ * Instances that were needed within this time stay out of standby: when the demand of one pool
+ * ends, that of another begins, and the way back from standby takes as long as any move.
  */
 constexpr Duration AWAKE_TIME = 6000ms;
 /** An instance that has been idle for this long is moved to standby. */
 constexpr Duration IDLE_TIME = 1200ms;
 
+/** Returns how far a rate can be relied on that @p jobs arrivals of random size speak for. */
+double confidence(double jobs)
+{
+    return jobs <= 1 ? 0 : 1 - 1 / std::sqrt(jobs);
+}
+
 } // namespace internal
 
 void PoolBalancer::measure(const FleetView &fleet, TimePoint now)
@@ -51,11 +56,10 @@
         auto &demand = m_demand[pool];
         measureArrivals(demand, load, now);
         const double present = static_cast<double>(load.waitingCpu + load.runningCpu) / 1000;
-        const double doubt = demand.fastJobs < 1 ? 1 : 1 / std::sqrt(demand.fastJobs);
-        const double cores = std::max({present, demand.rate, demand.fastRate * (1 - doubt)});
-        demand.needed = std::max(load.spread,
-                                 static_cast<int>(std::ceil(
-                                         cores / (coresPerInstance * internal::PACKING))));
+        const double cores = std::max(present, demand.rate * internal::confidence(demand.jobs));
+        demand.needed = std::max(
+                load.spread,
+                static_cast<int>(std::ceil(cores / (coresPerInstance * internal::PACKING))));
         total += demand.needed;
     }
     const auto instances = static_cast<double>(fleet.instances.size());
@@ -85,8 +89,8 @@
 bool PoolBalancer::wants(const Demand &demand, TimePoint now) const
 {
     return (demand.present < demand.needed && now - demand.shortSince >= internal::SHORT_TIME)
-            || (demand.present < demand.target
-                && now - demand.belowTargetSince >= internal::BELOW_TARGET_TIME);
+           || (demand.present < demand.target
+               && now - demand.belowTargetSince >= internal::BELOW_TARGET_TIME);
 }
 
 void PoolBalancer::measureArrivals(Demand &demand, const PoolLoad &load, TimePoint now) const
@@ -95,11 +99,9 @@
         const double passed = toSeconds(now - demand.measuredAt);
         const double rate = (load.arrivedWork - demand.arrivedWork) / passed;
         const double weight = 1 - std::exp(-passed / toSeconds(internal::RATE_MEMORY));
-        const double fastWeight = 1 - std::exp(-passed / toSeconds(internal::FAST_RATE_MEMORY));
         demand.rate += weight * (rate - demand.rate);
-        demand.fastRate += fastWeight * (rate - demand.fastRate);
-        demand.fastJobs = demand.fastJobs * (1 - fastWeight)
-                + static_cast<double>(load.arrivedJobs - demand.arrivedJobs);
+        demand.jobs = demand.jobs * (1 - weight)
+                      + static_cast<double>(load.arrivedJobs - demand.arrivedJobs);
     }
     demand.arrivedWork = load.arrivedWork;
     demand.arrivedJobs = load.arrivedJobs;
@@ -133,7 +135,7 @@
         return true;
     const auto it = m_demand.find(instance.pool);
     return instance.usable && instance.empty && it != m_demand.end()
-            && it->second.present > it->second.target;
+           && it->second.present > it->second.target;
 }
 
 const InstanceView *PoolBalancer::donor(const FleetView &fleet, const std::string &pool) const
@@ -143,7 +145,8 @@
         if (it.pool == pool || !spareable(it))
             continue;
         // An idle instance of another pool would be moved anyway; standby is the second choice.
-        if (best == nullptr || std::pair(it.standby, it.idleSince) < std::pair(best->standby, best->idleSince))
+        if (best == nullptr
+            || std::pair(it.standby, it.idleSince) < std::pair(best->standby, best->idleSince))
             best = &it;
     }
     return best;
--- a/src/jobs/runtimemodel.cpp
+++ b/src/jobs/runtimemodel.cpp
@@ -37,9 +37,9 @@
     const auto it = m_totals.find(queue);
     const Totals totals = it == m_totals.end() ? Totals{} : it->second;
     const double ratio = (totals.observed + internal::PRIOR_SECONDS)
-            / (totals.declared + internal::PRIOR_SECONDS);
-    return Duration(static_cast<Duration::rep>(
-            static_cast<double>(internal::declared(step).count()) * ratio));
+                         / (totals.declared + internal::PRIOR_SECONDS);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(internal::declared(step).count())
+                                               * ratio));
 }
 
 Duration RunTimeModel::longestChain(const SubmittedJob &job) const
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -70,8 +70,8 @@
         if (step.persistent || step.fills)
             continue;
         const auto time = m_runTimes.expected(job.job().queue, step);
-        coreSeconds += toSeconds(time) * step.count
-                * static_cast<double>(step.need.milliCores) / 1000;
+        coreSeconds
+                += toSeconds(time) * step.count * static_cast<double>(step.need.milliCores) / 1000;
     }
     return coreSeconds;
 }
@@ -285,13 +285,14 @@
                 const auto &step = job->job().spec.steps[n];
                 const auto &tasks = run.steps[n];
                 if (step.persistent && step.maxPerWorker > 0)
-                    load.spread = std::max(load.spread,
-                                           (step.count + step.maxPerWorker - 1) / step.maxPerWorker);
+                    load.spread = std::max(load.spread, (step.count + step.maxPerWorker - 1)
+                                                                / step.maxPerWorker);
                 const auto cpu = step.reserved().milliCores;
                 load.waitingCpu += cpu * tasks.waiting;
                 if (tasks.ready)
                     load.runningCpu += cpu
-                            * (static_cast<int>(tasks.tasks.size()) - tasks.waiting - tasks.done);
+                                       * (static_cast<int>(tasks.tasks.size()) - tasks.waiting
+                                          - tasks.done);
             }
         }
     }
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -67,7 +67,8 @@
     const auto expected = m_runTimes.expected(owner->job().queue, step);
     if (run.progressAt == TimePoint{})
         return;
-    if (worker.lastReport - run.progressAt > std::max<Duration>(internal::STALL_TIME, expected / 2)) {
+    if (worker.lastReport - run.progressAt
+        > std::max<Duration>(internal::STALL_TIME, expected / 2)) {
         worker.health.failed(run.task.job, now);
         owner->task(run.task)->failedOn.insert(worker.description.id);
         stopRun(worker, run, now);
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -209,8 +209,9 @@
         const auto unresolved = m_unresolved.find(worker.description.pool);
         // Its step becomes ready as soon as the ends of earlier steps have been reported.
         const bool early = owner != nullptr && owner->inherited && !owner->final()
-                && owner->valid(it->first) && find(it->first.job)->task(it->first) == nullptr
-                && unresolved != m_unresolved.end() && unresolved->second > 0;
+                           && owner->valid(it->first)
+                           && find(it->first.job)->task(it->first) == nullptr
+                           && unresolved != m_unresolved.end() && unresolved->second > 0;
         if (early) {
             ++it;
             continue;
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -118,8 +118,8 @@
     m_reportedAt = now;
     std::string text;
     for (const auto &[pool, load] : fleet.load) {
-        text += (text.empty() ? "" : " ") + pool + "=" + std::to_string(m_balancer.needed(pool)) + "/"
-                + std::to_string(m_balancer.present(pool)) + "/"
+        text += (text.empty() ? "" : " ") + pool + "=" + std::to_string(m_balancer.needed(pool))
+                + "/" + std::to_string(m_balancer.present(pool)) + "/"
                 + std::to_string(load.waitingCpu / 1000);
     }
     logState("pool-load", {{"needed/present/waiting-cores", text}});
@@ -156,11 +156,11 @@
         if (sentAt - order.sentAt > internal::ORDER_PATIENCE)
             return true;
         const bool arrived = it->second.state == FleetInstance::State::Up
-                && it->second.pool == order.targetPool;
+                             && it->second.pool == order.targetPool;
         return order.answered && order.sentAt < sentAt && arrived
-                && (order.wave == 0 ? isStandby(order.targetPool)
-                                    : it->second.worker != order.workerBefore
-                                       || order.workerBefore.empty());
+               && (order.wave == 0
+                           ? isStandby(order.targetPool)
+                           : it->second.worker != order.workerBefore || order.workerBefore.empty());
     });
 }
 
@@ -219,7 +219,8 @@
     }
     // An instance that was up before the take-over had no order that is still recent.
     const bool settled = worker != nullptr && worker->reachable && worker->description.born != 0
-            && worker->description.born <= m_startedMs - m_context.settings.machineHolderPause.count();
+                         && worker->description.born
+                                    <= m_startedMs - m_context.settings.machineHolderPause.count();
     row.reserved = now < m_firstOrderAt && !settled;
     if (const auto order = m_orders.find(row.name); order != m_orders.end()) {
         row.ordered = true;
@@ -234,8 +235,8 @@
         const auto &[name, order] = entry;
         const auto it = workers.find(name);
         return it != workers.end() && it->second != nullptr
-                && it->second->description.id != order.workerBefore
-                && it->second->description.pool == order.targetPool;
+               && it->second->description.id != order.workerBefore
+               && it->second->description.pool == order.targetPool;
     });
     std::erase_if(m_idleSince,
                   [this](const auto &it) { return m_scheduler.worker(it.first) == nullptr; });
@@ -245,8 +246,7 @@
                                        TimePoint now)
 {
     Order order;
-    order.targetPool
-            = std::ranges::find(fleet.instances, instance, &InstanceView::name)->pool;
+    order.targetPool = std::ranges::find(fleet.instances, instance, &InstanceView::name)->pool;
     order.sentAt = now;
     for (const auto &[id, worker] : m_scheduler.workers()) {
         if (worker.description.instance != instance)
@@ -277,8 +277,8 @@
 void FleetKeeper::maintain(const MaintainInstance &maintenance, const FleetView &fleet,
                            TimePoint now)
 {
-    logState("instance-maintenance", {{"instance", maintenance.instance},
-                                      {"wave", std::to_string(maintenance.wave)}});
+    logState("instance-maintenance",
+             {{"instance", maintenance.instance}, {"wave", std::to_string(maintenance.wave)}});
     begin(maintenance.instance, fleet, now).wave = maintenance.wave;
     m_calls->maintain(
             maintenance.instance, maintenance.wave, internal::MACHINE_TIMEOUT,
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -259,11 +259,11 @@
             ids[it.id] = pool;
     }
     m_recording = true;
-    m_context.store.write(write,
-                          [this, alive = m_alive, write, ids, written](const Result<WriteOutcome> &outcome) {
-                              if (*alive)
-                                  workersRecorded(write, ids, written, outcome);
-                          });
+    m_context.store.write(write, [this, alive = m_alive, write, ids,
+                                  written](const Result<WriteOutcome> &outcome) {
+        if (*alive)
+            workersRecorded(write, ids, written, outcome);
+    });
 }
 
 void ScheduleOwner::workersRecorded(const ConditionalWrite &write,
