--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -186,7 +186,7 @@
     void loseRuns(WorkerState &worker, TimePoint now);
     void retire(WorkerState &worker, TimePoint now);
     void retireForerunners(const WorkerDescription &description, TimePoint now);
-    void beginLife(WorkerState &worker, std::int64_t born, const WorkerReport &report,
+    void beginLife(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                    TimePoint now);
     void applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                       TimePoint now);
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -68,6 +68,7 @@
     Resources reserved; ///< By the runs.
     int persistentRuns = 0;
     std::int64_t endsSeen = 0; ///< Highest number of an end that was processed.
+    bool endsListed = false; ///< The last report contained ends.
     std::int64_t endsAcknowledged = 0; ///< Ends up to this number may be forgotten.
     std::deque<PendingEnd> pendingEnds;
     WorkerHealth health;
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -41,10 +41,9 @@
 void Scheduler::checkRun(WorkerState &worker, TaskRun &run, TimePoint now)
 {
     if (run.phase == TaskRun::Phase::Stopping) {
-        // The answer or the end may have been lost; a stop can be repeated.
-        if (now - run.stopSentAt > internal::STOP_REPEAT && worker.reachable) {
+        // Without an answer it may not have arrived; a stop can be repeated.
+        if (!run.stopAnswered && now - run.stopSentAt > internal::STOP_REPEAT && worker.reachable) {
             run.stopSentAt = now;
-            run.stopAnswered = false;
             m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
         }
         return;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -14,7 +14,10 @@
     auto *it = findWorker(id);
     if (it == nullptr)
         return request;
-    request.acknowledgedEnds = it->endsAcknowledged;
+    // The numbers of ends begin anew with each life of a worker: without a recent report that lists
+    // ends, an acknowledgement could reach another life and make it forget an end that nobody saw.
+    if (it->reachable && it->endsListed)
+        request.acknowledgedEnds = it->endsAcknowledged;
     // A hold that is not answered may arrive late; only reachable workers are promised more time.
     if (it->time.known() && it->reachable) {
         request.holdUntil = it->time.at(now, m_settings.hold);
@@ -32,10 +35,11 @@
         return;
     it->lastContact = now;
     it->lastReport = now;
+    it->endsListed = !report.ended.empty();
     it->reachable = true;
     it->fenced = true;
     if (it->born != report.born)
-        beginLife(*it, report.born, report, now);
+        beginLife(*it, report, sentAt, now);
     it->time.observe(report.clock, now);
     for (const auto &end : report.ended) {
         if (end.number <= it->endsSeen)
@@ -53,11 +57,11 @@
         it->reachable = false;
 }
 
-void Scheduler::beginLife(WorkerState &worker, std::int64_t born, const WorkerReport &report,
+void Scheduler::beginLife(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                           TimePoint now)
 {
     const bool first = worker.born == 0;
-    worker.born = born;
+    worker.born = report.born;
     worker.time.forget();
     worker.endsSeen = 0;
     worker.endsAcknowledged = 0;
@@ -71,7 +75,11 @@
         const bool listed = std::ranges::any_of(report.running, [&](const RunningReport &row) {
             return row.task == run->first && row.run == run->second.run;
         });
-        if (!listed && run->second.phase != TaskRun::Phase::Starting)
+        // A start that is not settled, or was after the hold was sent, may have reached the new
+        // life; a run that is being stopped is settled by the answer to the stop.
+        const bool later = run->second.phase != TaskRun::Phase::Running
+                || run->second.settledAt >= sentAt;
+        if (!listed && !later)
             releaseRun(worker, run, now);
     }
 }
@@ -179,6 +187,10 @@
             known.phase = TaskRun::Phase::Running;
             known.settledAt = now;
         }
+        const bool outlivedStop = known.phase == TaskRun::Phase::Stopping && known.stopAnswered
+                && known.settledAt + m_settings.stopTime < sentAt;
+        if (outlivedStop)
+            known.stopAnswered = false;
         if (known.percent != row.percent || known.progressAt == TimePoint{})
             known.progressAt = now;
         known.percent = row.percent;
--- a/src/node/workerlinks.cpp
+++ b/src/node/workerlinks.cpp
@@ -1,5 +1,6 @@
 #include "dragonflysill/node/workerlinks.h"
 
+#include "dragonflysill/telemetry/log.h"
 #include "workercalls.h"
 
 #include <algorithm>
@@ -44,6 +45,35 @@
     *m_alive = false;
 }
 
+namespace internal {
+
+std::string describe(const TaskId &task)
+{
+    return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
+            + std::to_string(task.index);
+}
+
+template <typename Order>
+void logOrder(std::string_view event, const Order &order, const std::string &outcome = {})
+{
+    if (!logsDecisions())
+        return;
+    logDecision(event, {{"job", order.task.job},
+                        {"task", describe(order.task)},
+                        {"run", std::to_string(order.run)},
+                        {"worker", order.worker},
+                        {"outcome", outcome}});
+}
+
+std::string outcomeName(const platform::OrderOutcome &outcome)
+{
+    if (const auto *it = std::get_if<StartRefusal>(&outcome))
+        return "refused-" + std::to_string(static_cast<int>(*it));
+    return std::holds_alternative<platform::OrderConfirmed>(outcome) ? "confirmed" : "unanswered";
+}
+
+} // namespace internal
+
 void WorkerLinks::execute(const SchedulerAction &action)
 {
     std::visit(
@@ -58,10 +88,13 @@
 void WorkerLinks::carry(const StartTask &start, const std::string &address)
 {
     ++m_counts.starts;
+    internal::logOrder("task-start", start);
     m_calls->start(address, start, internal::ORDER_TIMEOUT,
                    [this, alive = m_alive, start](const platform::OrderOutcome &outcome) {
                        if (!*alive)
                            return;
+                       internal::logOrder("task-start-answer", start,
+                                          internal::outcomeName(outcome));
                        const auto now = EventLoop::now();
                        auto &link = m_links[start.worker];
                        link.nextHold = std::min(link.nextHold, now + internal::HOLD_SPACING);
@@ -81,10 +114,12 @@
 void WorkerLinks::carry(const StopTask &stop, const std::string &address)
 {
     ++m_counts.stops;
+    internal::logOrder("task-stop", stop);
     m_calls->stop(address, stop, internal::ORDER_TIMEOUT,
                   [this, alive = m_alive, stop](const platform::OrderOutcome &outcome) {
                       if (!*alive)
                           return;
+                      internal::logOrder("task-stop-answer", stop, internal::outcomeName(outcome));
                       if (std::holds_alternative<platform::OrderConfirmed>(outcome))
                           m_scheduler.stopConfirmed(stop, EventLoop::now());
                       else
@@ -120,8 +155,12 @@
 
 void WorkerLinks::hold(const std::string &id, const WorkerState &worker, Link &link, TimePoint now)
 {
+    // A run that was stopped before it began has no end to wait for.
+    const bool stopping = std::ranges::any_of(worker.runs, [](const auto &it) {
+        return it.second.phase == TaskRun::Phase::Stopping;
+    });
     const bool waits = worker.reachable && !worker.runs.empty() && worker.pendingEnds.empty()
-                       && worker.time.known();
+                       && worker.time.known() && !stopping;
     link.holding = true;
     ++m_counts.holds;
     m_calls->hold(worker.description.address, id, m_scheduler.holdRequest(id, now),
@@ -138,10 +177,22 @@
     auto &link = m_links[id];
     link.holding = false;
     if (report) {
+        for (const auto &it : report->ended) {
+            if (logsDecisions())
+                logDecision("task-end", {{"job", it.task.job},
+                                         {"task", internal::describe(it.task)},
+                                         {"run", std::to_string(it.run)},
+                                         {"worker", id},
+                                         {"how", std::to_string(static_cast<int>(it.end))}});
+        }
         m_scheduler.reported(id, *report, sentAt, now);
         const auto *worker = m_scheduler.worker(id);
         const bool idle = worker == nullptr || worker->runs.empty();
-        const bool unsaved = worker != nullptr && !worker->pendingEnds.empty();
+        const bool unsaved = worker != nullptr
+                && (!worker->pendingEnds.empty()
+                    || std::ranges::any_of(worker->runs, [](const auto &it) {
+                           return it.second.phase == TaskRun::Phase::Stopping;
+                       }));
         link.nextHold = now
                         + (unsaved ? internal::UNSAVED_SPACING
                            : idle  ? internal::IDLE_SPACING
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -36,6 +36,16 @@
     spdlog::info("{}", internal::formatFields(event, fields));
 }
 
+void logDecision(std::string_view event, std::initializer_list<LogField> fields)
+{
+    spdlog::debug("{}", internal::formatFields(event, fields));
+}
+
+bool logsDecisions()
+{
+    return spdlog::should_log(spdlog::level::debug);
+}
+
 void logWarning(std::string_view event, std::initializer_list<LogField> fields)
 {
     spdlog::warn("{}", internal::formatFields(event, fields));
--- /dev/null
+++ b/tests/jobs/protocolmodel.cpp
@@ -0,0 +1,473 @@
+#include "protocolmodel.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace dragonflysill::test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration TICK = 50ms;
+constexpr Duration TROUBLE_TIME = 12s;
+constexpr Duration CALM_TIME = 30s;
+constexpr int WORKERS = 3;
+constexpr int JOBS = 2;
+constexpr Duration LONGEST_LATE_ORDER = 6s;
+
+} // namespace
+
+ProtocolModel::ProtocolModel(std::uint64_t seed)
+    : m_random(seed)
+    , m_now(1000s)
+    , m_troubleUntil(m_now + TROUBLE_TIME)
+{
+    for (int n = 0; n < WORKERS; ++n) {
+        ModelWorker worker;
+        worker.id = "w" + std::to_string(n);
+        worker.clockStart = m_now - Milliseconds(1000 * (n + 1));
+        m_workers[worker.id] = std::move(worker);
+    }
+    for (int n = 0; n < JOBS; ++n) {
+        SubmittedJob job;
+        job.id = "j" + std::to_string(n);
+        job.queue = "queue";
+        job.pool = "pool";
+        job.policy.attempts = 2;
+        for (int k = 0; k < 2; ++k) {
+            JobStep step;
+            step.count = 1 + static_cast<int>(m_random.below(3));
+            step.need = {1000, 1, 0};
+            step.estimate = 800ms;
+            if (k > 0)
+                step.after = {0};
+            job.spec.steps.push_back(step);
+        }
+        m_jobs[job.id] = std::move(job);
+    }
+}
+
+ProtocolModel::~ProtocolModel() = default;
+
+Duration ProtocolModel::delay()
+{
+    return Milliseconds(1 + static_cast<int>(m_random.below(chance(0.1) ? 400 : 20)));
+}
+
+void ProtocolModel::later(Duration delay, std::function<void()> action)
+{
+    m_events.emplace(m_now + delay, std::move(action));
+}
+
+void ProtocolModel::violate(const std::string &text)
+{
+    if (m_violation.empty())
+        m_violation = text + " at " + std::to_string((m_now.time_since_epoch() - 1000s) / 1ms) + " ms";
+}
+
+void ProtocolModel::note(const std::string &text)
+{
+    m_trace += std::to_string((m_now.time_since_epoch() - 1000s) / 1ms) + " ms: " + text + "\n";
+}
+
+namespace {
+
+std::string nameOf(const TaskId &task, int run)
+{
+    return task.job + "." + std::to_string(task.step) + "." + std::to_string(task.index) + " run "
+            + std::to_string(run);
+}
+
+} // namespace
+
+WorkerClock ProtocolModel::clock(const ModelWorker &worker) const
+{
+    // 2 % slow, the most that the protocol allows.
+    return static_cast<WorkerClock>(static_cast<double>((m_now - worker.clockStart) / 1ms) * 0.98);
+}
+
+std::string ProtocolModel::run()
+{
+    beginOwner();
+    while (m_violation.empty() && m_now < m_troubleUntil + CALM_TIME) {
+        step();
+        const bool finished = m_now > m_troubleUntil && std::ranges::all_of(m_jobs, [&](auto &it) {
+            return isFinal(m_saved[it.first].state) || m_cancelled.contains(it.first);
+        });
+        if (finished && std::ranges::all_of(m_workers, [](auto &it) {
+                return it.second.running.empty();
+            }))
+            return m_violation;
+    }
+    if (m_violation.empty())
+        violate("a job did not end after the trouble");
+    return m_violation;
+}
+
+void ProtocolModel::step()
+{
+    m_now += TICK;
+    while (!m_events.empty() && m_events.begin()->first <= m_now) {
+        auto action = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        action();
+    }
+    for (auto &[id, worker] : m_workers)
+        advance(worker);
+    if (m_now < m_troubleUntil)
+        disturb();
+    if (!m_scheduler)
+        return;
+    decide();
+    pumpHolds();
+    save();
+}
+
+void ProtocolModel::disturb()
+{
+    if (m_scheduler && chance(0.01)) {
+        note("the owner ends");
+        *m_ownerAlive = false;
+        m_scheduler.reset();
+        later(Milliseconds(200 + m_random.below(3000)), [this] { beginOwner(); });
+    }
+    for (auto &[id, worker] : m_workers) {
+        if (worker.up && chance(0.004))
+            crash(worker);
+        else if (!worker.cut && chance(0.005)) {
+            worker.cut = true;
+            note(worker.id + " is cut off");
+            later(Milliseconds(500 + m_random.below(5000)), [this, &worker] {
+                worker.cut = false;
+                note(worker.id + " is back");
+            });
+        }
+    }
+    if (chance(0.002)) {
+        const auto id = "j" + std::to_string(m_random.below(JOBS));
+        m_cancelled.insert(id);
+        if (m_scheduler)
+            m_scheduler->cancelJob(id, m_now);
+    }
+}
+
+void ProtocolModel::crash(ModelWorker &worker)
+{
+    note(worker.id + " crashes");
+    worker.up = false;
+    worker.running.clear();
+    worker.finishAt.clear();
+    worker.ended.clear();
+    later(Milliseconds(300 + m_random.below(4000)), [this, &worker] {
+        note(worker.id + " is reborn");
+        worker.up = true;
+        ++worker.born;
+        worker.fence = 0;
+        worker.holdUntil = 0;
+        worker.clockStart = m_now;
+        worker.nextEnd = 1;
+        worker.lapsedUpTo = 0;
+        worker.acknowledged = 0;
+        worker.blockedRun.clear();
+        if (m_scheduler) {
+            WorkerDescription description;
+            description.id = worker.id;
+            description.pool = "pool";
+            description.capacity = {2000, 1000, 0};
+            description.born = worker.born;
+            m_scheduler->describeWorker(description, m_now);
+        }
+    });
+}
+
+void ProtocolModel::beginOwner()
+{
+    ++m_fence;
+    note("owner " + std::to_string(m_fence) + " begins");
+    m_saving = false;
+    m_holding.clear();
+    m_ownerAlive = std::make_shared<bool>(true);
+    SchedulerSettings settings;
+    settings.previousOwner = 0ms;
+    m_scheduler = std::make_unique<Scheduler>(settings, m_fence, 1000 * m_generation++);
+    for (const auto &[id, job] : m_jobs) {
+        if (isFinal(m_saved[id].state))
+            continue;
+        m_scheduler->addJob(job, m_saved[id], m_generation > 1, 0s, m_now);
+        if (m_cancelled.contains(id))
+            m_scheduler->cancelJob(id, m_now);
+    }
+    for (const auto &[id, worker] : m_workers) {
+        WorkerDescription description;
+        description.id = id;
+        description.pool = "pool";
+        description.capacity = {2000, 1000, 0};
+        description.born = worker.born;
+        if (m_generation > 1)
+            m_scheduler->expectWorker(description, m_now);
+        m_scheduler->describeWorker(description, m_now);
+    }
+}
+
+void ProtocolModel::decide()
+{
+    for (const auto &action : m_scheduler->decide(m_now, 0))
+        std::visit([this](const auto &order) { send(order); }, action);
+}
+
+void ProtocolModel::send(const StartTask &start)
+{
+    auto &worker = m_workers[start.worker];
+    const bool trouble = m_now < m_troubleUntil;
+    const bool lost = trouble && chance(0.05);
+    const bool late = trouble && chance(0.05);
+    const auto fence = m_fence;
+    const auto alive = m_ownerAlive;
+    note("the owner orders " + worker.id + " to start " + nameOf(start.task, start.run));
+    // A late order is lost with the life of the worker that received it.
+    if (late && worker.up && !worker.cut)
+        later(2s + Milliseconds(m_random.below(LONGEST_LATE_ORDER / 1ms)),
+              [this, &worker, start, fence, born = worker.born] {
+                  if (worker.born == born)
+                      applyStart(worker, start, fence);
+              });
+    later(delay(), [this, &worker, start, fence, alive, lost, late] {
+        const bool answers = worker.up && !worker.cut && !lost && !late;
+        const auto refusal = answers ? applyStart(worker, start, fence) : "";
+        const bool answerLost = m_now < m_troubleUntil && chance(0.03);
+        later(answers && !answerLost ? delay() : 500ms, [this, &worker, start, alive, refusal,
+                                                         known = answers && !answerLost] {
+            if (!*alive)
+                return;
+            note(nameOf(start.task, start.run) + (known ? " answered " + refusal : " unanswered"));
+            if (!known)
+                m_scheduler->startUnanswered(start, m_now);
+            else if (refusal.empty())
+                m_scheduler->startConfirmed(start, clock(worker), m_now);
+            else
+                m_scheduler->startRefused(start,
+                                          refusal == "fence"      ? StartRefusal::Fence
+                                                  : refusal == "old"  ? StartRefusal::Old
+                                                  : refusal == "late" ? StartRefusal::Late
+                                                                      : StartRefusal::Room,
+                                          m_now);
+        });
+    });
+}
+
+void ProtocolModel::send(const StopTask &stop)
+{
+    auto &worker = m_workers[stop.worker];
+    const bool lost = m_now < m_troubleUntil && chance(0.05);
+    later(delay(), [this, &worker, stop, fence = m_fence, alive = m_ownerAlive, lost] {
+        const bool answers = worker.up && !worker.cut && !lost;
+        if (answers)
+            applyStop(worker, stop, fence);
+        later(answers ? delay() : 500ms, [this, stop, alive, answers] {
+            if (!*alive)
+                return;
+            if (answers)
+                m_scheduler->stopConfirmed(stop, m_now);
+            else
+                m_scheduler->stopUnanswered(stop, m_now);
+        });
+    });
+}
+
+void ProtocolModel::pumpHolds()
+{
+    for (auto &[id, worker] : m_workers) {
+        if (!m_holding[id])
+            hold(worker);
+    }
+}
+
+void ProtocolModel::hold(ModelWorker &worker)
+{
+    m_holding[worker.id] = true;
+    const auto sentAt = m_now;
+    const auto request = m_scheduler->holdRequest(worker.id, m_now);
+    later(delay(), [this, &worker, request, sentAt, fence = m_fence, alive = m_ownerAlive] {
+        const bool answers = worker.up && !worker.cut;
+        WorkerReport report;
+        bool refused = false;
+        if (answers) {
+            refused = fence < worker.fence;
+            worker.fence = std::max(worker.fence, fence);
+            if (!refused) {
+                if (request.holdUntil)
+                    worker.holdUntil = std::max(worker.holdUntil, *request.holdUntil);
+                acknowledge(worker, request.acknowledgedEnds);
+                report.born = worker.born;
+                report.clock = clock(worker);
+                for (const auto &[task, row] : worker.running)
+                    report.running.push_back(row);
+                report.ended = worker.ended;
+            }
+        }
+        later(answers ? delay() : 500ms, [this, &worker, report, sentAt, alive, answers, refused] {
+            if (!*alive)
+                return;
+            m_holding[worker.id] = false;
+            note(worker.id
+                 + (answers && !refused
+                            ? " reports " + std::to_string(report.running.size()) + " of life "
+                                    + std::to_string(report.born)
+                            : " does not report"));
+            if (answers && !refused)
+                m_scheduler->reported(worker.id, report, sentAt, m_now);
+            else
+                m_scheduler->holdUnanswered(worker.id, m_now);
+        });
+    });
+}
+
+void ProtocolModel::save()
+{
+    if (m_saving || !m_scheduler->hasUpdates())
+        return;
+    m_saving = true;
+    auto updates = m_scheduler->takeUpdates(8);
+    const bool lost = m_now < m_troubleUntil && chance(0.1);
+    const bool answerLost = m_now < m_troubleUntil && chance(0.1);
+    later(delay(), [this, updates, lost, answerLost, fence = m_fence, alive = m_ownerAlive] {
+        // The write depends on the owner's key.
+        const bool applied = !lost && fence == m_fence && m_scheduler != nullptr;
+        if (applied) {
+            for (const auto &it : updates) {
+                checkProgress(it.job, it.progress);
+                m_saved[it.job] = it.progress;
+            }
+        }
+        later(delay(), [this, updates, alive, saved = applied && !answerLost] {
+            if (!*alive)
+                return;
+            m_saving = false;
+            m_scheduler->updatesSaved(updates, saved);
+        });
+    });
+}
+
+std::string ProtocolModel::applyStart(ModelWorker &worker, const StartTask &start,
+                                      std::int64_t fence)
+{
+    if (!worker.up)
+        return "down";
+    if (fence < worker.fence)
+        return "fence";
+    worker.fence = fence;
+    const auto running = worker.running.find(start.task);
+    if (running != worker.running.end())
+        return running->second.run == start.run ? "" : "old";
+    if (start.run <= worker.blockedRun[start.task])
+        return "old";
+    if (start.holdUntil < clock(worker))
+        return "late";
+    if (worker.running.size() >= 2)
+        return "room";
+    note(worker.id + " starts " + nameOf(start.task, start.run) + " hold until "
+         + std::to_string(start.holdUntil) + " clock " + std::to_string(clock(worker)));
+    checkStart(worker, start);
+    worker.holdUntil = std::max(worker.holdUntil, start.holdUntil);
+    worker.running[start.task] = {start.task, start.run, "", 0, {}};
+    worker.finishAt[start.task] = m_now + Milliseconds(200 + m_random.below(1500));
+    return "";
+}
+
+void ProtocolModel::checkStart(const ModelWorker &worker, const StartTask &start)
+{
+    const auto name = start.task.job + "." + std::to_string(start.task.step) + "."
+            + std::to_string(start.task.index);
+    for (const auto &[id, other] : m_workers) {
+        if (id != worker.id && other.up && other.running.contains(start.task))
+            violate("two runs of " + name);
+    }
+    if (m_doneAcknowledged.contains(start.task))
+        violate(name + " started after its end had been acknowledged");
+    const auto &steps = m_jobs[start.task.job].spec.steps;
+    for (const int before : steps[static_cast<std::size_t>(start.task.step)].after) {
+        for (int n = 0; n < steps[static_cast<std::size_t>(before)].count; ++n) {
+            if (!m_done.contains({start.task.job, 0, before, n}))
+                violate(name + " started before the step it depends on");
+        }
+    }
+    if (static_cast<int>(m_failedAcknowledged[start.task].size())
+        >= m_jobs[start.task.job].policy.attempts)
+        violate(name + " started after its last attempt");
+}
+
+void ProtocolModel::checkProgress(const std::string &job, const JobProgress &progress)
+{
+    if (progress.state != JobStatus::Completed)
+        return;
+    const auto &steps = m_jobs[job].spec.steps;
+    for (std::size_t n = 0; n < steps.size(); ++n) {
+        for (int index = 0; index < steps[n].count; ++index) {
+            if (!m_done.contains({job, 0, static_cast<int>(n), index}))
+                violate(job + " completed without all of its tasks");
+        }
+    }
+}
+
+void ProtocolModel::applyStop(ModelWorker &worker, const StopTask &stop, std::int64_t fence)
+{
+    note(worker.id + " is told to stop " + nameOf(stop.task, stop.run));
+    if (fence < worker.fence)
+        return;
+    worker.fence = fence;
+    auto &blocked = worker.blockedRun[stop.task];
+    blocked = std::max(blocked, stop.run);
+    const auto it = worker.running.find(stop.task);
+    if (it != worker.running.end() && it->second.run <= stop.run)
+        end(worker, stop.task, RunEnd::Stopped);
+}
+
+void ProtocolModel::advance(ModelWorker &worker)
+{
+    if (!worker.up)
+        return;
+    const bool lapsed = clock(worker) > worker.holdUntil;
+    if (lapsed)
+        worker.lapsedUpTo = worker.nextEnd - 1;
+    for (auto &[task, at] : std::map<TaskId, TimePoint>(worker.finishAt)) {
+        auto &row = worker.running[task];
+        row.percent = std::min(99, row.percent + 3);
+        if (lapsed)
+            end(worker, task, RunEnd::Lapsed);
+        else if (m_now >= at)
+            end(worker, task,
+                m_now < m_troubleUntil && chance(0.1) ? RunEnd::Failed : RunEnd::Done);
+    }
+}
+
+void ProtocolModel::end(ModelWorker &worker, const TaskId &task, RunEnd how)
+{
+    const auto it = worker.running.find(task);
+    auto &blocked = worker.blockedRun[task];
+    blocked = std::max(blocked, it->second.run);
+    note(worker.id + " ends " + nameOf(task, it->second.run) + " how "
+         + std::to_string(static_cast<int>(how)));
+    worker.ended.push_back({worker.nextEnd++, task, it->second.run, how, ""});
+    if (how == RunEnd::Done)
+        m_done.insert(task);
+    worker.running.erase(it);
+    worker.finishAt.erase(task);
+}
+
+void ProtocolModel::acknowledge(ModelWorker &worker, std::int64_t upTo)
+{
+    for (const auto &it : worker.ended) {
+        // An end before a lapse of the worker's hold does not bind: its task may have gone elsewhere.
+        if (it.number > upTo || it.number <= worker.lapsedUpTo)
+            continue;
+        if (it.end == RunEnd::Done)
+            m_doneAcknowledged.insert(it.task);
+        if (it.end == RunEnd::Failed)
+            m_failedAcknowledged[it.task].insert(it.run);
+    }
+    std::erase_if(worker.ended, [&](const EndReport &it) { return it.number <= upTo; });
+}
+
+} // namespace dragonflysill::test
--- /dev/null
+++ b/tests/jobs/protocolmodel.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "dragonflysill/base/random.h"
+#include "dragonflysill/jobs/scheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dragonflysill::test {
+
+/**
+ * A schedule of the task protocol against a seeded adversary: orders and answers are delayed, lost,
+ * reordered and carried out seconds late; workers crash, are reborn and cut off; owners end at any
+ * moment and the next one starts from what was saved; saves are lost before or after they apply.
+ */
+class ProtocolModel
+{
+public:
+    explicit ProtocolModel(std::uint64_t seed);
+    ~ProtocolModel();
+
+    /** Runs the schedule; returns what was violated, empty if nothing was. */
+    std::string run();
+
+    /** Returns what happened, a line an event, for the replay of a failed seed. */
+    [[nodiscard]] const std::string &trace() const { return m_trace; }
+
+private:
+    struct ModelWorker
+    {
+        std::string id;
+        std::int64_t born = 1;
+        bool up = true;
+        bool cut = false;
+        std::int64_t fence = 0;
+        WorkerClock holdUntil = 0;
+        TimePoint clockStart{};
+        std::int64_t nextEnd = 1;
+        std::int64_t acknowledged = 0;
+        std::map<TaskId, RunningReport> running;
+        std::map<TaskId, TimePoint> finishAt;
+        std::map<TaskId, int> blockedRun;
+        std::vector<EndReport> ended;
+        std::int64_t lapsedUpTo = 0; ///< Ends that the worker's hold has lapsed after.
+    };
+
+    struct Event
+    {
+        TimePoint at;
+        std::function<void()> action;
+    };
+
+    [[nodiscard]] bool chance(double probability) { return m_random.unit() < probability; }
+    [[nodiscard]] Duration delay();
+    void later(Duration delay, std::function<void()> action);
+    void violate(const std::string &text);
+    void note(const std::string &text);
+    [[nodiscard]] WorkerClock clock(const ModelWorker &worker) const;
+
+    void step();
+    void disturb();
+    void beginOwner();
+    void decide();
+    void save();
+    void pumpHolds();
+    void send(const StartTask &start);
+    void send(const StopTask &stop);
+    void send(const PaceTask &) { }
+    void hold(ModelWorker &worker);
+    void crash(ModelWorker &worker);
+
+    std::string applyStart(ModelWorker &worker, const StartTask &start, std::int64_t fence);
+    void applyStop(ModelWorker &worker, const StopTask &stop, std::int64_t fence);
+    void advance(ModelWorker &worker);
+    void end(ModelWorker &worker, const TaskId &task, RunEnd how);
+    void acknowledge(ModelWorker &worker, std::int64_t upTo);
+    void checkStart(const ModelWorker &worker, const StartTask &start);
+    void checkProgress(const std::string &job, const JobProgress &progress);
+
+    Random m_random;
+    TimePoint m_now;
+    TimePoint m_troubleUntil;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    std::map<std::string, ModelWorker> m_workers;
+    std::map<std::string, SubmittedJob> m_jobs;
+    std::map<std::string, JobProgress> m_saved;
+    std::map<std::string, std::uint64_t> m_savedVersion;
+    std::map<std::string, bool> m_holding;
+    std::set<TaskId> m_done; ///< Tasks of which a run ended as done.
+    std::set<TaskId> m_doneAcknowledged;
+    std::map<TaskId, std::set<int>> m_failedAcknowledged;
+    std::set<std::string> m_cancelled;
+    std::unique_ptr<Scheduler> m_scheduler;
+    std::shared_ptr<bool> m_ownerAlive;
+    std::int64_t m_fence = 0;
+    int m_generation = 0;
+    bool m_saving = false;
+    std::string m_violation;
+    std::string m_trace;
+};
+
+} // namespace dragonflysill::test
--- /dev/null
+++ b/tests/jobs/schedulerharness.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "dragonflysill/jobs/scheduler.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace dragonflysill::test {
+
+using namespace std::chrono_literals;
+
+/** Returns a step of equal tasks that take one core for 1 s. */
+inline JobStep step(int count, std::vector<int> after = {})
+{
+    JobStep result;
+    result.count = count;
+    result.need = {1000, 1024, 0};
+    result.estimate = 1000ms;
+    result.after = std::move(after);
+    return result;
+}
+
+/** Returns a job of pool "pool" with the given steps. */
+inline SubmittedJob job(std::string id, std::vector<JobStep> steps, int attempts = 3)
+{
+    SubmittedJob result;
+    result.id = std::move(id);
+    result.queue = "queue";
+    result.pool = "pool";
+    result.policy.attempts = attempts;
+    result.policy.slackFactor = 2;
+    result.policy.targetRuntime = 1000ms;
+    result.spec.payload = "payload";
+    result.spec.steps = std::move(steps);
+    return result;
+}
+
+/** A worker that carries out orders at once and answers when the test asks it to. */
+struct FakeWorker
+{
+    WorkerDescription description;
+    std::int64_t born = 1;
+    std::int64_t nextEnd = 1;
+    std::map<TaskId, RunningReport> running;
+    std::vector<EndReport> ended;
+
+    void end(const TaskId &task, RunEnd how, const std::string &checkpoint = {})
+    {
+        const auto it = running.find(task);
+        ended.push_back({nextEnd++, task, it->second.run, how, checkpoint});
+        running.erase(it);
+    }
+
+    [[nodiscard]] WorkerReport report(TimePoint now) const
+    {
+        WorkerReport result;
+        result.born = born;
+        result.clock = now.time_since_epoch() / 1ms;
+        for (const auto &[task, row] : running)
+            result.running.push_back(row);
+        result.ended = ended;
+        return result;
+    }
+};
+
+/** A scheduler with fake workers and a clock that the test moves. */
+class SchedulerHarness
+{
+public:
+    explicit SchedulerHarness(std::int64_t fence = 10, int runOffset = 0)
+        : scheduler(SchedulerSettings{}, fence, runOffset)
+    {
+    }
+
+    /** Adds a listed worker with the given cores, and lets it report once. */
+    FakeWorker &addWorker(const std::string &id, int cores = 4, const std::string &instance = {})
+    {
+        auto &worker = workers[id];
+        worker.description.id = id;
+        worker.description.pool = "pool";
+        worker.description.address = id;
+        worker.description.zone = "zone";
+        worker.description.instance = instance;
+        worker.description.labels = {"a", "rack-" + id};
+        worker.description.capacity = {cores * 1000, 65536, 0};
+        worker.description.born = worker.born;
+        scheduler.describeWorker(worker.description, now);
+        reportFrom(id);
+        return worker;
+    }
+
+    void addJob(SubmittedJob submitted, bool inherited = false)
+    {
+        scheduler.addJob(std::move(submitted), {}, inherited, Duration{0}, now);
+    }
+
+    /** Decides and carries out all orders; starts are confirmed unless @p silent. */
+    std::vector<SchedulerAction> decide(bool silent = false)
+    {
+        auto actions = scheduler.decide(now, unixMs);
+        if (!silent) {
+            for (const auto &it : actions)
+                std::visit([this](const auto &order) { carryOut(order); }, it);
+        }
+        return actions;
+    }
+
+    void reportFrom(const std::string &id)
+    {
+        const auto request = scheduler.holdRequest(id, now);
+        auto &worker = workers[id];
+        std::erase_if(worker.ended, [&](const EndReport &it) {
+            return it.number <= request.acknowledgedEnds;
+        });
+        scheduler.reported(id, worker.report(now), now, now);
+    }
+
+    void reportAll()
+    {
+        for (const auto &[id, worker] : workers)
+            reportFrom(id);
+    }
+
+    /** Ends a running task on the worker that has it, and lets that worker report. */
+    void end(const TaskId &task, RunEnd how)
+    {
+        for (auto &[id, worker] : workers) {
+            if (!worker.running.contains(task))
+                continue;
+            worker.end(task, how);
+            reportFrom(id);
+            return;
+        }
+    }
+
+    void saveAll()
+    {
+        const auto updates = scheduler.takeUpdates(1000);
+        scheduler.updatesSaved(updates, true);
+    }
+
+    void pass(Duration duration) { now += duration; }
+
+    /** Returns the worker that runs a task, empty if none does. */
+    [[nodiscard]] std::string workerOf(const TaskId &task) const
+    {
+        for (const auto &[id, worker] : workers) {
+            if (worker.running.contains(task))
+                return id;
+        }
+        return {};
+    }
+
+    Scheduler scheduler;
+    std::map<std::string, FakeWorker> workers;
+    TimePoint now{1000s};
+    std::int64_t unixMs = 5'000'000;
+
+private:
+    void carryOut(const StartTask &start)
+    {
+        auto &worker = workers[start.worker];
+        worker.running[start.task] = {start.task, start.run, start.checkpoint, 0, {}};
+        scheduler.startConfirmed(start, now.time_since_epoch() / 1ms, now);
+    }
+
+    void carryOut(const StopTask &stop)
+    {
+        auto &worker = workers[stop.worker];
+        if (worker.running.contains(stop.task))
+            worker.end(stop.task, RunEnd::Stopped);
+        scheduler.stopConfirmed(stop, now);
+    }
+
+    void carryOut(const PaceTask & /*pace*/) { }
+};
+
+template <typename T>
+std::vector<T> ordersOf(const std::vector<SchedulerAction> &actions)
+{
+    std::vector<T> found;
+    for (const auto &it : actions) {
+        if (const auto *order = std::get_if<T>(&it))
+            found.push_back(*order);
+    }
+    return found;
+}
+
+} // namespace dragonflysill::test
--- /dev/null
+++ b/tests/jobs/schedulertest.cpp
@@ -0,0 +1,486 @@
+#include "schedulerharness.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+
+BOOST_AUTO_TEST_SUITE(SchedulerDecisions)
+
+BOOST_AUTO_TEST_CASE(StepsRunInOrderAndTheJobCompletes)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(2), step(1, {0})}));
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).size() == 2U);
+    harness.end({"j", 0, 0, 0}, RunEnd::Done);
+    BOOST_TEST(harness.decide().empty());
+    harness.end({"j", 0, 0, 1}, RunEnd::Done);
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].task.step == 1);
+    harness.end({"j", 0, 1, 0}, RunEnd::Done);
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Completed));
+    BOOST_TEST(harness.scheduler.openJobs() == 0U);
+}
+
+// An end that was acknowledged but not saved would be lost with the owner.
+BOOST_AUTO_TEST_CASE(EndsAreAcknowledgedOnlyAfterTheyAreSaved)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(2)}));
+    harness.decide();
+    harness.saveAll();
+    harness.end({"j", 0, 0, 0}, RunEnd::Done);
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 0);
+    harness.saveAll();
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 1);
+}
+
+// Found by the protocol model: the acknowledgement of the old life made the new one forget an end.
+BOOST_AUTO_TEST_CASE(SilentWorkerIsNotSentAcknowledgements)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(2)}));
+    harness.decide();
+    harness.end({"j", 0, 0, 0}, RunEnd::Done);
+    harness.saveAll();
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 1);
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 0);
+}
+
+// A failed save must not acknowledge the ends that it contained.
+BOOST_AUTO_TEST_CASE(FailedSaveIsRepeated)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    harness.end({"j", 0, 0, 0}, RunEnd::Done);
+    const auto updates = harness.scheduler.takeUpdates(10);
+    BOOST_REQUIRE(updates.size() == 1U);
+    harness.scheduler.updatesSaved(updates, false);
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 0);
+    BOOST_TEST(harness.scheduler.takeUpdates(10).size() == 1U);
+}
+
+// A start without an answer may take effect seconds later, also beside a second run.
+BOOST_AUTO_TEST_CASE(UnansweredStartIsStoppedBeforeTheTaskStartsElsewhere)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    harness.addJob(job("j", {step(1)}));
+    const auto start = ordersOf<StartTask>(harness.decide(true)).at(0);
+    harness.scheduler.startUnanswered(start, harness.now);
+    const auto actions = harness.decide(true);
+    BOOST_TEST(ordersOf<StartTask>(actions).empty());
+    const auto stop = ordersOf<StopTask>(actions).at(0);
+    BOOST_TEST(stop.worker == start.worker);
+    harness.scheduler.stopConfirmed(stop, harness.now);
+    harness.reportAll();
+    BOOST_TEST(ordersOf<StartTask>(harness.decide(true)).empty());
+    harness.pass(300ms);
+    harness.reportAll();
+    const auto again = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(again.size() == 1U);
+    BOOST_TEST(again[0].run > start.run);
+}
+
+// Seen in a hunt: the stop was repeated for ever, and each answer put the end of the wait off.
+BOOST_AUTO_TEST_CASE(AnsweredStopIsNotRepeated)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    const auto start = ordersOf<StartTask>(harness.decide(true)).at(0);
+    harness.scheduler.startUnanswered(start, harness.now);
+    const auto stop = ordersOf<StopTask>(harness.decide(true)).at(0);
+    harness.scheduler.stopConfirmed(stop, harness.now);
+    harness.pass(250ms);
+    const auto holdSentAt = harness.now;
+    harness.pass(600ms);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide(true)).empty());
+    harness.scheduler.reported("w1", harness.workers["w1"].report(harness.now), holdSentAt,
+                               harness.now);
+    BOOST_TEST(ordersOf<StartTask>(harness.decide(true)).size() == 1U);
+}
+
+// A worker that does not answer may still run its tasks until the hold has ended.
+BOOST_AUTO_TEST_CASE(TasksOfASilentWorkerWaitForTheEndOfItsHold)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 1);
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    harness.reportAll();
+    const auto lastHold = harness.scheduler.holdRequest("w1", harness.now);
+    BOOST_TEST(lastHold.holdUntil.has_value());
+    harness.addWorker("w2", 1);
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    harness.pass(2900ms);
+    BOOST_TEST(ordersOf<StartTask>(harness.decide(true)).empty());
+    harness.pass(400ms);
+    const auto starts = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].worker == "w2");
+}
+
+// Holds that are repeated to a silent worker must not extend its runs for ever.
+BOOST_AUTO_TEST_CASE(SilentWorkerIsNotPromisedMoreTime)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    BOOST_TEST(!harness.scheduler.holdRequest("w1", harness.now).holdUntil.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SecondAttemptGoesToAnotherWorkerAndTheLastFailureFailsTheJob)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 2);
+    harness.addWorker("w2", 2);
+    harness.addJob(job("j", {step(1)}, 2));
+    harness.decide();
+    const TaskId task{"j", 0, 0, 0};
+    const auto first = harness.workerOf(task);
+    harness.end(task, RunEnd::Failed);
+    harness.decide();
+    BOOST_TEST(harness.workerOf(task) != first);
+    BOOST_TEST(!harness.workerOf(task).empty());
+    harness.end(task, RunEnd::Failed);
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Failed));
+}
+
+// Stops, lapses and broken gangs are the system's doing and must not fail a job.
+BOOST_AUTO_TEST_CASE(OnlyFailuresCountAsAttempts)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}, 1));
+    for (const auto how : {RunEnd::Stopped, RunEnd::Lapsed, RunEnd::Broken, RunEnd::Alone}) {
+        harness.decide();
+        harness.end({"j", 0, 0, 0}, how);
+    }
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Running));
+}
+
+BOOST_AUTO_TEST_CASE(CancelledJobIsStoppedAndNotStartedAgain)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 1);
+    harness.addJob(job("j", {step(3)}));
+    harness.decide();
+    harness.scheduler.cancelJob("j", harness.now);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide()).size() == 1U);
+    harness.reportAll();
+    BOOST_TEST(harness.decide().empty());
+    BOOST_TEST(harness.workers["w1"].running.empty());
+}
+
+BOOST_AUTO_TEST_CASE(SpreadingLimitsTheTasksOfAStepOnOneWorker)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 8);
+    harness.addWorker("w2", 8);
+    auto spread = step(3);
+    spread.maxPerWorker = 1;
+    harness.addJob(job("j", {spread}));
+    std::set<std::string> used;
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    for (const auto &it : starts)
+        used.insert(it.worker);
+    BOOST_TEST(starts.size() == 2U);
+    BOOST_TEST(used.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(GangStartsAsAWholeOrNotAtAll)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 2);
+    auto gang = step(3);
+    gang.gang = true;
+    harness.addJob(job("j", {gang}));
+    BOOST_TEST(harness.decide().empty());
+    harness.addWorker("w2", 2);
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_TEST(starts.size() == 3U);
+    for (const auto &it : starts)
+        BOOST_TEST(it.run == starts[0].run);
+}
+
+BOOST_AUTO_TEST_CASE(OneEndOfAGangCompletesItsStep)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 4);
+    auto gang = step(3);
+    gang.gang = true;
+    harness.addJob(job("j", {gang}));
+    harness.decide();
+    harness.end({"j", 0, 0, 1}, RunEnd::Done);
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Completed));
+}
+
+// A job that fits nowhere must not hold up the others.
+BOOST_AUTO_TEST_CASE(JobThatNeverFitsBlocksNobody)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 4);
+    auto large = step(1);
+    large.need.milliCores = 100000;
+    harness.addJob(job("a", {large}));
+    harness.addJob(job("b", {step(1)}));
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].task.job == "b");
+}
+
+BOOST_AUTO_TEST_CASE(DrainingWorkerGetsNoNewTasks)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    worker.description.draining = true;
+    harness.scheduler.describeWorker(worker.description, harness.now);
+    harness.addJob(job("j", {step(1)}));
+    BOOST_TEST(harness.decide().empty());
+}
+
+BOOST_AUTO_TEST_CASE(OccurrencesStartAtTheirTimes)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    auto timed = job("j", {step(1)});
+    timed.spec.scheduled = true;
+    timed.spec.occurrences = 2;
+    timed.spec.firstDueMs = harness.unixMs + 1000;
+    timed.spec.interval = 500ms;
+    harness.addJob(timed);
+    BOOST_TEST(harness.decide().empty());
+    harness.unixMs += 1000;
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).at(0).task.occurrence == 0);
+    harness.unixMs += 500;
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).at(0).task.occurrence == 1);
+}
+
+// The users of a persistent step would lose more of its tasks than its budget allows.
+BOOST_AUTO_TEST_CASE(LeavingWorkersGiveUpPersistentTasksWithinTheBudget)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 4);
+    auto serving = step(3);
+    serving.persistent = true;
+    serving.maxUnavailable = 1;
+    harness.addJob(job("j", {serving}));
+    harness.decide();
+    for (auto &[task, row] : harness.workers["w1"].running)
+        row.percent = 100;
+    harness.reportAll();
+    harness.addWorker("w2", 4);
+    harness.scheduler.setLeaving("w1", true);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide()).size() == 1U);
+    harness.reportAll();
+    BOOST_TEST(ordersOf<StopTask>(harness.decide()).empty());
+    BOOST_TEST(harness.workers["w2"].running.size() == 1U);
+    for (auto &[task, row] : harness.workers["w2"].running)
+        row.percent = 100;
+    harness.reportAll();
+    BOOST_TEST(ordersOf<StopTask>(harness.decide()).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowSpeculativeTaskGetsASecondCopyAndTheLoserIsStopped)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 1);
+    auto copied = step(1);
+    copied.speculative = true;
+    harness.addJob(job("j", {copied}));
+    harness.decide();
+    harness.addWorker("w2", 1);
+    for (int n = 1; n <= 5; ++n) {
+        harness.pass(500ms);
+        harness.workers["w1"].running.begin()->second.percent = n;
+        harness.reportAll();
+        harness.decide();
+    }
+    const TaskId task{"j", 0, 0, 0};
+    BOOST_REQUIRE(harness.workers["w2"].running.contains(task));
+    harness.workers["w2"].end(task, RunEnd::Done);
+    harness.reportFrom("w2");
+    BOOST_TEST(ordersOf<StopTask>(harness.decide()).at(0).worker == "w1");
+}
+
+BOOST_AUTO_TEST_CASE(StalledTaskIsMovedToAnotherWorker)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 1);
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    harness.addWorker("w2", 1);
+    for (int n = 0; n < 4; ++n) {
+        harness.reportAll();
+        harness.decide();
+        harness.pass(600ms);
+    }
+    harness.reportAll();
+    harness.decide();
+    harness.reportAll();
+    harness.decide();
+    BOOST_TEST(harness.workerOf({"j", 0, 0, 0}) == "w2");
+}
+
+// Before the fix an idle worker looked stalled because nobody had asked it for its runs.
+BOOST_AUTO_TEST_CASE(WorkerWithoutReportsDoesNotCountAsStalled)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 1);
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    harness.pass(2000ms);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide(true)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(TakeOver)
+
+BOOST_AUTO_TEST_CASE(RunsOfThePreviousOwnerGoOn)
+{
+    SchedulerHarness harness(20, 1000);
+    auto &worker = harness.workers["w1"];
+    worker.running[{"j", 0, 0, 0}] = {{"j", 0, 0, 0}, 1, "", 50, {}};
+    harness.addJob(job("j", {step(2)}), true);
+    harness.addWorker("w1");
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].task.index == 1);
+    BOOST_TEST(starts[0].run == 1001);
+}
+
+// The worker that has not answered may run the inherited task.
+BOOST_AUTO_TEST_CASE(InheritedTasksWaitForAllExpectedWorkers)
+{
+    SchedulerHarness harness(20, 1000);
+    WorkerDescription silent;
+    silent.id = "w2";
+    silent.pool = "pool";
+    silent.instance = "machine-2";
+    harness.scheduler.expectWorker(silent, harness.now);
+    harness.addJob(job("old", {step(1)}), true);
+    harness.addJob(job("new", {step(1)}));
+    harness.addWorker("w1");
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].task.job == "new");
+    harness.pass(4000ms);
+    harness.reportAll();
+    BOOST_TEST(harness.decide().empty());
+    harness.pass(1300ms);
+    harness.reportAll();
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).at(0).task.job == "old");
+}
+
+// Each move leaves a worker behind that never answers again.
+BOOST_AUTO_TEST_CASE(NewerWorkerOnTheSameInstanceEndsTheWaitForTheOlder)
+{
+    SchedulerHarness harness(20, 1000);
+    WorkerDescription old;
+    old.id = "w1";
+    old.pool = "pool";
+    old.instance = "machine-1";
+    harness.scheduler.expectWorker(old, harness.now);
+    harness.addJob(job("j", {step(1)}), true);
+    harness.addWorker("w2", 4, "machine-1");
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).size() == 1U);
+}
+
+// Seen in a hunt: the step of a listed run was not ready yet, because the ends of the step before
+// stood on another worker; the run was stopped and its task started twice.
+BOOST_AUTO_TEST_CASE(RunOfALaterStepIsKeptUntilTheEarlierEndsAreKnown)
+{
+    SchedulerHarness harness(20, 1000);
+    harness.addJob(job("j", {step(1), step(1, {0})}), true);
+    WorkerDescription late;
+    late.id = "w2";
+    late.pool = "pool";
+    harness.scheduler.expectWorker(late, harness.now);
+    harness.workers["w1"].running[{"j", 0, 1, 0}] = {{"j", 0, 1, 0}, 1, "", 50, {}};
+    harness.addWorker("w1");
+    BOOST_TEST(harness.decide().empty());
+    harness.workers["w2"].ended.push_back({1, {"j", 0, 0, 0}, 1, RunEnd::Done, ""});
+    harness.addWorker("w2");
+    BOOST_TEST(harness.decide().empty());
+    harness.end({"j", 0, 1, 0}, RunEnd::Done);
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Completed));
+}
+
+// Seen in a hunt: an end of a step that was not ready yet was dropped and acknowledged.
+BOOST_AUTO_TEST_CASE(EndOfALaterStepCountsBeforeTheEarlierEndsAreKnown)
+{
+    SchedulerHarness harness(20, 1000);
+    harness.addJob(job("j", {step(1), step(1, {0})}), true);
+    harness.workers["w1"].ended.push_back({1, {"j", 0, 1, 0}, 1, RunEnd::Done, ""});
+    harness.addWorker("w1");
+    harness.workers["w2"].ended.push_back({1, {"j", 0, 0, 0}, 1, RunEnd::Done, ""});
+    harness.addWorker("w2");
+    BOOST_TEST(harness.decide().empty());
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Completed));
+}
+
+// A failure is listed again until it is acknowledged, also to the next owner.
+BOOST_AUTO_TEST_CASE(FailureThatWasSavedIsNotCountedAgain)
+{
+    SchedulerHarness harness(20, 1000);
+    JobProgress progress;
+    progress.state = JobStatus::Running;
+    progress.failures[{0, 0, 0}] = {1};
+    harness.scheduler.addJob(job("j", {step(1)}, 2), progress, true, 0s, harness.now);
+    harness.workers["w1"].ended.push_back({1, {"j", 0, 0, 0}, 1, RunEnd::Failed, ""});
+    harness.addWorker("w1");
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Running));
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(UnknownRunIsStopped)
+{
+    SchedulerHarness harness;
+    harness.workers["w1"].running[{"gone", 0, 0, 0}] = {{"gone", 0, 0, 0}, 3, "", 10, {}};
+    harness.addWorker("w1");
+    const auto stops = ordersOf<StopTask>(harness.decide());
+    BOOST_REQUIRE(stops.size() == 1U);
+    BOOST_TEST(stops[0].run == 3);
+}
+
+// A reborn worker knows nothing of before, under the same id.
+BOOST_AUTO_TEST_CASE(RebornWorkerLosesItsRuns)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    harness.pass(100ms);
+    worker.running.clear();
+    worker.born = 2;
+    worker.description.born = 2;
+    harness.scheduler.describeWorker(worker.description, harness.now);
+    harness.reportAll();
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].run == 2);
+}
+
+BOOST_AUTO_TEST_CASE(HigherFenceAtAWorkerEndsTheOwnership)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    const auto start = ordersOf<StartTask>(harness.decide(true)).at(0);
+    harness.scheduler.startRefused(start, StartRefusal::Fence, harness.now);
+    BOOST_TEST(harness.scheduler.replaced());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
