Test the node, the adapter, the network layer and the fleet's decisions

Found by the model and mended: the second end of a task whose first end was not saved yet was acknowledged at once ().

--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -121,9 +121,11 @@
             applyDone(worker, end, current ? &run->second : nullptr, now);
         else if (end.end == RunEnd::Failed && !owner->step(end.task).persistent)
             applyFailure(worker, end, now);
-        change = owner->changes();
         markDirty(*owner);
     }
+    // Also an end that changes nothing rests on what has been learnt from other ends.
+    if (owner != nullptr)
+        change = owner->changes();
     worker.strays.erase(end.task);
     if (current)
         releaseRun(worker, worker.runs.find(end.task), now);
--- /dev/null
+++ b/tests/jobs/decisionstest.cpp
@@ -0,0 +1,354 @@
+#include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/jobs/maintenanceplanner.h"
+#include "dragonflysill/jobs/poolbalancer.h"
+#include "dragonflysill/jobs/queuetable.h"
+#include "dragonflysill/jobs/runtimemodel.h"
+#include "dragonflysill/jobs/workerhealth.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace dragonflysill;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t INSTANCE_CORES = 64;
+
+/** A fleet whose instances the orders of the decisions move at once or after the move time. */
+struct Fleet
+{
+    FleetView view;
+    TimePoint now{1000s};
+
+    explicit Fleet(const std::vector<std::pair<std::string, int>> &pools, int standby)
+    {
+        view.standbyPool = "standby";
+        for (const auto &[pool, count] : pools) {
+            view.load[pool] = {};
+            for (int n = 0; n < count; ++n)
+                add(pool, pool + "-" + std::to_string(n));
+        }
+        for (int n = 0; n < standby; ++n) {
+            add("standby", "standby-" + std::to_string(n));
+            view.instances.back().standby = true;
+        }
+    }
+
+    void add(const std::string &pool, const std::string &name)
+    {
+        InstanceView instance;
+        instance.name = name;
+        instance.pool = pool;
+        instance.usable = true;
+        instance.empty = true;
+        instance.milliCores = INSTANCE_CORES * 1000;
+        instance.idleSince = now;
+        view.instances.push_back(std::move(instance));
+    }
+
+    InstanceView &instance(const std::string &name)
+    {
+        return *std::ranges::find(view.instances, name, &InstanceView::name);
+    }
+
+    [[nodiscard]] int count(const std::string &pool) const
+    {
+        return static_cast<int>(std::ranges::count(view.instances, pool, &InstanceView::pool));
+    }
+
+    void apply(const std::vector<MoveInstance> &moves)
+    {
+        for (const auto &it : moves) {
+            auto &moved = instance(it.instance);
+            moved.pool = it.pool;
+            moved.standby = it.pool == view.standbyPool;
+            moved.usable = !moved.standby;
+            moved.idleSince = now;
+        }
+    }
+};
+
+MaintenanceWave wave(std::vector<std::string> instances, int ceiling)
+{
+    return {1, std::move(instances), 25000ms, ceiling};
+}
+
+bool neverShort(const std::string &)
+{
+    return false;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Balancing)
+
+// The turns of demand: one pool asks for more than it holds while the others are idle.
+BOOST_AUTO_TEST_CASE(BurstingPoolGetsIdleInstancesOfTheOthers)
+{
+    Fleet fleet({{"a", 10}, {"b", 10}}, 8);
+    PoolBalancer balancer;
+    for (int n = 0; n < 20; ++n) {
+        fleet.view.load["a"].waitingCpu = 20 * INSTANCE_CORES * 1000;
+        fleet.apply(balancer.decide(fleet.view, fleet.now));
+        fleet.now += 100ms;
+    }
+    BOOST_TEST(fleet.count("a") >= 20);
+    BOOST_TEST(fleet.count("b") >= 1);
+}
+
+// Turns of demand again, as a load: each pool in turn asks for 20 of 48 instances for 8 s. The
+// baseline leaves each pool its 10 instances.
+BOOST_AUTO_TEST_CASE(TurnTakingDemandIsServedBetterThanByFixedPools)
+{
+    Fleet fleet({{"a", 10}, {"b", 10}, {"c", 10}, {"d", 10}}, 8);
+    PoolBalancer balancer;
+    double served = 0;
+    double servedFixed = 0;
+    double asked = 0;
+    for (int tick = 0; tick < 640; ++tick) {
+        const std::string burst(1, static_cast<char>('a' + tick / 80 % 4));
+        for (auto &[pool, load] : fleet.view.load)
+            load.runningCpu = (pool == burst ? 20 : 1) * 54 * 1000;
+        fleet.apply(balancer.decide(fleet.view, fleet.now));
+        asked += 20;
+        served += std::min(20, fleet.count(burst));
+        servedFixed += 10;
+        fleet.now += 100ms;
+    }
+    BOOST_TEST(served / asked > 0.95);
+    BOOST_TEST(servedFixed / asked == 0.5);
+}
+
+// A single large job must not count as a rate of such jobs.
+BOOST_AUTO_TEST_CASE(OneLargeJobDoesNotLookLikeABurst)
+{
+    Fleet fleet({{"a", 4}, {"b", 4}}, 8);
+    PoolBalancer balancer;
+    balancer.decide(fleet.view, fleet.now);
+    fleet.now += 100ms;
+    fleet.view.load["a"].arrivedWork = 4000;
+    fleet.view.load["a"].arrivedJobs = 1;
+    fleet.view.load["a"].waitingCpu = 3 * 54 * 1000;
+    balancer.decide(fleet.view, fleet.now);
+    BOOST_TEST(balancer.needed("a") == 3);
+}
+
+BOOST_AUTO_TEST_CASE(InstancesThatStayIdleGoToStandby)
+{
+    Fleet fleet({{"a", 20}, {"b", 20}}, 0);
+    PoolBalancer balancer;
+    for (int n = 0; n < 120; ++n) {
+        fleet.apply(balancer.decide(fleet.view, fleet.now));
+        fleet.now += 100ms;
+    }
+    BOOST_TEST(fleet.count("standby") > 10);
+    BOOST_TEST(fleet.count("a") > 0);
+}
+
+// An instance with a running task, a draining one, or one with a recent order stays where it is.
+BOOST_AUTO_TEST_CASE(OnlyIdleInstancesWithoutOrdersMove)
+{
+    Fleet fleet({{"a", 1}, {"b", 4}}, 0);
+    fleet.instance("b-0").empty = false;
+    fleet.instance("b-1").draining = true;
+    fleet.instance("b-2").ordered = true;
+    fleet.instance("b-3").reserved = true;
+    PoolBalancer balancer;
+    for (int n = 0; n < 30; ++n) {
+        fleet.view.load["a"].waitingCpu = 10 * INSTANCE_CORES * 1000;
+        BOOST_TEST(balancer.decide(fleet.view, fleet.now).empty());
+        fleet.now += 100ms;
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Maintenance)
+
+BOOST_AUTO_TEST_CASE(NeverMoreThanTheCeilingAreDown)
+{
+    Fleet fleet({{"a", 8}}, 0);
+    MaintenancePlanner planner(2000ms);
+    planner.addWave(wave({"a-0", "a-1", "a-2", "a-3"}, 2), {}, fleet.now);
+    const auto first = planner.decide(fleet.view, neverShort, fleet.now);
+    BOOST_REQUIRE(first.orders.size() == 2U);
+    for (const auto &it : first.orders) {
+        fleet.instance(it.instance).state = FleetInstance::State::Maintenance;
+        planner.accepted(1, it.instance, fleet.now);
+    }
+    BOOST_TEST(planner.decide(fleet.view, neverShort, fleet.now).orders.empty());
+}
+
+// Seen in a hunt (LIMIT): the list of instances was older than the order and showed it as up.
+BOOST_AUTO_TEST_CASE(AnOldListDoesNotMakeAnInstanceCountAsUp)
+{
+    Fleet fleet({{"a", 4}}, 0);
+    MaintenancePlanner planner(2000ms);
+    planner.addWave(wave({"a-0", "a-1"}, 1), {}, fleet.now);
+    const auto order = planner.decide(fleet.view, neverShort, fleet.now).orders.at(0);
+    planner.accepted(1, order.instance, fleet.now);
+    fleet.now += 1000ms;
+    BOOST_TEST(planner.decide(fleet.view, neverShort, fleet.now).orders.empty());
+    fleet.now += 2100ms;
+    BOOST_TEST(planner.decide(fleet.view, neverShort, fleet.now).orders.size() == 1U);
+}
+
+// Seen in a hunt (LIMIT): the previous owner had taken instances down a moment before.
+BOOST_AUTO_TEST_CASE(InstancesOfUnknownStateCountAsDownAfterATakeOver)
+{
+    Fleet fleet({{"a", 4}}, 0);
+    for (const char *name : {"a-0", "a-1"}) {
+        fleet.instance(name).reserved = true;
+        fleet.instance(name).usable = false;
+    }
+    MaintenancePlanner planner(2000ms);
+    planner.addWave(wave({"a-0", "a-1", "a-2", "a-3"}, 2), {"a-0"}, fleet.now);
+    BOOST_TEST(planner.decide(fleet.view, neverShort, fleet.now).orders.empty());
+}
+
+BOOST_AUTO_TEST_CASE(BusyInstancesAreEmptiedFirst)
+{
+    Fleet fleet({{"a", 2}}, 0);
+    fleet.instance("a-0").empty = false;
+    MaintenancePlanner planner(2000ms);
+    planner.addWave(wave({"a-0"}, 1), {}, fleet.now);
+    const auto decision = planner.decide(fleet.view, neverShort, fleet.now);
+    BOOST_TEST(decision.orders.empty());
+    BOOST_TEST(decision.leaving.contains("a-0"));
+}
+
+BOOST_AUTO_TEST_CASE(WaveIsCompleteWhenAllThatExistAreDone)
+{
+    Fleet fleet({{"a", 1}}, 0);
+    MaintenancePlanner planner(2000ms);
+    planner.addWave(wave({"a-0", "gone"}, 2), {}, fleet.now);
+    BOOST_TEST(!planner.completed(1));
+    planner.decide(fleet.view, neverShort, fleet.now);
+    planner.accepted(1, "a-0", fleet.now);
+    planner.decide(fleet.view, neverShort, fleet.now);
+    BOOST_TEST(planner.completed(1));
+}
+
+BOOST_AUTO_TEST_CASE(PoolsThatAreShortAreSparedUntilTheWaveIsLate)
+{
+    Fleet fleet({{"a", 2}}, 0);
+    MaintenancePlanner planner(2000ms);
+    planner.addWave(wave({"a-0"}, 1), {}, fleet.now);
+    const auto isShort = [](const std::string &) { return true; };
+    BOOST_TEST(planner.decide(fleet.view, isShort, fleet.now).orders.empty());
+    fleet.now += 20s;
+    BOOST_TEST(planner.decide(fleet.view, isShort, fleet.now).orders.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Judgement)
+
+// A worker that fails all it starts must be set aside before it has used up a job's attempts.
+BOOST_AUTO_TEST_CASE(FailuresOfDifferentJobsQuarantineAWorker)
+{
+    WorkerHealth health;
+    const TimePoint now{1000s};
+    health.failed("a", now);
+    BOOST_TEST(!health.quarantined(now));
+    BOOST_TEST(health.suspect(now));
+    health.failed("b", now);
+    BOOST_TEST(health.quarantined(now));
+    BOOST_TEST(!health.quarantined(now + 4s));
+}
+
+// A job that can never succeed must not empty the pool of workers.
+BOOST_AUTO_TEST_CASE(HopelessJobIsNotTheWorkersFault)
+{
+    WorkerHealth health;
+    const TimePoint now{1000s};
+    health.failed("hopeless", now);
+    health.failed("hopeless", now);
+    BOOST_TEST(!health.quarantined(now));
+    health.failed("other", now);
+    health.exonerate("hopeless");
+    BOOST_TEST(!health.quarantined(now));
+}
+
+BOOST_AUTO_TEST_CASE(QuarantineGrowsUpToABound)
+{
+    WorkerHealth health;
+    TimePoint now{1000s};
+    for (int n = 0; n < 10; ++n) {
+        health.failed("job" + std::to_string(n), now);
+        health.failed("other" + std::to_string(n), now);
+        now += 13s;
+        BOOST_TEST(!health.quarantined(now));
+    }
+}
+
+// One far too low declaration must not dominate what is learnt.
+BOOST_AUTO_TEST_CASE(RunTimesAreLearntBySums)
+{
+    RunTimeModel model;
+    JobStep low;
+    low.estimate = 10ms;
+    JobStep right;
+    right.estimate = 1000ms;
+    for (int n = 0; n < 20; ++n) {
+        model.observe("queue", right, 1000ms);
+        model.observe("queue", low, 1000ms);
+    }
+    const auto expected = toSeconds(model.expected("queue", right));
+    BOOST_TEST(expected > 1.0);
+    BOOST_TEST(expected < 2.2);
+}
+
+BOOST_AUTO_TEST_CASE(LongestPrefixOfTheHostSelectsTheQueue)
+{
+    FleetConfiguration configuration;
+    configuration.queues = {{"short", "host.example", "/a/", "p", {}, {}, {}},
+                            {"long", "host.example", "/a/b/", "p", {}, {}, {}},
+                            {"other", "other.example", "/a/b/c/", "p", {}, {}, {}}};
+    BOOST_TEST(configuration.match("Host.Example:80", "/a/b/c/1")->name == "long");
+    BOOST_TEST(configuration.match("host.example", "/a/x")->name == "short");
+    BOOST_TEST(configuration.match("host.example", "/x") == nullptr);
+    BOOST_TEST(configuration.match("none.example", "/a/x") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(JobsAndProgressSurviveTheStore)
+{
+    SubmittedJob job;
+    job.id = "0123456789abcdef";
+    job.queue = "queue";
+    job.pool = "pool";
+    job.policy = {2, 1, 1.5, 600ms};
+    job.acceptedMs = 42;
+    job.spec.payload = "text \"with\" quotes";
+    JobStep step;
+    step.count = 3;
+    step.need = {100, 200, 1};
+    step.after = {};
+    step.gang = true;
+    step.maxUnavailable = 2;
+    job.spec.steps = {step, step};
+    job.spec.steps[1].after = {0};
+    const auto read = decodeJob(job.id, encodeJob(job));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST(read->spec.payload == job.spec.payload);
+    BOOST_TEST(read->spec.steps[1].after == job.spec.steps[1].after);
+    BOOST_TEST(read->spec.steps[0].gang);
+    BOOST_TEST((read->spec.steps[0].need == step.need));
+    BOOST_TEST(read->policy.slackFactor == 1.5);
+
+    JobProgress progress;
+    progress.state = JobStatus::Running;
+    progress.done[{0, 1}] = {2, 5};
+    progress.stepsDone = {{0, 0}};
+    progress.failures[{0, 1, 3}] = {1, 1001};
+    const auto readProgress = decodeProgress(encodeProgress(progress));
+    BOOST_REQUIRE(readProgress.ok());
+    BOOST_TEST((*readProgress == progress));
+    BOOST_TEST(!decodeProgress("{}").ok());
+    BOOST_TEST(!decodeJob("x", "not json").ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -335,6 +335,7 @@
     later(delay(), [this, updates, lost, answerLost, fence = m_fence, alive = m_ownerAlive] {
         // The write depends on the owner's key.
         const bool applied = !lost && fence == m_fence && m_scheduler != nullptr;
+        note(std::string(applied ? "saved" : "save lost"));
         if (applied) {
             for (const auto &it : updates) {
                 checkProgress(it.job, it.progress);
@@ -458,6 +459,8 @@
 
 void ProtocolModel::acknowledge(ModelWorker &worker, std::int64_t upTo)
 {
+    if (upTo > 0 && !worker.ended.empty())
+        note(worker.id + " forgets ends up to " + std::to_string(upTo));
     for (const auto &it : worker.ended) {
         // An end before a lapse of the worker's hold does not bind: its task may have gone elsewhere.
         if (it.number > upTo || it.number <= worker.lapsedUpTo)
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -40,6 +40,29 @@
     BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 1);
 }
 
+// Found by the protocol model: the second end of a task whose first had not been saved was
+// acknowledged at once, and the next owner knew of neither.
+BOOST_AUTO_TEST_CASE(SecondEndOfATaskIsAcknowledgedOnlyAfterTheFirstIsSaved)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 1);
+    auto copied = step(1);
+    copied.speculative = true;
+    harness.addJob(job("j", {copied}));
+    harness.decide();
+    harness.addWorker("w2", 1);
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    harness.decide();
+    harness.saveAll();
+    harness.workers["w1"].end({"j", 0, 0, 0}, RunEnd::Done);
+    harness.workers["w2"].end({"j", 0, 0, 0}, RunEnd::Done);
+    harness.reportAll();
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 0);
+    BOOST_TEST(harness.scheduler.holdRequest("w2", harness.now).acknowledgedEnds == 0);
+    harness.saveAll();
+    BOOST_TEST(harness.scheduler.holdRequest("w2", harness.now).acknowledgedEnds == 1);
+}
+
 // Found by the protocol model: the acknowledgement of the old life made the new one forget an end.
 BOOST_AUTO_TEST_CASE(SilentWorkerIsNotSentAcknowledgements)
 {
--- /dev/null
+++ b/tests/node/nodetest.cpp
@@ -0,0 +1,465 @@
+#include "fakestore.h"
+
+#include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/node/batchwriter.h"
+#include "dragonflysill/node/jobservice.h"
+#include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/ownership.h"
+#include "dragonflysill/node/prefixwatcher.h"
+#include "dragonflysill/node/statereplica.h"
+#include "dragonflysill/node/workerrecord.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Outcome = PendingWrite::Outcome;
+using Fault = FakeStore::Fault;
+
+const std::string JOB_ID = "0123456789abcdef";
+const std::string BODY = R"({"spec":"text","steps":[{"count":1,"cpu":100}]})";
+
+/** A job service over a fake store, with one queue. */
+struct Service
+{
+    EventLoop loop;
+    FakeStore store{loop};
+    StateReplica replica;
+    JobService service{loop, store, replica, 1};
+
+    Service()
+    {
+        FleetConfiguration configuration;
+        configuration.version = 1;
+        configuration.queues = {{"queue", "host", "/q/", "pool", 200ms, {}, {}}};
+        service.setConfiguration(configuration);
+        service.setStoreReachable(true);
+        replica.reset({}, 1);
+    }
+
+    /** Sends a request and runs the loop until it is answered; 0 if it never is. */
+    HttpResponse call(const std::string &method, const std::string &path,
+                      const std::string &body = {})
+    {
+        HttpResponse answer;
+        service.handle({method, path, body, {{"Host", "host"}}},
+                       [&](const HttpResponse &it) { answer = it; });
+        loop.context().restart();
+        loop.run();
+        return answer;
+    }
+};
+
+PendingWrite pending(const std::string &key, std::vector<Outcome> &outcomes)
+{
+    PendingWrite write;
+    write.key = key;
+    write.value = "value of " + key;
+    write.mustBeNew = true;
+    write.giveUpAt = EventLoop::now() + 10s;
+    write.callback = [&outcomes](Outcome outcome, const std::string &, std::int64_t) {
+        outcomes.push_back(outcome);
+    };
+    return write;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Replica)
+
+// Seen in a hunt: completed jobs were started again, because the owner was told about a job before
+// its progress had been read.
+BOOST_AUTO_TEST_CASE(ListenerSeesAJobOnlyWithAllItsKeys)
+{
+    StateReplica replica;
+    std::vector<JobStatus> seen;
+    replica.setListener([&](const std::string &, const ReplicatedJob &job) {
+        seen.push_back(job.status);
+    });
+    JobProgress progress;
+    progress.state = JobStatus::Completed;
+    const std::vector<KeyValue> items{
+            {nodekeys::key(nodekeys::JOBS, JOB_ID), "record", 5, 5, 0},
+            {nodekeys::key(nodekeys::PROGRESS, JOB_ID), encodeProgress(progress), 6, 6, 0}};
+    replica.reset(items, 6);
+    BOOST_REQUIRE(seen.size() == 1U);
+    BOOST_TEST((seen[0] == JobStatus::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(OlderProgressDoesNotReplaceNewer)
+{
+    StateReplica replica;
+    JobProgress completed;
+    completed.state = JobStatus::Completed;
+    JobProgress running;
+    running.state = JobStatus::Running;
+    const auto key = nodekeys::key(nodekeys::PROGRESS, JOB_ID);
+    replica.reset({}, 1);
+    replica.applyOwn(nodekeys::key(nodekeys::JOBS, JOB_ID), "record", 2);
+    replica.applyOwn(key, encodeProgress(completed), 9);
+    const std::vector<KeyUpdate> late{{key, encodeProgress(running), 7, false}};
+    replica.apply(late, 9);
+    BOOST_TEST((*replica.status(JOB_ID) == JobStatus::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(CancelCountsUnlessTheJobHasEnded)
+{
+    StateReplica replica;
+    replica.reset({}, 1);
+    replica.applyOwn(nodekeys::key(nodekeys::JOBS, JOB_ID), "record", 2);
+    replica.applyOwn(nodekeys::key(nodekeys::CANCELLED, JOB_ID), "1", 3);
+    BOOST_TEST((*replica.status(JOB_ID) == JobStatus::Cancelled));
+    JobProgress completed;
+    completed.state = JobStatus::Completed;
+    replica.applyOwn(nodekeys::key(nodekeys::PROGRESS, JOB_ID), encodeProgress(completed), 4);
+    BOOST_TEST((*replica.status(JOB_ID) == JobStatus::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(RejectedIdIsNoJob)
+{
+    StateReplica replica;
+    replica.reset({}, 1);
+    replica.applyOwn(nodekeys::key(nodekeys::JOBS, JOB_ID), std::string(REJECTED_RECORD), 2);
+    BOOST_TEST(replica.job(JOB_ID) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(OwnerChangesFollowTheRevisions)
+{
+    StateReplica replica;
+    replica.reset({}, 1);
+    const std::string owner(nodekeys::OWNER);
+    replica.applyOwn(owner, "node-2", 8);
+    const std::vector<KeyUpdate> old{{owner, "", 7, true}};
+    replica.apply(old, 8);
+    BOOST_TEST(replica.owner().node == "node-2");
+    const std::vector<KeyUpdate> gone{{owner, "", 9, true}};
+    replica.apply(gone, 9);
+    BOOST_TEST(replica.owner().revision == 0);
+}
+
+BOOST_AUTO_TEST_CASE(WorkerRecordsSurviveTheStore)
+{
+    WorkerDescription worker;
+    worker.id = "i-1";
+    worker.address = "10.0.0.1:80";
+    worker.instance = "m-1";
+    const std::vector<WorkerDescription> workers{worker};
+    const auto read = decodeWorkerRecord("pool", encodeWorkerRecord(workers));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST(read->at(0).id == "i-1");
+    BOOST_TEST(read->at(0).instance == "m-1");
+    BOOST_TEST(read->at(0).pool == "pool");
+    BOOST_TEST(!decodeWorkerRecord("pool", "{").ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Writing)
+
+BOOST_AUTO_TEST_CASE(WritesThatArriveTogetherShareATransaction)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    BatchWriter writer(loop, store);
+    std::vector<Outcome> outcomes;
+    for (int n = 0; n < 11; ++n)
+        writer.write(pending("k" + std::to_string(n), outcomes));
+    loop.run();
+    BOOST_TEST(outcomes.size() == 11U);
+    BOOST_TEST(store.writes == 2);
+}
+
+// One id that exists must not hold up the others of its transaction.
+BOOST_AUTO_TEST_CASE(ExistingKeyIsToldApartFromTheOthers)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.put("k1", "other");
+    BatchWriter writer(loop, store);
+    std::vector<Outcome> outcomes;
+    std::vector<Outcome> existing;
+    writer.write(pending("k0", outcomes));
+    writer.write(pending("k1", existing));
+    writer.write(pending("k2", outcomes));
+    loop.run();
+    BOOST_REQUIRE(existing.size() == 1U);
+    BOOST_TEST((existing[0] == Outcome::Existed));
+    BOOST_TEST((outcomes == std::vector<Outcome>{Outcome::Stored, Outcome::Stored}));
+}
+
+// A write whose answer was lost had happened: repeating it must not make it look like another's.
+BOOST_AUTO_TEST_CASE(LostAnswerIsResolvedByRepeating)
+{
+    for (const auto fault : {Fault::LostBefore, Fault::LostAfter}) {
+        EventLoop loop;
+        FakeStore store(loop);
+        store.faults = {fault};
+        BatchWriter writer(loop, store);
+        std::vector<Outcome> outcomes;
+        writer.write(pending("k", outcomes));
+        loop.run();
+        BOOST_TEST((outcomes == std::vector<Outcome>{Outcome::Stored}));
+    }
+}
+
+// After a lost answer the write may still happen, so that "not done" would be untrue.
+BOOST_AUTO_TEST_CASE(OutcomeStaysUnknownWhenARefusalFollowsALostAnswer)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.faults = {Fault::LostBefore};
+    store.faults.resize(100, Fault::Unavailable);
+    BatchWriter writer(loop, store);
+    std::vector<Outcome> outcomes;
+    auto write = pending("k", outcomes);
+    write.giveUpAt = EventLoop::now() + 150ms;
+    writer.write(std::move(write));
+    loop.run();
+    BOOST_TEST((outcomes == std::vector<Outcome>{Outcome::Unknown}));
+}
+
+BOOST_AUTO_TEST_CASE(RefusedWriteIsNotDone)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.faults.resize(100, Fault::Unavailable);
+    BatchWriter writer(loop, store);
+    std::vector<Outcome> outcomes;
+    writer.write(pending("k", outcomes));
+    loop.run();
+    BOOST_TEST((outcomes == std::vector<Outcome>{Outcome::NotDone}));
+    BOOST_TEST(store.items.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Watching)
+
+BOOST_AUTO_TEST_CASE(AllPagesAreReadBeforeTheWatchBegins)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    for (int n = 0; n < 5; ++n)
+        store.put("p/" + std::to_string(n), "v");
+    std::size_t items = 0;
+    std::int64_t asOf = 0;
+    PrefixWatcher watcher(loop, store, "p/", 0ms,
+                          {[&](std::span<const KeyValue> it, std::int64_t) { items = it.size(); },
+                           [&](std::span<const KeyUpdate>, std::int64_t it) { asOf = it; }});
+    watcher.start();
+    loop.run();
+    BOOST_TEST(items == 5U);
+    BOOST_TEST(asOf == store.revision);
+}
+
+// The store may drop its history at any time.
+BOOST_AUTO_TEST_CASE(DroppedHistoryLeadsToAnotherReading)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.put("p/1", "v");
+    store.compactedUpTo = store.revision + 1;
+    store.watchLimit = 2;
+    int readings = 0;
+    PrefixWatcher watcher(loop, store, "p/", 0ms,
+                          {[&](std::span<const KeyValue>, std::int64_t) { ++readings; },
+                           [](std::span<const KeyUpdate>, std::int64_t) {}});
+    watcher.start();
+    loop.run();
+    BOOST_TEST(readings >= 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Owning)
+
+struct Candidate
+{
+    EventLoop loop;
+    FakeStore store{loop};
+    StateReplica replica;
+    std::vector<std::int64_t> gained;
+    int lost = 0;
+    Ownership ownership;
+
+    explicit Candidate(std::chrono::milliseconds lease)
+        : ownership(loop, store, replica, "node-1", lease,
+                    {[this](std::int64_t fence, std::int64_t) { gained.push_back(fence); },
+                     [this](const std::string &) { ++lost; }})
+    {
+        replica.reset({}, 1);
+    }
+
+    void check()
+    {
+        ownership.check();
+        loop.context().restart();
+        loop.run();
+    }
+
+    void readStore()
+    {
+        std::vector<KeyValue> items;
+        for (const auto &[key, item] : store.items)
+            items.push_back(item);
+        replica.reset(items, store.revision);
+    }
+};
+
+BOOST_AUTO_TEST_CASE(FreeOwnershipIsTakenWithTheRevisionAsFence)
+{
+    Candidate candidate(1h);
+    candidate.check();
+    BOOST_REQUIRE(candidate.gained.size() == 1U);
+    BOOST_TEST(candidate.gained[0] == candidate.store.revision);
+    BOOST_TEST(candidate.ownership.valid());
+    BOOST_TEST(candidate.store.items.at(std::string(nodekeys::GENERATION)).value == "1");
+}
+
+BOOST_AUTO_TEST_CASE(OwnershipOfAnotherNodeIsNotTaken)
+{
+    Candidate candidate(1h);
+    candidate.store.put(std::string(nodekeys::OWNER), "node-2");
+    candidate.check();
+    BOOST_TEST(candidate.gained.empty());
+}
+
+// A claim whose answer was lost may hold the key: its lease is ended.
+BOOST_AUTO_TEST_CASE(LostClaimIsTakenBack)
+{
+    Candidate candidate(1h);
+    candidate.store.faults = {Fault::LostAfter};
+    candidate.check();
+    BOOST_TEST(candidate.gained.empty());
+    BOOST_TEST(candidate.store.endedLease == candidate.store.lastLease);
+}
+
+BOOST_AUTO_TEST_CASE(AnotherOwnerInTheStoreEndsTheOwnership)
+{
+    Candidate candidate(1h);
+    candidate.check();
+    candidate.store.put(std::string(nodekeys::OWNER), "node-2");
+    candidate.readStore();
+    candidate.check();
+    BOOST_TEST(candidate.lost == 1);
+    BOOST_TEST(!candidate.ownership.valid());
+}
+
+// With a lease of no length the owner is never valid by its own clock.
+BOOST_AUTO_TEST_CASE(ExpiredOwnerGivesNoOrdersButLooksWhetherItIsStillTheOwner)
+{
+    Candidate candidate(0ms);
+    candidate.check();
+    BOOST_REQUIRE(candidate.gained.size() == 1U);
+    BOOST_TEST(!candidate.ownership.valid());
+    candidate.readStore();
+    candidate.check();
+    BOOST_TEST(candidate.store.renewals == 1);
+    BOOST_TEST(candidate.store.reads == 1);
+    BOOST_TEST(candidate.lost == 0);
+}
+
+// The key may be taken away while the lease lives on.
+BOOST_AUTO_TEST_CASE(ExpiredOwnerWithoutItsKeyLosesTheOwnership)
+{
+    Candidate candidate(0ms);
+    candidate.check();
+    candidate.readStore();
+    candidate.store.items.erase(std::string(nodekeys::OWNER));
+    candidate.check();
+    BOOST_TEST(candidate.lost == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Answering)
+
+BOOST_AUTO_TEST_CASE(JobIsAcceptedOnceTheStoreHasIt)
+{
+    Service service;
+    BOOST_TEST(service.call("POST", "/q/" + JOB_ID, BODY).status == 200);
+    BOOST_TEST(service.store.items.contains(nodekeys::key(nodekeys::JOBS, JOB_ID)));
+    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).body == R"({"state":"queued"})");
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedSubmissionIsOneJob)
+{
+    Service service;
+    service.call("POST", "/q/" + JOB_ID, BODY);
+    BOOST_TEST(service.call("POST", "/q/" + JOB_ID, BODY).status == 200);
+    BOOST_TEST(service.store.writes == 1);
+}
+
+// The job may be stored, or may yet be: "not accepted" would be untrue.
+BOOST_AUTO_TEST_CASE(SubmissionWithoutAnAnswerIsUnknownNotRejected)
+{
+    Service service;
+    service.store.faults.resize(100, Fault::LostBefore);
+    BOOST_TEST(service.call("POST", "/q/" + JOB_ID, BODY).status == 504);
+}
+
+BOOST_AUTO_TEST_CASE(UnreachableStoreRejectsAtOnceWithATimeToReturn)
+{
+    Service service;
+    service.service.setStoreReachable(false);
+    const auto answer = service.call("POST", "/q/" + JOB_ID, BODY);
+    BOOST_TEST(answer.status == 503);
+    BOOST_REQUIRE(answer.headers.size() == 1U);
+    BOOST_TEST(answer.headers[0].first == "Retry-After");
+    BOOST_TEST(service.store.writes == 0);
+}
+
+BOOST_AUTO_TEST_CASE(UnknownQueueAndUnknownIdAreNotFound)
+{
+    Service service;
+    BOOST_TEST(service.call("POST", "/none/" + JOB_ID, BODY).status == 404);
+    BOOST_TEST(service.call("POST", "/q/short", BODY).status == 404);
+    BOOST_TEST(service.call("POST", "/q/" + JOB_ID, "{}").status == 400);
+}
+
+// "No such job" needs proof from the store; the replica may lag.
+BOOST_AUTO_TEST_CASE(MissingJobIsLookedUpInTheStore)
+{
+    Service service;
+    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).status == 410);
+    service.store.reachable = false;
+    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).status == 503);
+    service.store.reachable = true;
+    service.store.put(nodekeys::key(nodekeys::JOBS, JOB_ID), "record");
+    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(CancelIsAcknowledgedOnceItIsStored)
+{
+    Service service;
+    BOOST_TEST(service.call("DELETE", "/q/" + JOB_ID).status == 410);
+    service.call("POST", "/q/" + JOB_ID, BODY);
+    BOOST_TEST(service.call("DELETE", "/q/" + JOB_ID).status == 200);
+    BOOST_TEST(service.store.items.contains(nodekeys::key(nodekeys::CANCELLED, JOB_ID)));
+    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).body == R"({"state":"cancelled"})");
+}
+
+BOOST_AUTO_TEST_CASE(OlderConfigurationIsIgnored)
+{
+    Service service;
+    FleetConfiguration older;
+    older.version = 0;
+    service.service.setConfiguration(older);
+    BOOST_TEST(service.service.configuration()->queues.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WaitingJobsOfAQueueAreTold)
+{
+    Service service;
+    service.replica.applyOwn(std::string(nodekeys::PENDING), encodePendingCounts({{"queue", 4}}), 5);
+    BOOST_TEST(service.call("GET", "/q/").body == R"({"pending":4})");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/formattest.cpp
@@ -0,0 +1,272 @@
+#include "adviceformat.h"
+#include "ingress.h"
+#include "jobformat.h"
+#include "kvstore.h"
+#include "machineformat.h"
+#include "nodesettings.h"
+#include "workerformat.h"
+
+#include "dragonflysill/base/random.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace dragonflysill;
+using namespace dragonflysill::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string SETTINGS = R"({"node":"n1","zone":"z1","ip":"10.0.0.1",
+ "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},"portRange":[7000,7010],
+ "bounds":{"graceS":6,"maxHoldMs":10000,"migrateS":1.5,"remoteFactor":1.5},
+ "advice":"10.0.0.9:3","platform":{"address":"10.0.0.7:4","minTtlMs":1000,"writesPerS":400},
+ "cloud":{"address":"10.0.0.8:5","ratePerS":64.0,"dutyPerS":64.0},"added":{"later":1}})";
+const std::string SUBMISSION = R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,
+ "estimateMs":900,"affinity":"r1-3"},{"count":2,"cpu":2000,"memMb":1024,"after":[0],
+ "savesProgress":true,"persistent":true,"maxUnavailable":1,"antiAffinity":2,"requires":"a"}]})";
+const std::string WORKER = R"({"service":"pool","address":"10.0.1.1:80","zone":"z1","slots":8,
+ "state":"ready","seq":4,"coldLeftMs":0,"born":17931,"machine":"m-1","labels":["a","r1-3"],
+ "capacity":{"cpu":16000,"memMb":32768,"gpu":1},"clockMs":482113})";
+const std::string REPORT = R"({"clockMs":482113,"born":99,
+ "running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,88.5]],
+ "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.3",1,"lapsed","x"]]})";
+const std::string CONFIGURATION = R"({"version":7,"routes":[{"name":"r","host":"HOST.example",
+ "prefix":"/a/","timeoutMs":3000,"targetRuntimeMs":600,"priority":1,"service":"pool","attempts":2,
+ "slackFactor":1.6,"advice":{"decideMs":5,"periodMs":1,"validMs":3000}}],
+ "services":[{"name":"pool","enforcesCapacity":true,"standby":false}],
+ "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":30,"idleTimeoutMs":40}})";
+const std::string CHANGES = R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"created":4,
+ "lease":7},{"key":"b","revision":413,"tombstone":true}],"asOf":413})";
+const std::string PAGE = R"({"items":[{"key":"a","value":"bm9kZS0x","revision":412,"created":4,
+ "lease":7}],"hasMore":true,"asOf":530})";
+const std::string MACHINES = R"({"machines":[{"machine":"m-1","pool":"p","state":"up","zone":"z",
+ "labels":["a","r1-2"],"capacity":{"cpu":1},"id":"i-7"},{"odd":1},{"machine":"m-2","pool":"p",
+ "state":"upkeep","id":null}],"nextToken":"t"})";
+const std::string WAVE = R"({"wave":1,"machines":["m-1","m-2"],"durationS":20,"ceiling":3})";
+const std::string ADVICE = R"({"good":[["i-1","ticket"]],"validMs":3000})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Formats)
+
+BOOST_AUTO_TEST_CASE(SettingsAreReadWithUnknownFields)
+{
+    const auto settings = decodeSettings(SETTINGS);
+    BOOST_REQUIRE(settings.ok());
+    BOOST_TEST(settings->name == "n1");
+    BOOST_TEST(settings->firstPort == 7000);
+    BOOST_TEST(settings->moveTime.count() == 1500);
+    BOOST_TEST(settings->longestHold.count() == 10000);
+    BOOST_TEST(settings->adviceAddress == "10.0.0.9:3");
+    BOOST_TEST(settings->machineOrdersPerSecond == 64);
+}
+
+BOOST_AUTO_TEST_CASE(MissingSettingsNameTheField)
+{
+    const auto settings = decodeSettings(R"({"node":"n1"})");
+    BOOST_REQUIRE(!settings.ok());
+    BOOST_TEST(settings.error().is(ErrorKind::SettingsInvalid));
+    BOOST_TEST(settings.error().detail.find("zone") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(SubmissionsAreRead)
+{
+    const auto spec = decodeSubmission(SUBMISSION);
+    BOOST_REQUIRE(spec.ok());
+    BOOST_TEST(spec->payload == "text");
+    BOOST_REQUIRE(spec->steps.size() == 2U);
+    BOOST_TEST(spec->steps[0].dataRack == "r1-3");
+    BOOST_TEST(spec->steps[1].persistent);
+    BOOST_TEST(spec->steps[1].maxPerWorker == 2);
+    BOOST_TEST(spec->steps[1].requiredLabel == "a");
+    BOOST_TEST(!spec->scheduled);
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedJobsHaveDueTimes)
+{
+    const auto spec = decodeSubmission(
+            R"({"steps":[{"count":1}],"repeats":3,"startAtMs":1000,"intervalMs":500})");
+    BOOST_REQUIRE(spec.ok());
+    BOOST_TEST(spec->dueMs(2) == 2000);
+}
+
+BOOST_AUTO_TEST_CASE(UnusableSubmissionsAreInvalid)
+{
+    const std::vector<std::string> bodies{
+            "", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+            R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1,"after":[0]}]})",
+            R"({"steps":[{"count":1,"cpu":"much"}]})", R"({"steps":[{"count":1,"cpu":-5}]})",
+            R"({"steps":[{"count":999999999}]})", R"({"spec":5,"steps":[{"count":1}]})"};
+    for (const auto &body : bodies) {
+        const auto spec = decodeSubmission(body);
+        BOOST_TEST(!spec.ok(), body);
+        if (!spec)
+            BOOST_TEST(spec.error().is(ErrorKind::InvalidInput));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(WorkersAreReadAndUnusableEntriesAreNot)
+{
+    const auto worker = decodeWorker("i-7", WORKER);
+    BOOST_REQUIRE(worker.ok());
+    BOOST_TEST(worker->instance == "m-1");
+    BOOST_TEST(worker->rack == "r1-3");
+    BOOST_TEST(worker->born == 17931);
+    BOOST_TEST(worker->capacity.accelerators == 1);
+    BOOST_TEST(!worker->draining);
+    auto odd = WORKER;
+    odd.replace(odd.find("ready"), 5, "dozing");
+    BOOST_TEST(!decodeWorker("i-7", odd).ok());
+    BOOST_TEST(!decodeWorker("i-7", "\xff\xfe").ok());
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAreRead)
+{
+    const auto report = decodeReport(REPORT);
+    BOOST_REQUIRE(report.ok());
+    BOOST_TEST(report->born == 99);
+    BOOST_TEST(report->running[0].percent == 41);
+    BOOST_TEST(*report->running[0].usage == 88.5);
+    BOOST_TEST(report->ended[1].number == 59);
+    BOOST_TEST((report->ended[1].end == RunEnd::Lapsed));
+    BOOST_TEST(encodeTask(report->ended[0].task) == "5c0e7a21d94b36f8.0.1.9");
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsAreTold)
+{
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"fence"})") == StartRefusal::Fence));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"old"})") == StartRefusal::Old));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"late"})") == StartRefusal::Late));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"room"})") == StartRefusal::Room));
+    BOOST_TEST((decodeRefusal(409, R"({"reason":"ticket"})") == StartRefusal::Ticket));
+    BOOST_TEST((decodeRefusal(409, "") == StartRefusal::Invalid));
+    BOOST_TEST((decodeRefusal(421, "") == StartRefusal::OtherLife));
+    BOOST_TEST((decodeRefusal(503, "") == StartRefusal::Unhealthy));
+    BOOST_TEST((decodeRefusal(400, "") == StartRefusal::Invalid));
+}
+
+BOOST_AUTO_TEST_CASE(OrdersAreWritten)
+{
+    const TaskId task{"5c0e7a21d94b36f8", 0, 1, 17};
+    BOOST_TEST(encodeStart({"w", task, 2, "text", "cp", "", 486000}, 7)
+               == R"({"attempt":2,"deadlineMs":486000,"fencingToken":7,"lastCheckpoint":"cp",)"
+                  R"("spec":"text","task":"5c0e7a21d94b36f8.0.1.17"})");
+    BOOST_TEST(encodeStop({"w", task, 2}, 7)
+               == R"({"attempt":2,"fencingToken":7,"task":"5c0e7a21d94b36f8.0.1.17"})");
+    BOOST_TEST(encodeHold({486000, 57}, 7, 1000ms)
+               == R"({"ackedUpto":57,"deadlineMs":486000,"fencingToken":7,"waitMs":1000})");
+    BOOST_TEST(encodeHold({std::nullopt, 0}, 7, 0ms) == R"({"ackedUpto":0,"fencingToken":7})");
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationsAreRead)
+{
+    const auto configuration = decodeConfiguration(CONFIGURATION);
+    BOOST_REQUIRE(configuration.ok());
+    BOOST_TEST(configuration->match("host.example", "/a/b")->policy.attempts == 2);
+    BOOST_TEST(configuration->queue("r")->advice->validity.count() == 3000);
+    BOOST_TEST(configuration->limits.bodyBytes == 200U);
+    BOOST_TEST(!decodeConfiguration("{}").ok());
+}
+
+BOOST_AUTO_TEST_CASE(StoreAnswersAreRead)
+{
+    const auto changes = decodeChanges(CHANGES);
+    BOOST_REQUIRE(changes.ok());
+    BOOST_TEST(changes->updates[0].value == "node-1");
+    BOOST_TEST(changes->updates[1].deleted);
+    const auto page = decodePage(PAGE);
+    BOOST_REQUIRE(page.ok());
+    BOOST_TEST(page->more);
+    BOOST_TEST(page->items[0].lease == 7);
+    const auto conflict
+            = decodeConflict(R"({"items":[{"key":"a","value":"bm9kZS0x","revision":4},{"key":"b"}]})");
+    BOOST_REQUIRE(conflict.ok());
+    BOOST_TEST(conflict->current.size() == 1U);
+    BOOST_TEST(encodeWrite({{{"k", 0}}, {{"k", "node-1", 5}}, {"gone"}})
+               == R"({"expectRev":[{"key":"k","revision":0}],"remove":["gone"],)"
+                  R"("writes":[{"key":"k","lease":5,"value":"bm9kZS0x"}]})");
+}
+
+BOOST_AUTO_TEST_CASE(InstancesAndWavesAreRead)
+{
+    const auto page = decodeInstances(MACHINES);
+    BOOST_REQUIRE(page.ok());
+    BOOST_REQUIRE(page->instances.size() == 2U);
+    BOOST_TEST(page->instances[0].worker == "i-7");
+    BOOST_TEST((page->instances[1].state == FleetInstance::State::Maintenance));
+    BOOST_TEST(page->next == "t");
+    const auto wave = decodeWave(WAVE);
+    BOOST_REQUIRE(wave.ok());
+    BOOST_TEST(wave->duration.count() == 20000);
+    BOOST_TEST((decodeOrderOutcome({200, "", {}}) == InstanceOrderOutcome::Accepted));
+    BOOST_TEST((decodeOrderOutcome({409, R"({"reason":"busy"})", {}}) == InstanceOrderOutcome::Busy));
+    BOOST_TEST((decodeOrderOutcome({409, R"({"reason":"wave"})", {}})
+                == InstanceOrderOutcome::OtherWave));
+    BOOST_TEST((decodeOrderOutcome({429, "", {}}) == InstanceOrderOutcome::NotDone));
+    BOOST_TEST(decodeAdvice(ADVICE)->at("i-1") == "ticket");
+}
+
+BOOST_AUTO_TEST_CASE(CallersRequestsAreRead)
+{
+    const HttpRequest request{"DELETE",
+                              "/a/5c0e7a21d94b36f8?x=1",
+                              "",
+                              {{"host", "h.example"}, {"dragonflysill-deadline-ms", "250"}}};
+    const auto call = decodeCallerRequest(request);
+    BOOST_TEST((call.action == CallerRequest::Action::Cancel));
+    BOOST_TEST(call.path == "/a/5c0e7a21d94b36f8");
+    BOOST_TEST(call.deadline->count() == 250);
+    BOOST_TEST(isJobId("5c0e7a21d94b36f8"));
+    BOOST_TEST(!isJobId("5c0e7a21d94b36fg"));
+    BOOST_TEST(!isJobId("5c0e"));
+}
+
+// Cut, changed and doubled bytes must give an error or a value, never an end of the process.
+BOOST_AUTO_TEST_CASE(DamagedMessagesAreSurvived)
+{
+    const std::vector<std::pair<std::string, std::function<bool(const std::string &)>>> decoders{
+            {SETTINGS, [](const auto &it) { return decodeSettings(it).ok(); }},
+            {SUBMISSION, [](const auto &it) { return decodeSubmission(it).ok(); }},
+            {WORKER, [](const auto &it) { return decodeWorker("i", it).ok(); }},
+            {REPORT, [](const auto &it) { return decodeReport(it).ok(); }},
+            {CONFIGURATION, [](const auto &it) { return decodeConfiguration(it).ok(); }},
+            {CHANGES, [](const auto &it) { return decodeChanges(it).ok(); }},
+            {PAGE, [](const auto &it) { return decodePage(it).ok(); }},
+            {PAGE, [](const auto &it) { return decodeConflict(it).ok(); }},
+            {MACHINES, [](const auto &it) { return decodeInstances(it).ok(); }},
+            {WAVE, [](const auto &it) { return decodeWave(it).ok(); }},
+            {ADVICE, [](const auto &it) { return decodeAdvice(it).ok(); }}};
+    Random random(7);
+    for (const auto &[message, decode] : decoders) {
+        BOOST_TEST(decode(message));
+        for (int n = 0; n < 2000; ++n) {
+            auto damaged = message;
+            for (std::size_t k = 1 + random.below(4); k > 0; --k) {
+                const auto at = random.below(damaged.size());
+                switch (random.below(4)) {
+                case 0:
+                    damaged[at] = static_cast<char>(random.below(256));
+                    break;
+                case 1:
+                    damaged.resize(at + 1);
+                    break;
+                case 2:
+                    damaged.insert(at, damaged.substr(at, random.below(20)));
+                    break;
+                default:
+                    damaged.erase(at, 1 + random.below(10));
+                    break;
+                }
+                if (damaged.empty())
+                    damaged = "{";
+            }
+            decode(damaged);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
