--- a/include/dragonflysill/node/nodekeys.h
+++ b/include/dragonflysill/node/nodekeys.h
@@ -8,15 +8,15 @@
 /** The keys under which the nodes keep what must outlive them. */
 namespace nodekeys {
 
-constexpr std::string_view ROOT = "dragonflysill/";
-constexpr std::string_view JOBS = "dragonflysill/jobs/"; ///< Accepted jobs by id.
-constexpr std::string_view PROGRESS = "dragonflysill/progress/"; ///< JobProgress by job id.
-constexpr std::string_view CANCELLED = "dragonflysill/cancelled/"; ///< Cancelled jobs by id.
-constexpr std::string_view OWNER = "dragonflysill/owner"; ///< The scheduling node, with its lease.
-constexpr std::string_view GENERATION = "dragonflysill/generation"; ///< Number of owners so far.
-constexpr std::string_view PENDING = "dragonflysill/pending"; ///< Waiting jobs by queue.
-constexpr std::string_view WORKERS = "dragonflysill/workers/"; ///< Workers that may hold runs.
-constexpr std::string_view WAVES = "dragonflysill/waves/"; ///< Progress of maintenance waves.
+constexpr std::string_view root = "dragonflysill/";
+constexpr std::string_view jobs = "dragonflysill/jobs/"; ///< Accepted jobs by id.
+constexpr std::string_view progress = "dragonflysill/progress/"; ///< JobProgress by job id.
+constexpr std::string_view cancelled = "dragonflysill/cancelled/"; ///< Cancelled jobs by id.
+constexpr std::string_view owner = "dragonflysill/owner"; ///< The scheduling node, with its lease.
+constexpr std::string_view generation = "dragonflysill/generation"; ///< Number of owners so far.
+constexpr std::string_view pending = "dragonflysill/pending"; ///< Waiting jobs by queue.
+constexpr std::string_view workers = "dragonflysill/workers/"; ///< Workers that may hold runs.
+constexpr std::string_view waves = "dragonflysill/waves/"; ///< Progress of maintenance waves.
 
 /** Returns the key of @p name below @p prefix. */
 inline std::string key(std::string_view prefix, std::string_view name)
--- a/include/dragonflysill/node/ownership.h
+++ b/include/dragonflysill/node/ownership.h
@@ -20,7 +20,7 @@
 {
 public:
     /** How long holds are extended without a valid lease; see SchedulerSettings::previousOwner. */
-    static constexpr std::chrono::milliseconds HOLD_AFTER_VALIDITY{2000};
+    static constexpr std::chrono::milliseconds holdAfterValidity{2000};
 
     struct Handlers
     {
@@ -54,7 +54,7 @@
      */
     [[nodiscard]] bool mayHold() const
     {
-        return m_fence != 0 && EventLoop::now() < m_validUntil + HOLD_AFTER_VALIDITY;
+        return m_fence != 0 && EventLoop::now() < m_validUntil + holdAfterValidity;
     }
 
     [[nodiscard]] std::int64_t fence() const { return m_fence; }
--- a/include/dragonflysill/node/statereplica.h
+++ b/include/dragonflysill/node/statereplica.h
@@ -101,6 +101,6 @@
 std::string encodePendingCounts(const std::unordered_map<std::string, int> &counts);
 
 /** Marks an id whose submission was given up, so that a late write of it can't take effect. */
-constexpr std::string_view REJECTED_RECORD = "rejected";
+constexpr std::string_view rejectedRecord = "rejected";
 
 } // namespace dragonflysill
--- a/programs/dragonflysill-node/main.cpp
+++ b/programs/dragonflysill-node/main.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr int EXIT_SETTINGS = 2;
+constexpr int exitSettings = 2;
 
 } // namespace
 
@@ -31,7 +31,7 @@
     auto settings = platform::loadSettings();
     if (!settings) {
         std::cerr << settings.error().text() << '\n';
-        return EXIT_SETTINGS;
+        return exitSettings;
     }
     startLogging("node-" + settings->name, logLevel);
     std::signal(SIGPIPE, SIG_IGN);
@@ -39,7 +39,7 @@
     Node node(loop, *settings);
     if (const auto started = node.start(); !started) {
         logWarning("start-failed", {{"error", started.error().text()}});
-        return EXIT_SETTINGS;
+        return exitSettings;
     }
     logState("started", {{"zone", settings->zone}, {"front", settings->frontAddress}});
     boost::asio::signal_set signals(loop.context(), SIGTERM, SIGINT, SIGHUP);
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -10,11 +10,11 @@
 using namespace std::chrono_literals;
 
 /** Time that one round of a wave's ceiling takes: emptying, order and restart. */
-constexpr Duration ROUND_TIME = 4000ms;
+constexpr Duration roundTime = 4000ms;
 /** The list of instances may be this old. */
-constexpr Duration LIST_LAG = 1000ms;
+constexpr Duration listLag = 1000ms;
 /** Instances of one pool that are emptied at once. */
-constexpr int EMPTYING_PER_POOL = 2;
+constexpr int emptyingPerPool = 2;
 
 } // namespace internal
 
@@ -98,7 +98,7 @@
     // The list of instances may be older than the order.
     const auto it = wave.down.find(instance.name);
     if (it != wave.down.end() && instance.state == FleetInstance::State::Up && !instance.ordered
-        && now - it->second >= m_downTime + internal::LIST_LAG)
+        && now - it->second >= m_downTime + internal::listLag)
         wave.down.erase(it);
 }
 
@@ -129,7 +129,7 @@
     }
     const auto rounds = (static_cast<int>(open.size()) + wave.request.ceiling - 1)
                         / std::max(1, wave.request.ceiling);
-    const bool late = now + (rounds + 1) * internal::ROUND_TIME >= wave.deadline;
+    const bool late = now + (rounds + 1) * internal::roundTime >= wave.deadline;
     std::ranges::sort(open, {}, [](const InstanceView *it) {
         return std::tuple(!it->standby, !it->empty, it->persistent, !it->leaving, it->name);
     });
@@ -151,7 +151,7 @@
             continue;
         }
         if (it->usable || it->leaving) {
-            if (emptying[it->pool]++ >= internal::EMPTYING_PER_POOL)
+            if (emptying[it->pool]++ >= internal::emptyingPerPool)
                 continue;
             decision.leaving.insert(it->name);
             ++down;
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -11,25 +11,25 @@
 using namespace std::chrono_literals;
 
 /** Time constant of the arrival rate: short, so that a burst is seen early. */
-constexpr Duration RATE_MEMORY = 300ms;
+constexpr Duration rateMemory = 300ms;
 /** Part of an instance's cores that tasks of uneven sizes can fill. */
-constexpr double PACKING = 0.85;
+constexpr double packing = 0.85;
 /**
  * Part of an even share of all instances that a pool keeps beyond its need, as far as there are
  * enough: it bears the start of a burst until others have arrived.
  */
-constexpr double SPARE_SHARE = 0.45;
+constexpr double spareShare = 0.45;
 /** How long a pool must be short before it gets instances for its load, and for the start of a
  * burst. */
-constexpr Duration SHORT_TIME = 100ms;
-constexpr Duration BELOW_TARGET_TIME = 1000ms;
+constexpr Duration shortTime = 100ms;
+constexpr Duration belowTargetTime = 1000ms;
 /**
  * Instances that were needed within this time stay out of standby: when the demand of one pool
  * ends, that of another begins, and the way back from standby takes as long as any move.
  */
-constexpr Duration AWAKE_TIME = 6000ms;
+constexpr Duration awakeTime = 6000ms;
 /** An instance that has been idle for this long is moved to standby. */
-constexpr Duration IDLE_TIME = 1200ms;
+constexpr Duration idleTime = 1200ms;
 
 /** Returns how far a rate can be relied on that @p jobs arrivals of random size speak for. */
 double confidence(double jobs)
@@ -59,13 +59,13 @@
         const double cores = std::max(present, demand.rate * internal::confidence(demand.jobs));
         demand.needed = std::max(
                 load.spread,
-                static_cast<int>(std::ceil(cores / (coresPerInstance * internal::PACKING))));
+                static_cast<int>(std::ceil(cores / (coresPerInstance * internal::packing))));
         total += demand.needed;
     }
     const auto instances = static_cast<double>(fleet.instances.size());
     const auto pools = static_cast<double>(std::max<std::size_t>(1, fleet.load.size()));
     const double spare = std::clamp((instances - total) / pools, 0.0,
-                                    internal::SPARE_SHARE * instances / pools);
+                                    internal::spareShare * instances / pools);
     keepAwake(total + static_cast<int>(spare) * static_cast<int>(fleet.load.size()), now);
     for (auto &[pool, demand] : m_demand) {
         demand.target = demand.needed + static_cast<int>(spare);
@@ -81,16 +81,16 @@
     while (!m_totals.empty() && m_totals.back().second <= total)
         m_totals.pop_back();
     m_totals.emplace_back(now, total);
-    while (now - m_totals.front().first > internal::AWAKE_TIME)
+    while (now - m_totals.front().first > internal::awakeTime)
         m_totals.pop_front();
     m_awake = m_totals.front().second;
 }
 
 bool PoolBalancer::wants(const Demand &demand, TimePoint now) const
 {
-    return (demand.present < demand.needed && now - demand.shortSince >= internal::SHORT_TIME)
+    return (demand.present < demand.needed && now - demand.shortSince >= internal::shortTime)
            || (demand.present < demand.target
-               && now - demand.belowTargetSince >= internal::BELOW_TARGET_TIME);
+               && now - demand.belowTargetSince >= internal::belowTargetTime);
 }
 
 void PoolBalancer::measureArrivals(Demand &demand, const PoolLoad &load, TimePoint now) const
@@ -98,7 +98,7 @@
     if (demand.measuredAt != TimePoint{} && now > demand.measuredAt) {
         const double passed = toSeconds(now - demand.measuredAt);
         const double rate = (load.arrivedWork - demand.arrivedWork) / passed;
-        const double weight = 1 - std::exp(-passed / toSeconds(internal::RATE_MEMORY));
+        const double weight = 1 - std::exp(-passed / toSeconds(internal::rateMemory));
         demand.rate += weight * (rate - demand.rate);
         demand.jobs = demand.jobs * (1 - weight)
                       + static_cast<double>(load.arrivedJobs - demand.arrivedJobs);
@@ -181,7 +181,7 @@
         awake += demand.present;
     for (const auto &it : remaining.instances) {
         if (awake > m_awake && !it.standby && spareable(it)
-            && now - it.idleSince >= internal::IDLE_TIME) {
+            && now - it.idleSince >= internal::idleTime) {
             order(it, fleet.standbyPool);
             --awake;
         }
--- a/src/jobs/runtimemodel.cpp
+++ b/src/jobs/runtimemodel.cpp
@@ -8,15 +8,15 @@
 namespace internal {
 
 /** Observations after which older ones fade. */
-constexpr double MEMORY = 64;
+constexpr double memory = 64;
 /** Declared time, in seconds, that counts as observed in advance and as correct. */
-constexpr double PRIOR_SECONDS = 4;
+constexpr double priorSeconds = 4;
 /** Shortest run time that is assumed, against division by zero and declared zeros. */
-constexpr Duration SHORTEST_RUN = std::chrono::milliseconds(20);
+constexpr Duration shortestRun = std::chrono::milliseconds(20);
 
 Duration declared(const JobStep &step)
 {
-    return std::max<Duration>(step.estimate, SHORTEST_RUN);
+    return std::max<Duration>(step.estimate, shortestRun);
 }
 
 } // namespace internal
@@ -27,7 +27,7 @@
     if (it == m_totals.end())
         it = m_totals.emplace(std::string(queue), Totals{}).first;
     auto &totals = it->second;
-    const double fade = 1 - 1 / internal::MEMORY;
+    const double fade = 1 - 1 / internal::memory;
     totals.declared = totals.declared * fade + toSeconds(internal::declared(step));
     totals.observed = totals.observed * fade + toSeconds(took);
 }
@@ -36,8 +36,8 @@
 {
     const auto it = m_totals.find(queue);
     const Totals totals = it == m_totals.end() ? Totals{} : it->second;
-    const double ratio = (totals.observed + internal::PRIOR_SECONDS)
-                         / (totals.declared + internal::PRIOR_SECONDS);
+    const double ratio = (totals.observed + internal::priorSeconds)
+                         / (totals.declared + internal::priorSeconds);
     return Duration(static_cast<Duration::rep>(static_cast<double>(internal::declared(step).count())
                                                * ratio));
 }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -193,7 +193,7 @@
 {
     if (run.phase == TaskRun::Phase::Stopping)
         return;
-    run.moved = run.phase == TaskRun::Phase::Running && run.percent >= internal::AT_WORK;
+    run.moved = run.phase == TaskRun::Phase::Running && run.percent >= internal::atWork;
     run.phase = TaskRun::Phase::Stopping;
     run.stopSentAt = now;
     run.stopAnswered = false;
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -25,8 +25,7 @@
         if (worker.leaving || worker.description.draining)
             moveAway(worker, now);
         // A retired worker is remembered as long as its entry may still be reported.
-        const bool forgettable
-                = !worker.retired || now - worker.heldUntil >= internal::RETIRED_TIME;
+        const bool forgettable = !worker.retired || now - worker.heldUntil >= internal::retiredTime;
         const bool gone = !worker.listed && worker.runs.empty() && now >= worker.heldUntil
                           && forgettable && (worker.pendingEnds.empty() || !worker.reachable);
         if (gone) {
@@ -42,7 +41,7 @@
 {
     if (run.phase == TaskRun::Phase::Stopping) {
         // Without an answer it may not have arrived; a stop can be repeated.
-        if (!run.stopAnswered && now - run.stopSentAt > internal::STOP_REPEAT && worker.reachable) {
+        if (!run.stopAnswered && now - run.stopSentAt > internal::stopRepeat && worker.reachable) {
             run.stopSentAt = now;
             m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
         }
@@ -55,19 +54,19 @@
         return;
     const auto &step = owner->step(run.task);
     if (step.persistent) {
-        if (run.percent < internal::AT_WORK && now - run.settledAt > internal::STARTUP_TIME) {
+        if (run.percent < internal::atWork && now - run.settledAt > internal::startupTime) {
             worker.health.failed(run.task.job, now);
             stopRun(worker, run, now);
         }
         return;
     }
-    if (step.fills || step.gang || run.pace < internal::AT_WORK)
+    if (step.fills || step.gang || run.pace < internal::atWork)
         return;
     const auto expected = m_runTimes.expected(owner->job().queue, step);
     if (run.progressAt == TimePoint{})
         return;
     if (worker.lastReport - run.progressAt
-        > std::max<Duration>(internal::STALL_TIME, expected / 2)) {
+        > std::max<Duration>(internal::stallTime, expected / 2)) {
         worker.health.failed(run.task.job, now);
         owner->task(run.task)->failedOn.insert(worker.description.id);
         stopRun(worker, run, now);
@@ -89,7 +88,7 @@
                 return false;
             const auto known = holder->runs.find(other);
             return known != holder->runs.end() && known->second.phase == TaskRun::Phase::Running
-                   && known->second.percent >= internal::AT_WORK;
+                   && known->second.percent >= internal::atWork;
         });
         count += static_cast<int>(!atWork);
     }
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -218,7 +218,7 @@
     action.checkpoint = task.checkpoint;
     action.holdUntil = worker.time.at(now, m_settings.hold);
     worker.heldUntil = std::max(worker.heldUntil,
-                                worker.time.latest(action.holdUntil) + internal::HOLD_MARGIN);
+                                worker.time.latest(action.holdUntil) + internal::holdMargin);
     run.persistent = job.step(id).persistent;
     worker.persistentRuns += static_cast<int>(run.persistent);
     worker.runs[id] = std::move(run);
@@ -257,7 +257,7 @@
         if (known == holder->runs.end())
             continue;
         const auto limit
-                = internal::COPY_FACTOR * m_runTimes.expected(job.job().queue, job.step(id));
+                = internal::copyFactor * m_runTimes.expected(job.job().queue, job.step(id));
         const bool doubtful = !holder->reachable || holder->health.quarantined(now)
                               || known->second.phase == TaskRun::Phase::Stopping
                               || now - known->second.startedAt > limit;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -22,7 +22,7 @@
     if (it->time.known() && it->reachable) {
         request.holdUntil = it->time.at(now, m_settings.hold);
         it->heldUntil = std::max(it->heldUntil,
-                                 it->time.latest(*request.holdUntil) + internal::HOLD_MARGIN);
+                                 it->time.latest(*request.holdUntil) + internal::holdMargin);
     }
     return request;
 }
@@ -77,8 +77,8 @@
         });
         // A start that is not settled, or was after the hold was sent, may have reached the new
         // life; a run that is being stopped is settled by the answer to the stop.
-        const bool later = run->second.phase != TaskRun::Phase::Running
-                || run->second.settledAt >= sentAt;
+        const bool later
+                = run->second.phase != TaskRun::Phase::Running || run->second.settledAt >= sentAt;
         if (!listed && !later)
             releaseRun(worker, run, now);
     }
@@ -190,7 +190,7 @@
             known.settledAt = now;
         }
         const bool outlivedStop = known.phase == TaskRun::Phase::Stopping && known.stopAnswered
-                && known.settledAt + m_settings.stopTime < sentAt;
+                                  && known.settledAt + m_settings.stopTime < sentAt;
         if (outlivedStop)
             known.stopAnswered = false;
         if (known.percent != row.percent || known.progressAt == TimePoint{})
@@ -200,7 +200,7 @@
         if (!row.checkpoint.empty())
             known.checkpoint = row.checkpoint;
     }
-    if (report.ended.size() >= internal::ENDS_PER_REPORT)
+    if (report.ended.size() >= internal::endsPerReport)
         return;
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
@@ -307,10 +307,10 @@
     case StartRefusal::Room:
     case StartRefusal::Old:
     case StartRefusal::Ticket:
-        worker->pausedUntil = now + internal::ROOM_PAUSE;
+        worker->pausedUntil = now + internal::roomPause;
         break;
     case StartRefusal::Unhealthy:
-        worker->pausedUntil = now + internal::UNHEALTHY_PAUSE;
+        worker->pausedUntil = now + internal::unhealthyPause;
         break;
     case StartRefusal::Late:
     case StartRefusal::OtherLife:
--- a/src/jobs/schedulertimes.h
+++ b/src/jobs/schedulertimes.h
@@ -8,34 +8,34 @@
 using namespace std::chrono_literals;
 
 /** Percentage at which a persistent task serves its users, from the worker protocol. */
-constexpr int AT_WORK = 100;
+constexpr int atWork = 100;
 /** A worker's clock may run this much slower than the local one, from the worker protocol. */
-constexpr double CLOCK_DRIFT = 0.02;
+constexpr double clockDrift = 0.02;
 /** Delay of the network and of the worker that a hold may outlast its length by. */
-constexpr Duration HOLD_MARGIN = 100ms;
+constexpr Duration holdMargin = 100ms;
 /** An unanswered stop is sent again after this time. */
-constexpr Duration STOP_REPEAT = 500ms;
+constexpr Duration stopRepeat = 500ms;
 /** Shortest time without progress after which a run counts as stalled. */
-constexpr Duration STALL_TIME = 1500ms;
+constexpr Duration stallTime = 1500ms;
 /** Longest start-up of a persistent task before it is tried elsewhere. */
-constexpr Duration STARTUP_TIME = 5000ms;
+constexpr Duration startupTime = 5000ms;
 /** Pause of starts on a worker that refused one for lack of room. */
-constexpr Duration ROOM_PAUSE = 100ms;
+constexpr Duration roomPause = 100ms;
 /** Pause of starts on a worker that refused one because it is overloaded or unwell. */
-constexpr Duration UNHEALTHY_PAUSE = 500ms;
+constexpr Duration unhealthyPause = 500ms;
 /** The entry of a worker that has ended may stand in the store for this long. */
-constexpr Duration RETIRED_TIME = 10s;
+constexpr Duration retiredTime = 10s;
 /** Workers list at most this many ends in one report, from the worker protocol. */
-constexpr std::size_t ENDS_PER_REPORT = 500;
+constexpr std::size_t endsPerReport = 500;
 /** A run that takes this many times its expected time gets a second copy, if that is allowed. */
-constexpr int COPY_FACTOR = 2;
+constexpr int copyFactor = 2;
 
 /** Returns the longest local time that a hold of this length may last. */
 inline Duration holdLength(Duration hold)
 {
     return hold
-           + Duration(static_cast<Duration::rep>(static_cast<double>(hold.count()) * CLOCK_DRIFT))
-           + HOLD_MARGIN;
+           + Duration(static_cast<Duration::rep>(static_cast<double>(hold.count()) * clockDrift))
+           + holdMargin;
 }
 
 } // namespace dragonflysill::internal
--- a/src/jobs/workerhealth.cpp
+++ b/src/jobs/workerhealth.cpp
@@ -9,12 +9,12 @@
 using namespace std::chrono_literals;
 
 /** Failures of different jobs in a row that put a worker in quarantine. */
-constexpr std::size_t QUARANTINE_FAILURES = 2;
+constexpr std::size_t quarantineFailures = 2;
 /** First quarantine; doubled with each repetition up to the longest one. */
-constexpr Duration FIRST_QUARANTINE = 3s;
-constexpr Duration LONGEST_QUARANTINE = 12s;
+constexpr Duration firstQuarantine = 3s;
+constexpr Duration longestQuarantine = 12s;
 /** How long one failure keeps second attempts away. */
-constexpr Duration SUSPICION = 4s;
+constexpr Duration suspicion = 4s;
 
 } // namespace internal
 
@@ -29,11 +29,11 @@
 {
     std::erase_if(m_failures, [&](const Failure &it) { return it.job == job; });
     m_failures.push_back({std::string(job), now});
-    if (m_failures.size() < internal::QUARANTINE_FAILURES && m_quarantines == 0)
+    if (m_failures.size() < internal::quarantineFailures && m_quarantines == 0)
         return;
-    Duration length = internal::FIRST_QUARANTINE * (1 << std::min(m_quarantines, 4));
-    m_quarantinedUntil = now + std::min(length, internal::LONGEST_QUARANTINE);
-    if (m_failures.size() >= internal::QUARANTINE_FAILURES)
+    Duration length = internal::firstQuarantine * (1 << std::min(m_quarantines, 4));
+    m_quarantinedUntil = now + std::min(length, internal::longestQuarantine);
+    if (m_failures.size() >= internal::quarantineFailures)
         ++m_quarantines;
 }
 
@@ -41,7 +41,7 @@
 {
     const auto removed
             = std::erase_if(m_failures, [&](const Failure &it) { return it.job == job; });
-    if (removed > 0 && m_failures.size() < internal::QUARANTINE_FAILURES) {
+    if (removed > 0 && m_failures.size() < internal::quarantineFailures) {
         m_quarantinedUntil = {};
         m_quarantines = 0;
     }
@@ -50,7 +50,7 @@
 bool WorkerHealth::suspect(TimePoint now) const
 {
     return quarantined(now)
-           || (!m_failures.empty() && now - m_failures.back().at < internal::SUSPICION);
+           || (!m_failures.empty() && now - m_failures.back().at < internal::suspicion);
 }
 
 } // namespace dragonflysill
--- a/src/jobs/workerstate.cpp
+++ b/src/jobs/workerstate.cpp
@@ -5,7 +5,7 @@
 namespace internal {
 
 /** A worker's clock may run this much slower than the local one, from the worker protocol. */
-constexpr double SLOWEST_CLOCK = 0.98;
+constexpr double slowestClock = 0.98;
 
 } // namespace internal
 
@@ -24,7 +24,7 @@
 
 TimePoint WorkerTime::latest(WorkerClock clock) const
 {
-    const auto ms = static_cast<double>(clock - m_clock) / internal::SLOWEST_CLOCK;
+    const auto ms = static_cast<double>(clock - m_clock) / internal::slowestClock;
     return m_observed + Milliseconds(static_cast<std::int64_t>(ms) + 1);
 }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -19,7 +19,7 @@
 namespace internal {
 
 /** Largest answer that is read, in bytes: a page of the store's items plus its encoding. */
-constexpr std::uint64_t MAX_RESPONSE_BYTES = 8U << 20U;
+constexpr std::uint64_t maxResponseBytes = 8U << 20U;
 
 std::optional<Tcp::endpoint> parseAddress(const std::string &address)
 {
@@ -100,7 +100,7 @@
             m_request.set(http::field::content_type, "application/json");
         m_request.prepare_payload();
         m_parser.emplace();
-        m_parser->body_limit(MAX_RESPONSE_BYTES);
+        m_parser->body_limit(maxResponseBytes);
         m_stream.expires_after(timeout);
     }
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -17,7 +17,7 @@
 namespace internal {
 
 /** Connections that wait for acceptance while the process is busy. */
-constexpr int LISTEN_BACKLOG = 1024;
+constexpr int listenBacklog = 1024;
 
 class HttpListener : public std::enable_shared_from_this<HttpListener>
 {
@@ -197,7 +197,7 @@
     if (!ec)
         m_acceptor.bind(endpoint, ec);
     if (!ec)
-        m_acceptor.listen(LISTEN_BACKLOG, ec);
+        m_acceptor.listen(listenBacklog, ec);
     if (ec)
         return Error(ErrorKind::SettingsInvalid, address + ": " + ec.message());
     accept();
--- a/src/node/batchwriter.cpp
+++ b/src/node/batchwriter.cpp
@@ -11,13 +11,13 @@
 using namespace std::chrono_literals;
 
 /** The store takes 32 entries a transaction; each write needs one and its condition another. */
-constexpr std::size_t WRITES_PER_BATCH = 16;
+constexpr std::size_t writesPerBatch = 16;
 /** Batches on their way at once, so that one lost answer does not hold up the others. */
-constexpr int MOST_IN_FLIGHT = 4;
+constexpr int mostInFlight = 4;
 /** How long a write that the store refuses is repeated before its caller is told. */
-constexpr Duration REFUSAL_PATIENCE = 300ms;
+constexpr Duration refusalPatience = 300ms;
 /** Pause before a write is repeated. */
-constexpr Duration RETRY_PAUSE = 60ms;
+constexpr Duration retryPause = 60ms;
 
 } // namespace internal
 
@@ -30,14 +30,14 @@
 void BatchWriter::write(PendingWrite write)
 {
     m_waiting.push_back({std::move(write), EventLoop::now(), false});
-    if (m_inFlight == 0 || m_waiting.size() >= internal::WRITES_PER_BATCH)
+    if (m_inFlight == 0 || m_waiting.size() >= internal::writesPerBatch)
         flush();
 }
 
 void BatchWriter::flush()
 {
-    while (!m_waiting.empty() && m_inFlight < internal::MOST_IN_FLIGHT) {
-        const auto n = std::min(m_waiting.size(), internal::WRITES_PER_BATCH);
+    while (!m_waiting.empty() && m_inFlight < internal::mostInFlight) {
+        const auto n = std::min(m_waiting.size(), internal::writesPerBatch);
         const auto end = m_waiting.begin() + static_cast<std::ptrdiff_t>(n);
         Batch batch(std::make_move_iterator(m_waiting.begin()), std::make_move_iterator(end));
         m_waiting.erase(m_waiting.begin(), end);
@@ -106,7 +106,7 @@
         it.maybeStored = it.maybeStored || unknown;
         const auto limit = it.maybeStored ? it.write.giveUpAt
                                           : std::min(it.write.giveUpAt,
-                                                     it.enqueuedAt + internal::REFUSAL_PATIENCE);
+                                                     it.enqueuedAt + internal::refusalPatience);
         if (now < limit)
             again.push_back(std::move(it));
         else
@@ -121,7 +121,7 @@
 void BatchWriter::retryLater(Batch entries)
 {
     m_sent += entries.size();
-    m_loop.after(internal::RETRY_PAUSE,
+    m_loop.after(internal::retryPause,
                  [this, alive = m_alive, entries = std::move(entries)]() mutable {
                      if (!*alive)
                          return;
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -19,14 +19,14 @@
 using namespace std::chrono_literals;
 
 /** Time for the answer to an order or a page of the list. */
-constexpr Duration MACHINE_TIMEOUT = 1000ms;
+constexpr Duration machineTimeout = 1000ms;
 /** Time between two lists while waves or orders are open, and otherwise. */
-constexpr Duration BUSY_LIST_SPACING = 1000ms;
-constexpr Duration IDLE_LIST_SPACING = 3000ms;
+constexpr Duration busyListSpacing = 1000ms;
+constexpr Duration idleListSpacing = 3000ms;
 /** Time between two log lines about the pools' load. */
-constexpr Duration REPORT_SPACING = 500ms;
+constexpr Duration reportSpacing = 500ms;
 /** An order whose effect is not seen for this long is given up and may be repeated. */
-constexpr Duration ORDER_PATIENCE = 6000ms;
+constexpr Duration orderPatience = 6000ms;
 
 std::set<std::string> decodeDone(const std::string &bytes)
 {
@@ -70,7 +70,7 @@
 void FleetKeeper::addWave(const MaintenanceWave &wave)
 {
     std::set<std::string> done;
-    const auto key = nodekeys::key(nodekeys::WAVES, std::to_string(wave.number));
+    const auto key = nodekeys::key(nodekeys::waves, std::to_string(wave.number));
     for (const auto &it : m_context.replica.others(key)) {
         if (it.key == key)
             done = internal::decodeDone(it.value);
@@ -89,7 +89,7 @@
     if (m_context.settings.machinesAddress.empty())
         return;
     const bool busy = !m_orders.empty() || !m_maintenance.openWaves().empty();
-    if (now - m_listedAt >= (busy ? internal::BUSY_LIST_SPACING : internal::IDLE_LIST_SPACING))
+    if (now - m_listedAt >= (busy ? internal::busyListSpacing : internal::idleListSpacing))
         list(now);
     saveWaves();
     if (!m_listedOnce || !m_context.mayOrder())
@@ -113,7 +113,7 @@
 
 void FleetKeeper::reportLoad(const FleetView &fleet, TimePoint now)
 {
-    if (now - m_reportedAt < internal::REPORT_SPACING)
+    if (now - m_reportedAt < internal::reportSpacing)
         return;
     m_reportedAt = now;
     std::string text;
@@ -131,7 +131,7 @@
         return;
     ++m_counts.lists;
     m_listedAt = now;
-    m_calls->list(internal::MACHINE_TIMEOUT,
+    m_calls->list(internal::machineTimeout,
                   [this, alive = m_alive, now](const Result<std::vector<FleetInstance>> &it) {
                       if (*alive)
                           listed(it, now);
@@ -153,7 +153,7 @@
         const auto it = m_instances.find(name);
         if (it == m_instances.end())
             return true;
-        if (sentAt - order.sentAt > internal::ORDER_PATIENCE)
+        if (sentAt - order.sentAt > internal::orderPatience)
             return true;
         const bool arrived = it->second.state == FleetInstance::State::Up
                              && it->second.pool == order.targetPool;
@@ -267,7 +267,7 @@
                                {"to", move.pool},
                                {"needed", std::to_string(m_balancer.needed(move.pool))}});
     order.targetPool = move.pool;
-    m_calls->move(move.instance, move.pool, internal::MACHINE_TIMEOUT,
+    m_calls->move(move.instance, move.pool, internal::machineTimeout,
                   [this, alive = m_alive, name = move.instance](InstanceOrderOutcome outcome) {
                       if (*alive)
                           answered(name, outcome);
@@ -281,7 +281,7 @@
              {{"instance", maintenance.instance}, {"wave", std::to_string(maintenance.wave)}});
     begin(maintenance.instance, fleet, now).wave = maintenance.wave;
     m_calls->maintain(
-            maintenance.instance, maintenance.wave, internal::MACHINE_TIMEOUT,
+            maintenance.instance, maintenance.wave, internal::machineTimeout,
             [this, alive = m_alive, name = maintenance.instance](InstanceOrderOutcome outcome) {
                 if (*alive)
                     answered(name, outcome);
@@ -338,12 +338,12 @@
             && (!completed || m_savedCompleted.contains(number)))
             continue;
         const auto name = std::to_string(number);
-        const auto key = nodekeys::key(nodekeys::WAVES, name);
+        const auto key = nodekeys::key(nodekeys::waves, name);
         ConditionalWrite write;
-        write.expected.push_back({std::string(nodekeys::OWNER), m_fence});
+        write.expected.push_back({std::string(nodekeys::owner), m_fence});
         write.writes.push_back({key, nlohmann::json(done).dump(), 0});
         write.writes.push_back(
-                {platform::PREFIX_WAVE_STATUS + name, platform::encodeWaveStatus(completed), 0});
+                {platform::prefixWaveStatus + name, platform::encodeWaveStatus(completed), 0});
         m_saving = true;
         m_context.store.write(write, [this, alive = m_alive, number, count = done.size(),
                                       completed](const Result<WriteOutcome> &outcome) {
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -15,11 +15,11 @@
 using namespace std::chrono_literals;
 
 /** Time kept for the response to reach the caller. */
-constexpr Milliseconds RESPONSE_TIME = 100ms;
+constexpr Milliseconds responseTime = 100ms;
 /** How long callers are kept waiting if neither they nor their queue say. */
-constexpr Milliseconds USUAL_WAIT = 2000ms;
+constexpr Milliseconds usualWait = 2000ms;
 /** Callers that are sent away return after 1 to this many seconds, spread evenly. */
-constexpr std::size_t RETRY_AFTER_SPREAD_S = 2;
+constexpr std::size_t retryAfterSpreadS = 2;
 
 HttpResponse status(int code, std::string body = {})
 {
@@ -47,7 +47,7 @@
 HttpResponse JobService::notAccepted()
 {
     ++m_counts.rejected;
-    const auto seconds = 1 + m_random.below(internal::RETRY_AFTER_SPREAD_S);
+    const auto seconds = 1 + m_random.below(internal::retryAfterSpreadS);
     return {503, {}, {{"Retry-After", std::to_string(seconds)}}};
 }
 
@@ -77,10 +77,10 @@
     }
     const auto wait = std::max<Milliseconds>(call.deadline.value_or(queue->timeout.count() > 0
                                                                             ? queue->timeout
-                                                                            : internal::USUAL_WAIT)
-                                                     - internal::RESPONSE_TIME,
-                                             internal::RESPONSE_TIME);
-    const auto giveUpAt = EventLoop::now() + std::min(wait, internal::USUAL_WAIT);
+                                                                            : internal::usualWait)
+                                                     - internal::responseTime,
+                                             internal::responseTime);
+    const auto giveUpAt = EventLoop::now() + std::min(wait, internal::usualWait);
     switch (call.action) {
     case Action::Submit:
         submit(*queue, id, request, giveUpAt, std::move(respond));
@@ -123,7 +123,7 @@
     job.acceptedMs = unixMilliseconds();
     job.spec = std::move(*spec);
     PendingWrite write;
-    write.key = nodekeys::key(nodekeys::JOBS, id);
+    write.key = nodekeys::key(nodekeys::jobs, id);
     write.value = encodeJob(job);
     write.mustBeNew = true;
     write.giveUpAt = giveUpAt;
@@ -141,8 +141,8 @@
     switch (outcome) {
     case PendingWrite::Outcome::Stored:
     case PendingWrite::Outcome::Existed:
-        m_replica.applyOwn(nodekeys::key(nodekeys::JOBS, id), value, revision);
-        if (value == REJECTED_RECORD) {
+        m_replica.applyOwn(nodekeys::key(nodekeys::jobs, id), value, revision);
+        if (value == rejectedRecord) {
             respond(notAccepted());
             return;
         }
@@ -161,7 +161,7 @@
 
 void JobService::fetch(std::string_view id, std::function<void(Result<Done>)> callback)
 {
-    m_store.get(nodekeys::key(nodekeys::JOBS, id),
+    m_store.get(nodekeys::key(nodekeys::jobs, id),
                 [this, callback = std::move(callback)](const Result<KeyValue> &item) {
                     if (!item) {
                         callback(item.error());
@@ -215,7 +215,7 @@
         return;
     }
     PendingWrite write;
-    write.key = nodekeys::key(nodekeys::CANCELLED, id);
+    write.key = nodekeys::key(nodekeys::cancelled, id);
     write.value = "1";
     write.giveUpAt = giveUpAt;
     write.callback = [this, key = write.key, respond](PendingWrite::Outcome outcome,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,16 +20,16 @@
 using namespace std::chrono_literals;
 
 /** Length of the ownership's lease: the longest time without scheduling after a sudden end. */
-constexpr Milliseconds OWNER_LEASE = 1500ms;
+constexpr Milliseconds ownerLease = 1500ms;
 /** Changes of jobs gather this long between two waits, at the owner and elsewhere. */
-constexpr Duration OWNER_WATCH_PAUSE = 20ms;
-constexpr Duration FOLLOWER_WATCH_PAUSE = 200ms;
+constexpr Duration ownerWatchPause = 20ms;
+constexpr Duration followerWatchPause = 200ms;
 /** Without an answer for this long the store counts as unreachable. */
-constexpr Duration STORE_SILENCE = 2300ms;
+constexpr Duration storeSilence = 2300ms;
 /** Time between two looks at the store's reachability. */
-constexpr Duration STORE_CHECK = 100ms;
+constexpr Duration storeCheck = 100ms;
 /** Part of the grace time that is left unused, so that the process ends by itself. */
-constexpr Duration STOP_MARGIN = 1500ms;
+constexpr Duration stopMargin = 1500ms;
 
 std::uint64_t seedFrom(const platform::NodeSettings &settings)
 {
@@ -56,7 +56,7 @@
                       else
                           respond({ready() ? 200 : 503, {}, {}});
                   })
-    , m_stateWatcher(loop, *m_store, std::string(nodekeys::ROOT), internal::FOLLOWER_WATCH_PAUSE,
+    , m_stateWatcher(loop, *m_store, std::string(nodekeys::root), internal::followerWatchPause,
                      {[this](std::span<const KeyValue> items, std::int64_t asOf) {
                           m_replica.reset(items, asOf);
                           replicaChanged();
@@ -65,7 +65,7 @@
                           m_replica.apply(updates, asOf);
                           replicaChanged();
                       }})
-    , m_operatorWatcher(loop, *m_store, platform::PREFIX_OPERATOR, Duration{0},
+    , m_operatorWatcher(loop, *m_store, platform::prefixOperator, Duration{0},
                         {[this](std::span<const KeyValue> items, std::int64_t) {
                              for (const auto &it : items)
                                  operatorKey(it.key, it.modRevision, it.value);
@@ -78,7 +78,7 @@
                          }})
     , m_ownership(
               loop, *m_store, m_replica, settings.name,
-              std::max(internal::OWNER_LEASE, settings.shortestLease),
+              std::max(internal::ownerLease, settings.shortestLease),
               {[this](std::int64_t fence, std::int64_t generation) { gained(fence, generation); },
                [this](const std::string &reason) { lost(reason); }})
 {
@@ -106,7 +106,7 @@
 void Node::watchStore()
 {
     const auto contact = std::max(m_stateWatcher.lastContact(), m_operatorWatcher.lastContact());
-    const bool reachable = EventLoop::now() - contact < internal::STORE_SILENCE;
+    const bool reachable = EventLoop::now() - contact < internal::storeSilence;
     if (reachable != m_storeReachable) {
         m_storeReachable = reachable;
         m_service.setStoreReachable(reachable);
@@ -115,7 +115,7 @@
         else
             logWarning("store-lost");
     }
-    m_loop.after(internal::STORE_CHECK, [this] { watchStore(); });
+    m_loop.after(internal::storeCheck, [this] { watchStore(); });
 }
 
 bool Node::ready() const
@@ -125,11 +125,11 @@
 
 void Node::operatorKey(const std::string &key, std::int64_t revision, const std::string &bytes)
 {
-    if (key == platform::KEY_CONFIGURATION) {
+    if (key == platform::keyConfiguration) {
         configurationChanged(revision, bytes);
         return;
     }
-    if (!key.starts_with(platform::PREFIX_WAVES))
+    if (!key.starts_with(platform::prefixWaves))
         return;
     const auto wave = platform::decodeWave(bytes);
     if (!wave) {
@@ -175,7 +175,7 @@
 {
     logState("ownership-gained",
              {{"fence", std::to_string(fence)}, {"generation", std::to_string(generation)}});
-    m_stateWatcher.setPause(internal::OWNER_WATCH_PAUSE);
+    m_stateWatcher.setPause(internal::ownerWatchPause);
     m_owner = std::make_unique<ScheduleOwner>(
             OwnerContext{m_loop, *m_store, m_client, m_replica, m_settings,
                          [this] { return m_ownership.valid(); },
@@ -191,7 +191,7 @@
 void Node::lost(const std::string &reason)
 {
     logState("ownership-lost", {{"reason", reason}});
-    m_stateWatcher.setPause(internal::FOLLOWER_WATCH_PAUSE);
+    m_stateWatcher.setPause(internal::followerWatchPause);
     // The owner may be on the call stack.
     m_loop.post([owner = std::shared_ptr<ScheduleOwner>(std::move(m_owner))] {});
 }
@@ -203,7 +203,7 @@
     logState("stopping", {{"connections", std::to_string(m_front.connections())}});
     m_ownership.resign();
     m_front.drain();
-    finishStop(EventLoop::now() + m_settings.grace - internal::STOP_MARGIN);
+    finishStop(EventLoop::now() + m_settings.grace - internal::stopMargin);
 }
 
 void Node::finishStop(TimePoint latest)
@@ -213,7 +213,7 @@
         m_loop.stop();
         return;
     }
-    m_loop.after(internal::STORE_CHECK, [this, latest] { finishStop(latest); });
+    m_loop.after(internal::storeCheck, [this, latest] { finishStop(latest); });
 }
 
 } // namespace dragonflysill
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -11,11 +11,11 @@
 using namespace std::chrono_literals;
 
 /** Time between two looks at the lease. */
-constexpr Duration TICK = 100ms;
+constexpr Duration tick = 100ms;
 /** The lease is renewed this many times within its length, so that some renewals may fail. */
-constexpr int RENEWALS_PER_LEASE = 5;
+constexpr int renewalsPerLease = 5;
 /** Part of the lease that the owner does not use, for the difference between the clocks. */
-constexpr double UNUSED_PART = 0.1;
+constexpr double unusedPart = 0.1;
 
 } // namespace internal
 
@@ -38,7 +38,7 @@
 void Ownership::tick()
 {
     check();
-    m_loop.after(internal::TICK, [this] { tick(); });
+    m_loop.after(internal::tick, [this] { tick(); });
 }
 
 void Ownership::check()
@@ -49,7 +49,7 @@
         if (superseded)
             lose("the store names another owner or none");
         else if (!m_renewing
-                 && EventLoop::now() - m_renewedAt >= m_leaseLength / internal::RENEWALS_PER_LEASE)
+                 && EventLoop::now() - m_renewedAt >= m_leaseLength / internal::renewalsPerLease)
             renew();
         return;
     }
@@ -73,10 +73,10 @@
 {
     const auto generation = m_replica.generation();
     ConditionalWrite write;
-    write.expected = {{std::string(nodekeys::OWNER), 0},
-                      {std::string(nodekeys::GENERATION), m_replica.generationRevision()}};
-    write.writes = {{std::string(nodekeys::OWNER), m_node, lease},
-                    {std::string(nodekeys::GENERATION), std::to_string(generation + 1), 0}};
+    write.expected = {{std::string(nodekeys::owner), 0},
+                      {std::string(nodekeys::generation), m_replica.generationRevision()}};
+    write.writes = {{std::string(nodekeys::owner), m_node, lease},
+                    {std::string(nodekeys::generation), std::to_string(generation + 1), 0}};
     m_store.write(write, [this, lease, grantedAt, generation](const Result<WriteOutcome> &outcome) {
         m_campaigning = false;
         if (!outcome || !outcome->applied || m_resigned) {
@@ -90,7 +90,7 @@
         m_validUntil = grantedAt
                        + Duration(static_cast<Duration::rep>(
                                static_cast<double>(Duration(m_leaseLength).count())
-                               * (1 - internal::UNUSED_PART)));
+                               * (1 - internal::unusedPart)));
         m_handlers.gained(m_fence, generation);
     });
 }
@@ -123,7 +123,7 @@
 {
     // The key may have been taken away although the lease lives.
     m_renewing = true;
-    m_store.get(std::string(nodekeys::OWNER),
+    m_store.get(std::string(nodekeys::owner),
                 [this, sentAt, fence = m_fence](const Result<KeyValue> &owner) {
                     m_renewing = false;
                     if (fence != m_fence)
@@ -139,7 +139,7 @@
 Duration Ownership::usableLease() const
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(Duration(m_leaseLength).count())
-                                               * (1 - internal::UNUSED_PART)));
+                                               * (1 - internal::unusedPart)));
 }
 
 void Ownership::resign()
--- a/src/node/prefixwatcher.cpp
+++ b/src/node/prefixwatcher.cpp
@@ -12,10 +12,10 @@
 using namespace std::chrono_literals;
 
 /** Longest wait of one call: a connection that has gone silent is noticed soon after. */
-constexpr std::chrono::milliseconds WATCH_WAIT = 1000ms;
+constexpr std::chrono::milliseconds watchWait = 1000ms;
 /** Pauses after failed calls, doubled up to the longest; half of it is random. */
-constexpr Duration FIRST_RETRY = 50ms;
-constexpr Duration LONGEST_RETRY = 400ms;
+constexpr Duration firstRetry = 50ms;
+constexpr Duration longestRetry = 400ms;
 
 } // namespace internal
 
@@ -75,7 +75,7 @@
 
 void PrefixWatcher::wait()
 {
-    m_store.watch(m_prefix, m_asOf, internal::WATCH_WAIT,
+    m_store.watch(m_prefix, m_asOf, internal::watchWait,
                   [this, alive = m_alive](const Result<StoreChanges> &changes) {
                       if (*alive)
                           waited(changes);
@@ -108,7 +108,7 @@
 void PrefixWatcher::retry(std::function<void()> action)
 {
     const auto longest = std::min<Duration>(
-            internal::LONGEST_RETRY, internal::FIRST_RETRY * (1 << std::min(m_failures++, 8)));
+            internal::longestRetry, internal::firstRetry * (1 << std::min(m_failures++, 8)));
     const auto jitter = static_cast<double>(longest.count()) * (0.5 + 0.5 * m_random.unit());
     m_loop.after(Duration(static_cast<Duration::rep>(jitter)),
                  [alive = m_alive, action = std::move(action)] {
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -18,27 +18,27 @@
 using namespace std::chrono_literals;
 
 /** Time between two looks at what the passing of time changes. */
-constexpr Duration TICK = 50ms;
+constexpr Duration tick = 50ms;
 /** Time between two decisions about moves and maintenance. */
-constexpr Duration FLEET_TICK = 100ms;
+constexpr Duration fleetTick = 100ms;
 /** Events gather this long before a decision. */
-constexpr Duration DECISION_DELAY = 3ms;
+constexpr Duration decisionDelay = 3ms;
 /** Changes of workers gather this long between two waits; draining must be seen within 2 s. */
-constexpr Duration WORKER_WATCH_PAUSE = 200ms;
+constexpr Duration workerWatchPause = 200ms;
 /** Least time between two writes of progress, unless a job has ended. */
-constexpr Duration SAVE_SPACING = 60ms;
+constexpr Duration saveSpacing = 60ms;
 /** Least time between two publications of the waiting jobs, which may be 2 s old. */
-constexpr Duration PENDING_SPACING = 900ms;
+constexpr Duration pendingSpacing = 900ms;
 /** The store takes 32 entries a transaction: the owner's condition, and two for each job. */
-constexpr std::size_t UPDATES_PER_WRITE = 14;
+constexpr std::size_t updatesPerWrite = 14;
 /** Jobs removed in one transaction, with three keys each. */
-constexpr std::size_t REMOVALS_PER_WRITE = 10;
+constexpr std::size_t removalsPerWrite = 10;
 /** Run numbers that one owner may use for a task. */
-constexpr int RUNS_PER_OWNER = 1000;
+constexpr int runsPerOwner = 1000;
 /** Least time between two writes that only remove workers from their record. */
-constexpr Duration RECORD_SPACING = 1000ms;
+constexpr Duration recordSpacing = 1000ms;
 /** Ended jobs are kept this much longer than callers may ask for them. */
-constexpr Duration RETENTION_MARGIN = 30s;
+constexpr Duration retentionMargin = 30s;
 
 SchedulerSettings schedulerSettings(const platform::NodeSettings &settings)
 {
@@ -56,15 +56,14 @@
     : m_context(std::move(context))
     , m_fence(fence)
     , m_scheduler(internal::schedulerSettings(m_context.settings), fence,
-                  static_cast<int>(generation) * internal::RUNS_PER_OWNER)
+                  static_cast<int>(generation) * internal::runsPerOwner)
     , m_links(m_context.loop, m_context.client, m_scheduler, fence, m_context.mayOrder,
               [this] { decideSoon(); })
     , m_fleet(m_context, m_scheduler, fence,
               generation == 0 ? EventLoop::now()
                               : EventLoop::now() + m_context.settings.machineHolderPause)
     , m_workerWatcher(
-              m_context.loop, m_context.store, platform::PREFIX_WORKERS,
-              internal::WORKER_WATCH_PAUSE,
+              m_context.loop, m_context.store, platform::prefixWorkers, internal::workerWatchPause,
               {[this](std::span<const KeyValue> items, std::int64_t) { resetWorkers(items); },
                [this](std::span<const KeyUpdate> updates, std::int64_t) {
                    changeWorkers(updates);
@@ -82,7 +81,7 @@
 {
     // The replica must contain all that earlier owners wrote.
     if (m_context.replica.asOf() < m_fence) {
-        m_context.loop.after(internal::DECISION_DELAY, [this, alive = m_alive] {
+        m_context.loop.after(internal::decisionDelay, [this, alive = m_alive] {
             if (*alive)
                 begin();
         });
@@ -100,7 +99,7 @@
 
 void ScheduleOwner::addJob(const std::string &id, const ReplicatedJob &job, bool inherited)
 {
-    if (job.acceptedRevision == 0 || job.record == REJECTED_RECORD || isFinal(job.status))
+    if (job.acceptedRevision == 0 || job.record == rejectedRecord || isFinal(job.status))
         return;
     auto decoded = decodeJob(id, job.record);
     if (!decoded)
@@ -146,8 +145,8 @@
 void ScheduleOwner::expectRecorded()
 {
     const auto now = EventLoop::now();
-    for (const auto &item : m_context.replica.others(nodekeys::WORKERS)) {
-        const std::string pool(nodekeys::nameIn(nodekeys::WORKERS, item.key));
+    for (const auto &item : m_context.replica.others(nodekeys::workers)) {
+        const std::string pool(nodekeys::nameIn(nodekeys::workers, item.key));
         m_recordRevisions[pool] = item.modRevision;
         const auto workers = decodeWorkerRecord(pool, item.value);
         if (!workers)
@@ -163,7 +162,7 @@
 {
     std::set<std::string> present;
     for (const auto &it : items) {
-        const std::string id(nodekeys::nameIn(platform::PREFIX_WORKERS, it.key));
+        const std::string id(nodekeys::nameIn(platform::prefixWorkers, it.key));
         present.insert(id);
         describe(id, it.value);
     }
@@ -181,7 +180,7 @@
 void ScheduleOwner::changeWorkers(std::span<const KeyUpdate> updates)
 {
     for (const auto &it : updates) {
-        const std::string id(nodekeys::nameIn(platform::PREFIX_WORKERS, it.key));
+        const std::string id(nodekeys::nameIn(platform::prefixWorkers, it.key));
         if (it.deleted)
             unlist(id);
         else
@@ -235,7 +234,7 @@
         if (!worker.retired)
             keep(worker.description);
     }
-    if (changed.empty() && now - m_recordedAt >= internal::RECORD_SPACING) {
+    if (changed.empty() && now - m_recordedAt >= internal::recordSpacing) {
         for (const auto &[id, pool] : m_recorded) {
             if (!kept.contains(id))
                 changed.insert(pool);
@@ -245,13 +244,13 @@
         return;
     m_recordedAt = now;
     ConditionalWrite write;
-    write.expected.push_back({std::string(nodekeys::OWNER), m_fence});
+    write.expected.push_back({std::string(nodekeys::owner), m_fence});
     std::map<std::string, std::string> ids;
     std::set<std::string> written;
     for (const auto &pool : changed) {
-        if (write.writes.size() >= internal::UPDATES_PER_WRITE)
+        if (write.writes.size() >= internal::updatesPerWrite)
             break;
-        const auto key = nodekeys::key(nodekeys::WORKERS, pool);
+        const auto key = nodekeys::key(nodekeys::workers, pool);
         write.expected.push_back({key, m_recordRevisions[pool]});
         write.writes.push_back({key, encodeWorkerRecord(pools[pool]), 0});
         written.insert(pool);
@@ -275,20 +274,20 @@
     const bool applied = outcome && outcome->applied;
     if (outcome && !outcome->applied) {
         for (const auto &it : outcome->current) {
-            if (it.key.starts_with(nodekeys::WORKERS))
-                m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::WORKERS, it.key))]
+            if (it.key.starts_with(nodekeys::workers))
+                m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::workers, it.key))]
                         = it.modRevision;
         }
     }
     if (!applied) {
-        m_context.loop.after(internal::SAVE_SPACING, [this, alive = m_alive] {
+        m_context.loop.after(internal::saveSpacing, [this, alive = m_alive] {
             if (*alive)
                 recordWorkers();
         });
         return;
     }
     for (const auto &it : write.writes)
-        m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::WORKERS, it.key))]
+        m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::workers, it.key))]
                 = outcome->revision;
     std::erase_if(m_recorded, [&](const auto &it) { return pools.contains(it.second); });
     for (const auto &[id, pool] : ids) {
@@ -303,7 +302,7 @@
 void ScheduleOwner::tick()
 {
     decide();
-    m_context.loop.after(internal::TICK, [this, alive = m_alive] {
+    m_context.loop.after(internal::tick, [this, alive = m_alive] {
         if (*alive)
             tick();
     });
@@ -313,7 +312,7 @@
 {
     if (std::exchange(m_decisionDue, true))
         return;
-    m_context.loop.after(internal::DECISION_DELAY, [this, alive = m_alive] {
+    m_context.loop.after(internal::decisionDelay, [this, alive = m_alive] {
         if (!*alive)
             return;
         m_decisionDue = false;
@@ -336,7 +335,7 @@
         return;
     }
     const auto now = EventLoop::now();
-    if (now - m_fleetAt >= internal::FLEET_TICK) {
+    if (now - m_fleetAt >= internal::fleetTick) {
         m_fleetAt = now;
         m_fleet.tick(now);
         recordWorkers();
@@ -350,16 +349,16 @@
 void ScheduleOwner::saveProgress()
 {
     const auto now = EventLoop::now();
-    const bool due = m_scheduler.hasUrgentUpdates() || now - m_savedAt >= internal::SAVE_SPACING;
+    const bool due = m_scheduler.hasUrgentUpdates() || now - m_savedAt >= internal::saveSpacing;
     if (m_saving || !due
-        || (!m_scheduler.hasUpdates() && now - m_pendingAt < internal::PENDING_SPACING))
+        || (!m_scheduler.hasUpdates() && now - m_pendingAt < internal::pendingSpacing))
         return;
-    auto updates = m_scheduler.takeUpdates(internal::UPDATES_PER_WRITE);
+    auto updates = m_scheduler.takeUpdates(internal::updatesPerWrite);
     ConditionalWrite write;
-    write.expected.push_back({std::string(nodekeys::OWNER), m_fence});
+    write.expected.push_back({std::string(nodekeys::owner), m_fence});
     for (const auto &it : updates) {
         const auto *job = m_context.replica.job(it.job);
-        const auto key = nodekeys::key(nodekeys::PROGRESS, it.job);
+        const auto key = nodekeys::key(nodekeys::progress, it.job);
         write.expected.push_back({key, job == nullptr ? 0 : job->progressRevision});
         write.writes.push_back({key, encodeProgress(it.progress), 0});
     }
@@ -398,7 +397,7 @@
     } else {
         m_publishedPending.clear();
         // The next try waits for the usual spacing, also for ended jobs.
-        m_context.loop.after(internal::SAVE_SPACING, [this, alive = m_alive] {
+        m_context.loop.after(internal::saveSpacing, [this, alive = m_alive] {
             if (*alive)
                 decideSoon();
         });
@@ -410,13 +409,13 @@
 void ScheduleOwner::publishPending(ConditionalWrite &write)
 {
     const auto now = EventLoop::now();
-    if (now - m_pendingAt < internal::PENDING_SPACING)
+    if (now - m_pendingAt < internal::pendingSpacing)
         return;
     m_pendingAt = now;
     auto counts = encodePendingCounts(m_scheduler.pendingByQueue());
     if (counts == m_publishedPending)
         return;
-    write.writes.push_back({std::string(nodekeys::PENDING), counts, 0});
+    write.writes.push_back({std::string(nodekeys::pending), counts, 0});
     m_publishedPending = std::move(counts);
 }
 
--- a/src/node/statereplica.cpp
+++ b/src/node/statereplica.cpp
@@ -79,20 +79,20 @@
 
 void StateReplica::set(const std::string &key, const std::string &value, std::int64_t revision)
 {
-    if (key == nodekeys::OWNER) {
+    if (key == nodekeys::owner) {
         if (revision > m_ownerChanged) {
             m_owner = {value, revision};
             m_ownerChanged = revision;
         }
-    } else if (key == nodekeys::GENERATION) {
+    } else if (key == nodekeys::generation) {
         if (revision > m_generationRevision) {
             m_generation = internal::parseCount(value);
             m_generationRevision = revision;
         }
-    } else if (key == nodekeys::PENDING) {
+    } else if (key == nodekeys::pending) {
         m_pending = internal::decodePendingCounts(value);
-    } else if (key.starts_with(nodekeys::JOBS) || key.starts_with(nodekeys::PROGRESS)
-               || key.starts_with(nodekeys::CANCELLED)) {
+    } else if (key.starts_with(nodekeys::jobs) || key.starts_with(nodekeys::progress)
+               || key.starts_with(nodekeys::cancelled)) {
         setJobKey(key, value, revision);
     } else {
         auto &item = m_others[key];
@@ -105,14 +105,14 @@
                              std::int64_t revision)
 {
     std::string id;
-    if (const auto name = nodekeys::nameIn(nodekeys::JOBS, key); !name.empty()) {
+    if (const auto name = nodekeys::nameIn(nodekeys::jobs, key); !name.empty()) {
         id = name;
         auto &job = m_jobs[id];
         if (job.acceptedRevision != 0)
             return;
         job.acceptedRevision = revision;
         job.record = value;
-    } else if (const auto name = nodekeys::nameIn(nodekeys::PROGRESS, key); !name.empty()) {
+    } else if (const auto name = nodekeys::nameIn(nodekeys::progress, key); !name.empty()) {
         id = name;
         auto &job = m_jobs[id];
         if (revision <= job.progressRevision)
@@ -124,7 +124,7 @@
         job.progress = value;
         job.status = *status;
     } else {
-        id = nodekeys::nameIn(nodekeys::CANCELLED, key);
+        id = nodekeys::nameIn(nodekeys::cancelled, key);
         auto &job = m_jobs[id];
         if (std::exchange(job.cancelled, true))
             return;
@@ -134,14 +134,14 @@
 
 void StateReplica::remove(const std::string &key, std::int64_t revision)
 {
-    if (key == nodekeys::OWNER) {
+    if (key == nodekeys::owner) {
         if (revision > m_ownerChanged) {
             m_owner = {};
             m_ownerChanged = revision;
         }
         return;
     }
-    if (const auto id = nodekeys::nameIn(nodekeys::JOBS, key); !id.empty())
+    if (const auto id = nodekeys::nameIn(nodekeys::jobs, key); !id.empty())
         m_jobs.erase(std::string(id));
     m_others.erase(key);
 }
@@ -150,7 +150,7 @@
 {
     const auto it = m_jobs.find(std::string(id));
     return it == m_jobs.end() || it->second.acceptedRevision == 0
-                           || it->second.record == REJECTED_RECORD
+                           || it->second.record == rejectedRecord
                    ? nullptr
                    : &it->second;
 }
--- a/src/node/workerlinks.cpp
+++ b/src/node/workerlinks.cpp
@@ -13,19 +13,19 @@
 using namespace std::chrono_literals;
 
 /** How long a worker with runs may wait for an end before it answers a hold. */
-constexpr Milliseconds HOLD_WAIT = 800ms;
+constexpr Milliseconds holdWait = 800ms;
 /** Time beyond the wait after which a worker counts as unreachable. */
-constexpr Duration HOLD_TIMEOUT = 500ms;
+constexpr Duration holdTimeout = 500ms;
 /** Time for the answer to an order. */
-constexpr Duration ORDER_TIMEOUT = 500ms;
+constexpr Duration orderTimeout = 500ms;
 /** Least time between two holds of one worker, so that several ends share one answer. */
-constexpr Duration HOLD_SPACING = 25ms;
+constexpr Duration holdSpacing = 25ms;
 /** The same while ends wait to be saved, since such a hold is answered at once. */
-constexpr Duration UNSAVED_SPACING = 80ms;
+constexpr Duration unsavedSpacing = 80ms;
 /** Time between two looks at a worker without runs. */
-constexpr Duration IDLE_SPACING = 2000ms;
+constexpr Duration idleSpacing = 2000ms;
 /** Time between two tries to reach a worker that did not answer. */
-constexpr Duration RETRY_SPACING = 250ms;
+constexpr Duration retrySpacing = 250ms;
 
 } // namespace internal
 
@@ -50,7 +50,7 @@
 std::string describe(const TaskId &task)
 {
     return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
-            + std::to_string(task.index);
+           + std::to_string(task.index);
 }
 
 template <typename Order>
@@ -89,7 +89,7 @@
 {
     ++m_counts.starts;
     internal::logOrder("task-start", start);
-    m_calls->start(address, start, internal::ORDER_TIMEOUT,
+    m_calls->start(address, start, internal::orderTimeout,
                    [this, alive = m_alive, start](const platform::OrderOutcome &outcome) {
                        if (!*alive)
                            return;
@@ -97,7 +97,7 @@
                                           internal::outcomeName(outcome));
                        const auto now = EventLoop::now();
                        auto &link = m_links[start.worker];
-                       link.nextHold = std::min(link.nextHold, now + internal::HOLD_SPACING);
+                       link.nextHold = std::min(link.nextHold, now + internal::holdSpacing);
                        if (const auto *it = std::get_if<platform::OrderConfirmed>(&outcome)) {
                            m_scheduler.startConfirmed(start, it->clock, now);
                        } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
@@ -115,7 +115,7 @@
 {
     ++m_counts.stops;
     internal::logOrder("task-stop", stop);
-    m_calls->stop(address, stop, internal::ORDER_TIMEOUT,
+    m_calls->stop(address, stop, internal::orderTimeout,
                   [this, alive = m_alive, stop](const platform::OrderOutcome &outcome) {
                       if (!*alive)
                           return;
@@ -131,7 +131,7 @@
 void WorkerLinks::carry(const PaceTask &pace, const std::string &address)
 {
     ++m_counts.paces;
-    m_calls->pace(address, pace, internal::ORDER_TIMEOUT,
+    m_calls->pace(address, pace, internal::orderTimeout,
                   [this, alive = m_alive, pace](const platform::OrderOutcome &outcome) {
                       if (*alive)
                           m_scheduler.paceAnswered(
@@ -164,7 +164,7 @@
     link.holding = true;
     ++m_counts.holds;
     m_calls->hold(worker.description.address, id, m_scheduler.holdRequest(id, now),
-                  waits ? internal::HOLD_WAIT : Milliseconds(0), internal::HOLD_TIMEOUT,
+                  waits ? internal::holdWait : Milliseconds(0), internal::holdTimeout,
                   [this, alive = m_alive, id, now](const Result<WorkerReport> &report) {
                       if (*alive)
                           held(id, report, now);
@@ -189,18 +189,18 @@
         const auto *worker = m_scheduler.worker(id);
         const bool idle = worker == nullptr || worker->runs.empty();
         const bool unsaved = worker != nullptr
-                && (!worker->pendingEnds.empty()
-                    || std::ranges::any_of(worker->runs, [](const auto &it) {
-                           return it.second.phase == TaskRun::Phase::Stopping;
-                       }));
+                             && (!worker->pendingEnds.empty()
+                                 || std::ranges::any_of(worker->runs, [](const auto &it) {
+                                        return it.second.phase == TaskRun::Phase::Stopping;
+                                    }));
         link.nextHold = now
-                        + (unsaved ? internal::UNSAVED_SPACING
-                           : idle  ? internal::IDLE_SPACING
-                                   : internal::HOLD_SPACING);
+                        + (unsaved ? internal::unsavedSpacing
+                           : idle  ? internal::idleSpacing
+                                   : internal::holdSpacing);
     } else {
         ++m_counts.holdsUnanswered;
         m_scheduler.holdUnanswered(id, now);
-        link.nextHold = now + internal::RETRY_SPACING;
+        link.nextHold = now + internal::retrySpacing;
     }
     m_changed();
 }
--- a/tests/jobs/decisionstest.cpp
+++ b/tests/jobs/decisionstest.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::int64_t INSTANCE_CORES = 64;
+constexpr std::int64_t instanceCores = 64;
 
 /** A fleet whose instances the orders of the decisions move at once or after the move time. */
 struct Fleet
@@ -44,7 +44,7 @@
         instance.pool = pool;
         instance.usable = true;
         instance.empty = true;
-        instance.milliCores = INSTANCE_CORES * 1000;
+        instance.milliCores = instanceCores * 1000;
         instance.idleSince = now;
         view.instances.push_back(std::move(instance));
     }
@@ -91,7 +91,7 @@
     Fleet fleet({{"a", 10}, {"b", 10}}, 8);
     PoolBalancer balancer;
     for (int n = 0; n < 20; ++n) {
-        fleet.view.load["a"].waitingCpu = 20 * INSTANCE_CORES * 1000;
+        fleet.view.load["a"].waitingCpu = 20 * instanceCores * 1000;
         fleet.apply(balancer.decide(fleet.view, fleet.now));
         fleet.now += 100ms;
     }
@@ -158,7 +158,7 @@
     fleet.instance("b-3").reserved = true;
     PoolBalancer balancer;
     for (int n = 0; n < 30; ++n) {
-        fleet.view.load["a"].waitingCpu = 10 * INSTANCE_CORES * 1000;
+        fleet.view.load["a"].waitingCpu = 10 * instanceCores * 1000;
         BOOST_TEST(balancer.decide(fleet.view, fleet.now).empty());
         fleet.now += 100ms;
     }
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -10,27 +10,27 @@
 
 namespace {
 
-constexpr Duration TICK = 50ms;
-constexpr Duration TROUBLE_TIME = 12s;
-constexpr Duration CALM_TIME = 30s;
-constexpr int WORKERS = 3;
-constexpr int JOBS = 2;
-constexpr Duration LONGEST_LATE_ORDER = 6s;
+constexpr Duration tickLength = 50ms;
+constexpr Duration troubleTime = 12s;
+constexpr Duration calmTime = 30s;
+constexpr int workerCount = 3;
+constexpr int jobCount = 2;
+constexpr Duration longestLateOrder = 6s;
 
 } // namespace
 
 ProtocolModel::ProtocolModel(std::uint64_t seed)
     : m_random(seed)
     , m_now(1000s)
-    , m_troubleUntil(m_now + TROUBLE_TIME)
+    , m_troubleUntil(m_now + troubleTime)
 {
-    for (int n = 0; n < WORKERS; ++n) {
+    for (int n = 0; n < workerCount; ++n) {
         ModelWorker worker;
         worker.id = "w" + std::to_string(n);
         worker.clockStart = m_now - Milliseconds(1000 * (n + 1));
         m_workers[worker.id] = std::move(worker);
     }
-    for (int n = 0; n < JOBS; ++n) {
+    for (int n = 0; n < jobCount; ++n) {
         SubmittedJob job;
         job.id = "j" + std::to_string(n);
         job.queue = "queue";
@@ -64,7 +64,8 @@
 void ProtocolModel::violate(const std::string &text)
 {
     if (m_violation.empty())
-        m_violation = text + " at " + std::to_string((m_now.time_since_epoch() - 1000s) / 1ms) + " ms";
+        m_violation
+                = text + " at " + std::to_string((m_now.time_since_epoch() - 1000s) / 1ms) + " ms";
 }
 
 void ProtocolModel::note(const std::string &text)
@@ -77,7 +78,7 @@
 std::string nameOf(const TaskId &task, int run)
 {
     return task.job + "." + std::to_string(task.step) + "." + std::to_string(task.index) + " run "
-            + std::to_string(run);
+           + std::to_string(run);
 }
 
 } // namespace
@@ -91,14 +92,14 @@
 std::string ProtocolModel::run()
 {
     beginOwner();
-    while (m_violation.empty() && m_now < m_troubleUntil + CALM_TIME) {
+    while (m_violation.empty() && m_now < m_troubleUntil + calmTime) {
         step();
-        const bool finished = m_now > m_troubleUntil && std::ranges::all_of(m_jobs, [&](auto &it) {
-            return isFinal(m_saved[it.first].state) || m_cancelled.contains(it.first);
-        });
-        if (finished && std::ranges::all_of(m_workers, [](auto &it) {
-                return it.second.running.empty();
-            }))
+        const bool finished
+                = m_now > m_troubleUntil && std::ranges::all_of(m_jobs, [&](auto &it) {
+                      return isFinal(m_saved[it.first].state) || m_cancelled.contains(it.first);
+                  });
+        if (finished
+            && std::ranges::all_of(m_workers, [](auto &it) { return it.second.running.empty(); }))
             return m_violation;
     }
     if (m_violation.empty())
@@ -108,7 +109,7 @@
 
 void ProtocolModel::step()
 {
-    m_now += TICK;
+    m_now += tickLength;
     while (!m_events.empty() && m_events.begin()->first <= m_now) {
         auto action = std::move(m_events.begin()->second);
         m_events.erase(m_events.begin());
@@ -146,7 +147,7 @@
         }
     }
     if (chance(0.002)) {
-        const auto id = "j" + std::to_string(m_random.below(JOBS));
+        const auto id = "j" + std::to_string(m_random.below(jobCount));
         m_cancelled.insert(id);
         if (m_scheduler)
             m_scheduler->cancelJob(id, m_now);
@@ -228,7 +229,7 @@
     note("the owner orders " + worker.id + " to start " + nameOf(start.task, start.run));
     // A late order is lost with the life of the worker that received it.
     if (late && worker.up && !worker.cut)
-        later(2s + Milliseconds(m_random.below(LONGEST_LATE_ORDER / 1ms)),
+        later(2s + Milliseconds(m_random.below(longestLateOrder / 1ms)),
               [this, &worker, start, fence, born = worker.born] {
                   if (worker.born == born)
                       applyStart(worker, start, fence);
@@ -248,10 +249,10 @@
                 m_scheduler->startConfirmed(start, clock(worker), m_now);
             else
                 m_scheduler->startRefused(start,
-                                          refusal == "fence"      ? StartRefusal::Fence
-                                                  : refusal == "old"  ? StartRefusal::Old
-                                                  : refusal == "late" ? StartRefusal::Late
-                                                                      : StartRefusal::Room,
+                                          refusal == "fence"  ? StartRefusal::Fence
+                                          : refusal == "old"  ? StartRefusal::Old
+                                          : refusal == "late" ? StartRefusal::Late
+                                                              : StartRefusal::Room,
                                           m_now);
         });
     });
@@ -312,10 +313,9 @@
                 return;
             m_holding[worker.id] = false;
             note(worker.id
-                 + (answers && !refused
-                            ? " reports " + std::to_string(report.running.size()) + " of life "
-                                    + std::to_string(report.born)
-                            : " does not report"));
+                 + (answers && !refused ? " reports " + std::to_string(report.running.size())
+                                                  + " of life " + std::to_string(report.born)
+                                        : " does not report"));
             if (answers && !refused)
                 m_scheduler->reported(worker.id, report, sentAt, m_now);
             else
@@ -380,7 +380,7 @@
 void ProtocolModel::checkStart(const ModelWorker &worker, const StartTask &start)
 {
     const auto name = start.task.job + "." + std::to_string(start.task.step) + "."
-            + std::to_string(start.task.index);
+                      + std::to_string(start.task.index);
     for (const auto &[id, other] : m_workers) {
         if (id != worker.id && other.up && other.running.contains(start.task))
             violate("two runs of " + name);
@@ -462,7 +462,8 @@
     if (upTo > 0 && !worker.ended.empty())
         note(worker.id + " forgets ends up to " + std::to_string(upTo));
     for (const auto &it : worker.ended) {
-        // An end before a lapse of the worker's hold does not bind: its task may have gone elsewhere.
+        // An end before a lapse of the worker's hold does not bind: its task may have gone
+        // elsewhere.
         if (it.number > upTo || it.number <= worker.lapsedUpTo)
             continue;
         if (it.end == RunEnd::Done)
--- a/tests/jobs/protocolmodeltest.cpp
+++ b/tests/jobs/protocolmodeltest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /** Schedules that every test run plays; DRAGONFLYSILL_MODEL_SEEDS plays more by hand. */
-constexpr std::uint64_t USUAL_SCHEDULES = 20000;
+constexpr std::uint64_t usualSchedules = 20000;
 
 std::uint64_t fromEnvironment(const char *name, std::uint64_t standard)
 {
@@ -26,12 +26,12 @@
 BOOST_AUTO_TEST_CASE(NoScheduleBreaksAPromise)
 {
     const auto first = fromEnvironment("DRAGONFLYSILL_MODEL_FIRST", 1);
-    const auto count = fromEnvironment("DRAGONFLYSILL_MODEL_SEEDS", USUAL_SCHEDULES);
+    const auto count = fromEnvironment("DRAGONFLYSILL_MODEL_SEEDS", usualSchedules);
     for (auto seed = first; seed < first + count; ++seed) {
         ProtocolModel model(seed);
         const auto violation = model.run();
-        BOOST_REQUIRE_MESSAGE(violation.empty(),
-                              "seed " << seed << ": " << violation << "\n" << model.trace());
+        BOOST_REQUIRE_MESSAGE(violation.empty(), "seed " << seed << ": " << violation << "\n"
+                                                         << model.trace());
     }
 }
 
--- a/tests/jobs/schedulerharness.h
+++ b/tests/jobs/schedulerharness.h
@@ -113,9 +113,8 @@
     {
         const auto request = scheduler.holdRequest(id, now);
         auto &worker = workers[id];
-        std::erase_if(worker.ended, [&](const EndReport &it) {
-            return it.number <= request.acknowledgedEnds;
-        });
+        std::erase_if(worker.ended,
+                      [&](const EndReport &it) { return it.number <= request.acknowledgedEnds; });
         scheduler.reported(id, worker.report(now), now, now);
     }
 
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -29,11 +29,11 @@
     EventLoop loop;
     std::string address = freeAddress();
     int handled = 0;
-    HttpServer server{loop, [this](const HttpRequest &request, const HttpServer::Respond &respond) {
-                          ++handled;
-                          respond({200, request.method + " " + request.target + " " + request.body,
-                                   {}});
-                      }};
+    HttpServer server{
+            loop, [this](const HttpRequest &request, const HttpServer::Respond &respond) {
+                ++handled;
+                respond({200, request.method + " " + request.target + " " + request.body, {}});
+            }};
 
     Echo() { BOOST_REQUIRE(server.listen(address).ok()); }
 
@@ -118,9 +118,8 @@
 BOOST_AUTO_TEST_CASE(AmbiguousFramingIsRefusedAndTheConnectionCloses)
 {
     const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n";
-    for (const std::string fields :
-         {"Content-Length: 4\r\nContent-Length: 5\r\n",
-          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
+    for (const std::string fields : {"Content-Length: 4\r\nContent-Length: 5\r\n",
+                                     "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
         Echo echo;
         const auto answer = echo.raw(head + fields + "\r\nbody");
         BOOST_TEST(answer.starts_with("HTTP/1.1 400"), fields + " -> " + answer);
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -143,9 +143,8 @@
     template <typename T>
     void answer(Callback<T> callback, Result<T> result)
     {
-        m_loop.post([callback = std::move(callback), result = std::move(result)] {
-            callback(result);
-        });
+        m_loop.post(
+                [callback = std::move(callback), result = std::move(result)] { callback(result); });
     }
 
     WriteOutcome apply(const ConditionalWrite &change)
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -23,8 +23,8 @@
 using Outcome = PendingWrite::Outcome;
 using Fault = FakeStore::Fault;
 
-const std::string JOB_ID = "0123456789abcdef";
-const std::string BODY = R"({"spec":"text","steps":[{"count":1,"cpu":100}]})";
+const std::string jobId = "0123456789abcdef";
+const std::string jobBody = R"({"spec":"text","steps":[{"count":1,"cpu":100}]})";
 
 /** A job service over a fake store, with one queue. */
 struct Service
@@ -80,14 +80,13 @@
 {
     StateReplica replica;
     std::vector<JobStatus> seen;
-    replica.setListener([&](const std::string &, const ReplicatedJob &job) {
-        seen.push_back(job.status);
-    });
+    replica.setListener(
+            [&](const std::string &, const ReplicatedJob &job) { seen.push_back(job.status); });
     JobProgress progress;
     progress.state = JobStatus::Completed;
     const std::vector<KeyValue> items{
-            {nodekeys::key(nodekeys::JOBS, JOB_ID), "record", 5, 5, 0},
-            {nodekeys::key(nodekeys::PROGRESS, JOB_ID), encodeProgress(progress), 6, 6, 0}};
+            {nodekeys::key(nodekeys::jobs, jobId), "record", 5, 5, 0},
+            {nodekeys::key(nodekeys::progress, jobId), encodeProgress(progress), 6, 6, 0}};
     replica.reset(items, 6);
     BOOST_REQUIRE(seen.size() == 1U);
     BOOST_TEST((seen[0] == JobStatus::Completed));
@@ -100,41 +99,41 @@
     completed.state = JobStatus::Completed;
     JobProgress running;
     running.state = JobStatus::Running;
-    const auto key = nodekeys::key(nodekeys::PROGRESS, JOB_ID);
+    const auto key = nodekeys::key(nodekeys::progress, jobId);
     replica.reset({}, 1);
-    replica.applyOwn(nodekeys::key(nodekeys::JOBS, JOB_ID), "record", 2);
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), "record", 2);
     replica.applyOwn(key, encodeProgress(completed), 9);
     const std::vector<KeyUpdate> late{{key, encodeProgress(running), 7, false}};
     replica.apply(late, 9);
-    BOOST_TEST((*replica.status(JOB_ID) == JobStatus::Completed));
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
 }
 
 BOOST_AUTO_TEST_CASE(CancelCountsUnlessTheJobHasEnded)
 {
     StateReplica replica;
     replica.reset({}, 1);
-    replica.applyOwn(nodekeys::key(nodekeys::JOBS, JOB_ID), "record", 2);
-    replica.applyOwn(nodekeys::key(nodekeys::CANCELLED, JOB_ID), "1", 3);
-    BOOST_TEST((*replica.status(JOB_ID) == JobStatus::Cancelled));
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), "record", 2);
+    replica.applyOwn(nodekeys::key(nodekeys::cancelled, jobId), "1", 3);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Cancelled));
     JobProgress completed;
     completed.state = JobStatus::Completed;
-    replica.applyOwn(nodekeys::key(nodekeys::PROGRESS, JOB_ID), encodeProgress(completed), 4);
-    BOOST_TEST((*replica.status(JOB_ID) == JobStatus::Completed));
+    replica.applyOwn(nodekeys::key(nodekeys::progress, jobId), encodeProgress(completed), 4);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
 }
 
 BOOST_AUTO_TEST_CASE(RejectedIdIsNoJob)
 {
     StateReplica replica;
     replica.reset({}, 1);
-    replica.applyOwn(nodekeys::key(nodekeys::JOBS, JOB_ID), std::string(REJECTED_RECORD), 2);
-    BOOST_TEST(replica.job(JOB_ID) == nullptr);
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), std::string(rejectedRecord), 2);
+    BOOST_TEST(replica.job(jobId) == nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(OwnerChangesFollowTheRevisions)
 {
     StateReplica replica;
     replica.reset({}, 1);
-    const std::string owner(nodekeys::OWNER);
+    const std::string owner(nodekeys::owner);
     replica.applyOwn(owner, "node-2", 8);
     const std::vector<KeyUpdate> old{{owner, "", 7, true}};
     replica.apply(old, 8);
@@ -320,13 +319,13 @@
     BOOST_REQUIRE(candidate.gained.size() == 1U);
     BOOST_TEST(candidate.gained[0] == candidate.store.revision);
     BOOST_TEST(candidate.ownership.valid());
-    BOOST_TEST(candidate.store.items.at(std::string(nodekeys::GENERATION)).value == "1");
+    BOOST_TEST(candidate.store.items.at(std::string(nodekeys::generation)).value == "1");
 }
 
 BOOST_AUTO_TEST_CASE(OwnershipOfAnotherNodeIsNotTaken)
 {
     Candidate candidate(1h);
-    candidate.store.put(std::string(nodekeys::OWNER), "node-2");
+    candidate.store.put(std::string(nodekeys::owner), "node-2");
     candidate.check();
     BOOST_TEST(candidate.gained.empty());
 }
@@ -345,7 +344,7 @@
 {
     Candidate candidate(1h);
     candidate.check();
-    candidate.store.put(std::string(nodekeys::OWNER), "node-2");
+    candidate.store.put(std::string(nodekeys::owner), "node-2");
     candidate.readStore();
     candidate.check();
     BOOST_TEST(candidate.lost == 1);
@@ -372,7 +371,7 @@
     Candidate candidate(0ms);
     candidate.check();
     candidate.readStore();
-    candidate.store.items.erase(std::string(nodekeys::OWNER));
+    candidate.store.items.erase(std::string(nodekeys::owner));
     candidate.check();
     BOOST_TEST(candidate.lost == 1);
 }
@@ -384,16 +383,16 @@
 BOOST_AUTO_TEST_CASE(JobIsAcceptedOnceTheStoreHasIt)
 {
     Service service;
-    BOOST_TEST(service.call("POST", "/q/" + JOB_ID, BODY).status == 200);
-    BOOST_TEST(service.store.items.contains(nodekeys::key(nodekeys::JOBS, JOB_ID)));
-    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).body == R"({"state":"queued"})");
+    BOOST_TEST(service.call("POST", "/q/" + jobId, jobBody).status == 200);
+    BOOST_TEST(service.store.items.contains(nodekeys::key(nodekeys::jobs, jobId)));
+    BOOST_TEST(service.call("GET", "/q/" + jobId).body == R"({"state":"queued"})");
 }
 
 BOOST_AUTO_TEST_CASE(RepeatedSubmissionIsOneJob)
 {
     Service service;
-    service.call("POST", "/q/" + JOB_ID, BODY);
-    BOOST_TEST(service.call("POST", "/q/" + JOB_ID, BODY).status == 200);
+    service.call("POST", "/q/" + jobId, jobBody);
+    BOOST_TEST(service.call("POST", "/q/" + jobId, jobBody).status == 200);
     BOOST_TEST(service.store.writes == 1);
 }
 
@@ -402,14 +401,14 @@
 {
     Service service;
     service.store.faults.resize(100, Fault::LostBefore);
-    BOOST_TEST(service.call("POST", "/q/" + JOB_ID, BODY).status == 504);
+    BOOST_TEST(service.call("POST", "/q/" + jobId, jobBody).status == 504);
 }
 
 BOOST_AUTO_TEST_CASE(UnreachableStoreRejectsAtOnceWithATimeToReturn)
 {
     Service service;
     service.service.setStoreReachable(false);
-    const auto answer = service.call("POST", "/q/" + JOB_ID, BODY);
+    const auto answer = service.call("POST", "/q/" + jobId, jobBody);
     BOOST_TEST(answer.status == 503);
     BOOST_REQUIRE(answer.headers.size() == 1U);
     BOOST_TEST(answer.headers[0].first == "Retry-After");
@@ -419,31 +418,31 @@
 BOOST_AUTO_TEST_CASE(UnknownQueueAndUnknownIdAreNotFound)
 {
     Service service;
-    BOOST_TEST(service.call("POST", "/none/" + JOB_ID, BODY).status == 404);
-    BOOST_TEST(service.call("POST", "/q/short", BODY).status == 404);
-    BOOST_TEST(service.call("POST", "/q/" + JOB_ID, "{}").status == 400);
+    BOOST_TEST(service.call("POST", "/none/" + jobId, jobBody).status == 404);
+    BOOST_TEST(service.call("POST", "/q/short", jobBody).status == 404);
+    BOOST_TEST(service.call("POST", "/q/" + jobId, "{}").status == 400);
 }
 
 // "No such job" needs proof from the store; the replica may lag.
 BOOST_AUTO_TEST_CASE(MissingJobIsLookedUpInTheStore)
 {
     Service service;
-    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).status == 410);
+    BOOST_TEST(service.call("GET", "/q/" + jobId).status == 410);
     service.store.reachable = false;
-    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).status == 503);
+    BOOST_TEST(service.call("GET", "/q/" + jobId).status == 503);
     service.store.reachable = true;
-    service.store.put(nodekeys::key(nodekeys::JOBS, JOB_ID), "record");
-    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).status == 200);
+    service.store.put(nodekeys::key(nodekeys::jobs, jobId), "record");
+    BOOST_TEST(service.call("GET", "/q/" + jobId).status == 200);
 }
 
 BOOST_AUTO_TEST_CASE(CancelIsAcknowledgedOnceItIsStored)
 {
     Service service;
-    BOOST_TEST(service.call("DELETE", "/q/" + JOB_ID).status == 410);
-    service.call("POST", "/q/" + JOB_ID, BODY);
-    BOOST_TEST(service.call("DELETE", "/q/" + JOB_ID).status == 200);
-    BOOST_TEST(service.store.items.contains(nodekeys::key(nodekeys::CANCELLED, JOB_ID)));
-    BOOST_TEST(service.call("GET", "/q/" + JOB_ID).body == R"({"state":"cancelled"})");
+    BOOST_TEST(service.call("DELETE", "/q/" + jobId).status == 410);
+    service.call("POST", "/q/" + jobId, jobBody);
+    BOOST_TEST(service.call("DELETE", "/q/" + jobId).status == 200);
+    BOOST_TEST(service.store.items.contains(nodekeys::key(nodekeys::cancelled, jobId)));
+    BOOST_TEST(service.call("GET", "/q/" + jobId).body == R"({"state":"cancelled"})");
 }
 
 BOOST_AUTO_TEST_CASE(OlderConfigurationIsIgnored)
@@ -458,7 +457,8 @@
 BOOST_AUTO_TEST_CASE(WaitingJobsOfAQueueAreTold)
 {
     Service service;
-    service.replica.applyOwn(std::string(nodekeys::PENDING), encodePendingCounts({{"queue", 4}}), 5);
+    service.replica.applyOwn(std::string(nodekeys::pending), encodePendingCounts({{"queue", 4}}),
+                             5);
     BOOST_TEST(service.call("GET", "/q/").body == R"({"pending":4})");
 }
 
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -20,34 +20,36 @@
 
 namespace {
 
-const std::string SETTINGS = R"({"node":"n1","zone":"z1","ip":"10.0.0.1",
+const std::string settingsText = R"({"node":"n1","zone":"z1","ip":"10.0.0.1",
  "listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},"portRange":[7000,7010],
  "bounds":{"graceS":6,"maxHoldMs":10000,"migrateS":1.5,"remoteFactor":1.5},
  "advice":"10.0.0.9:3","platform":{"address":"10.0.0.7:4","minTtlMs":1000,"writesPerS":400},
  "cloud":{"address":"10.0.0.8:5","ratePerS":64.0,"dutyPerS":64.0},"added":{"later":1}})";
-const std::string SUBMISSION = R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,
+const std::string submissionText = R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,
  "estimateMs":900,"affinity":"r1-3"},{"count":2,"cpu":2000,"memMb":1024,"after":[0],
  "savesProgress":true,"persistent":true,"maxUnavailable":1,"antiAffinity":2,"requires":"a"}]})";
-const std::string WORKER = R"({"service":"pool","address":"10.0.1.1:80","zone":"z1","slots":8,
+const std::string workerText = R"({"service":"pool","address":"10.0.1.1:80","zone":"z1","slots":8,
  "state":"ready","seq":4,"coldLeftMs":0,"born":17931,"machine":"m-1","labels":["a","r1-3"],
  "capacity":{"cpu":16000,"memMb":32768,"gpu":1},"clockMs":482113})";
-const std::string REPORT = R"({"clockMs":482113,"born":99,
+const std::string reportText = R"({"clockMs":482113,"born":99,
  "running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,88.5]],
  "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"5c0e7a21d94b36f8.0.1.3",1,"lapsed","x"]]})";
-const std::string CONFIGURATION = R"({"version":7,"routes":[{"name":"r","host":"HOST.example",
+const std::string configurationText = R"({"version":7,"routes":[{"name":"r","host":"HOST.example",
  "prefix":"/a/","timeoutMs":3000,"targetRuntimeMs":600,"priority":1,"service":"pool","attempts":2,
  "slackFactor":1.6,"advice":{"decideMs":5,"periodMs":1,"validMs":3000}}],
  "services":[{"name":"pool","enforcesCapacity":true,"standby":false}],
  "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":30,"idleTimeoutMs":40}})";
-const std::string CHANGES = R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"created":4,
+const std::string changesText
+        = R"({"events":[{"key":"a","value":"bm9kZS0x","revision":412,"created":4,
  "lease":7},{"key":"b","revision":413,"tombstone":true}],"asOf":413})";
-const std::string PAGE = R"({"items":[{"key":"a","value":"bm9kZS0x","revision":412,"created":4,
+const std::string pageText = R"({"items":[{"key":"a","value":"bm9kZS0x","revision":412,"created":4,
  "lease":7}],"hasMore":true,"asOf":530})";
-const std::string MACHINES = R"({"machines":[{"machine":"m-1","pool":"p","state":"up","zone":"z",
+const std::string machinesText
+        = R"({"machines":[{"machine":"m-1","pool":"p","state":"up","zone":"z",
  "labels":["a","r1-2"],"capacity":{"cpu":1},"id":"i-7"},{"odd":1},{"machine":"m-2","pool":"p",
  "state":"upkeep","id":null}],"nextToken":"t"})";
-const std::string WAVE = R"({"wave":1,"machines":["m-1","m-2"],"durationS":20,"ceiling":3})";
-const std::string ADVICE = R"({"good":[["i-1","ticket"]],"validMs":3000})";
+const std::string waveText = R"({"wave":1,"machines":["m-1","m-2"],"durationS":20,"ceiling":3})";
+const std::string adviceText = R"({"good":[["i-1","ticket"]],"validMs":3000})";
 
 } // namespace
 
@@ -55,7 +57,7 @@
 
 BOOST_AUTO_TEST_CASE(SettingsAreReadWithUnknownFields)
 {
-    const auto settings = decodeSettings(SETTINGS);
+    const auto settings = decodeSettings(settingsText);
     BOOST_REQUIRE(settings.ok());
     BOOST_TEST(settings->name == "n1");
     BOOST_TEST(settings->firstPort == 7000);
@@ -75,7 +77,7 @@
 
 BOOST_AUTO_TEST_CASE(SubmissionsAreRead)
 {
-    const auto spec = decodeSubmission(SUBMISSION);
+    const auto spec = decodeSubmission(submissionText);
     BOOST_REQUIRE(spec.ok());
     BOOST_TEST(spec->payload == "text");
     BOOST_REQUIRE(spec->steps.size() == 2U);
@@ -96,11 +98,17 @@
 
 BOOST_AUTO_TEST_CASE(UnusableSubmissionsAreInvalid)
 {
-    const std::vector<std::string> bodies{
-            "", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
-            R"({"steps":[{"count":-1}]})", R"({"steps":[{"count":1,"after":[0]}]})",
-            R"({"steps":[{"count":1,"cpu":"much"}]})", R"({"steps":[{"count":1,"cpu":-5}]})",
-            R"({"steps":[{"count":999999999}]})", R"({"spec":5,"steps":[{"count":1}]})"};
+    const std::vector<std::string> bodies{"",
+                                          "[]",
+                                          "{}",
+                                          R"({"steps":[]})",
+                                          R"({"steps":[{"count":0}]})",
+                                          R"({"steps":[{"count":-1}]})",
+                                          R"({"steps":[{"count":1,"after":[0]}]})",
+                                          R"({"steps":[{"count":1,"cpu":"much"}]})",
+                                          R"({"steps":[{"count":1,"cpu":-5}]})",
+                                          R"({"steps":[{"count":999999999}]})",
+                                          R"({"spec":5,"steps":[{"count":1}]})"};
     for (const auto &body : bodies) {
         const auto spec = decodeSubmission(body);
         BOOST_TEST(!spec.ok(), body);
@@ -111,14 +119,14 @@
 
 BOOST_AUTO_TEST_CASE(WorkersAreReadAndUnusableEntriesAreNot)
 {
-    const auto worker = decodeWorker("i-7", WORKER);
+    const auto worker = decodeWorker("i-7", workerText);
     BOOST_REQUIRE(worker.ok());
     BOOST_TEST(worker->instance == "m-1");
     BOOST_TEST(worker->rack == "r1-3");
     BOOST_TEST(worker->born == 17931);
     BOOST_TEST(worker->capacity.accelerators == 1);
     BOOST_TEST(!worker->draining);
-    auto odd = WORKER;
+    auto odd = workerText;
     odd.replace(odd.find("ready"), 5, "dozing");
     BOOST_TEST(!decodeWorker("i-7", odd).ok());
     BOOST_TEST(!decodeWorker("i-7", "\xff\xfe").ok());
@@ -126,7 +134,7 @@
 
 BOOST_AUTO_TEST_CASE(ReportsAreRead)
 {
-    const auto report = decodeReport(REPORT);
+    const auto report = decodeReport(reportText);
     BOOST_REQUIRE(report.ok());
     BOOST_TEST(report->born == 99);
     BOOST_TEST(report->running[0].percent == 41);
@@ -164,7 +172,7 @@
 
 BOOST_AUTO_TEST_CASE(ConfigurationsAreRead)
 {
-    const auto configuration = decodeConfiguration(CONFIGURATION);
+    const auto configuration = decodeConfiguration(configurationText);
     BOOST_REQUIRE(configuration.ok());
     BOOST_TEST(configuration->match("host.example", "/a/b")->policy.attempts == 2);
     BOOST_TEST(configuration->queue("r")->advice->validity.count() == 3000);
@@ -174,16 +182,16 @@
 
 BOOST_AUTO_TEST_CASE(StoreAnswersAreRead)
 {
-    const auto changes = decodeChanges(CHANGES);
+    const auto changes = decodeChanges(changesText);
     BOOST_REQUIRE(changes.ok());
     BOOST_TEST(changes->updates[0].value == "node-1");
     BOOST_TEST(changes->updates[1].deleted);
-    const auto page = decodePage(PAGE);
+    const auto page = decodePage(pageText);
     BOOST_REQUIRE(page.ok());
     BOOST_TEST(page->more);
     BOOST_TEST(page->items[0].lease == 7);
-    const auto conflict
-            = decodeConflict(R"({"items":[{"key":"a","value":"bm9kZS0x","revision":4},{"key":"b"}]})");
+    const auto conflict = decodeConflict(
+            R"({"items":[{"key":"a","value":"bm9kZS0x","revision":4},{"key":"b"}]})");
     BOOST_REQUIRE(conflict.ok());
     BOOST_TEST(conflict->current.size() == 1U);
     BOOST_TEST(encodeWrite({{{"k", 0}}, {{"k", "node-1", 5}}, {"gone"}})
@@ -193,21 +201,22 @@
 
 BOOST_AUTO_TEST_CASE(InstancesAndWavesAreRead)
 {
-    const auto page = decodeInstances(MACHINES);
+    const auto page = decodeInstances(machinesText);
     BOOST_REQUIRE(page.ok());
     BOOST_REQUIRE(page->instances.size() == 2U);
     BOOST_TEST(page->instances[0].worker == "i-7");
     BOOST_TEST((page->instances[1].state == FleetInstance::State::Maintenance));
     BOOST_TEST(page->next == "t");
-    const auto wave = decodeWave(WAVE);
+    const auto wave = decodeWave(waveText);
     BOOST_REQUIRE(wave.ok());
     BOOST_TEST(wave->duration.count() == 20000);
     BOOST_TEST((decodeOrderOutcome({200, "", {}}) == InstanceOrderOutcome::Accepted));
-    BOOST_TEST((decodeOrderOutcome({409, R"({"reason":"busy"})", {}}) == InstanceOrderOutcome::Busy));
+    BOOST_TEST(
+            (decodeOrderOutcome({409, R"({"reason":"busy"})", {}}) == InstanceOrderOutcome::Busy));
     BOOST_TEST((decodeOrderOutcome({409, R"({"reason":"wave"})", {}})
                 == InstanceOrderOutcome::OtherWave));
     BOOST_TEST((decodeOrderOutcome({429, "", {}}) == InstanceOrderOutcome::NotDone));
-    BOOST_TEST(decodeAdvice(ADVICE)->at("i-1") == "ticket");
+    BOOST_TEST(decodeAdvice(adviceText)->at("i-1") == "ticket");
 }
 
 BOOST_AUTO_TEST_CASE(CallersRequestsAreRead)
@@ -229,17 +238,17 @@
 BOOST_AUTO_TEST_CASE(DamagedMessagesAreSurvived)
 {
     const std::vector<std::pair<std::string, std::function<bool(const std::string &)>>> decoders{
-            {SETTINGS, [](const auto &it) { return decodeSettings(it).ok(); }},
-            {SUBMISSION, [](const auto &it) { return decodeSubmission(it).ok(); }},
-            {WORKER, [](const auto &it) { return decodeWorker("i", it).ok(); }},
-            {REPORT, [](const auto &it) { return decodeReport(it).ok(); }},
-            {CONFIGURATION, [](const auto &it) { return decodeConfiguration(it).ok(); }},
-            {CHANGES, [](const auto &it) { return decodeChanges(it).ok(); }},
-            {PAGE, [](const auto &it) { return decodePage(it).ok(); }},
-            {PAGE, [](const auto &it) { return decodeConflict(it).ok(); }},
-            {MACHINES, [](const auto &it) { return decodeInstances(it).ok(); }},
-            {WAVE, [](const auto &it) { return decodeWave(it).ok(); }},
-            {ADVICE, [](const auto &it) { return decodeAdvice(it).ok(); }}};
+            {settingsText, [](const auto &it) { return decodeSettings(it).ok(); }},
+            {submissionText, [](const auto &it) { return decodeSubmission(it).ok(); }},
+            {workerText, [](const auto &it) { return decodeWorker("i", it).ok(); }},
+            {reportText, [](const auto &it) { return decodeReport(it).ok(); }},
+            {configurationText, [](const auto &it) { return decodeConfiguration(it).ok(); }},
+            {changesText, [](const auto &it) { return decodeChanges(it).ok(); }},
+            {pageText, [](const auto &it) { return decodePage(it).ok(); }},
+            {pageText, [](const auto &it) { return decodeConflict(it).ok(); }},
+            {machinesText, [](const auto &it) { return decodeInstances(it).ok(); }},
+            {waveText, [](const auto &it) { return decodeWave(it).ok(); }},
+            {adviceText, [](const auto &it) { return decodeAdvice(it).ok(); }}};
     Random random(7);
     for (const auto &[message, decode] : decoders) {
         BOOST_TEST(decode(message));
