Log decisions without blocking, serve metrics, read settings again

Cause: nothing told afterwards what became of a job. Each submission, end, failed run, unanswered start, lost worker, move and change of ownership is one structured line on standard output, bounded and dropped rather than waited for; counters and a hand-in histogram are served on the metrics port; SIGHUP reads the settings again; a stopping node ends as soon as no caller is connected.

--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -4,6 +4,7 @@
 #include "dragonflysill/jobs/queuetable.h"
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/batchwriter.h"
+#include "dragonflysill/node/latencyhistogram.h"
 #include "dragonflysill/node/statereplica.h"
 
 #include <cstdint>
@@ -49,6 +50,9 @@
 
     [[nodiscard]] const JobServiceCounts &counts() const { return m_counts; }
 
+    /** Returns how long submissions waited for the store. */
+    [[nodiscard]] const LatencyHistogram &handInSeconds() const { return m_handInSeconds; }
+
 private:
     void submit(const Queue &queue, std::string_view id, const HttpRequest &request,
                 TimePoint giveUpAt, HttpServer::Respond respond);
@@ -69,6 +73,7 @@
     bool m_storeReachable = false;
     Random m_random;
     JobServiceCounts m_counts;
+    LatencyHistogram m_handInSeconds;
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -26,7 +26,8 @@
 class Node
 {
 public:
-    Node(EventLoop &loop, const platform::NodeSettings &settings);
+    /** @param metricsAddress "IP:PORT" of the metrics; empty for none */
+    Node(EventLoop &loop, const platform::NodeSettings &settings, std::string metricsAddress);
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
@@ -49,6 +50,7 @@
     void watchStore();
     void finishStop(TimePoint latest);
     [[nodiscard]] bool ready() const;
+    [[nodiscard]] HttpResponse metrics(const HttpRequest &request) const;
 
     EventLoop &m_loop;
     const platform::NodeSettings &m_settings;
@@ -58,6 +60,8 @@
     JobService m_service;
     HttpServer m_front;
     HttpServer m_readiness;
+    HttpServer m_metrics;
+    std::string m_metricsAddress;
     PrefixWatcher m_stateWatcher;
     PrefixWatcher m_operatorWatcher;
     Ownership m_ownership;
--- /dev/null
+++ b/include/dragonflysill/node/nodemetrics.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "dragonflysill/node/jobservice.h"
+#include "dragonflysill/node/scheduleowner.h"
+
+#include <cstdint>
+#include <string>
+
+namespace dragonflysill {
+
+/** What a node's metrics are made of. */
+struct NodeFigures
+{
+    const JobServiceCounts &service;
+    const LatencyHistogram &handInSeconds;
+    const ScheduleOwner *owner = nullptr; ///< Nothing while another node schedules.
+    bool ready = false;
+    bool storeReachable = false;
+    std::int64_t configurationVersion = 0;
+    std::uint64_t storeCalls = 0;
+    std::uint64_t connectionsOpened = 0;
+    std::size_t callerConnections = 0;
+    std::size_t jobsKnown = 0;
+};
+
+/** Returns the metrics in the text format of Prometheus. */
+std::string renderMetrics(const NodeFigures &figures);
+
+} // namespace dragonflysill
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -60,6 +60,7 @@
 
     [[nodiscard]] const Scheduler &scheduler() const { return m_scheduler; }
     [[nodiscard]] const WorkerLinkCounts &linkCounts() const { return m_links.counts(); }
+    [[nodiscard]] const FleetKeeperCounts &fleetCounts() const { return m_fleet.counts(); }
 
 private:
     void begin();
@@ -79,6 +80,7 @@
     void saveProgress();
     void progressSaved(std::vector<ProgressUpdate> updates, const ConditionalWrite &write,
                        const Result<WriteOutcome> &outcome);
+    void logEnd(const ProgressUpdate &update) const;
     void publishPending(ConditionalWrite &write);
     void removeOldJobs();
 
--- a/include/dragonflysill/node/workerlinks.h
+++ b/include/dragonflysill/node/workerlinks.h
@@ -69,6 +69,7 @@
     void carry(const StopTask &stop, const std::string &address);
     void carry(const PaceTask &pace, const std::string &address);
     void hold(const std::string &id, const WorkerState &worker, Link &link, TimePoint now);
+    void noteUnanswered(const std::string &id, const Error &error);
     void held(const std::string &id, const Result<WorkerReport> &report, TimePoint sentAt);
 
     HttpClient &m_client;
--- a/programs/dragonflysill-node/main.cpp
+++ b/programs/dragonflysill-node/main.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <functional>
 #include <iostream>
+#include <utility>
 
 using namespace dragonflysill;
 
@@ -17,15 +18,30 @@
 
 constexpr int exitSettings = 2;
 
+/** Takes over changed settings; the addresses of a running node do not change. */
+void readSettingsAgain(platform::NodeSettings &settings)
+{
+    auto changed = platform::loadSettings();
+    if (!changed) {
+        logWarning("settings-kept", {{"error", changed.error().text()}});
+        return;
+    }
+    settings = std::move(*changed);
+    logState("settings-read-again", {{"store", settings.storeAddress}});
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     std::string logLevel = "info";
+    int metricsPort = 0;
     Settings flags("dragonflysill-node",
                    "Accepts jobs, keeps them in the platform's store and runs them on workers.",
                    DRAGONFLYSILL_VERSION);
     flags.add("log-level", logLevel, "debug, info, warning or error");
+    flags.add("metrics-port", metricsPort, "port of /metrics on the node's address; 0 for none")
+            ->check(CLI::Range(0, 65535));
     if (const auto code = flags.parse(argc, argv))
         return *code;
     auto settings = platform::loadSettings();
@@ -33,10 +49,11 @@
         std::cerr << settings.error().text() << '\n';
         return exitSettings;
     }
-    startLogging("node-" + settings->name, logLevel);
+    startBoundedLogging("node-" + settings->name, logLevel);
     std::signal(SIGPIPE, SIG_IGN);
     EventLoop loop;
-    Node node(loop, *settings);
+    Node node(loop, *settings,
+              metricsPort == 0 ? std::string() : settings->ip + ':' + std::to_string(metricsPort));
     if (const auto started = node.start(); !started) {
         logWarning("start-failed", {{"error", started.error().text()}});
         return exitSettings;
@@ -48,7 +65,7 @@
             if (ec)
                 return;
             if (signal == SIGHUP)
-                logState("settings-read-again");
+                readSettingsAgain(*settings);
             else
                 node.stop();
             awaitSignal();
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -2,14 +2,19 @@
 
 #include "dragonflysill/jobs/jobcodec.h"
 #include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/telemetry/log.h"
 #include "ingress.h"
 #include "jobformat.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <utility>
 
 namespace dragonflysill {
 
+using namespace std::chrono_literals;
+
 namespace internal {
 
 using namespace std::chrono_literals;
@@ -21,6 +26,9 @@
 /** Callers that are sent away return after 1 to this many seconds, spread evenly. */
 constexpr std::size_t retryAfterSpreadS = 2;
 
+/** Names of PendingWrite::Outcome in the log. */
+constexpr std::array outcomeNames{"stored", "existed", "not-done", "unknown"};
+
 HttpResponse status(int code, std::string body = {})
 {
     return {code, std::move(body), {}};
@@ -112,6 +120,7 @@
         return;
     }
     if (!m_storeReachable) {
+        logState("job-submitted", {{"job", std::string(id)}, {"outcome", "store-unreachable"}});
         respond(notAccepted());
         return;
     }
@@ -127,10 +136,18 @@
     write.value = encodeJob(job);
     write.mustBeNew = true;
     write.giveUpAt = giveUpAt;
-    write.callback
-            = [this, id = job.id, respond = std::move(respond)](
-                      PendingWrite::Outcome outcome, const std::string &value,
-                      std::int64_t revision) { submitted(id, outcome, value, revision, respond); };
+    write.callback = [this, id = job.id, started = EventLoop::now(), respond = std::move(respond)](
+                             PendingWrite::Outcome outcome, const std::string &value,
+                             std::int64_t revision) {
+        const auto took = EventLoop::now() - started;
+        m_handInSeconds.observe(took);
+        logState("job-submitted",
+                 {{"job", id},
+                  {"outcome", internal::outcomeNames.at(static_cast<std::size_t>(outcome))},
+                  {"revision", std::to_string(revision)},
+                  {"took_ms", std::to_string(took / 1ms)}});
+        submitted(id, outcome, value, revision, respond);
+    };
     m_writer.write(std::move(write));
 }
 
@@ -226,6 +243,7 @@
             return;
         }
         ++m_counts.cancelled;
+        logState("job-cancelled", {{"key", key}, {"revision", std::to_string(revision)}});
         m_replica.applyOwn(key, value, revision);
         respond(internal::status(200));
     };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/base/hash.h"
 #include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/nodemetrics.h"
 #include "dragonflysill/telemetry/log.h"
 #include "ingress.h"
 #include "jobformat.h"
@@ -28,6 +29,9 @@
 constexpr Duration storeSilence = 2300ms;
 /** Time between two looks at the store's reachability. */
 constexpr Duration storeCheck = 100ms;
+/** Time for the balancer to see that the node is not ready any more, at two looks a second apart.
+ */
+constexpr Duration leaveTime = 2200ms;
 /** Part of the grace time that is left unused, so that the process ends by itself. */
 constexpr Duration stopMargin = 1500ms;
 
@@ -39,7 +43,7 @@
 
 } // namespace internal
 
-Node::Node(EventLoop &loop, const platform::NodeSettings &settings)
+Node::Node(EventLoop &loop, const platform::NodeSettings &settings, std::string metricsAddress)
     : m_loop(loop)
     , m_settings(settings)
     , m_client(loop)
@@ -56,6 +60,9 @@
                       else
                           respond({ready() ? 200 : 503, {}, {}});
                   })
+    , m_metrics(loop, [this](const HttpRequest &request,
+                             const HttpServer::Respond &respond) { respond(metrics(request)); })
+    , m_metricsAddress(std::move(metricsAddress))
     , m_stateWatcher(loop, *m_store, std::string(nodekeys::root), internal::followerWatchPause,
                      {[this](std::span<const KeyValue> items, std::int64_t asOf) {
                           m_replica.reset(items, asOf);
@@ -96,6 +103,10 @@
         return opened;
     if (auto opened = m_readiness.listen(m_settings.readyAddress); !opened)
         return opened;
+    if (!m_metricsAddress.empty()) {
+        if (auto opened = m_metrics.listen(m_metricsAddress); !opened)
+            return opened;
+    }
     m_stateWatcher.start();
     m_operatorWatcher.start();
     m_ownership.start();
@@ -123,6 +134,19 @@
     return !m_stopping && m_storeReachable && m_replica.loaded() && m_service.configuration();
 }
 
+HttpResponse Node::metrics(const HttpRequest &request) const
+{
+    if (request.method != "GET" || request.target != "/metrics")
+        return {404, {}, {}};
+    const auto &configuration = m_service.configuration();
+    return {200,
+            renderMetrics({m_service.counts(), m_service.handInSeconds(), m_owner.get(), ready(),
+                           m_storeReachable, configuration ? configuration->version : 0,
+                           m_store->calls(), m_client.opened(), m_front.connections(),
+                           m_replica.jobs().size()}),
+            {}};
+}
+
 void Node::operatorKey(const std::string &key, std::int64_t revision, const std::string &bytes)
 {
     if (key == platform::keyConfiguration) {
@@ -203,12 +227,14 @@
     logState("stopping", {{"connections", std::to_string(m_front.connections())}});
     m_ownership.resign();
     m_front.drain();
-    finishStop(EventLoop::now() + m_settings.grace - internal::stopMargin);
+    const auto latest = EventLoop::now() + m_settings.grace - internal::stopMargin;
+    m_loop.after(internal::leaveTime, [this, latest] { finishStop(latest); });
 }
 
 void Node::finishStop(TimePoint latest)
 {
-    if (EventLoop::now() >= latest) {
+    // Callers use their connections until they close; without any there is nothing to wait for.
+    if (m_front.connections() == 0 || EventLoop::now() >= latest) {
         logState("stopped", {{"connections", std::to_string(m_front.connections())}});
         m_loop.stop();
         return;
--- /dev/null
+++ b/src/node/nodemetrics.cpp
@@ -0,0 +1,121 @@
+#include "dragonflysill/node/nodemetrics.h"
+
+#include "dragonflysill/telemetry/log.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <limits>
+#include <sstream>
+#include <vector>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using Families = std::vector<prometheus::MetricFamily>;
+
+prometheus::MetricFamily &add(Families &families, const char *name, const char *help,
+                              prometheus::MetricType type)
+{
+    auto &family = families.emplace_back();
+    family.name = std::string("dragonflysill_") + name;
+    family.help = help;
+    family.type = type;
+    family.metric.emplace_back();
+    return family;
+}
+
+template <typename T>
+void counter(Families &families, const char *name, const char *help, T value)
+{
+    add(families, name, help, prometheus::MetricType::Counter).metric[0].counter.value
+            = static_cast<double>(value);
+}
+
+template <typename T>
+void gauge(Families &families, const char *name, const char *help, T value)
+{
+    add(families, name, help, prometheus::MetricType::Gauge).metric[0].gauge.value
+            = static_cast<double>(value);
+}
+
+void histogram(Families &families, const char *name, const char *help,
+               const LatencyHistogram &values)
+{
+    auto &target = add(families, name, help, prometheus::MetricType::Histogram).metric[0].histogram;
+    std::uint64_t total = 0;
+    for (std::size_t n = 0; n < values.counts().size(); ++n) {
+        total += values.counts().at(n);
+        const bool last = n == LatencyHistogram::bounds.size();
+        target.bucket.push_back({total, last ? std::numeric_limits<double>::infinity()
+                                             : LatencyHistogram::bounds.at(n)});
+    }
+    target.sample_count = total;
+    target.sample_sum = values.sum();
+}
+
+void addOwner(Families &families, const ScheduleOwner &owner)
+{
+    const auto &links = owner.linkCounts();
+    const auto &fleet = owner.fleetCounts();
+    gauge(families, "open_jobs", "Jobs that have not ended", owner.scheduler().openJobs());
+    gauge(families, "workers", "Workers known to the scheduling node",
+          owner.scheduler().workers().size());
+    counter(families, "holds_total", "Holds sent to workers", links.holds);
+    counter(families, "holds_unanswered_total", "Holds without an answer", links.holdsUnanswered);
+    counter(families, "starts_total", "Starts sent to workers", links.starts);
+    counter(families, "starts_refused_total", "Starts that workers refused", links.startsRefused);
+    counter(families, "starts_unanswered_total", "Starts without an answer",
+            links.startsUnanswered);
+    counter(families, "stops_total", "Stops sent to workers", links.stops);
+    counter(families, "paces_total", "Orders that limit the speed of tasks", links.paces);
+    counter(families, "advice_total", "Questions about admitted workers", links.questions);
+    counter(families, "instance_moves_total", "Moves of instances ordered", fleet.moves);
+    counter(families, "instances_maintained_total", "Instances taken down for maintenance",
+            fleet.maintained);
+    counter(families, "instance_orders_refused_total", "Orders for instances that were refused",
+            fleet.ordersRefused);
+}
+
+} // namespace internal
+
+std::string renderMetrics(const NodeFigures &figures)
+{
+    internal::Families families;
+    const auto &service = figures.service;
+    internal::gauge(families, "ready", "1 while the node takes new callers", figures.ready);
+    internal::gauge(families, "store_reachable", "1 while the store answers",
+                    figures.storeReachable);
+    internal::gauge(families, "owner", "1 while this node schedules", figures.owner != nullptr);
+    internal::gauge(families, "configuration_version", "Version of the configuration in force",
+                    figures.configurationVersion);
+    internal::gauge(families, "caller_connections", "Open connections of callers",
+                    figures.callerConnections);
+    internal::gauge(families, "jobs_known", "Jobs in the node's replica", figures.jobsKnown);
+    internal::counter(families, "jobs_accepted_total", "Jobs accepted here", service.accepted);
+    internal::counter(families, "jobs_repeated_total", "Submissions of accepted ids",
+                      service.repeated);
+    internal::counter(families, "jobs_rejected_total", "Submissions answered as not accepted",
+                      service.rejected);
+    internal::counter(families, "jobs_unknown_total", "Submissions without a known outcome",
+                      service.unknown);
+    internal::counter(families, "jobs_cancelled_total", "Cancels stored here", service.cancelled);
+    internal::counter(families, "status_requests_total", "Requests for the state of a job",
+                      service.shown);
+    internal::counter(families, "no_queue_total", "Requests without a queue", service.noQueue);
+    internal::counter(families, "store_calls_total", "Calls to the store", figures.storeCalls);
+    internal::counter(families, "connections_opened_total", "Connections opened to other systems",
+                      figures.connectionsOpened);
+    internal::counter(families, "log_lines_dropped_total", "Log lines dropped by the bound",
+                      droppedLogLines());
+    internal::histogram(families, "hand_in_seconds", "Time until the store answered a submission",
+                        figures.handInSeconds);
+    if (figures.owner != nullptr)
+        internal::addOwner(families, *figures.owner);
+    std::ostringstream text;
+    prometheus::TextSerializer().Serialize(text, families);
+    return text.str();
+}
+
+} // namespace dragonflysill
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -4,15 +4,19 @@
 #include "dragonflysill/jobs/jobcodec.h"
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/workerrecord.h"
+#include "dragonflysill/telemetry/log.h"
 #include "names.h"
 #include "nodesettings.h"
 #include "workerformat.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace dragonflysill {
 
+using namespace std::chrono_literals;
+
 namespace internal {
 
 using namespace std::chrono_literals;
@@ -104,13 +108,17 @@
     if (job.acceptedRevision == 0 || job.record == rejectedRecord || isFinal(job.status))
         return;
     auto decoded = decodeJob(id, job.record);
-    if (!decoded)
+    if (!decoded) {
+        logWarning("job-unreadable", {{"job", id}, {"error", decoded.error().text()}});
         return;
+    }
     JobProgress progress;
     if (!job.progress.empty()) {
         auto saved = decodeProgress(job.progress);
-        if (!saved)
+        if (!saved) {
+            logWarning("progress-unreadable", {{"job", id}, {"error", saved.error().text()}});
             return;
+        }
         progress = std::move(*saved);
     }
     const auto now = EventLoop::now();
@@ -400,8 +408,10 @@
     m_scheduler.updatesSaved(updates, applied);
     if (applied) {
         for (const auto &it : updates) {
-            if (isFinal(it.progress.state))
-                m_finalSince.emplace(it.job, EventLoop::now());
+            if (!isFinal(it.progress.state))
+                continue;
+            m_finalSince.emplace(it.job, EventLoop::now());
+            logEnd(it);
         }
     } else {
         m_publishedPending.clear();
@@ -415,6 +425,25 @@
     decideSoon();
 }
 
+void ScheduleOwner::logEnd(const ProgressUpdate &update) const
+{
+    const auto *job = m_scheduler.job(update.job);
+    if (job == nullptr)
+        return;
+    std::size_t failures = 0;
+    for (const auto &[task, runs] : update.progress.failures)
+        failures += runs.size();
+    const auto now = EventLoop::now();
+    static constexpr std::array names{"queued", "running", "completed", "failed", "cancelled"};
+    logState("job-ended", {{"job", update.job},
+                           {"state", names.at(static_cast<std::size_t>(update.progress.state))},
+                           {"pool", job->job().pool},
+                           {"age_ms", std::to_string((now - job->accepted) / 1ms)},
+                           {"over_objective_ms", std::to_string((now - job->objective) / 1ms)},
+                           {"failed_runs", std::to_string(failures)},
+                           {"fence", std::to_string(m_fence)}});
+}
+
 void ScheduleOwner::publishPending(ConditionalWrite &write)
 {
     const auto now = EventLoop::now();
--- a/src/node/workerlinks.cpp
+++ b/src/node/workerlinks.cpp
@@ -138,6 +138,10 @@
                            m_scheduler.startRefused(start, *it, now);
                        } else {
                            ++m_counts.startsUnanswered;
+                           logState("start-unanswered", {{"job", start.task.job},
+                                                         {"task", internal::describe(start.task)},
+                                                         {"run", std::to_string(start.run)},
+                                                         {"worker", start.worker}});
                            m_scheduler.startUnanswered(start, now);
                        }
                        m_changed();
@@ -204,6 +208,19 @@
                   });
 }
 
+void WorkerLinks::noteUnanswered(const std::string &id, const Error &error)
+{
+    const auto *worker = m_scheduler.worker(id);
+    if (worker == nullptr || !worker->reachable)
+        return;
+    logState("worker-unreachable",
+             {{"worker", id},
+              {"runs", std::to_string(worker->runs.size())},
+              {"held_ms", std::to_string((worker->heldUntil - EventLoop::now())
+                                         / std::chrono::milliseconds(1))},
+              {"error", error.text()}});
+}
+
 void WorkerLinks::held(const std::string &id, const Result<WorkerReport> &report, TimePoint sentAt)
 {
     const auto now = EventLoop::now();
@@ -211,6 +228,11 @@
     link.holding = false;
     if (report) {
         for (const auto &it : report->ended) {
+            if (it.end == RunEnd::Failed)
+                logState("task-failed", {{"job", it.task.job},
+                                         {"task", internal::describe(it.task)},
+                                         {"run", std::to_string(it.run)},
+                                         {"worker", id}});
             if (logsDecisions())
                 logDecision("task-end", {{"job", it.task.job},
                                          {"task", internal::describe(it.task)},
@@ -232,6 +254,7 @@
                                    : internal::holdSpacing);
     } else {
         ++m_counts.holdsUnanswered;
+        noteUnanswered(id, report.error());
         m_scheduler.holdUnanswered(id, now);
         link.nextHold = now + internal::retrySpacing;
     }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,15 +1,97 @@
 #include "dragonflysill/telemetry/log.h"
 
 #include <nlohmann/json.hpp>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
 #include <memory>
+#include <mutex>
+#include <utility>
 
 namespace dragonflysill {
 
 namespace internal {
 
+/** Lines a second, and lines at once, that a process writes: about 15 KB/s. */
+constexpr double linesPerSecond = 70;
+constexpr double mostLinesAtOnce = 150;
+
+std::atomic<std::uint64_t> dropped{0};
+
+/** Writes to standard output as long as that does not block. */
+class BoundedSink : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+    explicit BoundedSink(bool bounded)
+        : m_bounded(bounded)
+    {
+    }
+
+protected:
+    void sink_it_(const spdlog::details::log_msg &message) override // NOLINT
+    {
+        if (!takeToken(message.time) || !writable()) {
+            ++dropped;
+            ++m_unreported;
+            return;
+        }
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        std::string text(line.data(), line.size());
+        if (m_unreported > 0) {
+            const auto end = text.rfind('}');
+            text.insert(end, ",\"dropped\":" + std::to_string(std::exchange(m_unreported, 0)));
+        }
+        // A pipe that is writable takes a line of this size without waiting.
+        if (::write(STDOUT_FILENO, text.data(), text.size()) < 0)
+            ++dropped;
+    }
+
+    void flush_() override { } // NOLINT
+
+private:
+    bool takeToken(std::chrono::system_clock::time_point now)
+    {
+        if (!m_bounded)
+            return true;
+        const std::chrono::duration<double> passed = now - m_updated;
+        m_updated = now;
+        m_tokens
+                = std::clamp(m_tokens + passed.count() * linesPerSecond, m_tokens, mostLinesAtOnce);
+        if (m_tokens < 1)
+            return false;
+        m_tokens -= 1;
+        return true;
+    }
+
+    static bool writable()
+    {
+        pollfd descriptor{STDOUT_FILENO, POLLOUT, 0};
+        return ::poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+    }
+
+    bool m_bounded;
+    double m_tokens = mostLinesAtOnce;
+    std::chrono::system_clock::time_point m_updated = std::chrono::system_clock::now();
+    std::uint64_t m_unreported = 0;
+};
+
+void start(std::string_view process, const std::string &level, const spdlog::sink_ptr &sink)
+{
+    auto logger = std::make_shared<spdlog::logger>(std::string(process), sink);
+    logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","process":"%n",%v})");
+    logger->set_level(spdlog::level::from_str(level));
+    logger->flush_on(spdlog::level::info);
+    spdlog::set_default_logger(std::move(logger));
+}
+
 std::string formatFields(std::string_view event, std::initializer_list<LogField> fields)
 {
     nlohmann::ordered_json json{{"event", event}};
@@ -23,12 +105,17 @@
 
 void startLogging(std::string_view process, const std::string &level)
 {
-    auto logger = std::make_shared<spdlog::logger>(
-            std::string(process), std::make_shared<spdlog::sinks::stderr_sink_mt>());
-    logger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","process":"%n",%v})");
-    logger->set_level(spdlog::level::from_str(level));
-    logger->flush_on(spdlog::level::info);
-    spdlog::set_default_logger(std::move(logger));
+    internal::start(process, level, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+}
+
+void startBoundedLogging(std::string_view process, const std::string &level)
+{
+    internal::start(process, level, std::make_shared<internal::BoundedSink>(level != "debug"));
+}
+
+std::uint64_t droppedLogLines()
+{
+    return internal::dropped;
 }
 
 void logState(std::string_view event, std::initializer_list<LogField> fields)
