Take over from the list of instances, and from an earlier process at once

Cause: after a take-over inherited tasks waited 5 s for recorded workers whose instances had been moved or maintained a moment before; a restarted owner waited for its own lease. The list of instances tells which workers have ended, and a node replaces a key with its own name, because only one process of it runs at a time.

--- a/include/dragonflysill/node/fleetkeeper.h
+++ b/include/dragonflysill/node/fleetkeeper.h
@@ -73,6 +73,7 @@
     void reportLoad(const FleetView &fleet, TimePoint now);
     void list(TimePoint now);
     void listed(const Result<std::vector<FleetInstance>> &instances, TimePoint sentAt);
+    void retireMissingWorkers();
     [[nodiscard]] FleetView view(TimePoint now);
     void viewInstance(InstanceView &instance, const WorkerState *worker, TimePoint now);
     void settleOrders(const std::map<std::string, const WorkerState *> &workers);
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -147,6 +147,7 @@
     m_instances.clear();
     for (const auto &it : *instances)
         m_instances[it.name] = it;
+    retireMissingWorkers();
     // An order that was answered before this list was asked for is visible in it.
     std::erase_if(m_orders, [&](const auto &entry) {
         const auto &[name, order] = entry;
@@ -164,6 +165,20 @@
     });
 }
 
+void FleetKeeper::retireMissingWorkers()
+{
+    // Everything on an instance ends when it is moved or maintained, and its worker does not
+    // return.
+    std::vector<std::string> ended;
+    for (const auto &[id, worker] : m_scheduler.workers()) {
+        const auto it = m_instances.find(worker.description.instance);
+        if (it != m_instances.end() && !worker.reachable && it->second.worker != id)
+            ended.push_back(id);
+    }
+    for (const auto &id : ended)
+        m_scheduler.retireWorker(id, EventLoop::now());
+}
+
 FleetView FleetKeeper::view(TimePoint now)
 {
     std::map<std::string, const WorkerState *> workers;
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -53,7 +53,9 @@
             renew();
         return;
     }
-    if (!m_campaigning && !m_resigned && m_replica.loaded() && m_replica.owner().revision == 0)
+    // A key with this node's name is an earlier process's: there is only one at a time.
+    const bool free = m_replica.owner().revision == 0 || m_replica.owner().node == m_node;
+    if (!m_campaigning && !m_resigned && m_replica.loaded() && free)
         campaign();
 }
 
@@ -73,7 +75,7 @@
 {
     const auto generation = m_replica.generation();
     ConditionalWrite write;
-    write.expected = {{std::string(nodekeys::owner), 0},
+    write.expected = {{std::string(nodekeys::owner), m_replica.owner().revision},
                       {std::string(nodekeys::generation), m_replica.generationRevision()}};
     write.writes = {{std::string(nodekeys::owner), m_node, lease},
                     {std::string(nodekeys::generation), std::to_string(generation + 1), 0}};
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -326,10 +326,22 @@
 {
     Candidate candidate(1h);
     candidate.store.put(std::string(nodekeys::owner), "node-2");
+    candidate.readStore();
     candidate.check();
     BOOST_TEST(candidate.gained.empty());
 }
 
+// A node that was killed and started again need not wait for the lease of its earlier process.
+BOOST_AUTO_TEST_CASE(KeyOfAnEarlierProcessOfTheNodeIsReplaced)
+{
+    Candidate candidate(1h);
+    candidate.store.put(std::string(nodekeys::owner), "node-1");
+    candidate.readStore();
+    candidate.check();
+    BOOST_REQUIRE(candidate.gained.size() == 1U);
+    BOOST_TEST(candidate.gained[0] == candidate.store.revision);
+}
+
 // A claim whose answer was lost may hold the key: its lease is ended.
 BOOST_AUTO_TEST_CASE(LostClaimIsTakenBack)
 {
