--- /dev/null
+++ b/scripts/fleetday.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Runs the node's whole path on loopback beside a stand-in of the users' platform: jobs, a maintenance
+# wave, and the end of the scheduling node in the middle. Exits 1 if a job is lost or a task runs twice.
+# Usage: scripts/fleetday.sh [JOBS]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -x build/bin/fleet-standin ] || scripts/build.sh >/dev/null
+source scripts/lib.sh
+bin=build/bin
+first_port=${DRAGONFLYSILL_PORT_BASE:-23000}
+"$bin/fleet-standin" --first-port "$first_port" --jobs "${1:-300}" \
+    --settings-folder "$run_dir" >"$run_dir/standin.log" 2>&1 &
+standin=$!
+for n in 1 2 3; do
+    for _ in $(seq 100); do
+        [ -s "$run_dir/node-$n.json" ] && break
+        sleep 0.05
+    done
+    DRAGONFLYSILL_SETTINGS="$run_dir/node-$n.json" start "node-$n" "$bin/dragonflysill-node"
+done
+# The scheduling node is killed once it has worked for a while.
+for _ in $(seq 200); do
+    grep -q "second 4" "$run_dir/standin.log" && break
+    sleep 0.05
+done
+owner=$(grep -l ownership-gained "$run_dir"/node-*.log | head -1 | xargs -r basename -s .log)
+echo "killing the scheduling node, $owner"
+kill_now "$owner"
+result=0
+wait "$standin" || result=$?
+cat "$run_dir/standin.log"
+if [ "$result" != 0 ]; then
+    tail -n 20 "$run_dir"/node-*.log
+fi
+exit "$result"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Installs, builds and runs every test. Cases listed in KNOWN-RED.txt are passed over and printed.
+# Installs, builds and runs every test, then a day of three nodes beside the stand-in platform. Cases listed in KNOWN-RED.txt are passed over and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh
@@ -8,3 +8,4 @@
     grep '^test: ' KNOWN-RED.txt || echo "  none"
 fi
 ctest --test-dir build --output-on-failure
+scripts/fleetday.sh
