Retire by the list of instances only workers older than it can be

Cause: a list may be older than a worker that has just come up on its instance, which would then count as ended while it runs tasks. Workers younger than 3 s are left to their own reports; the record of workers keeps their births.

--- a/include/dragonflysill/node/workerrecord.h
+++ b/include/dragonflysill/node/workerrecord.h
@@ -16,7 +16,7 @@
  */
 std::string encodeWorkerRecord(std::span<const WorkerDescription> workers);
 
-/** Reads a record; only id, address, instance and pool are set. Corrupt for other bytes. */
+/** Reads a record; only id, address, instance, pool and birth are set. Corrupt for other bytes. */
 Result<std::vector<WorkerDescription>> decodeWorkerRecord(std::string_view pool,
                                                           std::string_view bytes);
 
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -23,6 +23,8 @@
 /** Time between two lists while waves or orders are open, and otherwise. */
 constexpr Duration busyListSpacing = 1000ms;
 constexpr Duration idleListSpacing = 3000ms;
+/** The list of instances may be this old. */
+constexpr std::chrono::milliseconds listAge = 3000ms;
 /** Time between two log lines about the pools' load. */
 constexpr Duration reportSpacing = 500ms;
 /** An order whose effect is not seen for this long is given up and may be repeated. */
@@ -172,7 +174,11 @@
     std::vector<std::string> ended;
     for (const auto &[id, worker] : m_scheduler.workers()) {
         const auto it = m_instances.find(worker.description.instance);
-        if (it != m_instances.end() && !worker.reachable && it->second.worker != id)
+        // A list may be older than a young worker.
+        const auto age = unixMilliseconds() - worker.description.born;
+        const bool old = worker.description.born != 0
+                && age > internal::listAge.count();
+        if (it != m_instances.end() && !worker.reachable && old && it->second.worker != id)
             ended.push_back(id);
     }
     for (const auto &id : ended)
--- a/src/node/workerrecord.cpp
+++ b/src/node/workerrecord.cpp
@@ -10,7 +10,7 @@
 {
     Json rows = Json::array();
     for (const auto &it : workers)
-        rows.push_back({it.id, it.address, it.instance});
+        rows.push_back({it.id, it.address, it.instance, it.born});
     return rows.dump();
 }
 
@@ -24,6 +24,7 @@
             worker.id = row.at(0);
             worker.address = row.at(1);
             worker.instance = row.at(2);
+            worker.born = row.at(3);
             worker.pool = pool;
             workers.push_back(std::move(worker));
         }
