--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -147,8 +147,10 @@
         const auto port = shape.firstPort + 100 + 2 * n;
         fronts.push_back(shape.host + ':' + std::to_string(port));
         const auto name = "node-" + std::to_string(n + 1);
-        std::ofstream(settingsFolder + '/' + name + ".json") << fleet.settingsFor(
-                name, fronts.back(), shape.host + ':' + std::to_string(port + 1));
+        auto path = settingsFolder;
+        path.append("/").append(name).append(".json");
+        std::ofstream(path) << fleet.settingsFor(name, fronts.back(),
+                                                 shape.host + ':' + std::to_string(port + 1));
     }
     Callers callers(loop, fronts, jobs, std::chrono::milliseconds(spacingMs));
     callers.start();
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -179,7 +179,7 @@
         return;
     }
     const auto expected = static_cast<std::size_t>(m_job.spec.occurrences)
-            * static_cast<std::size_t>(stepCount);
+                          * static_cast<std::size_t>(stepCount);
     if (m_progress.stepsDone.size() == expected)
         m_progress.state = JobStatus::Completed;
 }
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -176,8 +176,7 @@
         const auto it = m_instances.find(worker.description.instance);
         // A list may be older than a young worker.
         const auto age = unixMilliseconds() - worker.description.born;
-        const bool old = worker.description.born != 0
-                && age > internal::listAge.count();
+        const bool old = worker.description.born != 0 && age > internal::listAge.count();
         if (it != m_instances.end() && !worker.reachable && old && it->second.worker != id)
             ended.push_back(id);
     }
--- a/tests/jobs/decisionstest.cpp
+++ b/tests/jobs/decisionstest.cpp
@@ -112,7 +112,7 @@
     for (int tick = 0; tick < 640; ++tick) {
         const std::string burst(1, static_cast<char>('a' + tick / 80 % 4));
         for (auto &[pool, load] : fleet.view.load)
-            load.runningCpu = (pool == burst ? 20 : 1) * 54 * 1000;
+            load.runningCpu = (pool == burst ? 20 : 1) * std::int64_t{54000};
         fleet.apply(balancer.decide(fleet.view, fleet.now));
         asked += 20;
         served += std::min(20, fleet.count(burst));
@@ -132,7 +132,7 @@
     fleet.now += 100ms;
     fleet.view.load["a"].arrivedWork = 4000;
     fleet.view.load["a"].arrivedJobs = 1;
-    fleet.view.load["a"].waitingCpu = 3 * 54 * 1000;
+    fleet.view.load["a"].waitingCpu = 3 * std::int64_t{54000};
     balancer.decide(fleet.view, fleet.now);
     BOOST_TEST(balancer.needed("a") == 3);
 }
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -140,9 +140,10 @@
         else if (!worker.cut && chance(0.005)) {
             worker.cut = true;
             note(worker.id + " is cut off");
-            later(Milliseconds(500 + m_random.below(5000)), [this, &worker] {
-                worker.cut = false;
-                note(worker.id + " is back");
+            auto *cut = &worker;
+            later(Milliseconds(500 + m_random.below(5000)), [this, cut] {
+                cut->cut = false;
+                note(cut->id + " is back");
             });
         }
     }
--- a/tests/jobs/schedulerharness.h
+++ b/tests/jobs/schedulerharness.h
@@ -86,7 +86,7 @@
         worker.description.zone = "zone";
         worker.description.instance = instance;
         worker.description.labels = {"a", "rack-" + id};
-        worker.description.capacity = {cores * 1000, 65536, 0};
+        worker.description.capacity = {cores * std::int64_t{1000}, 65536, 0};
         worker.description.born = worker.born;
         scheduler.describeWorker(worker.description, now);
         reportFrom(id);
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -122,7 +122,7 @@
                                      "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
         Echo echo;
         const auto answer = echo.raw(head + fields + "\r\nbody");
-        BOOST_TEST(answer.starts_with("HTTP/1.1 400"), fields + " -> " + answer);
+        BOOST_TEST(answer.starts_with("HTTP/1.1 400"), answer);
         BOOST_TEST(echo.handled == 0);
     }
 }
