Remove unused members; one name table for states, one clock drift

Found on reading the change again: members and settings that nothing read, the names of job states in the log beside those of the stored form, and the workers' clock drift as two constants. No behaviour changes and no test was touched.

--- a/include/dragonflysill/jobs/jobcodec.h
+++ b/include/dragonflysill/jobs/jobcodec.h
@@ -22,6 +22,9 @@
 /** Returns the name of a stored job's queue; empty if the bytes are not a job. */
 std::string decodeQueueName(std::string_view bytes);
 
+/** Returns the name of a status as it is stored and logged. */
+std::string_view statusName(JobStatus status);
+
 /** Returns the stored form of a job's progress. */
 std::string encodeProgress(const JobProgress &progress);
 
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "dragonflysill/base/random.h"
 #include "dragonflysill/jobs/admissiontable.h"
 #include "dragonflysill/jobs/fleetview.h"
 #include "dragonflysill/jobs/jobrun.h"
@@ -82,14 +81,10 @@
      * for running tasks to survive.
      */
     Milliseconds hold{3000};
-    /** Longest hold that workers grant, from the platform's settings. */
-    Milliseconds longestHold{10000};
     /** Longest time a worker needs to stop a run, from the platform's settings. */
     Milliseconds stopTime{200};
     /** How long a previous owner may go on extending holds after its ownership ended. */
     Milliseconds previousOwner{2000};
-    /** Slowdown of a task away from its data, from the platform's settings. */
-    double remoteFactor = 1;
 };
 
 /**
@@ -251,7 +246,6 @@
     std::map<std::string, AdvicePolicy, std::less<>> m_advisedQueues;
     AdmissionTable m_admissions;
     RunTimeModel m_runTimes;
-    Random m_random{1};
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -65,7 +65,6 @@
     void fetch(std::string_view id, std::function<void(Result<Done>)> callback);
     [[nodiscard]] HttpResponse notAccepted();
 
-    EventLoop &m_loop;
     AsyncStore &m_store;
     StateReplica &m_replica;
     BatchWriter m_writer;
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -144,6 +144,11 @@
                    : std::string();
 }
 
+std::string_view statusName(JobStatus status)
+{
+    return internal::stateNames.at(static_cast<std::size_t>(status));
+}
+
 std::string encodeProgress(const JobProgress &progress)
 {
     Json done = Json::array();
@@ -152,7 +157,7 @@
     Json failures = Json::array();
     for (const auto &[key, runs] : progress.failures)
         failures.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), runs});
-    Json json{{"state", internal::stateNames.at(static_cast<std::size_t>(progress.state))}};
+    Json json{{"state", statusName(progress.state)}};
     if (!progress.stepsDone.empty())
         json["steps"] = progress.stepsDone;
     if (!done.empty())
--- a/src/jobs/workerstate.cpp
+++ b/src/jobs/workerstate.cpp
@@ -1,13 +1,8 @@
 #include "dragonflysill/jobs/workerstate.h"
 
-namespace dragonflysill {
-
-namespace internal {
+#include "schedulertimes.h"
 
-/** A worker's clock may run this much slower than the local one, from the worker protocol. */
-constexpr double slowestClock = 0.98;
-
-} // namespace internal
+namespace dragonflysill {
 
 void WorkerTime::observe(WorkerClock clock, TimePoint now)
 {
@@ -24,7 +19,7 @@
 
 TimePoint WorkerTime::latest(WorkerClock clock) const
 {
-    const auto ms = static_cast<double>(clock - m_clock) / internal::slowestClock;
+    const auto ms = static_cast<double>(clock - m_clock) / (1 - internal::clockDrift);
     return m_observed + Milliseconds(static_cast<std::int64_t>(ms) + 1);
 }
 
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -38,8 +38,7 @@
 
 JobService::JobService(EventLoop &loop, AsyncStore &store, StateReplica &replica,
                        std::uint64_t seed)
-    : m_loop(loop)
-    , m_store(store)
+    : m_store(store)
     , m_replica(replica)
     , m_writer(loop, store)
     , m_random(seed)
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -10,7 +10,6 @@
 #include "workerformat.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace dragonflysill {
@@ -47,10 +46,8 @@
 SchedulerSettings schedulerSettings(const platform::NodeSettings &settings)
 {
     SchedulerSettings result;
-    result.longestHold = settings.longestHold;
     result.hold = std::min(result.hold, settings.longestHold);
     result.stopTime = settings.stopTime;
-    result.remoteFactor = settings.remoteFactor;
     return result;
 }
 
@@ -427,9 +424,8 @@
     for (const auto &[task, runs] : update.progress.failures)
         failures += runs.size();
     const auto now = EventLoop::now();
-    static constexpr std::array names{"queued", "running", "completed", "failed", "cancelled"};
     logState("job-ended", {{"job", update.job},
-                           {"state", names.at(static_cast<std::size_t>(update.progress.state))},
+                           {"state", std::string(statusName(update.progress.state))},
                            {"pool", job->job().pool},
                            {"age_ms", std::to_string((now - job->accepted) / 1ms)},
                            {"over_objective_ms", std::to_string((now - job->objective) / 1ms)},
