Answer callers at once when the store is lost

Cause: a node took up to 2.3 s to notice that the store no longer answered (only the waits for changes were watched), and callers whose write had been sent were held until their time was up, although another node might serve them.

Change: StoreContact judges from all calls; after 600 ms without a served call, waiting hand-ins are told what is known (503 if never sent, 504 if it may be stored) and new ones are rejected at once. Jobs that need a look at the store get 503 instead of waiting for a time-out.

--- a/include/dragonflysill/node/batchwriter.h
+++ b/include/dragonflysill/node/batchwriter.h
@@ -3,11 +3,14 @@
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/store/asyncstore.h"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -41,12 +44,18 @@
 {
 public:
     BatchWriter(EventLoop &loop, AsyncStore &store);
+    ~BatchWriter();
+    BatchWriter(const BatchWriter &) = delete;
+    BatchWriter &operator=(const BatchWriter &) = delete;
 
     /** Starts a write; the callback runs later. */
     void write(PendingWrite write);
 
-    /** Returns the writes that wait or are on their way. */
-    [[nodiscard]] std::size_t size() const { return m_waiting.size() + m_sent; }
+    /**
+     * Tells all callers at once what is known: NotDone for writes that were never sent, Unknown for
+     * the others. Called when the store can't be reached; answers that still come are ignored.
+     */
+    void abandon();
 
 private:
     struct Entry
@@ -59,7 +68,7 @@
 
     void flush();
     void retryLater(Batch entries);
-    void finished(Batch batch, const Result<WriteOutcome> &outcome);
+    void finished(std::uint64_t number, const Result<WriteOutcome> &outcome);
     void applied(Batch batch, std::int64_t revision);
     void conflicted(Batch batch, const WriteOutcome &outcome);
     void failed(Batch batch, const Error &error);
@@ -67,7 +76,9 @@
     EventLoop &m_loop;
     AsyncStore &m_store;
     std::deque<Entry> m_waiting;
-    std::size_t m_sent = 0;
+    Batch m_pausing; ///< Failed, to be sent again after a pause.
+    std::map<std::uint64_t, Batch> m_sent; ///< On their way, by a number of their own.
+    std::uint64_t m_lastSent = 0;
     int m_inFlight = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -42,8 +42,11 @@
         return m_configuration;
     }
 
-    /** Tells whether the store answers; while it does not, jobs are rejected at once. */
-    void setStoreReachable(bool reachable) { m_storeReachable = reachable; }
+    /**
+     * Tells whether the store can be reached. While it can't, callers who need it are answered at
+     * once, those who wait for it included, so that they can try another node.
+     */
+    void setStoreReachable(bool reachable);
 
     /** Answers one request. */
     void handle(const HttpRequest &request, HttpServer::Respond respond);
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -3,6 +3,7 @@
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/jobservice.h"
+#include "dragonflysill/node/observedstore.h"
 #include "dragonflysill/node/ownership.h"
 #include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/scheduleowner.h"
@@ -55,7 +56,8 @@
     EventLoop &m_loop;
     const platform::NodeSettings &m_settings;
     HttpClient m_client;
-    std::unique_ptr<platform::KvStore> m_store;
+    std::unique_ptr<platform::KvStore> m_kvStore;
+    ObservedStore m_store;
     StateReplica m_replica;
     JobService m_service;
     HttpServer m_front;
@@ -69,6 +71,7 @@
     std::map<std::int64_t, MaintenanceWave> m_waves; ///< All that the operators asked for.
     bool m_stopping = false;
     bool m_storeReachable = false;
+    TimePoint m_storeCheckedAt{};
 };
 
 } // namespace dragonflysill
--- a/src/node/batchwriter.cpp
+++ b/src/node/batchwriter.cpp
@@ -27,6 +27,11 @@
 {
 }
 
+BatchWriter::~BatchWriter()
+{
+    *m_alive = false;
+}
+
 void BatchWriter::write(PendingWrite write)
 {
     m_waiting.push_back({std::move(write), EventLoop::now(), false});
@@ -48,19 +53,40 @@
             change.writes.push_back({it.write.key, it.write.value, 0});
         }
         ++m_inFlight;
-        m_sent += batch.size();
-        m_store.write(change, [this, alive = m_alive, batch = std::move(batch)](
-                                      const Result<WriteOutcome> &outcome) mutable {
+        m_sent.emplace(++m_lastSent, std::move(batch));
+        m_store.write(change, [this, alive = m_alive,
+                               number = m_lastSent](const Result<WriteOutcome> &outcome) {
             if (*alive)
-                finished(std::move(batch), outcome);
+                finished(number, outcome);
         });
     }
 }
 
-void BatchWriter::finished(Batch batch, const Result<WriteOutcome> &outcome)
+void BatchWriter::abandon()
+{
+    Batch entries = std::exchange(m_pausing, {});
+    std::ranges::move(std::exchange(m_waiting, {}), std::back_inserter(entries));
+    for (auto &[number, batch] : std::exchange(m_sent, {})) {
+        for (auto &it : batch) {
+            it.maybeStored = true;
+            entries.push_back(std::move(it));
+        }
+    }
+    for (const auto &it : entries)
+        it.write.callback(it.maybeStored ? PendingWrite::Outcome::Unknown
+                                         : PendingWrite::Outcome::NotDone,
+                          {}, 0);
+}
+
+void BatchWriter::finished(std::uint64_t number, const Result<WriteOutcome> &outcome)
 {
     --m_inFlight;
-    m_sent -= batch.size();
+    auto sent = m_sent.extract(number);
+    if (sent.empty()) {
+        flush();
+        return;
+    }
+    Batch batch = std::move(sent.mapped());
     if (!outcome)
         failed(std::move(batch), outcome.error());
     else if (outcome->applied)
@@ -120,15 +146,13 @@
 
 void BatchWriter::retryLater(Batch entries)
 {
-    m_sent += entries.size();
-    m_loop.after(internal::retryPause,
-                 [this, alive = m_alive, entries = std::move(entries)]() mutable {
-                     if (!*alive)
-                         return;
-                     m_sent -= entries.size();
-                     std::ranges::move(entries, std::back_inserter(m_waiting));
-                     flush();
-                 });
+    std::ranges::move(entries, std::back_inserter(m_pausing));
+    m_loop.after(internal::retryPause, [this, alive = m_alive] {
+        if (!*alive)
+            return;
+        std::ranges::move(std::exchange(m_pausing, {}), std::back_inserter(m_waiting));
+        flush();
+    });
 }
 
 } // namespace dragonflysill
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -51,6 +51,13 @@
         m_configuration = std::move(configuration);
 }
 
+void JobService::setStoreReachable(bool reachable)
+{
+    m_storeReachable = reachable;
+    if (!reachable)
+        m_writer.abandon();
+}
+
 HttpResponse JobService::notAccepted()
 {
     ++m_counts.rejected;
@@ -195,6 +202,10 @@
         respond(internal::status(200, platform::encodeState(*status)));
         return;
     }
+    if (!m_storeReachable) {
+        respond(internal::status(503));
+        return;
+    }
     fetch(id, [this, id = std::string(id), respond](const Result<Done> &found) {
         const auto status = m_replica.status(id);
         if (status)
@@ -208,6 +219,10 @@
 
 void JobService::cancel(std::string_view id, TimePoint giveUpAt, const HttpServer::Respond &respond)
 {
+    if (!m_storeReachable) {
+        respond(internal::status(503));
+        return;
+    }
     if (m_replica.job(id) != nullptr) {
         writeCancel(std::string(id), giveUpAt, respond);
         return;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,10 +25,14 @@
 /** Changes of jobs gather this long between two waits, at the owner and elsewhere. */
 constexpr Duration ownerWatchPause = 20ms;
 constexpr Duration followerWatchPause = 200ms;
-/** Without an answer for this long the store counts as unreachable. */
+/** Without an answer to a watch for this long the store counts as unreachable. */
 constexpr Duration storeSilence = 2300ms;
+/** Calls unserved for this long mean that the store is lost; slow ones take up to 240 ms. */
+constexpr Duration storePatience = 600ms;
 /** Time between two looks at the store's reachability. */
 constexpr Duration storeCheck = 100ms;
+/** A look that comes later than this follows a pause of the process, not of the store. */
+constexpr Duration latestCheck = 300ms;
 /** Time for the balancer to see that the node is not ready any more, at two looks a second apart.
  */
 constexpr Duration leaveTime = 2200ms;
@@ -47,8 +51,9 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_client(loop)
-    , m_store(std::make_unique<platform::KvStore>(m_client, settings.storeAddress))
-    , m_service(loop, *m_store, m_replica, internal::seedFrom(settings))
+    , m_kvStore(std::make_unique<platform::KvStore>(m_client, settings.storeAddress))
+    , m_store(*m_kvStore, internal::storePatience)
+    , m_service(loop, m_store, m_replica, internal::seedFrom(settings))
     , m_front(loop,
               [this](const HttpRequest &request, HttpServer::Respond respond) {
                   m_service.handle(request, std::move(respond));
@@ -63,7 +68,7 @@
     , m_metrics(loop, [this](const HttpRequest &request,
                              const HttpServer::Respond &respond) { respond(metrics(request)); })
     , m_metricsAddress(std::move(metricsAddress))
-    , m_stateWatcher(loop, *m_store, std::string(nodekeys::root), internal::followerWatchPause,
+    , m_stateWatcher(loop, m_store, std::string(nodekeys::root), internal::followerWatchPause,
                      {[this](std::span<const KeyValue> items, std::int64_t asOf) {
                           m_replica.reset(items, asOf);
                           replicaChanged();
@@ -72,7 +77,7 @@
                           m_replica.apply(updates, asOf);
                           replicaChanged();
                       }})
-    , m_operatorWatcher(loop, *m_store, platform::prefixOperator, Duration{0},
+    , m_operatorWatcher(loop, m_store, platform::prefixOperator, Duration{0},
                         {[this](std::span<const KeyValue> items, std::int64_t) {
                              for (const auto &it : items)
                                  operatorKey(it.key, it.modRevision, it.value);
@@ -84,7 +89,7 @@
                              }
                          }})
     , m_ownership(
-              loop, *m_store, m_replica, settings.name,
+              loop, m_store, m_replica, settings.name,
               std::max(internal::ownerLease, settings.shortestLease),
               {[this](std::int64_t fence, std::int64_t generation) { gained(fence, generation); },
                [this](const std::string &reason) { lost(reason); }})
@@ -117,7 +122,10 @@
 void Node::watchStore()
 {
     const auto contact = std::max(m_stateWatcher.lastContact(), m_operatorWatcher.lastContact());
-    const bool reachable = EventLoop::now() - contact < internal::storeSilence;
+    const auto now = EventLoop::now();
+    const bool paused = now - std::exchange(m_storeCheckedAt, now) > internal::latestCheck;
+    const bool reachable
+            = now - contact < internal::storeSilence && !(m_store.contact().lost(now) && !paused);
     if (reachable != m_storeReachable) {
         m_storeReachable = reachable;
         m_service.setStoreReachable(reachable);
@@ -142,7 +150,7 @@
     return {200,
             renderMetrics({m_service.counts(), m_service.handInSeconds(), m_owner.get(), ready(),
                            m_storeReachable, configuration ? configuration->version : 0,
-                           m_store->calls(), m_client.opened(), m_front.connections(),
+                           m_kvStore->calls(), m_client.opened(), m_front.connections(),
                            m_replica.jobs().size()}),
             {}};
 }
@@ -201,7 +209,7 @@
              {{"fence", std::to_string(fence)}, {"generation", std::to_string(generation)}});
     m_stateWatcher.setPause(internal::ownerWatchPause);
     m_owner = std::make_unique<ScheduleOwner>(
-            OwnerContext{m_loop, *m_store, m_client, m_replica, m_settings,
+            OwnerContext{m_loop, m_store, m_client, m_replica, m_settings,
                          [this] { return m_ownership.valid(); },
                          [this] { return m_ownership.mayHold(); },
                          [this] { m_loop.post([this] { m_ownership.replaced(); }); }},
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -20,6 +20,7 @@
         Unavailable, ///< Nothing is done and the caller is told so.
         LostBefore, ///< Nothing is done and there is no answer.
         LostAfter, ///< It is done and there is no answer.
+        Silent, ///< Nothing is done and nothing tells of it.
     };
 
     explicit FakeStore(EventLoop &loop)
@@ -83,6 +84,8 @@
             fault = faults.front();
             faults.pop_front();
         }
+        if (fault == Fault::Silent)
+            return;
         if (fault == Fault::Unavailable) {
             answer(std::move(callback), Result<WriteOutcome>(Error(ErrorKind::StoreUnavailable)));
             return;
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -7,6 +7,7 @@
 #include "dragonflysill/node/ownership.h"
 #include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/statereplica.h"
+#include "dragonflysill/node/storecontact.h"
 #include "dragonflysill/node/workerrecord.h"
 
 #include <boost/test/unit_test.hpp>
@@ -239,6 +240,83 @@
     BOOST_TEST(store.items.empty());
 }
 
+// Callers were held until their time was up while the store was silent.
+BOOST_AUTO_TEST_CASE(AbandonedWritesTellWhatIsKnown)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.faults.resize(4, Fault::LostAfter);
+    BatchWriter writer(loop, store);
+    std::vector<Outcome> sent;
+    std::vector<Outcome> waiting;
+    for (int n = 0; n < 4; ++n)
+        writer.write(pending("s" + std::to_string(n), n == 0 ? sent : waiting));
+    writer.abandon();
+    BOOST_TEST((sent == std::vector<Outcome>{Outcome::Unknown}));
+    BOOST_TEST((waiting == std::vector<Outcome>(3, Outcome::NotDone)));
+    loop.run();
+    BOOST_TEST(sent.size() == 1U);
+    BOOST_TEST(waiting.size() == 3U);
+    BOOST_TEST(store.items.size() == 1U);
+}
+
+// Writes after an abandoned one must not wait for its answer.
+BOOST_AUTO_TEST_CASE(WritingGoesOnAfterAbandoning)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    BatchWriter writer(loop, store);
+    std::vector<Outcome> first;
+    std::vector<Outcome> second;
+    writer.write(pending("k1", first));
+    writer.abandon();
+    writer.write(pending("k2", second));
+    loop.run();
+    BOOST_TEST((first == std::vector<Outcome>{Outcome::Unknown}));
+    BOOST_TEST((second == std::vector<Outcome>{Outcome::Stored}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Contact)
+
+constexpr TimePoint start{10s};
+
+BOOST_AUTO_TEST_CASE(SilenceAfterACallEndsTheContact)
+{
+    StoreContact contact(600ms);
+    BOOST_TEST(!contact.lost(start + 1h));
+    contact.sent(start);
+    BOOST_TEST(!contact.lost(start + 599ms));
+    BOOST_TEST(contact.lost(start + 600ms));
+    contact.answered(start + 700ms);
+    BOOST_TEST(!contact.lost(start + 1h));
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsDoNotCountAsContact)
+{
+    StoreContact contact(600ms);
+    for (auto at = start; at < start + 600ms; at += 100ms) {
+        contact.sent(at);
+        contact.failed();
+    }
+    BOOST_TEST(contact.lost(start + 600ms));
+    contact.heard(start + 650ms);
+    BOOST_TEST(!contact.lost(start + 1h));
+}
+
+// A store that is slow answers each call late, but answers.
+BOOST_AUTO_TEST_CASE(SlowAnswersKeepTheContact)
+{
+    StoreContact contact(600ms);
+    for (int n = 0; n < 50; ++n) {
+        contact.sent(start + n * 100ms);
+        if (n >= 4)
+            contact.answered(start + n * 100ms);
+        BOOST_TEST(!contact.lost(start + n * 100ms + 99ms));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Watching)
@@ -429,6 +507,24 @@
     BOOST_TEST(service.store.writes == 0);
 }
 
+// Seen on a day on which the store was silent: callers were held for two seconds each.
+BOOST_AUTO_TEST_CASE(CallersThatWaitAreAnsweredWhenTheStoreIsLost)
+{
+    Service service;
+    service.store.faults = {Fault::Silent};
+    const std::string path = "/q/" + jobId;
+    int status = 0;
+    service.service.handle({"POST", path, jobBody, {{"Host", "host"}}},
+                           [&](const HttpResponse &it) { status = it.status; });
+    service.loop.run();
+    BOOST_TEST(status == 0);
+    service.service.setStoreReachable(false);
+    BOOST_TEST(status == 504);
+    BOOST_TEST(service.call("GET", path).status == 503);
+    BOOST_TEST(service.call("DELETE", path).status == 503);
+    BOOST_TEST(service.store.reads == 0);
+}
+
 BOOST_AUTO_TEST_CASE(UnknownQueueAndUnknownIdAreNotFound)
 {
     Service service;
