Give up calls to the store by how fast it answers

Change: AnswerPatience waits 350 ms, or four times as long as the last answer took, up to 1 s; a miss while other calls are answered does not raise it. The store counts as lost after 800 ms, the time of two misses.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,8 +27,11 @@
 constexpr Duration followerWatchPause = 200ms;
 /** Without an answer to a watch for this long the store counts as unreachable. */
 constexpr Duration storeSilence = 2300ms;
-/** Calls unserved for this long mean that the store is lost; slow ones take up to 240 ms. */
-constexpr Duration storePatience = 600ms;
+/** Calls unserved for this long mean that the store is lost: the time of two lost answers. */
+constexpr Duration storePatience = 800ms;
+/** Bounds of the wait for an answer; a store that is slow takes up to 240 ms. */
+constexpr Duration shortestAnswerWait = 350ms;
+constexpr Duration longestAnswerWait = 1000ms;
 /** Time between two looks at the store's reachability. */
 constexpr Duration storeCheck = 100ms;
 /** A look that comes later than this follows a pause of the process, not of the store. */
@@ -52,7 +55,8 @@
     , m_settings(settings)
     , m_client(loop)
     , m_kvStore(std::make_unique<platform::KvStore>(m_client, settings.storeAddress))
-    , m_store(*m_kvStore, internal::storePatience)
+    , m_store(loop, *m_kvStore, StoreContact(internal::storePatience),
+              AnswerPatience(internal::shortestAnswerWait, internal::longestAnswerWait))
     , m_service(loop, m_store, m_replica, internal::seedFrom(settings))
     , m_front(loop,
               [this](const HttpRequest &request, HttpServer::Respond respond) {
--- a/src/node/observedstore.cpp
+++ b/src/node/observedstore.cpp
@@ -1,7 +1,6 @@
 #include "dragonflysill/node/observedstore.h"
 
-#include "dragonflysill/net/eventloop.h"
-
+#include <memory>
 #include <utility>
 
 namespace dragonflysill {
@@ -22,13 +21,32 @@
 template <typename T>
 AsyncStore::Callback<T> ObservedStore::observe(Callback<T> callback)
 {
-    m_contact.sent(EventLoop::now());
-    return [this, callback = std::move(callback)](Result<T> result) {
-        if (internal::served(result))
-            m_contact.answered(EventLoop::now());
-        else
+    const auto sentAt = EventLoop::now();
+    m_contact.sent(sentAt);
+    const auto waiting = std::make_shared<Callback<T>>(std::move(callback));
+    m_loop.after(m_patience.current(), [this, alive = m_alive, waiting, sentAt] {
+        if (!*alive || !*waiting)
+            return;
+        m_contact.failed();
+        m_patience.missed(sentAt);
+        std::exchange(*waiting, nullptr)(Error(ErrorKind::OutcomeUnknown, "no answer in time"));
+    });
+    return [this, alive = m_alive, waiting, sentAt](Result<T> result) {
+        if (!*alive)
+            return;
+        const auto now = EventLoop::now();
+        const bool inTime = static_cast<bool>(*waiting);
+        if (internal::served(result)) {
+            m_patience.answered(now - sentAt, now);
+            if (inTime)
+                m_contact.answered(now);
+            else
+                m_contact.heard(now);
+        } else if (inTime) {
             m_contact.failed();
-        callback(std::move(result));
+        }
+        if (inTime)
+            std::exchange(*waiting, nullptr)(std::move(result));
     };
 }
 
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -4,6 +4,7 @@
 #include "dragonflysill/node/batchwriter.h"
 #include "dragonflysill/node/jobservice.h"
 #include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/observedstore.h"
 #include "dragonflysill/node/ownership.h"
 #include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/statereplica.h"
@@ -317,6 +318,48 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(LostAnswersDoNotRaiseThePatience)
+{
+    AnswerPatience patience(350ms, 1000ms);
+    for (auto at = start; at < start + 1s; at += 10ms) {
+        patience.answered(4ms, at + 4ms);
+        patience.missed(at);
+        BOOST_TEST((patience.current() == 350ms));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(PatienceGrowsWithASlowStoreAndShrinksAfterIt)
+{
+    AnswerPatience patience(350ms, 1000ms);
+    patience.answered(200ms, start);
+    BOOST_TEST((patience.current() == 800ms));
+    patience.answered(4ms, start + 1s);
+    BOOST_TEST((patience.current() == 350ms));
+    patience.missed(start + 2s);
+    patience.missed(start + 3s);
+    BOOST_TEST((patience.current() == 1000ms));
+}
+
+// Seen with a store that loses answers: hand-ins waited a second for each, and were then given up.
+BOOST_AUTO_TEST_CASE(CallWithoutAnAnswerIsGivenUpAndItsLateAnswerIgnored)
+{
+    EventLoop loop;
+    FakeStore inner(loop);
+    ObservedStore store(loop, inner, StoreContact(1h), AnswerPatience(1ms, 1ms));
+    inner.faults = {Fault::Silent, Fault::None};
+    std::vector<bool> applied;
+    const auto count = [&](const Result<WriteOutcome> &it) { applied.push_back(it.ok()); };
+    store.write({{}, {{"k1", "v", 0}}, {}}, count);
+    loop.run();
+    BOOST_TEST((applied == std::vector<bool>{false}));
+    BOOST_TEST(store.contact().lost(EventLoop::now() + 1h));
+    loop.context().restart();
+    store.write({{}, {{"k2", "v", 0}}, {}}, count);
+    loop.run();
+    BOOST_TEST((applied == std::vector<bool>{false, true}));
+    BOOST_TEST(!store.contact().lost(EventLoop::now() + 1h));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Watching)
