Keep ends that are not saved, and inherited runs apart from new ones

Change: an instance counts as empty only when its ends are saved; a task waits for a leftover run of its own; inherited runs make a worker busy.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -244,6 +244,7 @@
     std::unordered_map<std::string, WorkerState> m_workers;
     std::map<std::string, std::vector<WorkerState *>, std::less<>> m_pools;
     std::deque<std::string> m_dirty; ///< Jobs with unsaved changes, oldest first.
+    std::map<TaskId, int> m_leftovers; ///< Number of TaskRun::leftover runs by task.
     std::unordered_map<std::string, int> m_unresolved; ///< Unreached workers by pool.
     std::vector<SchedulerAction> m_actions;
     std::map<std::string, PoolLoad, std::less<>> m_arrived; ///< Work and jobs by pool.
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -76,6 +76,12 @@
     WorkerHealth health;
     Pacing pacing; ///< Of its filling tasks.
 
+    /** Returns true if something runs here. */
+    [[nodiscard]] bool busy() const { return !runs.empty() || !strays.empty(); }
+
+    /** Returns true if nothing would be lost with this worker, ends that are not saved included. */
+    [[nodiscard]] bool empty() const { return !busy() && pendingEnds.empty(); }
+
     /** Returns the capacity that is not reserved. */
     [[nodiscard]] Resources free() const { return description.capacity - reserved; }
 
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -125,7 +125,7 @@
     const int count = job.job().spec.steps[static_cast<std::size_t>(step)].count;
     for (; id.index < count; ++id.index) {
         auto *task = job.task(id);
-        if (task == nullptr || task->phase != Task::Phase::Waiting)
+        if (task == nullptr || task->phase != Task::Phase::Waiting || m_leftovers.contains(id))
             continue;
         auto *worker = choose(job, id, *task, now);
         if (worker == nullptr && task->failedOn.empty())
@@ -148,6 +148,8 @@
     std::string checkpoint;
     for (int n = 0; n < spec.count; ++n) {
         const TaskId id{job.job().id, occurrence, step, n};
+        if (m_leftovers.contains(id))
+            break;
         auto &task = run.tasks[static_cast<std::size_t>(n)];
         lastRun = std::max(lastRun, task.lastRun);
         if (!task.checkpoint.empty())
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -89,6 +89,8 @@
 {
     worker.reserved -= run->second.reserved;
     worker.persistentRuns -= static_cast<int>(run->second.persistent);
+    if (run->second.leftover && --m_leftovers[run->first] == 0)
+        m_leftovers.erase(run->first);
     if (auto *owner = find(run->first.job)) {
         if (auto *task = owner->task(run->first);
             task != nullptr && !run->second.checkpoint.empty())
@@ -255,6 +257,8 @@
                             || (owner->step(report.task).speculative && task->workers.size() < 2));
     auto &known = worker.runs[report.task] = std::move(run);
     if (!wanted) {
+        known.leftover = true;
+        ++m_leftovers[report.task];
         stopRun(worker, known, now);
         return;
     }
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -228,7 +228,7 @@
         }
         row.usable = worker->listed && worker->reachable && !worker->description.draining;
         row.draining = worker->description.draining;
-        row.empty = worker->runs.empty() && worker->strays.empty();
+        row.empty = worker->empty();
         row.milliCores = worker->description.capacity.milliCores;
         row.leaving = worker->leaving;
         row.persistent = worker->persistentRuns > 0;
--- a/src/node/workerlinks.cpp
+++ b/src/node/workerlinks.cpp
@@ -196,7 +196,7 @@
     const bool stopping = std::ranges::any_of(worker.runs, [](const auto &it) {
         return it.second.phase == TaskRun::Phase::Stopping;
     });
-    const bool waits = worker.reachable && !worker.runs.empty() && worker.pendingEnds.empty()
+    const bool waits = worker.reachable && worker.busy() && worker.pendingEnds.empty()
                        && worker.time.known() && !stopping;
     link.holding = true;
     ++m_counts.holds;
@@ -242,7 +242,7 @@
         }
         m_scheduler.reported(id, *report, sentAt, now);
         const auto *worker = m_scheduler.worker(id);
-        const bool idle = worker == nullptr || worker->runs.empty();
+        const bool idle = worker == nullptr || !worker->busy();
         const bool unsaved = worker != nullptr
                              && (!worker->pendingEnds.empty()
                                  || std::ranges::any_of(worker->runs, [](const auto &it) {
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -465,6 +465,68 @@
     BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Completed));
 }
 
+// Seen on the own day store-away-twice: the end of the first step was lost with its worker, the run
+// of the second was stopped, and its task started elsewhere before the stop had taken effect.
+BOOST_AUTO_TEST_CASE(TaskWaitsForTheEndOfAnEarlierRunThatIsBeingStopped)
+{
+    SchedulerHarness harness(1000);
+    harness.addJob(job("j", {step(1), step(1, {0})}), true);
+    const TaskId first{"j", 0, 0, 0};
+    const TaskId second{"j", 0, 1, 0};
+    harness.workers["w1"].running[second] = {second, 1, "", 50, {}};
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    const auto actions = harness.decide(true);
+    BOOST_TEST(ordersOf<StopTask>(actions).size() == 1U);
+    BOOST_TEST(ordersOf<StartTask>(actions).size() == 1U);
+    harness.workers["w2"].ended.push_back({1, first, 1001, RunEnd::Done, ""});
+    harness.reportFrom("w2");
+    BOOST_TEST(ordersOf<StartTask>(harness.decide(true)).empty());
+    harness.workers["w1"].end(second, RunEnd::Done);
+    harness.reportFrom("w1");
+    BOOST_TEST(ordersOf<StartTask>(harness.decide(true)).empty());
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(TaskStartsOnceItsEarlierRunHasBeenStopped)
+{
+    SchedulerHarness harness(1000);
+    harness.addJob(job("j", {step(1), step(1, {0})}), true);
+    const TaskId second{"j", 0, 1, 0};
+    harness.workers["w1"].running[second] = {second, 1, "", 50, {}};
+    harness.addWorker("w1");
+    harness.decide();
+    harness.workers["w1"].end({"j", 0, 0, 0}, RunEnd::Done);
+    harness.reportFrom("w1");
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).size() == 1U);
+}
+
+// Seen on the own day store-away-twice: an instance was moved while the store was away, and the
+// ends that had not been saved were lost with its worker.
+BOOST_AUTO_TEST_CASE(WorkerIsNotEmptyBeforeItsEndsAreSaved)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_TEST(!harness.scheduler.worker("w1")->empty());
+    harness.end({"j", 0, 0, 0}, RunEnd::Done);
+    BOOST_TEST(!harness.scheduler.worker("w1")->empty());
+    harness.saveAll();
+    BOOST_TEST(harness.scheduler.worker("w1")->empty());
+}
+
+// Seen on the own day store-away-twice: a worker with nothing but inherited runs was asked every
+// two seconds, as an idle one is.
+BOOST_AUTO_TEST_CASE(WorkerWithInheritedRunsIsBusy)
+{
+    SchedulerHarness harness(1000);
+    harness.addJob(job("j", {step(1), step(1, {0})}), true);
+    harness.workers["w1"].running[{"j", 0, 1, 0}] = {{"j", 0, 1, 0}, 1, "", 50, {}};
+    harness.addWorker("w1");
+    BOOST_TEST(harness.scheduler.worker("w1")->busy());
+}
+
 // Seen in a hunt: an end of a step that was not ready yet was dropped and acknowledged.
 BOOST_AUTO_TEST_CASE(EndOfALaterStepCountsBeforeTheEarlierEndsAreKnown)
 {
