Answer the operators' questions on each node

Adds 'dragonflysill node status|jobs|pools|maintenance|explain' and the read-only views behind it on the metrics address.

--- a/include/dragonflysill/jobs/maintenanceplanner.h
+++ b/include/dragonflysill/jobs/maintenanceplanner.h
@@ -61,6 +61,12 @@
     /** Returns true if all instances of the wave that exist have been maintained. */
     [[nodiscard]] bool completed(std::int64_t wave) const;
 
+    /** Returns what the operators asked for, or nothing for an unknown wave. */
+    [[nodiscard]] const MaintenanceWave *request(std::int64_t wave) const;
+
+    /** Returns when a wave should be complete; the clock's start for an unknown one. */
+    [[nodiscard]] TimePoint deadline(std::int64_t wave) const;
+
     /** Returns the numbers of all waves. */
     [[nodiscard]] std::vector<std::int64_t> waves() const;
 
--- a/include/dragonflysill/node/fleetkeeper.h
+++ b/include/dragonflysill/node/fleetkeeper.h
@@ -59,6 +59,11 @@
     void tick(TimePoint now);
 
     [[nodiscard]] const FleetKeeperCounts &counts() const { return m_counts; }
+    [[nodiscard]] const PoolBalancer &balancer() const { return m_balancer; }
+    [[nodiscard]] const MaintenancePlanner &maintenance() const { return m_maintenance; }
+
+    /** Describes the order under way for an instance; empty if there is none. */
+    [[nodiscard]] std::string orderText(const std::string &instance) const;
 
 private:
     struct Order
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -51,7 +51,8 @@
     void watchStore();
     void finishStop(TimePoint latest);
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] HttpResponse metrics(const HttpRequest &request) const;
+    /** Answers the operators: metrics and the views of showNode(). */
+    [[nodiscard]] HttpResponse show(const HttpRequest &request) const;
 
     EventLoop &m_loop;
     const platform::NodeSettings &m_settings;
@@ -62,7 +63,7 @@
     JobService m_service;
     HttpServer m_front;
     HttpServer m_readiness;
-    HttpServer m_metrics;
+    HttpServer m_operators;
     std::string m_metricsAddress;
     PrefixWatcher m_stateWatcher;
     PrefixWatcher m_operatorWatcher;
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -61,6 +61,14 @@
     [[nodiscard]] const Scheduler &scheduler() const { return m_scheduler; }
     [[nodiscard]] const WorkerLinkCounts &linkCounts() const { return m_links.counts(); }
     [[nodiscard]] const FleetKeeperCounts &fleetCounts() const { return m_fleet.counts(); }
+    [[nodiscard]] const PoolBalancer &balancer() const { return m_fleet.balancer(); }
+    [[nodiscard]] const MaintenancePlanner &maintenance() const { return m_fleet.maintenance(); }
+
+    /** Describes the order under way for an instance; empty if there is none. */
+    [[nodiscard]] std::string instanceOrder(const std::string &instance) const
+    {
+        return m_fleet.orderText(instance);
+    }
 
 private:
     void begin();
--- a/programs/dragonflysill/commands.cpp
+++ b/programs/dragonflysill/commands.cpp
@@ -198,6 +198,16 @@
     return print(m_client.get("/v1/" + list), renders.at(list));
 }
 
+ExitCode Commands::showNode(const std::string &view)
+{
+    return print(m_client.get("/v1/" + view), renderDocument);
+}
+
+ExitCode Commands::explainOnNode(const std::string &kind, const std::string &name)
+{
+    return print(m_client.get("/v1/explain/" + kind + "/" + encoded(name)), renderDocument);
+}
+
 ExitCode Commands::showStatus()
 {
     ControlAnswer answer = m_client.get("/v1/status");
--- a/programs/dragonflysill/commands.h
+++ b/programs/dragonflysill/commands.h
@@ -36,6 +36,12 @@
 
     ExitCode showStatus();
 
+    /** Shows one of a node's views: status, jobs, pools or maintenance. */
+    ExitCode showNode(const std::string &view);
+
+    /** Explains a job or an instance as the scheduling node sees it. */
+    ExitCode explainOnNode(const std::string &kind, const std::string &name);
+
     /** Merges the timelines of all processes that the control processes know. */
     ExitCode showTimeline(TimelineFormat format);
 
--- a/programs/dragonflysill/main.cpp
+++ b/programs/dragonflysill/main.cpp
@@ -27,6 +27,8 @@
 struct CommandLine
 {
     std::string control = "127.0.0.1:20000";
+    std::string nodes = "127.0.0.1:9464";
+    bool asksNodes = false; ///< The command is one of the group "node".
     bool json = false;
     bool chrome = false;
     std::string file;
@@ -110,6 +112,32 @@
     timeline->add_flag("--chrome", line.chrome, "Print the Chrome trace-event format");
 }
 
+void addNodeCommands(CLI::App &app, CommandLine &line)
+{
+    CLI::App *node = app.add_subcommand("node", "Ask the nodes of a deployment");
+    node->fallthrough();
+    node->require_subcommand(1);
+    node->parse_complete_callback([&line] { line.asksNodes = true; });
+    const std::pair<const char *, const char *> views[]
+            = {{"status", "Show a node's state and which node schedules"},
+               {"jobs", "Show the jobs that have not ended"},
+               {"pools", "Show the load and the instances of each pool"},
+               {"maintenance", "Show the progress of maintenance waves"}};
+    for (const auto &it : views) {
+        const std::string view = it.first;
+        addCommand(*node, line, view, it.second,
+                   [view](Commands &commands) { return commands.showNode(view); });
+    }
+    CLI::App *explain = addCommand(
+            *node, line, "explain", "Explain where a job or an instance is and why",
+            [&line](Commands &commands) { return commands.explainOnNode(line.kind, line.name); });
+    explain->add_option("kind", line.kind, "job or instance")
+            ->required()
+            ->check(CLI::IsMember({"job", "instance"}));
+    explain->add_option("name", line.name, "Id of the job, or name of the instance or worker")
+            ->required();
+}
+
 int run(int argc, char **argv)
 {
     CommandLine line;
@@ -118,17 +146,23 @@
                  "Operators' addresses of control processes, tried in this order "
                  "(IP:PORT, separated by commas)")
             ->join(',');
+    settings.add("nodes", line.nodes,
+                 "Metrics addresses of nodes for the group \"node\", tried in this order until the "
+                 "one that schedules has answered (IP:PORT, separated by commas)")
+            ->join(',');
     settings.app().add_flag("--json", line.json, "Print JSON");
     settings.app().footer(footer);
     addTicketCommands(settings.app(), line);
     addStateCommands(settings.app(), line);
+    addNodeCommands(settings.app(), line);
     if (const auto code = settings.parse(argc, argv))
         return *code == 0 ? ExitOk : ExitUsage;
     if (!line.command) {
         std::cerr << settings.app().help();
         return ExitUsage;
     }
-    const auto endpoints = ControlClient::parseEndpoints(line.control);
+    const auto endpoints
+            = ControlClient::parseEndpoints(line.asksNodes ? line.nodes : line.control);
     if (!endpoints) {
         std::cerr << endpoints.error().text() << "\n";
         return ExitUsage;
--- a/programs/dragonflysill/render.cpp
+++ b/programs/dragonflysill/render.cpp
@@ -418,6 +418,31 @@
     return text + unreachableLine(document);
 }
 
+std::string renderDocument(const nlohmann::json &document)
+{
+    std::string scalars;
+    std::string tables;
+    for (const auto &[name, value] : document.items()) {
+        if (!value.is_array()) {
+            scalars += name + ": " + scalarText(value) + "\n";
+            continue;
+        }
+        Rows rows;
+        for (const auto &row : value) {
+            if (rows.empty()) {
+                auto &heading = rows.emplace_back();
+                for (const auto &[column, cell] : row.items())
+                    heading.push_back(column);
+            }
+            auto &cells = rows.emplace_back();
+            for (const auto &[column, cell] : row.items())
+                cells.push_back(scalarText(cell));
+        }
+        tables += name + (rows.empty() ? ": none\n" : ":\n" + renderTable(rows));
+    }
+    return scalars + tables;
+}
+
 std::string renderError(const nlohmann::json &document)
 {
     const auto &error = member(document, "error");
--- a/programs/dragonflysill/render.h
+++ b/programs/dragonflysill/render.h
@@ -29,6 +29,9 @@
 std::string renderStatus(const nlohmann::json &document);
 std::string renderExplanation(const nlohmann::json &document);
 
+/** Returns the scalars of a document line by line, and its lists of flat rows as tables. */
+std::string renderDocument(const nlohmann::json &document);
+
 /** Returns the error of an answer with all problems and conflicts. */
 std::string renderError(const nlohmann::json &document);
 
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -58,6 +58,18 @@
     return it != m_waves.end() && it->second.completed;
 }
 
+const MaintenanceWave *MaintenancePlanner::request(std::int64_t wave) const
+{
+    const auto it = m_waves.find(wave);
+    return it == m_waves.end() ? nullptr : &it->second.request;
+}
+
+TimePoint MaintenancePlanner::deadline(std::int64_t wave) const
+{
+    const auto it = m_waves.find(wave);
+    return it == m_waves.end() ? TimePoint{} : it->second.deadline;
+}
+
 std::vector<std::int64_t> MaintenancePlanner::waves() const
 {
     std::vector<std::int64_t> numbers;
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -262,6 +262,17 @@
                   [this](const auto &it) { return m_scheduler.worker(it.first) == nullptr; });
 }
 
+std::string FleetKeeper::orderText(const std::string &instance) const
+{
+    const auto it = m_orders.find(instance);
+    if (it == m_orders.end())
+        return {};
+    const std::string what = it->second.wave == 0
+                                     ? "move to " + it->second.targetPool
+                                     : "maintenance in wave " + std::to_string(it->second.wave);
+    return what + (it->second.answered ? ", accepted" : ", not answered yet");
+}
+
 FleetKeeper::Order &FleetKeeper::begin(const std::string &instance, const FleetView &fleet,
                                        TimePoint now)
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/base/hash.h"
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/nodemetrics.h"
+#include "dragonflysill/node/nodeviews.h"
 #include "dragonflysill/telemetry/log.h"
 #include "ingress.h"
 #include "jobformat.h"
@@ -69,8 +70,8 @@
                       else
                           respond({ready() ? 200 : 503, {}, {}});
                   })
-    , m_metrics(loop, [this](const HttpRequest &request,
-                             const HttpServer::Respond &respond) { respond(metrics(request)); })
+    , m_operators(loop, [this](const HttpRequest &request,
+                               const HttpServer::Respond &respond) { respond(show(request)); })
     , m_metricsAddress(std::move(metricsAddress))
     , m_stateWatcher(loop, m_store, std::string(nodekeys::root), internal::followerWatchPause,
                      {[this](std::span<const KeyValue> items, std::int64_t asOf) {
@@ -113,7 +114,7 @@
     if (auto opened = m_readiness.listen(m_settings.readyAddress); !opened)
         return opened;
     if (!m_metricsAddress.empty()) {
-        if (auto opened = m_metrics.listen(m_metricsAddress); !opened)
+        if (auto opened = m_operators.listen(m_metricsAddress); !opened)
             return opened;
     }
     m_stateWatcher.start();
@@ -146,10 +147,12 @@
     return !m_stopping && m_storeReachable && m_replica.loaded() && m_service.configuration();
 }
 
-HttpResponse Node::metrics(const HttpRequest &request) const
+HttpResponse Node::show(const HttpRequest &request) const
 {
     if (request.method != "GET" || request.target != "/metrics")
-        return {404, {}, {}};
+        return showNode({m_settings.name, m_settings.zone, ready(), m_storeReachable, m_service,
+                         m_replica, m_owner.get(), EventLoop::now()},
+                        request);
     const auto &configuration = m_service.configuration();
     return {200,
             renderMetrics({m_service.counts(), m_service.handInSeconds(), m_owner.get(), ready(),
--- /dev/null
+++ b/src/node/nodeviews.cpp
@@ -0,0 +1,291 @@
+#include "dragonflysill/node/nodeviews.h"
+
+#include "dragonflysill/jobs/jobcodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace dragonflysill {
+
+namespace internal {
+
+using Json = nlohmann::json;
+using namespace std::chrono_literals;
+
+/** Jobs that one answer lists at most. */
+constexpr std::size_t mostJobs = 1000;
+
+HttpResponse answer(const Json &json, int status = 200)
+{
+    return {status,
+            json.dump(-1, ' ', false, Json::error_handler_t::replace),
+            {{"Content-Type", "application/json"}}};
+}
+
+HttpResponse failure(int status, ErrorKind kind, const std::string &detail)
+{
+    const Error error(kind, detail);
+    return answer({{"error", {{"kind", errorName(error.code)}, {"message", error.text()}}}},
+                  status);
+}
+
+HttpResponse notTheOwner(const NodeViewSource &source)
+{
+    const auto &owner = source.replica.owner();
+    return failure(409, ErrorKind::LeaseLost,
+                   owner.revision == 0 ? "no node schedules now"
+                                       : "node " + owner.node + " schedules; ask it");
+}
+
+std::string_view phaseName(TaskRun::Phase phase)
+{
+    switch (phase) {
+    case TaskRun::Phase::Starting:
+        return "starting";
+    case TaskRun::Phase::Unconfirmed:
+        return "unconfirmed";
+    case TaskRun::Phase::Running:
+        return "running";
+    case TaskRun::Phase::Stopping:
+        return "stopping";
+    }
+    return "unknown";
+}
+
+/** Tells in one word what a worker is good for now. */
+std::string_view workerState(const WorkerState &worker, TimePoint now)
+{
+    if (worker.retired)
+        return "gone";
+    if (!worker.reachable)
+        return "unreachable";
+    if (worker.description.draining)
+        return "draining";
+    if (worker.leaving)
+        return "leaving";
+    if (worker.health.quarantined(now))
+        return "quarantined";
+    return worker.listed ? "up" : "unlisted";
+}
+
+Json taskName(const TaskId &task)
+{
+    return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
+           + std::to_string(task.index);
+}
+
+HttpResponse status(const NodeViewSource &source)
+{
+    const auto &configuration = source.service.configuration();
+    const auto &counts = source.service.counts();
+    return answer({{"node", source.node},
+                   {"zone", source.zone},
+                   {"ready", source.ready},
+                   {"store_reachable", source.storeReachable},
+                   {"state_revision", source.replica.asOf()},
+                   {"configuration_version", configuration ? configuration->version : 0},
+                   {"owner", source.replica.owner().node},
+                   {"owner_fence", source.replica.owner().revision},
+                   {"owns_schedule", source.owner != nullptr},
+                   {"jobs_known", source.replica.jobs().size()},
+                   {"jobs_accepted", counts.accepted},
+                   {"jobs_rejected", counts.rejected},
+                   {"jobs_unknown", counts.unknown}});
+}
+
+HttpResponse jobs(const NodeViewSource &source)
+{
+    Json rows = Json::array();
+    bool more = false;
+    for (const auto &[id, job] : source.replica.jobs()) {
+        const auto state = source.replica.status(id);
+        if (!state || isFinal(*state))
+            continue;
+        more = rows.size() == mostJobs;
+        if (more)
+            break;
+        rows.push_back({{"job", id},
+                        {"queue", job.queue},
+                        {"state", statusName(*state)},
+                        {"accepted_revision", job.acceptedRevision}});
+    }
+    return answer({{"jobs", std::move(rows)}, {"more", more}});
+}
+
+HttpResponse pools(const NodeViewSource &source)
+{
+    if (source.owner == nullptr || !source.service.configuration())
+        return notTheOwner(source);
+    const auto &scheduler = source.owner->scheduler();
+    const auto &balancer = source.owner->balancer();
+    std::map<std::string, int> workers;
+    std::map<std::string, std::size_t> runs;
+    for (const auto &[id, worker] : scheduler.workers()) {
+        if (worker.retired || !worker.listed)
+            continue;
+        ++workers[worker.description.pool];
+        runs[worker.description.pool] += worker.runs.size();
+    }
+    Json rows = Json::array();
+    for (const auto &it : source.service.configuration()->pools) {
+        const auto load = scheduler.load(it.name);
+        rows.push_back({{"pool", it.name},
+                        {"standby", it.standby},
+                        {"workers", workers[it.name]},
+                        {"needed", balancer.needed(it.name)},
+                        {"present", balancer.present(it.name)},
+                        {"runs", runs[it.name]},
+                        {"running_cores", static_cast<double>(load.runningCpu) / 1000},
+                        {"waiting_cores", static_cast<double>(load.waitingCpu) / 1000}});
+    }
+    const auto &counts = source.owner->fleetCounts();
+    return answer({{"pools", std::move(rows)},
+                   {"moves", counts.moves},
+                   {"orders_refused", counts.ordersRefused},
+                   {"orders_unanswered", counts.ordersUnanswered}});
+}
+
+HttpResponse maintenance(const NodeViewSource &source)
+{
+    if (source.owner == nullptr)
+        return notTheOwner(source);
+    const auto &planner = source.owner->maintenance();
+    Json rows = Json::array();
+    for (const auto number : planner.waves()) {
+        const auto *wave = planner.request(number);
+        rows.push_back(
+                {{"wave", number},
+                 {"state", planner.completed(number) ? "completed" : "running"},
+                 {"instances", wave->instances.size()},
+                 {"maintained", planner.done(number).size()},
+                 {"ceiling", wave->ceiling},
+                 {"left_s",
+                  std::chrono::duration<double>(planner.deadline(number) - source.now).count()}});
+    }
+    return answer({{"waves", std::move(rows)}});
+}
+
+/** Says why a job is where it is, for operators. */
+std::string reason(const JobRun &job, int running)
+{
+    if (job.final())
+        return "it has ended";
+    if (job.waitingTasks() == 0 && running == 0)
+        return job.nextDueMs() != 0 ? "its next occurrence is not due yet"
+                                    : "the ends of its last tasks are being saved";
+    if (job.waitingTasks() == 0)
+        return "all tasks whose turn has come are on workers";
+    return "tasks wait for room on the workers of the pool";
+}
+
+void explainRuns(const NodeViewSource &source, std::string_view id, Json &json)
+{
+    const auto *job = source.owner->scheduler().job(id);
+    if (job == nullptr)
+        return;
+    Json runs = Json::array();
+    for (const auto &[name, worker] : source.owner->scheduler().workers()) {
+        for (const auto &[task, run] : worker.runs) {
+            if (task.job != id)
+                continue;
+            runs.push_back({{"task", taskName(task)},
+                            {"run", run.run},
+                            {"worker", name},
+                            {"phase", phaseName(run.phase)},
+                            {"percent", run.percent},
+                            {"worker_state", workerState(worker, source.now)}});
+        }
+    }
+    json["waiting_tasks"] = job->waitingTasks();
+    json["age_s"] = std::chrono::duration<double>(source.now - job->accepted).count();
+    json["to_objective_s"] = std::chrono::duration<double>(job->objective - source.now).count();
+    json["inherited"] = job->inherited;
+    json["reason"] = reason(*job, static_cast<int>(runs.size()));
+    json["runs"] = std::move(runs);
+}
+
+HttpResponse explainJob(const NodeViewSource &source, const std::string &id)
+{
+    const auto *job = source.replica.job(id);
+    if (job == nullptr)
+        return failure(404, ErrorKind::NotFound, "job " + id);
+    const bool ownerKnows = source.owner == nullptr && source.replica.owner().revision != 0;
+    if (ownerKnows && !isFinal(*source.replica.status(id)))
+        return notTheOwner(source);
+    Json json{{"job", id},
+              {"queue", job->queue},
+              {"state", statusName(*source.replica.status(id))},
+              {"accepted_revision", job->acceptedRevision},
+              {"progress_revision", job->progressRevision},
+              {"cancelled", job->cancelled},
+              {"owner", source.replica.owner().node}};
+    if (const auto progress = decodeProgress(job->progress)) {
+        std::size_t done = 0;
+        for (const auto &[step, tasks] : progress->done)
+            done += tasks.size();
+        std::size_t failures = 0;
+        for (const auto &[task, runs] : progress->failures)
+            failures += runs.size();
+        json["saved_steps_done"] = progress->stepsDone.size();
+        json["saved_tasks_done_in_open_steps"] = done;
+        json["saved_failed_runs"] = failures;
+    }
+    if (source.owner != nullptr)
+        explainRuns(source, id, json);
+    return answer(json);
+}
+
+HttpResponse explainInstance(const NodeViewSource &source, const std::string &name)
+{
+    if (source.owner == nullptr)
+        return notTheOwner(source);
+    Json rows = Json::array();
+    for (const auto &[id, worker] : source.owner->scheduler().workers()) {
+        if (worker.description.instance != name && id != name)
+            continue;
+        rows.push_back(
+                {{"worker", id},
+                 {"instance", worker.description.instance},
+                 {"pool", worker.description.pool},
+                 {"zone", worker.description.zone},
+                 {"address", worker.description.address},
+                 {"state", workerState(worker, source.now)},
+                 {"runs", worker.runs.size()},
+                 {"free_cores", static_cast<double>(worker.free().milliCores) / 1000},
+                 {"held_s", std::chrono::duration<double>(worker.heldUntil - source.now).count()},
+                 {"unsaved_ends", worker.pendingEnds.size()}});
+    }
+    const auto order = source.owner->instanceOrder(name);
+    if (rows.empty() && order.empty())
+        return failure(404, ErrorKind::NotFound, "instance " + name);
+    return answer({{"instance", name}, {"order", order}, {"workers", std::move(rows)}});
+}
+
+} // namespace internal
+
+HttpResponse showNode(const NodeViewSource &source, const HttpRequest &request)
+{
+    constexpr std::string_view jobPrefix = "/v1/explain/job/";
+    constexpr std::string_view instancePrefix = "/v1/explain/instance/";
+    if (request.method != "GET")
+        return {405, {}, {}};
+    const std::string_view target = request.target;
+    if (target == "/v1/status")
+        return internal::status(source);
+    if (target == "/v1/jobs")
+        return internal::jobs(source);
+    if (target == "/v1/pools")
+        return internal::pools(source);
+    if (target == "/v1/maintenance")
+        return internal::maintenance(source);
+    if (target.starts_with(jobPrefix))
+        return internal::explainJob(source, std::string(target.substr(jobPrefix.size())));
+    if (target.starts_with(instancePrefix))
+        return internal::explainInstance(source, std::string(target.substr(instancePrefix.size())));
+    return internal::failure(404, ErrorKind::NotFound, std::string(target));
+}
+
+} // namespace dragonflysill
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -4,6 +4,7 @@
 #include "dragonflysill/node/batchwriter.h"
 #include "dragonflysill/node/jobservice.h"
 #include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/nodeviews.h"
 #include "dragonflysill/node/observedstore.h"
 #include "dragonflysill/node/ownership.h"
 #include "dragonflysill/node/prefixwatcher.h"
@@ -164,6 +165,51 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(Views)
+
+std::string view(Service &service, const std::string &target)
+{
+    const NodeViewSource source{"node-1",        "zone",          true,    true,
+                                service.service, service.replica, nullptr, {}};
+    const auto answer = showNode(source, {"GET", target, {}, {}});
+    return std::to_string(answer.status) + ' ' + answer.body;
+}
+
+BOOST_AUTO_TEST_CASE(JobIsExplainedFromWhatIsStored)
+{
+    Service service;
+    service.call("POST", "/q/" + jobId, jobBody);
+    const auto text = view(service, "/v1/explain/job/" + jobId);
+    BOOST_TEST(text.starts_with("200 "));
+    BOOST_TEST(text.find(R"("state":"queued")") != std::string::npos);
+    BOOST_TEST(text.find(R"("queue":"queue")") != std::string::npos);
+    BOOST_TEST(view(service, "/v1/jobs").find(jobId) != std::string::npos);
+    BOOST_TEST(view(service, "/v1/explain/job/none").starts_with("404 "));
+}
+
+// Operators have to learn which node to ask.
+BOOST_AUTO_TEST_CASE(QuestionForTheSchedulingNodeNamesIt)
+{
+    Service service;
+    service.replica.applyOwn(std::string(nodekeys::owner), "node-2", 9);
+    for (const std::string target : {"/v1/pools", "/v1/maintenance", "/v1/explain/instance/m-1"}) {
+        const auto text = view(service, target);
+        BOOST_TEST(text.starts_with("409 "));
+        BOOST_TEST(text.find("node-2") != std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(UnknownTargetsAndMethodsAreRefused)
+{
+    Service service;
+    BOOST_TEST(view(service, "/v1/secrets").starts_with("404 "));
+    const NodeViewSource source{"node-1",        "zone",          true,    true,
+                                service.service, service.replica, nullptr, {}};
+    BOOST_TEST(showNode(source, {"POST", "/v1/status", {}, {}}).status == 405);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Writing)
 
 BOOST_AUTO_TEST_CASE(WritesThatArriveTogetherShareATransaction)
