Split the workers' record off the schedule owner; end lists with their reader

MachineCalls read on with a destroyed object if the ownership ended between two pages of the list of instances (more than one page needs 200 of them); it now stops there (ListEndsWithTheObjectThatReadsIt). Unreadable records and failed lists are logged.

--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -4,9 +4,9 @@
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/node/fleetkeeper.h"
-#include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/statereplica.h"
 #include "dragonflysill/node/workerlinks.h"
+#include "dragonflysill/node/workerregistry.h"
 #include "dragonflysill/store/asyncstore.h"
 
 #include <functional>
@@ -73,15 +73,6 @@
 private:
     void begin();
     void addJob(const std::string &id, const ReplicatedJob &job, bool inherited);
-    void resetWorkers(std::span<const KeyValue> items);
-    void changeWorkers(std::span<const KeyUpdate> updates);
-    void describe(const std::string &id, const std::string &bytes);
-    void unlist(const std::string &id);
-    void recordWorkers();
-    void workersRecorded(const ConditionalWrite &write,
-                         const std::map<std::string, std::string> &ids,
-                         const std::set<std::string> &pools, const Result<WriteOutcome> &outcome);
-    void expectRecorded();
     void tick();
     void decideSoon();
     void decide();
@@ -96,18 +87,13 @@
     Scheduler m_scheduler;
     WorkerLinks m_links;
     FleetKeeper m_fleet;
-    PrefixWatcher m_workerWatcher;
+    WorkerRegistry m_workers;
     bool m_begun = false;
     bool m_decisionDue = false;
     bool m_saving = false;
     TimePoint m_savedAt{};
     TimePoint m_fleetAt{};
     std::vector<MaintenanceWave> m_waves; ///< Until the replica is complete.
-    std::unordered_map<std::string, WorkerDescription> m_listed; ///< Workers in the store.
-    std::map<std::string, std::string> m_recorded; ///< Pools in the durable record by worker.
-    TimePoint m_recordedAt{};
-    std::map<std::string, std::int64_t> m_recordRevisions; ///< Of the record by pool.
-    bool m_recording = false;
     std::unordered_map<std::string, TimePoint> m_finalSince; ///< Ended jobs, and since when.
     TimePoint m_removedAt{};
     bool m_removing = false;
--- a/src/node/fleetkeeper.cpp
+++ b/src/node/fleetkeeper.cpp
@@ -143,8 +143,10 @@
 void FleetKeeper::listed(const Result<std::vector<FleetInstance>> &instances, TimePoint sentAt)
 {
     m_listing = false;
-    if (!instances)
+    if (!instances) {
+        logWarning("instances-not-listed", {{"error", instances.error().text()}});
         return;
+    }
     m_listedOnce = true;
     m_instances.clear();
     for (const auto &it : *instances)
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -3,11 +3,8 @@
 #include "dragonflysill/base/time.h"
 #include "dragonflysill/jobs/jobcodec.h"
 #include "dragonflysill/node/nodekeys.h"
-#include "dragonflysill/node/workerrecord.h"
 #include "dragonflysill/telemetry/log.h"
-#include "names.h"
 #include "nodesettings.h"
-#include "workerformat.h"
 
 #include <algorithm>
 #include <utility>
@@ -26,8 +23,6 @@
 constexpr Duration fleetTick = 100ms;
 /** Events gather this long before a decision. */
 constexpr Duration decisionDelay = 3ms;
-/** Changes of workers gather this long between two waits; draining must be seen within 2 s. */
-constexpr Duration workerWatchPause = 200ms;
 /** Least time between two writes of progress, unless a job has ended. */
 constexpr Duration saveSpacing = 60ms;
 /** The store takes 32 entries a transaction: the owner's condition, and two for each job. */
@@ -36,8 +31,6 @@
 constexpr std::size_t removalsPerWrite = 9;
 /** Run numbers that one owner may use for a task. */
 constexpr int runsPerOwner = 1000;
-/** Least time between two writes that only remove workers from their record. */
-constexpr Duration recordSpacing = 1000ms;
 /** Time between two removals of ended jobs. */
 constexpr Duration removalSpacing = 2000ms;
 /** Ended jobs are kept this much longer than callers may ask for them. */
@@ -63,12 +56,7 @@
     , m_fleet(m_context, m_scheduler, fence,
               generation == 0 ? EventLoop::now()
                               : EventLoop::now() + m_context.settings.machineHolderPause)
-    , m_workerWatcher(
-              m_context.loop, m_context.store, platform::prefixWorkers, internal::workerWatchPause,
-              {[this](std::span<const KeyValue> items, std::int64_t) { resetWorkers(items); },
-               [this](std::span<const KeyUpdate> updates, std::int64_t) {
-                   changeWorkers(updates);
-               }})
+    , m_workers(m_context, m_scheduler, fence, [this] { decideSoon(); })
 {
     begin();
 }
@@ -90,11 +78,10 @@
     }
     for (const auto &[id, job] : m_context.replica.jobs())
         addJob(id, job, true);
-    expectRecorded();
     m_begun = true;
     for (const auto &it : std::exchange(m_waves, {}))
         m_fleet.addWave(it);
-    m_workerWatcher.start();
+    m_workers.start();
     tick();
 }
 
@@ -153,163 +140,6 @@
         m_waves.push_back(wave);
 }
 
-void ScheduleOwner::expectRecorded()
-{
-    const auto now = EventLoop::now();
-    for (const auto &item : m_context.replica.others(nodekeys::workers)) {
-        const std::string pool(nodekeys::nameIn(nodekeys::workers, item.key));
-        m_recordRevisions[pool] = item.modRevision;
-        const auto workers = decodeWorkerRecord(pool, item.value);
-        if (!workers)
-            continue;
-        for (const auto &it : *workers) {
-            m_recorded[it.id] = pool;
-            m_scheduler.expectWorker(it, now);
-        }
-    }
-}
-
-void ScheduleOwner::resetWorkers(std::span<const KeyValue> items)
-{
-    std::set<std::string> present;
-    for (const auto &it : items) {
-        const std::string id(nodekeys::nameIn(platform::prefixWorkers, it.key));
-        present.insert(id);
-        describe(id, it.value);
-    }
-    std::vector<std::string> gone;
-    for (const auto &[id, description] : m_listed) {
-        if (!present.contains(id))
-            gone.push_back(id);
-    }
-    for (const auto &id : gone)
-        unlist(id);
-    recordWorkers();
-    decideSoon();
-}
-
-void ScheduleOwner::changeWorkers(std::span<const KeyUpdate> updates)
-{
-    for (const auto &it : updates) {
-        const std::string id(nodekeys::nameIn(platform::prefixWorkers, it.key));
-        if (it.deleted)
-            unlist(id);
-        else
-            describe(id, it.value);
-    }
-    recordWorkers();
-    decideSoon();
-}
-
-void ScheduleOwner::describe(const std::string &id, const std::string &bytes)
-{
-    const auto description = platform::decodeWorker(id, bytes);
-    if (!description) {
-        // The entry of another writer names no worker to use.
-        unlist(id);
-        return;
-    }
-    m_listed[id] = *description;
-    if (m_recorded.contains(id))
-        m_scheduler.describeWorker(*description, EventLoop::now());
-}
-
-void ScheduleOwner::unlist(const std::string &id)
-{
-    if (m_listed.erase(id) > 0)
-        m_scheduler.unlistWorker(id, EventLoop::now());
-}
-
-void ScheduleOwner::recordWorkers()
-{
-    if (m_recording)
-        return;
-    const auto now = EventLoop::now();
-    std::map<std::string, std::vector<WorkerDescription>> pools;
-    std::set<std::string> changed;
-    std::set<std::string> kept;
-    const auto keep = [&](const WorkerDescription &it) {
-        if (kept.insert(it.id).second)
-            pools[it.pool].push_back(it);
-    };
-    for (const auto &[id, description] : m_listed) {
-        const auto *worker = m_scheduler.worker(id);
-        if (worker != nullptr && worker->retired)
-            continue;
-        keep(description);
-        if (!m_recorded.contains(id))
-            changed.insert(description.pool);
-    }
-    // Unlisted workers that may still hold runs stay in the record.
-    for (const auto &[id, worker] : m_scheduler.workers()) {
-        if (!worker.retired)
-            keep(worker.description);
-    }
-    if (changed.empty() && now - m_recordedAt >= internal::recordSpacing) {
-        for (const auto &[id, pool] : m_recorded) {
-            if (!kept.contains(id))
-                changed.insert(pool);
-        }
-    }
-    if (changed.empty())
-        return;
-    m_recordedAt = now;
-    ConditionalWrite write;
-    write.expected.push_back({std::string(nodekeys::owner), m_fence});
-    std::map<std::string, std::string> ids;
-    std::set<std::string> written;
-    for (const auto &pool : changed) {
-        if (write.writes.size() >= internal::updatesPerWrite)
-            break;
-        const auto key = nodekeys::key(nodekeys::workers, pool);
-        write.expected.push_back({key, m_recordRevisions[pool]});
-        write.writes.push_back({key, encodeWorkerRecord(pools[pool]), 0});
-        written.insert(pool);
-        for (const auto &it : pools[pool])
-            ids[it.id] = pool;
-    }
-    m_recording = true;
-    m_context.store.write(write, [this, alive = m_alive, write, ids,
-                                  written](const Result<WriteOutcome> &outcome) {
-        if (*alive)
-            workersRecorded(write, ids, written, outcome);
-    });
-}
-
-void ScheduleOwner::workersRecorded(const ConditionalWrite &write,
-                                    const std::map<std::string, std::string> &ids,
-                                    const std::set<std::string> &pools,
-                                    const Result<WriteOutcome> &outcome)
-{
-    m_recording = false;
-    const bool applied = outcome && outcome->applied;
-    if (outcome && !outcome->applied) {
-        for (const auto &it : outcome->current) {
-            if (it.key.starts_with(nodekeys::workers))
-                m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::workers, it.key))]
-                        = it.modRevision;
-        }
-    }
-    if (!applied) {
-        m_context.loop.after(internal::saveSpacing, [this, alive = m_alive] {
-            if (*alive)
-                recordWorkers();
-        });
-        return;
-    }
-    for (const auto &it : write.writes)
-        m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::workers, it.key))]
-                = outcome->revision;
-    std::erase_if(m_recorded, [&](const auto &it) { return pools.contains(it.second); });
-    for (const auto &[id, pool] : ids) {
-        m_recorded[id] = pool;
-        if (const auto it = m_listed.find(id); it != m_listed.end())
-            m_scheduler.describeWorker(it->second, EventLoop::now());
-    }
-    recordWorkers();
-    decideSoon();
-}
-
 void ScheduleOwner::tick()
 {
     decide();
@@ -349,7 +179,7 @@
     if (now - m_fleetAt >= internal::fleetTick) {
         m_fleetAt = now;
         m_fleet.tick(now);
-        recordWorkers();
+        m_workers.record();
         removeOldJobs();
     }
     for (const auto &action : m_scheduler.decide(now, unixMilliseconds()))
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -2,15 +2,20 @@
 #include "ingress.h"
 #include "jobformat.h"
 #include "kvstore.h"
+#include "machinecalls.h"
 #include "machineformat.h"
 #include "nodesettings.h"
 #include "workerformat.h"
 
 #include "dragonflysill/base/random.h"
+#include "dragonflysill/net/httpserver.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <unistd.h>
+
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -278,4 +283,26 @@
     }
 }
 
+// The list was read on by an object that the end of an ownership had destroyed.
+BOOST_AUTO_TEST_CASE(ListEndsWithTheObjectThatReadsIt)
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    const std::string address = "127.0.0.1:" + std::to_string(20000 + ::getpid() % 10000);
+    auto calls = std::make_unique<MachineCalls>(client, address, OrderAuthority{"node", 1});
+    int pages = 0;
+    HttpServer server(loop, [&](const HttpRequest &, const HttpServer::Respond &respond) {
+        ++pages;
+        calls.reset();
+        loop.after(20ms, [&loop] { loop.stop(); });
+        respond({200, R"({"machines":[],"nextToken":"more"})", {}});
+    });
+    BOOST_REQUIRE(server.listen(address).ok());
+    bool called = false;
+    calls->list(1s, [&](const Result<std::vector<FleetInstance>> &) { called = true; });
+    loop.run();
+    BOOST_TEST(pages == 1);
+    BOOST_TEST(!called);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
