Play each deployment in the demo; end connections with their server

The first play ended with the stand-in's segmentation fault: a connection that outlived its HttpServer handed a request to a freed handler (RequestsAfterTheEndOfAServerAreNotHandled failed before).

--- a/scripts/fleetday.sh
+++ b/scripts/fleetday.sh
@@ -2,7 +2,7 @@
 # Runs the node's whole path on loopback beside a stand-in of the users' platform: jobs, a maintenance
 # wave, the operators' questions, and the end of the scheduling node in the middle. Exits 1 if a job is
 # lost, a task runs twice or a question gets no answer.
-# Usage: scripts/fleetday.sh [JOBS]
+# Usage: scripts/fleetday.sh [JOBS [tubo-sul|petal-cluster]]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -x build/bin/fleet-standin ] && [ -x build/bin/dragonflysill ] || scripts/build.sh >/dev/null
@@ -10,6 +10,7 @@
 bin=build/bin
 first_port=${DRAGONFLYSILL_PORT_BASE:-23000}
 "$bin/fleet-standin" --first-port "$first_port" --jobs "${1:-300}" \
+    --deployment "${2:-tubo-sul}" \
     --settings-folder "$run_dir" >"$run_dir/standin.log" 2>&1 &
 standin=$!
 nodes=
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -99,6 +99,12 @@
     void handle()
     {
         m_stream.expires_never();
+        if (m_listener->closed) {
+            // What the handler works with may be gone.
+            beast::error_code ignored;
+            m_stream.socket().close(ignored);
+            return;
+        }
         auto message = m_parser->release();
         m_keepAlive = message.keep_alive();
         HttpRequest request;
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -93,6 +94,25 @@
     BOOST_TEST(answer->error().is(ErrorKind::Unreachable));
 }
 
+// Seen in the demo: a connection outlived its server and handed a request to what had been freed.
+BOOST_AUTO_TEST_CASE(RequestsAfterTheEndOfAServerAreNotHandled)
+{
+    Echo echo;
+    HttpClient client(echo.loop);
+    const auto address = freeAddress();
+    int handled = 0;
+    auto server = std::make_unique<HttpServer>(
+            echo.loop, [&handled](const HttpRequest &, const HttpServer::Respond &respond) {
+                ++handled;
+                respond({200, {}, {}});
+            });
+    BOOST_REQUIRE(server->listen(address).ok());
+    BOOST_REQUIRE(echo.call(client, {"GET", "/", "", {}}, address)->ok());
+    server.reset();
+    BOOST_TEST(!echo.call(client, {"GET", "/", "", {}}, address)->ok());
+    BOOST_TEST(handled == 1);
+}
+
 // A request that was sent may have been carried out.
 BOOST_AUTO_TEST_CASE(MissingAnswerIsUnknown)
 {
