--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,7 @@
     std::string checkpoint; ///< To resume from; empty for none.
     std::vector<std::string> workers; ///< Workers that hold a run of it.
     std::set<std::string> failedOn; ///< Workers on which a run of it failed.
+    TimePoint failedAt{}; ///< When a run of it last failed.
     TimePoint waitingSince{};
 };
 
@@ -35,6 +37,8 @@
     int waiting = 0; ///< Tasks in phase Waiting.
     int done = 0;
     bool ready = false; ///< The steps it depends on have completed.
+    Duration fastest{0}; ///< Shortest run time of its tasks, as seen or projected; 0 for none.
+    std::string fastestOn; ///< The worker of that run.
 };
 
 /** One occurrence of a job that is due. */
@@ -85,6 +89,13 @@
     /** Returns the task, or nothing if its step is not ready or the id is out of range. */
     [[nodiscard]] Task *task(const TaskId &id);
 
+    /**
+     * Compares a run's time with those of the step's other tasks, which are of the same size.
+     * @param took its run time, or the one that its progress points to
+     * @return the ratio to the fastest on another worker; nothing if there is none
+     */
+    std::optional<double> comparePace(const TaskId &id, const std::string &worker, Duration took);
+
     /** Marks a task as active on a worker. */
     void activate(const TaskId &id, const std::string &worker);
 
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -204,6 +204,11 @@
     void keepCheckpoint(JobRun &job, const EndReport &end, TaskRun *run);
     void applyEnd(WorkerState &worker, const EndReport &end, TimePoint now);
     void applyDone(WorkerState &worker, const EndReport &end, const TaskRun *run, TimePoint now);
+    /** Learns from a completed run how long the queue's tasks take and how fast the worker is. */
+    void observeRun(WorkerState &worker, const TaskRun &run, TimePoint now);
+    /** Learns from a run's progress how fast the worker is. */
+    void observeProgress(WorkerState &worker, const TaskRun &run, TimePoint now);
+    void observePace(WorkerState &worker, const TaskRun &run, Duration took, TimePoint now);
     void applyFailure(WorkerState &worker, const EndReport &end, TimePoint now);
     void acknowledgeSaved(WorkerState &worker);
     void stopRun(WorkerState &worker, TaskRun &run, TimePoint now);
--- a/include/dragonflysill/jobs/taskrun.h
+++ b/include/dragonflysill/jobs/taskrun.h
@@ -29,6 +29,7 @@
     TimePoint stopSentAt{};
     bool stopAnswered = false;
     bool persistent = false; ///< Its step's tasks run until the job is cancelled.
+    bool inherited = false; ///< Started by an earlier owner at an unknown time.
     bool leftover = false; ///< Inherited and not wanted; its task must not start before it ends.
     bool moved = false; ///< Stopped by an order of this system while it was at work.
     int percent = 0;
--- a/include/dragonflysill/jobs/workerhealth.h
+++ b/include/dragonflysill/jobs/workerhealth.h
@@ -25,6 +25,21 @@
     /** Takes back the failures of a job that turned out to be at fault itself. */
     void exonerate(std::string_view job);
 
+    /**
+     * Notes how fast a run is.
+     * @param ratio its run time by that of an equal task on another worker
+     */
+    void observePace(double ratio, TimePoint now);
+
+    /** Returns true if recent runs were several times slower than elsewhere. */
+    [[nodiscard]] bool slow(TimePoint now) const;
+
+    /** Returns true if a run completed here after @p since and none has failed after it. */
+    [[nodiscard]] bool succeededSince(TimePoint since) const
+    {
+        return m_succeededAt > since && m_failures.empty();
+    }
+
     /** Returns true if the worker should get no work for now. */
     [[nodiscard]] bool quarantined(TimePoint now) const { return now < m_quarantinedUntil; }
 
@@ -40,6 +55,9 @@
 
     std::deque<Failure> m_failures; ///< Since the last success, at most one for each job.
     TimePoint m_quarantinedUntil{};
+    TimePoint m_succeededAt{};
+    double m_pace = 1; ///< Smoothed ratio of run times to those elsewhere.
+    TimePoint m_paceAt{};
     int m_quarantines = 0;
 };
 
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -94,6 +94,22 @@
                    : nullptr;
 }
 
+std::optional<double> JobRun::comparePace(const TaskId &id, const std::string &worker,
+                                          Duration took)
+{
+    const auto it = m_occurrences.find(id.occurrence);
+    if (it == m_occurrences.end() || !valid(id))
+        return std::nullopt;
+    auto &step = it->second.steps[static_cast<std::size_t>(id.step)];
+    if (step.fastest == Duration{0} || took < step.fastest) {
+        step.fastest = took;
+        step.fastestOn = worker;
+    }
+    if (step.fastestOn == worker)
+        return std::nullopt;
+    return toSeconds(took) / toSeconds(step.fastest);
+}
+
 void JobRun::activate(const TaskId &id, const std::string &worker)
 {
     auto *it = task(id);
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -183,8 +183,14 @@
     const auto pool = m_pools.find(job.job().pool);
     const bool advised = advicePolicy(job) != nullptr;
     const AdmissionTable::StepKey key{id.job, id.occurrence, id.step};
+    const bool lastAttempt
+            = !task.failedOn.empty()
+              && static_cast<int>(task.failedOn.size()) >= job.job().policy.attempts - 1;
+    const bool anyFast = std::ranges::any_of(pool->second, [now](const auto *it) {
+        return it->usable(now) && !it->health.slow(now);
+    });
     WorkerState *best = nullptr;
-    std::tuple<bool, bool, bool, bool, double> bestScore;
+    std::tuple<bool, bool, bool, bool, bool, double> bestScore;
     for (auto *it : pool->second) {
         if (!it->usable(now) || !it->free().covers(need) || it->runs.contains(id)
             || !it->description.hasLabel(step.requiredLabel))
@@ -199,13 +205,20 @@
         }
         const bool failedHere = task.failedOn.contains(it->description.id);
         const bool suspect = !task.failedOn.empty() && it->health.suspect(now);
+        if (anyFast && it->health.slow(now))
+            continue;
+        const bool unproven = lastAttempt && !it->health.succeededSince(task.failedAt);
+        if (unproven && now - task.failedAt < internal::proofWait)
+            continue;
+        const bool doubtful = it->health.slow(now) || unproven;
         const bool remote = !step.dataRack.empty() && !it->description.hasLabel(step.dataRack);
         const double load = static_cast<double>(it->reserved.milliCores)
                             / static_cast<double>(
                                     std::max<std::int64_t>(1, it->description.capacity.milliCores));
         // Fuller workers first, those with persistent tasks before all: the others become idle and
         // can move to another pool or be maintained.
-        const std::tuple score(failedHere, suspect, remote, it->persistentRuns == 0, -load);
+        const std::tuple score(failedHere, suspect, doubtful, remote, it->persistentRuns == 0,
+                               -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -151,7 +151,7 @@
     auto &owner = *find(end.task.job);
     worker.health.succeeded(now);
     if (run != nullptr && run->checkpoint.empty() && run->settledAt != TimePoint{})
-        m_runTimes.observe(owner.job().queue, owner.step(end.task), now - run->startedAt);
+        observeRun(worker, *run, now);
     if (!owner.complete(end.task, now))
         return;
     stopOtherRuns(end.task, worker.description.id, now);
@@ -159,12 +159,41 @@
         endJob(owner, now);
 }
 
+void Scheduler::observeRun(WorkerState &worker, const TaskRun &run, TimePoint now)
+{
+    auto &owner = *find(run.task.job);
+    const auto &step = owner.step(run.task);
+    m_runTimes.observe(owner.job().queue, step, now - run.startedAt);
+    observePace(worker, run, now - run.startedAt, now);
+}
+
+void Scheduler::observeProgress(WorkerState &worker, const TaskRun &run, TimePoint now)
+{
+    if (run.percent >= internal::tellingPercent)
+        observePace(worker, run, (now - run.startedAt) * internal::atWork / run.percent, now);
+}
+
+void Scheduler::observePace(WorkerState &worker, const TaskRun &run, Duration took, TimePoint now)
+{
+    auto *owner = find(run.task.job);
+    if (owner == nullptr || run.inherited || run.pace < internal::atWork)
+        return;
+    const auto &step = owner->step(run.task);
+    // Runs far from their data are slower wherever they are, and those of a gang wait for others.
+    if (step.persistent || step.fills || step.gang || !step.dataRack.empty())
+        return;
+    if (const auto ratio = owner->comparePace(run.task, worker.description.id, took))
+        worker.health.observePace(*ratio, now);
+}
+
 void Scheduler::applyFailure(WorkerState &worker, const EndReport &end, TimePoint now)
 {
     auto &owner = *find(end.task.job);
     worker.health.failed(end.task.job, now);
-    if (auto *task = owner.task(end.task))
+    if (auto *task = owner.task(end.task)) {
         task->failedOn.insert(worker.description.id);
+        task->failedAt = now;
+    }
     if (!owner.fail(end.task, end.run))
         return;
     for (auto &[id, other] : m_workers)
@@ -199,6 +228,8 @@
             known.progressAt = now;
         known.percent = row.percent;
         known.usage = row.usage;
+        if (known.phase == TaskRun::Phase::Running)
+            observeProgress(worker, known, now);
         if (!row.checkpoint.empty())
             known.checkpoint = row.checkpoint;
     }
@@ -243,6 +274,7 @@
     TaskRun run;
     run.task = report.task;
     run.run = report.run;
+    run.inherited = true;
     run.phase = TaskRun::Phase::Running;
     run.startedAt = now;
     run.settledAt = now;
--- a/src/jobs/schedulertimes.h
+++ b/src/jobs/schedulertimes.h
@@ -17,6 +17,13 @@
 constexpr Duration stopRepeat = 500ms;
 /** Shortest time without progress after which a run counts as stalled. */
 constexpr Duration stallTime = 1500ms;
+/**
+ * How long a task's last attempt waits for a worker that has completed a run since its failure: a
+ * worker that begins to fail all it starts looks healthy until then.
+ */
+constexpr Duration proofWait = 1500ms;
+/** Percentage from which on a run's progress tells its pace. */
+constexpr int tellingPercent = 10;
 /** Longest start-up of a persistent task before it is tried elsewhere. */
 constexpr Duration startupTime = 5000ms;
 /** Pause of starts on a worker that refused one for lack of room. */
--- a/src/jobs/workerhealth.cpp
+++ b/src/jobs/workerhealth.cpp
@@ -13,13 +13,32 @@
 /** First quarantine; doubled with each repetition up to the longest one. */
 constexpr Duration firstQuarantine = 3s;
 constexpr Duration longestQuarantine = 12s;
+/** Ratio of run times above which a worker is slow; those of equal tasks differ by half. */
+constexpr double slowAbove = 2.5;
+/** Part of the pace that one run makes up, and how long it is relied on without another. */
+constexpr double paceWeight = 0.4;
+constexpr Duration paceMemory = 3s;
 /** How long one failure keeps second attempts away. */
 constexpr Duration suspicion = 4s;
 
 } // namespace internal
 
+void WorkerHealth::observePace(double ratio, TimePoint now)
+{
+    // A single run may be larger than its job declared: it counts in part.
+    const double before = now - m_paceAt < internal::paceMemory ? m_pace : 1.0;
+    m_pace = before + internal::paceWeight * (ratio - before);
+    m_paceAt = now;
+}
+
+bool WorkerHealth::slow(TimePoint now) const
+{
+    return m_pace > internal::slowAbove && now - m_paceAt < internal::paceMemory;
+}
+
 void WorkerHealth::succeeded(TimePoint now)
 {
+    m_succeededAt = now;
     m_failures.clear();
     if (!quarantined(now))
         m_quarantines = 0;
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -173,6 +173,9 @@
     const TaskId task{"j", 0, 0, 0};
     const auto first = harness.workerOf(task);
     harness.end(task, RunEnd::Failed);
+    BOOST_TEST(harness.decide().empty());
+    harness.pass(1500ms);
+    harness.reportAll();
     harness.decide();
     BOOST_TEST(harness.workerOf(task) != first);
     BOOST_TEST(!harness.workerOf(task).empty());
@@ -180,6 +183,67 @@
     BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Failed));
 }
 
+// Grey workers: those that begin to fail all they start look healthy until something ends there.
+BOOST_AUTO_TEST_CASE(LastAttemptGoesToAWorkerThatHasCompletedARunSinceTheFailure)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 1);
+    harness.addJob(job("j", {step(1)}, 2));
+    harness.decide();
+    harness.addWorker("w2", 2);
+    harness.addWorker("w3", 1);
+    harness.addJob(job("other", {step(1)}));
+    harness.decide();
+    const auto proven = harness.workerOf({"other", 0, 0, 0});
+    harness.end({"j", 0, 0, 0}, RunEnd::Failed);
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).empty());
+    harness.pass(100ms);
+    harness.end({"other", 0, 0, 0}, RunEnd::Done);
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].worker == proven);
+}
+
+BOOST_AUTO_TEST_CASE(SlowWorkerGetsNoTasksWhileOthersCanTakeThem)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 2);
+    harness.addWorker("w2", 2);
+    harness.addJob(job("j", {step(4)}));
+    harness.decide();
+    harness.addWorker("w3", 4);
+    harness.pass(500ms);
+    for (const auto &[id, percent] : {std::pair{"w2", 60}, std::pair{"w1", 10}}) {
+        for (auto &[task, row] : harness.workers[id].running)
+            row.percent = percent;
+        harness.reportFrom(id);
+    }
+    // Room on the slow worker, which is fuller than the idle one.
+    harness.end(harness.workers["w1"].running.begin()->first, RunEnd::Done);
+    harness.addJob(job("next", {step(1)}));
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].worker == "w3");
+}
+
+// Jobs may be far larger than they declare: that says nothing about their workers.
+BOOST_AUTO_TEST_CASE(LongRunsOfOneStepDoNotMakeTheirWorkersSlow)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 4);
+    harness.addWorker("w2", 4);
+    harness.addJob(job("j", {step(6)}));
+    harness.decide();
+    harness.pass(5s);
+    for (const std::string id : {"w1", "w2"}) {
+        for (auto &[task, row] : harness.workers[id].running)
+            row.percent = 20;
+    }
+    harness.reportAll();
+    BOOST_TEST(!harness.scheduler.worker("w1")->health.slow(harness.now));
+    BOOST_TEST(!harness.scheduler.worker("w2")->health.slow(harness.now));
+}
+
 // Stops, lapses and broken gangs are the system's doing and must not fail a job.
 BOOST_AUTO_TEST_CASE(OnlyFailuresCountAsAttempts)
 {
