--- a/src/daymodel/daymodel.cpp
+++ b/src/daymodel/daymodel.cpp
@@ -445,16 +445,20 @@
         return m_figures;
     }
 
+    [[nodiscard]] bool failed(const std::string &id) const
+    {
+        if (const auto *fifo = std::get_if<FirstInFirstOut>(&m_dispatch))
+            return fifo->failed(id);
+        const auto *job = std::get<Scheduler>(m_dispatch).job(id);
+        return job != nullptr && job->progress().state == JobStatus::Failed;
+    }
+
     void countJob(const Truth &truth, double &earned, double &owed)
     {
         ++m_figures.jobs;
         owed += truth.arrival->work;
         if (!truth.completed) {
-            if (const auto *scheduler = std::get_if<Scheduler>(&m_dispatch)) {
-                const auto *job = scheduler->job(truth.arrival->job.id);
-                m_figures.falselyFailed += static_cast<int>(
-                        job != nullptr && job->progress().state == JobStatus::Failed);
-            }
+            m_figures.falselyFailed += static_cast<int>(failed(truth.arrival->job.id));
             return;
         }
         const auto objective
--- a/src/daymodel/firstinfirstout.cpp
+++ b/src/daymodel/firstinfirstout.cpp
@@ -60,6 +60,8 @@
     // Runs of a failed job go on to their end; the job stays known until then.
     if (end.end == RunEnd::Done)
         m_jobs.erase(job);
+    else
+        m_failed.insert(end.task.job);
 }
 
 std::vector<SchedulerAction> FirstInFirstOut::decide()
--- a/src/daymodel/firstinfirstout.h
+++ b/src/daymodel/firstinfirstout.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
     [[nodiscard]] PoolLoad load(const std::string &pool) const;
     [[nodiscard]] bool empty(const std::string &worker) const;
 
+    /** Returns true if the job was given up. */
+    [[nodiscard]] bool failed(const std::string &job) const { return m_failed.contains(job); }
+
 private:
     struct Job
     {
@@ -51,6 +55,7 @@
     std::map<std::string, Job> m_jobs;
     std::map<std::string, Worker> m_workers;
     std::map<std::string, PoolLoad> m_arrived;
+    std::set<std::string> m_failed;
     int m_lastRun = 0;
 };
 
