--- a/src/daymodel/daymodel.cpp
+++ b/src/daymodel/daymodel.cpp
@@ -1,5 +1,6 @@
 #include "dragonflysill/daymodel/daymodel.h"
 
+#include "arrivals.h"
 #include "dragonflysill/base/random.h"
 #include "dragonflysill/jobs/poolbalancer.h"
 #include "dragonflysill/jobs/scheduler.h"
@@ -7,7 +8,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <optional>
 #include <set>
 #include <utility>
@@ -19,8 +19,6 @@
 
 using namespace std::chrono_literals;
 
-/** Resolution of the virtual clock. */
-constexpr Duration tick = 20ms;
 /** Time between two decisions about instances, and between two reports of a worker. */
 constexpr Duration balanceTime = 100ms;
 constexpr Duration reportTime = 500ms;
@@ -28,34 +26,15 @@
 constexpr Duration moveTime = 1500ms;
 /** Jobs are followed for this long after the last arrival. */
 constexpr Duration aftermath = 15s;
-/** Objective of a job: its target, and this many times its longest chain. */
-constexpr Milliseconds targetRuntime = 600ms;
-constexpr double slackFactor = 2;
 /** Part of the credit that a job earns up to three objectives; of the users' request sheets. */
 constexpr double lateCredit = 0.07;
-/** Trouble of a day: its begin and length, the share of workers or jobs, and its strength. */
-constexpr Duration troubleBegin = 8s;
-constexpr Duration troubleLength = 8s;
+/** Share of the workers that a trouble affects, and how many times as long slow ones take. */
 constexpr double troubledWorkers = 0.15;
-constexpr double hopelessShare = 0.05;
-constexpr double lowEstimate = 0.33;
 constexpr double slowFactor = 5;
-constexpr double burstFactor = 2.5;
 /** A grey worker fails a task after this time. */
 constexpr Duration greyTime = 60ms;
 constexpr const char *standbyPool = "standby";
 
-/** A job of the day, the same for all policies. */
-struct Arrival
-{
-    SubmittedJob job;
-    Duration at{0};
-    std::vector<std::vector<Duration>> runTimes; ///< By step and index.
-    Duration chain{0};
-    double work = 0; ///< Core-seconds.
-    bool hopeless = false;
-};
-
 /** What the model knows to be true of a job. */
 struct Truth
 {
@@ -96,62 +75,6 @@
     Worker worker;
 };
 
-/** Draws the day's jobs. */
-std::vector<Arrival> draw(const DayShape &shape, DayPattern pattern, Random &random)
-{
-    std::vector<Arrival> arrivals;
-    const auto pools = static_cast<int>(shape.pools.size());
-    const double peak = 1 + (pools - 1) * (1 - shape.between);
-    for (int p = 0; p < pools; ++p) {
-        const auto &pool = shape.pools[static_cast<std::size_t>(p)];
-        for (Duration at{0}; at < shape.length; at += tick) {
-            double rate
-                    = pool.jobs.perSecond * ((at / shape.turn) % pools == p ? peak : shape.between);
-            const bool troubled = at >= troubleBegin && at < troubleBegin + troubleLength;
-            if (pattern == DayPattern::LargeBurst && troubled && p == 1)
-                rate = std::max(rate, pool.jobs.perSecond) * burstFactor;
-            if (random.unit() >= rate * toSeconds(tick))
-                continue;
-            Arrival it;
-            it.at = at;
-            it.job.id = pool.name + '-' + std::to_string(arrivals.size());
-            it.job.queue = pool.jobs.name;
-            it.job.pool = pool.name;
-            it.job.policy = {3, 0, slackFactor, targetRuntime};
-            it.hopeless = pattern == DayPattern::HopelessJobs && random.unit() < hopelessShare;
-            const int steps = random.unit() < pool.jobs.steps - 1 ? 2 : 1;
-            const auto around
-                    = [&random](double part) { return 1 + part * (2 * random.unit() - 1); };
-            for (int n = 0; n < steps; ++n) {
-                JobStep step;
-                step.count = std::max(
-                        1, static_cast<int>(std::lround(pool.jobs.tasks * around(shape.spread))));
-                step.need = {pool.jobs.milliCores, 0, 0};
-                if (n > 0)
-                    step.after = {n - 1};
-                auto &times = it.runTimes.emplace_back();
-                Duration longest{0};
-                const double size = around(shape.spread);
-                for (int k = 0; k < step.count; ++k) {
-                    const auto time = Duration(static_cast<Duration::rep>(
-                            static_cast<double>(pool.jobs.runTime.count()) * size * around(0.1)));
-                    times.push_back(time);
-                    longest = std::max(longest, time);
-                    it.work += toSeconds(time) * static_cast<double>(pool.jobs.milliCores) / 1000;
-                }
-                const double bias = pattern == DayPattern::LowEstimates ? lowEstimate : 1;
-                step.estimate = std::chrono::duration_cast<Milliseconds>(
-                        longest * (bias * around(shape.estimateError)));
-                it.chain += longest;
-                it.job.spec.steps.push_back(std::move(step));
-            }
-            arrivals.push_back(std::move(it));
-        }
-    }
-    std::ranges::stable_sort(arrivals, {}, &Arrival::at);
-    return arrivals;
-}
-
 /** The world around the decisions. */
 class Day
 {
@@ -161,7 +84,7 @@
         , m_pattern(pattern)
         , m_policies(policies)
         , m_random(seed)
-        , m_arrivals(draw(shape, pattern, m_random))
+        , m_arrivals(drawArrivals(shape, pattern, m_random))
     {
         if (policies.scheduler)
             m_dispatch.emplace<Scheduler>(SchedulerSettings{}, 0);
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -4,7 +4,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
 #include <string_view>
 #include <utility>
 
@@ -13,7 +12,6 @@
 namespace internal {
 
 using Json = nlohmann::json;
-using namespace std::chrono_literals;
 
 /** Jobs that one answer lists at most. */
 constexpr std::size_t mostJobs = 1000;
@@ -156,14 +154,12 @@
     Json rows = Json::array();
     for (const auto number : planner.waves()) {
         const auto *wave = planner.request(number);
-        rows.push_back(
-                {{"wave", number},
-                 {"state", planner.completed(number) ? "completed" : "running"},
-                 {"instances", wave->instances.size()},
-                 {"maintained", planner.done(number).size()},
-                 {"ceiling", wave->ceiling},
-                 {"left_s",
-                  std::chrono::duration<double>(planner.deadline(number) - source.now).count()}});
+        rows.push_back({{"wave", number},
+                        {"state", planner.completed(number) ? "completed" : "running"},
+                        {"instances", wave->instances.size()},
+                        {"maintained", planner.done(number).size()},
+                        {"ceiling", wave->ceiling},
+                        {"left_s", toSeconds(planner.deadline(number) - source.now)}});
     }
     return answer({{"waves", std::move(rows)}});
 }
@@ -200,8 +196,8 @@
         }
     }
     json["waiting_tasks"] = job->waitingTasks();
-    json["age_s"] = std::chrono::duration<double>(source.now - job->accepted).count();
-    json["to_objective_s"] = std::chrono::duration<double>(job->objective - source.now).count();
+    json["age_s"] = toSeconds(source.now - job->accepted);
+    json["to_objective_s"] = toSeconds(job->objective - source.now);
     json["inherited"] = job->inherited;
     json["reason"] = reason(*job, static_cast<int>(runs.size()));
     json["runs"] = std::move(runs);
@@ -246,17 +242,16 @@
     for (const auto &[id, worker] : source.owner->scheduler().workers()) {
         if (worker.description.instance != name && id != name)
             continue;
-        rows.push_back(
-                {{"worker", id},
-                 {"instance", worker.description.instance},
-                 {"pool", worker.description.pool},
-                 {"zone", worker.description.zone},
-                 {"address", worker.description.address},
-                 {"state", workerState(worker, source.now)},
-                 {"runs", worker.runs.size()},
-                 {"free_cores", static_cast<double>(worker.free().milliCores) / 1000},
-                 {"held_s", std::chrono::duration<double>(worker.heldUntil - source.now).count()},
-                 {"unsaved_ends", worker.pendingEnds.size()}});
+        rows.push_back({{"worker", id},
+                        {"instance", worker.description.instance},
+                        {"pool", worker.description.pool},
+                        {"zone", worker.description.zone},
+                        {"address", worker.description.address},
+                        {"state", workerState(worker, source.now)},
+                        {"runs", worker.runs.size()},
+                        {"free_cores", static_cast<double>(worker.free().milliCores) / 1000},
+                        {"held_s", toSeconds(worker.heldUntil - source.now)},
+                        {"unsaved_ends", worker.pendingEnds.size()}});
     }
     const auto order = source.owner->instanceOrder(name);
     if (rows.empty() && order.empty())
