Choose a worker in one pass; one longest chain

Cause: choose() went over the pool twice for each task to learn whether any worker is not slow, and its score weighed slowness that the loop had already ruled out. Scheduler::remainingWork wrote RunTimeModel::longestChain again, without its check of step numbers.

Change: one pass that scores slowness first and declines a slow worker while another could take the task later; longestChain takes the steps that are done.

--- a/include/dragonflysill/jobs/runtimemodel.h
+++ b/include/dragonflysill/jobs/runtimemodel.h
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/jobs/job.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -21,8 +22,12 @@
     /** Returns the expected run time of a task. */
     [[nodiscard]] Duration expected(std::string_view queue, const JobStep &step) const;
 
-    /** Returns the longest chain of expected work of a job. */
-    [[nodiscard]] Duration longestChain(const SubmittedJob &job) const;
+    /**
+     * Returns the longest chain of expected work of a job.
+     * @param done tells which steps, by number, need no more time; none if it is empty
+     */
+    [[nodiscard]] Duration longestChain(const SubmittedJob &job,
+                                        const std::function<bool(int)> &done = {}) const;
 
 private:
     /** Sums, because the mean of the single ratios is dominated by far too low declarations. */
--- a/src/jobs/runtimemodel.cpp
+++ b/src/jobs/runtimemodel.cpp
@@ -38,22 +38,25 @@
     const Totals totals = it == m_totals.end() ? Totals{} : it->second;
     const double ratio = (totals.observed + internal::priorSeconds)
                          / (totals.declared + internal::priorSeconds);
-    return Duration(static_cast<Duration::rep>(static_cast<double>(internal::declared(step).count())
-                                               * ratio));
+    return scaled(internal::declared(step), ratio);
 }
 
-Duration RunTimeModel::longestChain(const SubmittedJob &job) const
+Duration RunTimeModel::longestChain(const SubmittedJob &job,
+                                    const std::function<bool(int)> &done) const
 {
-    std::vector<Duration> finish;
+    const auto &steps = job.spec.steps;
+    std::vector<Duration> finish(steps.size(), Duration{0});
     Duration longest{0};
-    for (const auto &step : job.spec.steps) {
+    for (std::size_t n = 0; n < steps.size(); ++n) {
+        if (done && done(static_cast<int>(n)))
+            continue;
         Duration start{0};
-        for (const int n : step.after) {
-            if (n >= 0 && static_cast<std::size_t>(n) < finish.size())
-                start = std::max(start, finish[static_cast<std::size_t>(n)]);
+        for (const int before : steps[n].after) {
+            if (before >= 0 && static_cast<std::size_t>(before) < n)
+                start = std::max(start, finish[static_cast<std::size_t>(before)]);
         }
-        finish.push_back(start + expected(job.queue, step));
-        longest = std::max(longest, finish.back());
+        finish[n] = start + expected(job.queue, steps[n]);
+        longest = std::max(longest, finish[n]);
     }
     return longest;
 }
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -34,21 +34,11 @@
 
 Duration Scheduler::remainingWork(const JobRun &job) const
 {
-    const auto &spec = job.job().spec;
-    std::vector<Duration> finish(spec.steps.size(), Duration{0});
-    Duration longest{0};
     const auto open = job.occurrences().begin();
-    for (std::size_t n = 0; n < spec.steps.size(); ++n) {
-        if (open != job.occurrences().end()
-            && job.progress().stepsDone.contains({open->first, static_cast<int>(n)}))
-            continue;
-        Duration start{0};
-        for (const int before : spec.steps[n].after)
-            start = std::max(start, finish[static_cast<std::size_t>(before)]);
-        finish[n] = start + m_runTimes.expected(job.job().queue, spec.steps[n]);
-        longest = std::max(longest, finish[n]);
-    }
-    return longest;
+    return m_runTimes.longestChain(job.job(), [&job, open](int step) {
+        return open != job.occurrences().end()
+               && job.progress().stepsDone.contains({open->first, step});
+    });
 }
 
 bool Scheduler::blockedByUnknownRuns(const JobRun &job) const
@@ -186,13 +176,15 @@
     const bool lastAttempt
             = !task.failedOn.empty()
               && static_cast<int>(task.failedOn.size()) >= job.job().policy.attempts - 1;
-    const bool anyFast = std::ranges::any_of(pool->second, [now](const auto *it) {
-        return it->usable(now) && !it->health.slow(now);
-    });
+    bool anyFast = false;
     WorkerState *best = nullptr;
-    std::tuple<bool, bool, bool, bool, bool, double> bestScore;
+    std::tuple<bool, bool, bool, bool, bool, bool, double> bestScore;
     for (auto *it : pool->second) {
-        if (!it->usable(now) || !it->free().covers(need) || it->runs.contains(id)
+        if (!it->usable(now))
+            continue;
+        const bool slow = it->health.slow(now);
+        anyFast = anyFast || !slow;
+        if (!it->free().covers(need) || it->runs.contains(id)
             || !it->description.hasLabel(step.requiredLabel))
             continue;
         if (advised && m_admissions.ticket(key, it->description.id, it->born, now).empty())
@@ -205,26 +197,24 @@
         }
         const bool failedHere = task.failedOn.contains(it->description.id);
         const bool suspect = !task.failedOn.empty() && it->health.suspect(now);
-        if (anyFast && it->health.slow(now))
-            continue;
         const bool unproven = lastAttempt && !it->health.succeededSince(task.failedAt);
         if (unproven && now - task.failedAt < internal::proofWait)
             continue;
-        const bool doubtful = it->health.slow(now) || unproven;
         const bool remote = !step.dataRack.empty() && !it->description.hasLabel(step.dataRack);
         const double load = static_cast<double>(it->reserved.milliCores)
                             / static_cast<double>(
                                     std::max<std::int64_t>(1, it->description.capacity.milliCores));
         // Fuller workers first, those with persistent tasks before all: the others become idle and
         // can move to another pool or be maintained.
-        const std::tuple score(failedHere, suspect, doubtful, remote, it->persistentRuns == 0,
+        const std::tuple score(slow, failedHere, suspect, unproven, remote, it->persistentRuns == 0,
                                -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
         }
     }
-    return best;
+    // Slow workers are better than none, but not than a short wait for the others.
+    return best != nullptr && anyFast && best->health.slow(now) ? nullptr : best;
 }
 
 void Scheduler::start(JobRun &job, const TaskId &id, Task &task, WorkerState &worker, TimePoint now)
