Use what the project had: Backoff, one JSON wrapper, one address parser

Change: one of each (jobs/json.h in place of platform/json.h, net/address.h, scaled(), TaskId::position(), WorkerState::findRun(), giveUp()). HttpClient::forget is private, as only its connections call it. One thing is stricter: a server address with an unreadable port is SettingsInvalid, as its declaration says; it was bound to any free port before.

--- a/include/dragonflysill/base/time.h
+++ b/include/dragonflysill/base/time.h
@@ -27,6 +27,12 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/** Returns a multiple of a length of time, cut to whole nanoseconds. */
+inline Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 /** Returns the machine's monotonic time. Only adapters and programs call it. */
 TimePoint steadyNow();
 
--- a/include/dragonflysill/jobs/job.h
+++ b/include/dragonflysill/jobs/job.h
@@ -104,6 +104,13 @@
 
     bool operator==(const TaskId &) const = default;
     auto operator<=>(const TaskId &) const = default;
+
+    /** Returns occurrence, step and index for logs and views, for example "0.1.17". */
+    [[nodiscard]] std::string position() const
+    {
+        return std::to_string(occurrence) + '.' + std::to_string(step) + '.'
+               + std::to_string(index);
+    }
 };
 
 } // namespace dragonflysill
--- a/platform/json.h
+++ b/include/dragonflysill/jobs/json.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace dragonflysill::platform {
+namespace dragonflysill {
 
 using Json = nlohmann::json;
 
@@ -28,4 +28,4 @@
     }
 }
 
-} // namespace dragonflysill::platform
+} // namespace dragonflysill
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -76,6 +76,13 @@
     WorkerHealth health;
     Pacing pacing; ///< Of its filling tasks.
 
+    /** Returns the run of a task with that number; nothing if there is none, or another one. */
+    [[nodiscard]] TaskRun *findRun(const TaskId &task, int number)
+    {
+        const auto it = runs.find(task);
+        return it == runs.end() || it->second.run != number ? nullptr : &it->second;
+    }
+
     /** Returns true if something runs here. */
     [[nodiscard]] bool busy() const { return !runs.empty() || !strays.empty(); }
 
--- a/include/dragonflysill/net/httpclient.h
+++ b/include/dragonflysill/net/httpclient.h
@@ -40,15 +40,14 @@
      */
     void call(const std::string &address, HttpRequest request, Duration timeout, Callback callback);
 
-    /** Closes the idle connections to an address. */
-    void forget(const std::string &address);
-
     /** Returns the connections opened so far. */
     [[nodiscard]] std::uint64_t opened() const { return m_opened; }
 
 private:
     friend class internal::HttpConnection;
 
+    /** Closes the idle connections to an address. */
+    void forget(const std::string &address);
     void release(const std::string &address, std::shared_ptr<internal::HttpConnection> connection);
 
     EventLoop &m_loop;
--- a/include/dragonflysill/node/batchwriter.h
+++ b/include/dragonflysill/node/batchwriter.h
@@ -66,6 +66,8 @@
     };
     using Batch = std::vector<Entry>;
 
+    /** Tells the caller what is known of a write that is not repeated any more. */
+    static void giveUp(const Entry &entry);
     void flush();
     void retryLater(Batch entries);
     void finished(std::uint64_t number, const Result<WriteOutcome> &outcome);
--- a/include/dragonflysill/node/prefixwatcher.h
+++ b/include/dragonflysill/node/prefixwatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dragonflysill/base/random.h"
+#include "dragonflysill/base/backoff.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/store/asyncstore.h"
 
@@ -55,11 +55,10 @@
     std::string m_prefix;
     Duration m_pause;
     Handlers m_handlers;
-    Random m_random;
+    Backoff m_backoff;
     std::vector<KeyValue> m_items;
     std::int64_t m_listedAsOf = 0;
     std::int64_t m_asOf = 0;
-    int m_failures = 0;
     TimePoint m_lastContact{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/base/backoff.cpp
+++ b/src/base/backoff.cpp
@@ -18,7 +18,7 @@
     const Duration delay
             = std::min<Duration>(m_limits.first * (std::int64_t{1} << exponent), m_limits.longest);
     const double share = 0.5 + m_random.unit() / 2;
-    return Duration(static_cast<Duration::rep>(static_cast<double>(delay.count()) * share));
+    return scaled(delay, share);
 }
 
 } // namespace dragonflysill
--- a/src/daymodel/arrivals.cpp
+++ b/src/daymodel/arrivals.cpp
@@ -49,8 +49,7 @@
                 Duration longest{0};
                 const double size = around(shape.spread);
                 for (int k = 0; k < step.count; ++k) {
-                    const auto time = Duration(static_cast<Duration::rep>(
-                            static_cast<double>(pool.jobs.runTime.count()) * size * around(0.1)));
+                    const auto time = scaled(pool.jobs.runTime, size * around(0.1));
                     times.push_back(time);
                     longest = std::max(longest, time);
                     it.work += toSeconds(time) * static_cast<double>(pool.jobs.milliCores) / 1000;
--- a/src/daymodel/daymodel.cpp
+++ b/src/daymodel/daymodel.cpp
@@ -277,8 +277,7 @@
         if (run.fails && !arrival.hopeless)
             length = greyTime;
         if (troubled && m_pattern == DayPattern::SlowWorkers)
-            length = Duration(
-                    static_cast<Duration::rep>(static_cast<double>(length.count()) * slowFactor));
+            length = scaled(length, slowFactor);
         run.endsAt = m_now + length;
         instance.worker.runs[start.task] = run;
         if (auto *scheduler = std::get_if<Scheduler>(&m_dispatch))
@@ -384,10 +383,7 @@
             m_figures.falselyFailed += static_cast<int>(failed(truth.arrival->job.id));
             return;
         }
-        const auto objective
-                = targetRuntime
-                  + Duration(static_cast<Duration::rep>(
-                          static_cast<double>(truth.arrival->chain.count()) * slackFactor));
+        const auto objective = targetRuntime + scaled(truth.arrival->chain, slackFactor);
         const auto took = *truth.completed - (m_start + truth.arrival->at);
         if (took <= objective) {
             ++m_figures.inTime;
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -1,13 +1,11 @@
 #include "dragonflysill/jobs/jobcodec.h"
 
-#include <nlohmann/json.hpp>
+#include "dragonflysill/jobs/json.h"
 
 #include <array>
 
 namespace dragonflysill {
 
-using Json = nlohmann::json;
-
 namespace internal {
 
 constexpr std::array stateNames{"queued", "running", "completed", "failed", "cancelled"};
@@ -85,17 +83,6 @@
     throw std::invalid_argument("unknown state " + name);
 }
 
-/** Runs a decoder and turns the JSON library's exceptions into Corrupt. */
-template <typename T, typename Decode>
-Result<T> decoding(std::string_view bytes, Decode decode)
-{
-    try {
-        return decode(Json::parse(bytes));
-    } catch (const std::exception &e) {
-        return Error(ErrorKind::Corrupt, e.what());
-    }
-}
-
 } // namespace internal
 
 std::string encodeJob(const SubmittedJob &job)
@@ -116,12 +103,12 @@
     internal::put(json, "timed", job.spec.scheduled);
     internal::put(json, "first", job.spec.firstDueMs);
     internal::put(json, "every", job.spec.interval.count());
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return dump(json);
 }
 
 Result<SubmittedJob> decodeJob(std::string_view id, std::string_view bytes)
 {
-    return internal::decoding<SubmittedJob>(bytes, [id](const Json &json) {
+    return decoding<SubmittedJob>(bytes, [id](const Json &json) {
         SubmittedJob job;
         job.id = id;
         job.queue = json.at("queue");
@@ -169,7 +156,7 @@
 
 Result<JobProgress> decodeProgress(std::string_view bytes)
 {
-    return internal::decoding<JobProgress>(bytes, [](const Json &json) {
+    return decoding<JobProgress>(bytes, [](const Json &json) {
         JobProgress progress;
         progress.state = internal::parseState(json.at("state"));
         if (json.contains("steps"))
@@ -184,7 +171,7 @@
 
 Result<JobStatus> decodeState(std::string_view bytes)
 {
-    return internal::decoding<JobStatus>(
+    return decoding<JobStatus>(
             bytes, [](const Json &json) { return internal::parseState(json.at("state")); });
 }
 
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -50,9 +50,7 @@
     const auto chain = m_runTimes.longestChain(run->job());
     run->inherited = inherited;
     run->accepted = now - age;
-    run->objective = run->accepted + policy.targetRuntime
-                     + Duration(static_cast<Duration::rep>(static_cast<double>(chain.count())
-                                                           * policy.slackFactor));
+    run->objective = run->accepted + policy.targetRuntime + scaled(chain, policy.slackFactor);
     if (!run->final()) {
         m_open[id] = run.get();
         auto &arrived = m_arrived[run->job().pool];
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -323,12 +323,12 @@
         return;
     worker->lastContact = now;
     worker->time.observe(clock, now);
-    const auto it = worker->runs.find(start.task);
-    if (it == worker->runs.end() || it->second.run != start.run)
+    auto *run = worker->findRun(start.task, start.run);
+    if (run == nullptr)
         return;
-    it->second.settledAt = now;
-    if (it->second.phase == TaskRun::Phase::Starting)
-        it->second.phase = TaskRun::Phase::Running;
+    run->settledAt = now;
+    if (run->phase == TaskRun::Phase::Starting)
+        run->phase = TaskRun::Phase::Running;
 }
 
 void Scheduler::startRefused(const StartTask &start, StartRefusal refusal, TimePoint now)
@@ -358,9 +358,8 @@
         worker->reachable = false;
         break;
     }
-    const auto it = worker->runs.find(start.task);
-    if (it != worker->runs.end() && it->second.run == start.run)
-        releaseRun(*worker, it, now);
+    if (worker->findRun(start.task, start.run) != nullptr)
+        releaseRun(*worker, worker->runs.find(start.task), now);
 }
 
 void Scheduler::startUnanswered(const StartTask &start, TimePoint now)
@@ -368,14 +367,13 @@
     auto *worker = findWorker(start.worker);
     if (worker == nullptr)
         return;
-    const auto it = worker->runs.find(start.task);
-    if (it == worker->runs.end() || it->second.run != start.run
-        || it->second.phase != TaskRun::Phase::Starting)
+    auto *run = worker->findRun(start.task, start.run);
+    if (run == nullptr || run->phase != TaskRun::Phase::Starting)
         return;
     // It may still take effect, so that it has to be blocked before the task starts elsewhere.
-    it->second.phase = TaskRun::Phase::Unconfirmed;
-    it->second.settledAt = now;
-    stopRun(*worker, it->second, now);
+    run->phase = TaskRun::Phase::Unconfirmed;
+    run->settledAt = now;
+    stopRun(*worker, *run, now);
 }
 
 void Scheduler::stopConfirmed(const StopTask &stop, TimePoint now)
@@ -384,11 +382,10 @@
     if (worker == nullptr)
         return;
     worker->lastContact = now;
-    const auto it = worker->runs.find(stop.task);
-    if (it == worker->runs.end() || it->second.run != stop.run)
-        return;
-    it->second.stopAnswered = true;
-    it->second.settledAt = now;
+    if (auto *run = worker->findRun(stop.task, stop.run)) {
+        run->stopAnswered = true;
+        run->settledAt = now;
+    }
 }
 
 void Scheduler::stopUnanswered(const StopTask &stop, TimePoint now)
@@ -396,9 +393,8 @@
     auto *worker = findWorker(stop.worker);
     if (worker == nullptr)
         return;
-    const auto it = worker->runs.find(stop.task);
-    if (it != worker->runs.end() && it->second.run == stop.run)
-        it->second.settledAt = now;
+    if (auto *run = worker->findRun(stop.task, stop.run))
+        run->settledAt = now;
 }
 
 void Scheduler::paceAnswered(const PaceTask &pace, bool confirmed)
@@ -406,9 +402,8 @@
     auto *worker = findWorker(pace.worker);
     if (worker == nullptr)
         return;
-    const auto it = worker->runs.find(pace.task);
-    if (it != worker->runs.end() && it->second.run == pace.run)
-        it->second.paceConfirmed = confirmed && it->second.pace == pace.percent;
+    if (auto *run = worker->findRun(pace.task, pace.run))
+        run->paceConfirmed = confirmed && run->pace == pace.percent;
 }
 
 } // namespace dragonflysill
--- a/src/jobs/schedulertimes.h
+++ b/src/jobs/schedulertimes.h
@@ -54,9 +54,7 @@
 /** Returns the longest local time that a hold of this length may last. */
 inline Duration holdLength(Duration hold)
 {
-    return hold
-           + Duration(static_cast<Duration::rep>(static_cast<double>(hold.count()) * clockDrift))
-           + holdMargin;
+    return hold + scaled(hold, clockDrift) + holdMargin;
 }
 
 } // namespace dragonflysill::internal
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,12 +1,13 @@
 #include "dragonflysill/net/httpclient.h"
 
+#include "address.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <netinet/tcp.h>
 
-#include <charconv>
 #include <optional>
 
 namespace dragonflysill {
@@ -21,21 +22,6 @@
 /** Largest answer that is read, in bytes: a page of the store's items plus its encoding. */
 constexpr std::uint64_t maxResponseBytes = 8U << 20U;
 
-std::optional<Tcp::endpoint> parseAddress(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    boost::system::error_code ec;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-    std::uint16_t port = 0;
-    const char *end = address.data() + address.size();
-    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
-    if (ec || parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return Tcp::endpoint(ip, port);
-}
-
 /** One connection, with at most one call on its way. */
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,10 +1,11 @@
 #include "dragonflysill/net/httpserver.h"
 
+#include "address.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <charconv>
 #include <optional>
 
 namespace dragonflysill {
@@ -188,20 +189,15 @@
 
 Result<Done> HttpListener::open(const std::string &address)
 {
-    const auto colon = address.rfind(':');
-    boost::system::error_code ec;
-    int port = 0;
-    if (colon != std::string::npos)
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    const auto ip = asio::ip::make_address(address.substr(0, std::min(colon, address.size())), ec);
-    if (ec || colon == std::string::npos)
+    const auto endpoint = parseAddress(address);
+    if (!endpoint)
         return Error(ErrorKind::SettingsInvalid, "not an address: " + address);
-    const Tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(port));
-    m_acceptor.open(endpoint.protocol(), ec);
+    boost::system::error_code ec;
+    m_acceptor.open(endpoint->protocol(), ec);
     if (!ec)
         m_acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
     if (!ec)
-        m_acceptor.bind(endpoint, ec);
+        m_acceptor.bind(*endpoint, ec);
     if (!ec)
         m_acceptor.listen(listenBacklog, ec);
     if (ec)
--- a/src/node/batchwriter.cpp
+++ b/src/node/batchwriter.cpp
@@ -73,9 +73,14 @@
         }
     }
     for (const auto &it : entries)
-        it.write.callback(it.maybeStored ? PendingWrite::Outcome::Unknown
-                                         : PendingWrite::Outcome::NotDone,
-                          {}, 0);
+        giveUp(it);
+}
+
+void BatchWriter::giveUp(const Entry &entry)
+{
+    entry.write.callback(entry.maybeStored ? PendingWrite::Outcome::Unknown
+                                           : PendingWrite::Outcome::NotDone,
+                         {}, 0);
 }
 
 void BatchWriter::finished(std::uint64_t number, const Result<WriteOutcome> &outcome)
@@ -136,9 +141,7 @@
         if (now < limit)
             again.push_back(std::move(it));
         else
-            it.write.callback(it.maybeStored ? PendingWrite::Outcome::Unknown
-                                             : PendingWrite::Outcome::NotDone,
-                              {}, 0);
+            giveUp(it);
     }
     if (!again.empty())
         retryLater(std::move(again));
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -1,8 +1,7 @@
 #include "dragonflysill/node/nodeviews.h"
 
 #include "dragonflysill/jobs/jobcodec.h"
-
-#include <nlohmann/json.hpp>
+#include "dragonflysill/jobs/json.h"
 
 #include <string_view>
 #include <utility>
@@ -11,16 +10,12 @@
 
 namespace internal {
 
-using Json = nlohmann::json;
-
 /** Jobs that one answer lists at most. */
 constexpr std::size_t mostJobs = 1000;
 
 HttpResponse answer(const Json &json, int status = 200)
 {
-    return {status,
-            json.dump(-1, ' ', false, Json::error_handler_t::replace),
-            {{"Content-Type", "application/json"}}};
+    return {status, dump(json), {{"Content-Type", "application/json"}}};
 }
 
 HttpResponse failure(int status, ErrorKind kind, const std::string &detail)
@@ -69,12 +64,6 @@
     return worker.listed ? "up" : "unlisted";
 }
 
-Json taskName(const TaskId &task)
-{
-    return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
-           + std::to_string(task.index);
-}
-
 HttpResponse status(const NodeViewSource &source)
 {
     const auto &configuration = source.service.configuration();
@@ -187,7 +176,7 @@
         for (const auto &[task, run] : worker.runs) {
             if (task.job != id)
                 continue;
-            runs.push_back({{"task", taskName(task)},
+            runs.push_back({{"task", task.position()},
                             {"run", run.run},
                             {"worker", name},
                             {"phase", phaseName(run.phase)},
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -100,10 +100,7 @@
         m_lease = lease;
         m_fence = outcome->revision;
         m_renewedAt = grantedAt;
-        m_validUntil = grantedAt
-                       + Duration(static_cast<Duration::rep>(
-                               static_cast<double>(Duration(m_leaseLength).count())
-                               * (1 - internal::unusedPart)));
+        m_validUntil = grantedAt + usableLease();
         m_handlers.gained(m_fence, generation);
     });
 }
@@ -151,8 +148,7 @@
 
 Duration Ownership::usableLease() const
 {
-    return Duration(static_cast<Duration::rep>(static_cast<double>(Duration(m_leaseLength).count())
-                                               * (1 - internal::unusedPart)));
+    return scaled(m_leaseLength, 1 - internal::unusedPart);
 }
 
 void Ownership::resign()
--- a/src/node/prefixwatcher.cpp
+++ b/src/node/prefixwatcher.cpp
@@ -13,9 +13,8 @@
 
 /** Longest wait of one call: a connection that has gone silent is noticed soon after. */
 constexpr std::chrono::milliseconds watchWait = 1000ms;
-/** Pauses after failed calls, doubled up to the longest; half of it is random. */
-constexpr Duration firstRetry = 50ms;
-constexpr Duration longestRetry = 400ms;
+/** Pauses after failed calls. */
+constexpr BackoffLimits retryLimits{50ms, 400ms};
 
 } // namespace internal
 
@@ -26,8 +25,9 @@
     , m_prefix(std::move(prefix))
     , m_pause(pause)
     , m_handlers(std::move(handlers))
-    , m_random(stableHash(m_prefix)
-               ^ static_cast<std::uint64_t>(EventLoop::now().time_since_epoch().count()))
+    , m_backoff(stableHash(m_prefix)
+                        ^ static_cast<std::uint64_t>(EventLoop::now().time_since_epoch().count()),
+                internal::retryLimits)
 {
 }
 
@@ -57,7 +57,7 @@
         retry([this] { start(); });
         return;
     }
-    m_failures = 0;
+    m_backoff.reset();
     m_lastContact = EventLoop::now();
     // The pages are no snapshot: changes since the first one are applied again by the watch.
     if (m_listedAsOf == 0)
@@ -91,7 +91,7 @@
             retry([this] { wait(); });
         return;
     }
-    m_failures = 0;
+    m_backoff.reset();
     m_lastContact = EventLoop::now();
     m_asOf = std::max(m_asOf, changes->asOf);
     m_handlers.changed(changes->updates, m_asOf);
@@ -107,14 +107,10 @@
 
 void PrefixWatcher::retry(std::function<void()> action)
 {
-    const auto longest = std::min<Duration>(
-            internal::longestRetry, internal::firstRetry * (1 << std::min(m_failures++, 8)));
-    const auto jitter = static_cast<double>(longest.count()) * (0.5 + 0.5 * m_random.unit());
-    m_loop.after(Duration(static_cast<Duration::rep>(jitter)),
-                 [alive = m_alive, action = std::move(action)] {
-                     if (*alive)
-                         action();
-                 });
+    m_loop.after(m_backoff.next(), [alive = m_alive, action = std::move(action)] {
+        if (*alive)
+            action();
+    });
 }
 
 } // namespace dragonflysill
--- a/src/node/workerlinks.cpp
+++ b/src/node/workerlinks.cpp
@@ -51,19 +51,13 @@
 
 namespace internal {
 
-std::string describe(const TaskId &task)
-{
-    return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
-           + std::to_string(task.index);
-}
-
 template <typename Order>
 void logOrder(std::string_view event, const Order &order, const std::string &outcome = {})
 {
     if (!logsDecisions())
         return;
     logDecision(event, {{"job", order.task.job},
-                        {"task", describe(order.task)},
+                        {"task", order.task.position()},
                         {"run", std::to_string(order.run)},
                         {"worker", order.worker},
                         {"outcome", outcome}});
@@ -139,7 +133,7 @@
                        } else {
                            ++m_counts.startsUnanswered;
                            logState("start-unanswered", {{"job", start.task.job},
-                                                         {"task", internal::describe(start.task)},
+                                                         {"task", start.task.position()},
                                                          {"run", std::to_string(start.run)},
                                                          {"worker", start.worker}});
                            m_scheduler.startUnanswered(start, now);
@@ -230,12 +224,12 @@
         for (const auto &it : report->ended) {
             if (it.end == RunEnd::Failed)
                 logState("task-failed", {{"job", it.task.job},
-                                         {"task", internal::describe(it.task)},
+                                         {"task", it.task.position()},
                                          {"run", std::to_string(it.run)},
                                          {"worker", id}});
             if (logsDecisions())
                 logDecision("task-end", {{"job", it.task.job},
-                                         {"task", internal::describe(it.task)},
+                                         {"task", it.task.position()},
                                          {"run", std::to_string(it.run)},
                                          {"worker", id},
                                          {"how", std::to_string(static_cast<int>(it.end))}});
--- a/src/node/workerrecord.cpp
+++ b/src/node/workerrecord.cpp
@@ -1,10 +1,10 @@
 #include "dragonflysill/node/workerrecord.h"
 
-#include <nlohmann/json.hpp>
+#include "dragonflysill/jobs/json.h"
 
-namespace dragonflysill {
+#include <utility>
 
-using Json = nlohmann::json;
+namespace dragonflysill {
 
 std::string encodeWorkerRecord(std::span<const WorkerDescription> workers)
 {
@@ -17,9 +17,9 @@
 Result<std::vector<WorkerDescription>> decodeWorkerRecord(std::string_view pool,
                                                           std::string_view bytes)
 {
-    try {
+    return decoding<std::vector<WorkerDescription>>(bytes, [pool](const Json &json) {
         std::vector<WorkerDescription> workers;
-        for (const auto &row : Json::parse(bytes)) {
+        for (const auto &row : json) {
             WorkerDescription worker;
             worker.id = row.at(0);
             worker.address = row.at(1);
@@ -29,9 +29,7 @@
             workers.push_back(std::move(worker));
         }
         return workers;
-    } catch (const Json::exception &e) {
-        return Error(ErrorKind::Corrupt, e.what());
-    }
+    });
 }
 
 } // namespace dragonflysill
