Measure how late the event loop runs and what the owner's time goes into

The owner now logs 'node-load' each second, other nodes only when their event loop was late: loop delay, bytes for each peer, calls, time-outs and new connections to workers, decisions and their time, and the longest delay of a hold. The same figures are metrics by peer. Traffic is counted by the HTTP client and server; store, workers and services have a client each for that. fleet-standin takes the nodes' first port, so that it can play more than 20 backend servers a pool.

Only figures are added, no decision changes; tests of node, net and telemetry pass.

--- a/include/dragonflysill/net/eventloop.h
+++ b/include/dragonflysill/net/eventloop.h
@@ -17,6 +17,9 @@
     /** Returns the time of a monotonic clock that also advances while the machine is suspended. */
     static TimePoint now();
 
+    /** Returns the processor time that the process has used since its start. */
+    static Duration processorTime();
+
     /** Runs @p action once after @p delay. The loop must outlive the action. */
     void after(Duration delay, std::function<void()> action);
 
--- a/include/dragonflysill/net/httpclient.h
+++ b/include/dragonflysill/net/httpclient.h
@@ -3,8 +3,8 @@
 #include "dragonflysill/base/result.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpmessage.h"
+#include "dragonflysill/net/httptraffic.h"
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,8 +40,7 @@
      */
     void call(const std::string &address, HttpRequest request, Duration timeout, Callback callback);
 
-    /** Returns the number of connections opened so far. */
-    [[nodiscard]] std::uint64_t opened() const { return m_opened; }
+    [[nodiscard]] const HttpTraffic &traffic() const { return m_traffic; }
 
 private:
     friend class internal::HttpConnection;
@@ -54,7 +53,7 @@
     std::map<std::string, std::vector<std::shared_ptr<internal::HttpConnection>>, std::less<>>
             m_idle;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
-    std::uint64_t m_opened = 0;
+    HttpTraffic m_traffic;
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/net/httpserver.h
+++ b/include/dragonflysill/net/httpserver.h
@@ -3,6 +3,7 @@
 #include "dragonflysill/base/result.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpmessage.h"
+#include "dragonflysill/net/httptraffic.h"
 
 #include <cstddef>
 #include <functional>
@@ -59,6 +60,8 @@
     /** Returns the number of open connections. */
     [[nodiscard]] std::size_t connections() const;
 
+    [[nodiscard]] const HttpTraffic &traffic() const;
+
 private:
     std::shared_ptr<internal::HttpListener> m_listener;
 };
--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "dragonflysill/base/latencyhistogram.h"
 #include "dragonflysill/base/random.h"
 #include "dragonflysill/jobs/fleetconfiguration.h"
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/batchwriter.h"
-#include "dragonflysill/node/latencyhistogram.h"
 #include "dragonflysill/node/statereplica.h"
 
 #include <cstdint>
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -3,12 +3,14 @@
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/jobservice.h"
+#include "dragonflysill/node/loadmonitor.h"
 #include "dragonflysill/node/observedstore.h"
 #include "dragonflysill/node/ownership.h"
 #include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/scheduleowner.h"
 #include "dragonflysill/node/statereplica.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +22,19 @@
 struct NodeSettings;
 } // namespace platform
 
+/** Counters at the time of the last line about the load, which logs their increase. */
+struct LoadLogState
+{
+    std::uint64_t bytesStore = 0;
+    std::uint64_t bytesWorkers = 0;
+    std::uint64_t bytesCallers = 0;
+    std::uint64_t workerCalls = 0;
+    std::uint64_t workerTimeouts = 0;
+    std::uint64_t connectionsOpened = 0;
+    std::uint64_t decisions = 0;
+    Duration decisionTime{0};
+};
+
 /**
  * One node: serves callers, follows the state in the store, and schedules tasks while it owns the
  * schedule. Every machine runs one node, and each node can take over from any other with the state
@@ -52,6 +67,8 @@
     void ownershipGained(std::int64_t fence, std::int64_t generation);
     void ownershipLost(const std::string &reason);
     void checkStore();
+    void checkLoad();
+    void logLoad(const LoadReport &load);
     void finishStop(TimePoint latest);
     [[nodiscard]] bool ready() const;
     /** Answers operators' requests for metrics and for the views of showNode(). */
@@ -59,7 +76,9 @@
 
     EventLoop &m_loop;
     const platform::NodeSettings &m_settings;
-    HttpClient m_client;
+    HttpClient m_storeClient;
+    HttpClient m_workerClient;
+    HttpClient m_serviceClient;
     std::unique_ptr<platform::KvStore> m_kvStore;
     ObservedStore m_store;
     StateReplica m_replica;
@@ -76,6 +95,8 @@
     bool m_stopping = false;
     bool m_storeReachable = false;
     TimePoint m_storeCheckedAt{};
+    LoadMonitor m_load;
+    LoadLogState m_loadLogged;
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/node/nodemetrics.h
+++ b/include/dragonflysill/node/nodemetrics.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "dragonflysill/net/httptraffic.h"
 #include "dragonflysill/node/jobservice.h"
+#include "dragonflysill/node/loadmonitor.h"
 #include "dragonflysill/node/scheduleowner.h"
 
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -18,9 +22,11 @@
     bool storeReachable = false;
     std::int64_t configurationVersion = 0;
     std::uint64_t storeCalls = 0;
-    std::uint64_t connectionsOpened = 0;
     std::size_t callerConnections = 0;
     std::size_t jobsKnown = 0;
+    const LoadMonitor &load;
+    /** Traffic by peer: store, workers, services and callers. */
+    std::vector<std::pair<std::string, const HttpTraffic &>> traffic;
 };
 
 /** Returns the metrics in the text format of Prometheus. */
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflysill/base/latencyhistogram.h"
 #include "dragonflysill/jobs/fleetconfiguration.h"
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/net/httpclient.h"
@@ -28,7 +29,8 @@
 {
     EventLoop &loop;
     AsyncStore &store;
-    HttpClient &client;
+    HttpClient &workerClient;
+    HttpClient &serviceClient; ///< For the platform's machine and admission services.
     StateReplica &replica;
     const platform::NodeSettings &settings;
     std::function<bool()> mayGiveOrders; ///< Returns whether this node still owns the schedule.
@@ -36,6 +38,14 @@
     std::function<void()> onNewerOwner; ///< Called when a newer owner is detected.
 };
 
+/** Decisions of a ScheduleOwner and their cost. */
+struct DecisionCounts
+{
+    std::uint64_t decisions = 0;
+    Duration time{0}; ///< Total time spent deciding and sending the resulting orders.
+    LatencyHistogram delay; ///< Time from the first unhandled event until its decision.
+};
+
 /**
  * Schedules tasks while this node owns the schedule: follows jobs and workers, carries out the
  * scheduler's decisions and saves the resulting progress. Every write is conditional on the owner
@@ -63,6 +73,9 @@
     {
         return m_workerController.counts();
     }
+    /** Returns the longest delay of a hold since the last call. */
+    Duration takeMaxHoldDelay() { return m_workerController.takeMaxHoldDelay(); }
+    [[nodiscard]] const DecisionCounts &decisionCounts() const { return m_decisionCounts; }
     [[nodiscard]] const FleetControllerCounts &fleetCounts() const { return m_fleet.counts(); }
     [[nodiscard]] const PoolBalancer &balancer() const { return m_fleet.balancer(); }
     [[nodiscard]] const MaintenancePlanner &maintenance() const { return m_fleet.maintenance(); }
@@ -93,6 +106,8 @@
     WorkerRegistry m_workers;
     bool m_started = false;
     bool m_decisionDue = false;
+    TimePoint m_decisionRequestedAt{};
+    DecisionCounts m_decisionCounts;
     bool m_saving = false;
     TimePoint m_savedAt{};
     TimePoint m_fleetDecidedAt{};
--- a/include/dragonflysill/node/workercontroller.h
+++ b/include/dragonflysill/node/workercontroller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflysill/base/latencyhistogram.h"
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/net/httpclient.h"
 
@@ -8,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace dragonflysill {
 
@@ -20,6 +22,7 @@
 {
     std::uint64_t holds = 0;
     std::uint64_t holdsUnanswered = 0;
+    LatencyHistogram holdDelay; ///< Time from when a hold was due until it was sent.
     std::uint64_t starts = 0;
     std::uint64_t startsRefused = 0;
     std::uint64_t startsUnanswered = 0;
@@ -42,9 +45,9 @@
      * @param mayGiveOrders returns whether this node still owns the schedule
      * @param onChange called when a response may allow new scheduling decisions
      */
-    WorkerController(HttpClient &client, Scheduler &scheduler, std::int64_t fence,
-                     std::string admissionAddress, std::function<bool()> mayGiveOrders,
-                     std::function<void()> onChange);
+    WorkerController(HttpClient &workerClient, HttpClient &admissionClient, Scheduler &scheduler,
+                     std::int64_t fence, std::string admissionAddress,
+                     std::function<bool()> mayGiveOrders, std::function<void()> onChange);
     ~WorkerController();
     WorkerController(const WorkerController &) = delete;
     WorkerController &operator=(const WorkerController &) = delete;
@@ -57,6 +60,9 @@
 
     [[nodiscard]] const WorkerControllerCounts &counts() const { return m_counts; }
 
+    /** Returns the longest delay of a hold since the last call. */
+    Duration takeMaxHoldDelay() { return std::exchange(m_maxHoldDelay, Duration{0}); }
+
 private:
     struct HoldState
     {
@@ -75,7 +81,7 @@
     void logUnreachable(const std::string &id, const Error &error);
     void holdAnswered(const std::string &id, const Result<WorkerReport> &report, TimePoint sentAt);
 
-    HttpClient &m_client;
+    HttpClient &m_admissionClient;
     std::string m_admissionAddress;
     Scheduler &m_scheduler;
     std::unique_ptr<platform::WorkerCalls> m_calls;
@@ -83,6 +89,7 @@
     std::function<void()> m_onChange;
     std::map<std::string, HoldState> m_holdStates;
     WorkerControllerCounts m_counts;
+    Duration m_maxHoldDelay{0};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/include/dragonflysill/telemetry/log.h
+++ b/include/dragonflysill/telemetry/log.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -35,6 +36,7 @@
  * in metrics instead.
  */
 void logInfo(std::string_view event, std::initializer_list<LogField> fields = {});
+void logInfo(std::string_view event, std::span<const LogField> fields);
 
 /** Writes a line at level "debug", for frequent events such as single decisions. */
 void logDebug(std::string_view event, std::initializer_list<LogField> fields = {});
--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -172,6 +172,7 @@
     platform::FleetShape shape;
     std::string settingsFolder = ".";
     int nodes = 3;
+    int firstNodePort = 0;
     int jobs = 300;
     int spacingMs = 25;
     int limitS = 90;
@@ -179,6 +180,9 @@
     Settings flags("fleet-standin", "Simulates the users' platform and its callers on loopback.",
                    DRAGONFLYSILL_VERSION);
     flags.add("first-port", shape.firstPort, "first port to use");
+    flags.add("first-node-port", firstNodePort,
+              "first port of the nodes; 0 for 100 above the first port, which is enough room for "
+              "20 backend servers of each pool");
     flags.add("nodes", nodes, "number of nodes, which are started separately");
     flags.add("settings-folder", settingsFolder,
               "folder in which the settings files of the nodes are written");
@@ -208,7 +212,7 @@
     }
     std::vector<std::string> nodeAddresses;
     for (int n = 0; n < nodes; ++n) {
-        const auto port = shape.firstPort + 100 + 2 * n;
+        const auto port = (firstNodePort != 0 ? firstNodePort : shape.firstPort + 100) + 2 * n;
         nodeAddresses.push_back(shape.host + ':' + std::to_string(port));
         const auto name = "node-" + std::to_string(n + 1);
         auto path = settingsFolder;
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -13,6 +13,13 @@
     return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
+Duration EventLoop::processorTime()
+{
+    timespec time{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 void EventLoop::after(Duration delay, std::function<void()> action)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -74,6 +74,8 @@
     void prepare(HttpRequest request, Duration timeout, HttpClient::Callback callback)
     {
         m_callback = std::move(callback);
+        m_calledAt = EventLoop::now();
+        ++m_client.m_traffic.calls;
         m_request = {};
         m_request.method_string(request.method);
         m_request.target(request.target);
@@ -93,7 +95,8 @@
     void write()
     {
         http::async_write(m_stream, m_request,
-                          [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                          [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                              self->written(n);
                               if (ec)
                                   self->fail(ErrorKind::OutcomeUnknown, ec);
                               else
@@ -104,7 +107,9 @@
     void read()
     {
         http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                         [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                             if (*self->m_alive)
+                                 self->m_client.m_traffic.bytesReceived += n;
                              if (ec)
                                  self->fail(ErrorKind::OutcomeUnknown, ec);
                              else
@@ -112,6 +117,14 @@
                          });
     }
 
+    void written(std::size_t n)
+    {
+        if (!*m_alive)
+            return;
+        m_client.m_traffic.bytesSent += n;
+        m_client.m_traffic.sendDelay.observe(EventLoop::now() - m_calledAt);
+    }
+
     void finish()
     {
         m_stream.expires_never();
@@ -133,8 +146,10 @@
     void fail(ErrorKind kind, const beast::error_code &ec)
     {
         close();
-        if (*m_alive && ec == beast::error::timeout)
+        if (*m_alive && ec == beast::error::timeout) {
+            ++m_client.m_traffic.timeouts;
             m_client.closeIdle(m_address);
+        }
         auto callback = std::move(m_callback);
         callback(Error(kind, m_address + ": " + ec.message()));
     }
@@ -147,6 +162,7 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
     beast::flat_buffer m_buffer;
     HttpClient::Callback m_callback;
+    TimePoint m_calledAt{};
 };
 
 } // namespace internal
@@ -182,7 +198,7 @@
         });
         return;
     }
-    ++m_opened;
+    ++m_traffic.connectionsOpened;
     auto connection = std::make_shared<internal::HttpConnection>(*this, m_alive, m_loop, address);
     connection->connectAndSend(*endpoint, std::move(request), timeout, std::move(callback));
 }
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -45,6 +45,7 @@
     bool draining = false;
     bool closed = false;
     std::size_t sessions = 0;
+    HttpTraffic traffic;
 
 private:
     EventLoop &m_loop;
@@ -60,6 +61,7 @@
         , m_listener(std::move(listener))
     {
         ++m_listener->sessions;
+        ++m_listener->traffic.connectionsOpened;
     }
 
     ~HttpSession() { --m_listener->sessions; }
@@ -73,7 +75,8 @@
         m_parser->body_limit(m_listener->limits.bodyBytes);
         m_stream.expires_after(m_listener->limits.idleTimeout);
         http::async_read_header(m_stream, m_buffer, *m_parser,
-                                [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                                [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                                    self->m_listener->traffic.bytesReceived += n;
                                     if (ec)
                                         self->refuse(ec);
                                     else
@@ -90,7 +93,8 @@
         }
         m_stream.expires_after(m_listener->limits.requestTimeout);
         http::async_read(m_stream, m_buffer, *m_parser,
-                         [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                         [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                             self->m_listener->traffic.bytesReceived += n;
                              if (ec)
                                  self->refuse(ec);
                              else
@@ -101,6 +105,7 @@
     void handle()
     {
         m_stream.expires_never();
+        ++m_listener->traffic.calls;
         if (m_listener->closed) {
             // The server was destroyed, and with it possibly the objects that the handler uses.
             beast::error_code ignored;
@@ -159,7 +164,8 @@
         m_response.prepare_payload();
         m_stream.expires_after(m_listener->limits.requestTimeout);
         http::async_write(m_stream, m_response,
-                          [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                          [self = shared_from_this()](beast::error_code ec, std::size_t n) {
+                              self->m_listener->traffic.bytesSent += n;
                               self->written(ec);
                           });
     }
@@ -257,4 +263,9 @@
     return m_listener->sessions;
 }
 
+const HttpTraffic &HttpServer::traffic() const
+{
+    return m_listener->traffic;
+}
+
 } // namespace dragonflysill
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -54,7 +54,7 @@
     , m_firstOrderAt(firstOrderAt)
     , m_startedMs(unixMilliseconds())
     , m_calls(std::make_unique<platform::MachineCalls>(
-              context.client, context.settings.machinesAddress,
+              context.serviceClient, context.settings.machinesAddress,
               platform::OrderAuthority{context.settings.name, fence}))
     , m_maintenance(context.settings.maintenanceTime)
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -40,6 +41,12 @@
 constexpr Duration maxCallTimeout = 1000ms;
 /** Interval between two checks whether the store is reachable. */
 constexpr Duration storeCheckInterval = 100ms;
+/** Interval between two measurements of the event loop's delay. */
+constexpr Duration loadCheckInterval = 50ms;
+/** Interval between two log lines about the load of the node. */
+constexpr Duration loadReportInterval = 1000ms;
+/** A node that does not own the schedule logs its load only if its event loop was this late. */
+constexpr Duration notableLoopDelay = 100ms;
 /**
  * A check that comes later than this after the previous one means that the process was paused, so
  * that unserved calls say nothing about the store.
@@ -64,8 +71,10 @@
 Node::Node(EventLoop &loop, const platform::NodeSettings &settings, std::string metricsAddress)
     : m_loop(loop)
     , m_settings(settings)
-    , m_client(loop)
-    , m_kvStore(std::make_unique<platform::KvStore>(m_client, settings.storeAddress))
+    , m_storeClient(loop)
+    , m_workerClient(loop)
+    , m_serviceClient(loop)
+    , m_kvStore(std::make_unique<platform::KvStore>(m_storeClient, settings.storeAddress))
     , m_store(loop, *m_kvStore, StoreReachability(internal::unservedCallTimeout),
               AdaptiveTimeout(internal::minCallTimeout, internal::maxCallTimeout))
     , m_service(loop, m_store, m_replica, internal::randomSeed(settings))
@@ -111,6 +120,7 @@
                        ownershipGained(fence, generation);
                    },
                    [this](const std::string &reason) { ownershipLost(reason); }})
+    , m_load(internal::loadCheckInterval, internal::loadReportInterval)
 {
     m_replica.setListener([this](const std::string &id, const ReplicatedJob &job) {
         if (m_owner)
@@ -134,6 +144,7 @@
     m_operatorWatcher.start();
     m_ownership.start();
     checkStore();
+    checkLoad();
     return Done();
 }
 
@@ -156,6 +167,50 @@
     m_loop.after(internal::storeCheckInterval, [this] { checkStore(); });
 }
 
+void Node::checkLoad()
+{
+    if (const auto load = m_load.timerRan(EventLoop::now(), EventLoop::processorTime()))
+        logLoad(*load);
+    m_loop.after(internal::loadCheckInterval, [this] { checkLoad(); });
+}
+
+void Node::logLoad(const LoadReport &load)
+{
+    const auto &workers = m_workerClient.traffic();
+    const auto bytes = [](const HttpTraffic &it) { return it.bytesSent + it.bytesReceived; };
+    const auto bytesStore = bytes(m_storeClient.traffic());
+    const auto bytesCallers = bytes(m_front.traffic());
+    const auto delta
+            = [](auto &logged, auto value) { return value - std::exchange(logged, value); };
+    const auto perSecond = [&](auto &logged, auto value) {
+        return std::to_string(static_cast<std::int64_t>(static_cast<double>(delta(logged, value))
+                                                        / toSeconds(load.period)));
+    };
+    const auto text = [](Duration it) { return std::to_string(it / std::chrono::milliseconds(1)); };
+    auto &logged = m_loadLogged;
+    std::vector<LogField> fields{
+            {"cpu_percent", std::to_string(static_cast<int>(100 * toSeconds(load.processorTime)
+                                                            / toSeconds(load.period)))},
+            {"loop_delay_max_ms", text(load.maxLoopDelay)},
+            {"store_bytes_s", perSecond(logged.bytesStore, bytesStore)},
+            {"worker_bytes_s", perSecond(logged.bytesWorkers, bytes(workers))},
+            {"caller_bytes_s", perSecond(logged.bytesCallers, bytesCallers)},
+            {"worker_calls_s", perSecond(logged.workerCalls, workers.calls)},
+            {"worker_timeouts", std::to_string(delta(logged.workerTimeouts, workers.timeouts))},
+            {"worker_connections_opened",
+             std::to_string(delta(logged.connectionsOpened, workers.connectionsOpened))}};
+    if (!m_owner) {
+        if (load.maxLoopDelay >= internal::notableLoopDelay)
+            logInfo("node-load", fields);
+        return;
+    }
+    const auto &decisions = m_owner->decisionCounts();
+    fields.emplace_back("decisions_s", perSecond(logged.decisions, decisions.decisions));
+    fields.emplace_back("decision_ms", text(delta(logged.decisionTime, decisions.time)));
+    fields.emplace_back("hold_delay_max_ms", text(m_owner->takeMaxHoldDelay()));
+    logInfo("node-load", fields);
+}
+
 bool Node::ready() const
 {
     return !m_stopping && m_storeReachable && m_replica.loaded() && m_service.configuration();
@@ -169,10 +224,20 @@
                         request);
     const auto &configuration = m_service.configuration();
     return {200,
-            renderMetrics({m_service.counts(), m_service.submissionLatency(), m_owner.get(),
-                           ready(), m_storeReachable, configuration ? configuration->version : 0,
-                           m_kvStore->calls(), m_client.opened(), m_front.connections(),
-                           m_replica.jobs().size()}),
+            renderMetrics({m_service.counts(),
+                           m_service.submissionLatency(),
+                           m_owner.get(),
+                           ready(),
+                           m_storeReachable,
+                           configuration ? configuration->version : 0,
+                           m_kvStore->calls(),
+                           m_front.connections(),
+                           m_replica.jobs().size(),
+                           m_load,
+                           {{"store", m_storeClient.traffic()},
+                            {"workers", m_workerClient.traffic()},
+                            {"services", m_serviceClient.traffic()},
+                            {"callers", m_front.traffic()}}}),
             {}};
 }
 
@@ -230,8 +295,10 @@
     logInfo("ownership-gained",
             {{"fence", std::to_string(fence)}, {"generation", std::to_string(generation)}});
     m_stateWatcher.setPause(internal::ownerWatchPause);
+    m_loadLogged.decisions = 0;
+    m_loadLogged.decisionTime = Duration{0};
     m_owner = std::make_unique<ScheduleOwner>(
-            OwnerContext{m_loop, m_store, m_client, m_replica, m_settings,
+            OwnerContext{m_loop, m_store, m_workerClient, m_serviceClient, m_replica, m_settings,
                          [this] { return m_ownership.valid(); },
                          [this] { return m_ownership.mayExtendHolds(); },
                          [this] { m_loop.post([this] { m_ownership.newerOwnerSeen(); }); }},
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -55,6 +55,44 @@
     target.sample_sum = values.sum();
 }
 
+/** Adds a family with one value for each peer. */
+template <typename Value>
+void perPeer(Families &families, const char *name, const char *help, const NodeMetrics &metrics,
+             Value value)
+{
+    auto &family = add(families, name, help, prometheus::MetricType::Counter);
+    family.metric.clear();
+    for (const auto &[peer, traffic] : metrics.traffic) {
+        auto &metric = family.metric.emplace_back();
+        metric.label.push_back({"peer", peer});
+        metric.counter.value = static_cast<double>(value(traffic));
+    }
+}
+
+void addTraffic(Families &families, const NodeMetrics &metrics)
+{
+    std::uint64_t opened = 0;
+    for (const auto &[peer, traffic] : metrics.traffic) {
+        if (peer != "callers")
+            opened += traffic.connectionsOpened;
+    }
+    counter(families, "connections_opened_total", "Connections opened to other systems", opened);
+    perPeer(families, "sent_bytes_total", "Bytes sent by peer", metrics,
+            [](const HttpTraffic &it) { return it.bytesSent; });
+    perPeer(families, "received_bytes_total", "Bytes received by peer", metrics,
+            [](const HttpTraffic &it) { return it.bytesReceived; });
+    perPeer(families, "calls_total", "Calls by peer", metrics,
+            [](const HttpTraffic &it) { return it.calls; });
+    perPeer(families, "call_timeouts_total", "Calls without a response in time by peer", metrics,
+            [](const HttpTraffic &it) { return it.timeouts; });
+    for (const auto &[peer, traffic] : metrics.traffic) {
+        if (peer == "workers")
+            histogram(families, "worker_send_seconds",
+                      "Time until a call to a worker was written to its connection",
+                      traffic.sendDelay);
+    }
+}
+
 void addOwner(Families &families, const ScheduleOwner &owner)
 {
     const auto &calls = owner.workerCallCounts();
@@ -63,6 +101,13 @@
     gauge(families, "workers", "Workers known to the scheduling node",
           owner.scheduler().workers().size());
     counter(families, "holds_total", "Holds sent to workers", calls.holds);
+    histogram(families, "hold_delay_seconds", "Time from when a hold was due until it was sent",
+              calls.holdDelay);
+    counter(families, "decisions_total", "Scheduling decisions", owner.decisionCounts().decisions);
+    counter(families, "decision_seconds_total", "Time spent on scheduling decisions",
+            toSeconds(owner.decisionCounts().time));
+    histogram(families, "decision_delay_seconds", "Time from an event until its decision",
+              owner.decisionCounts().delay);
     counter(families, "holds_unanswered_total", "Holds without an answer", calls.holdsUnanswered);
     counter(families, "starts_total", "Starts sent to workers", calls.starts);
     counter(families, "starts_refused_total", "Starts that workers refused", calls.startsRefused);
@@ -105,8 +150,11 @@
                       service.statusRequests);
     internal::counter(families, "no_queue_total", "Requests without a queue", service.unknownQueue);
     internal::counter(families, "store_calls_total", "Calls to the store", metrics.storeCalls);
-    internal::counter(families, "connections_opened_total", "Connections opened to other systems",
-                      metrics.connectionsOpened);
+    internal::addTraffic(families, metrics);
+    internal::histogram(families, "loop_delay_seconds", "Time by which the event loop ran late",
+                        metrics.load.loopDelay());
+    internal::counter(families, "processor_seconds_total", "Processor time used by the process",
+                      toSeconds(metrics.load.processorTime()));
     internal::counter(families, "log_lines_dropped_total", "Log lines dropped by the bound",
                       droppedLogLines());
     internal::histogram(families, "hand_in_seconds", "Time until the store answered a submission",
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -51,8 +51,9 @@
     , m_fence(fence)
     , m_scheduler(internal::schedulerSettings(m_context.settings),
                   static_cast<int>(generation) * internal::runsPerOwner)
-    , m_workerController(m_context.client, m_scheduler, fence, m_context.settings.admissionAddress,
-                         m_context.mayGiveOrders, [this] { requestDecision(); })
+    , m_workerController(m_context.workerClient, m_context.serviceClient, m_scheduler, fence,
+                         m_context.settings.admissionAddress, m_context.mayGiveOrders,
+                         [this] { requestDecision(); })
     , m_fleet(m_context, m_scheduler, fence,
               generation == 0 ? EventLoop::now()
                               : EventLoop::now() + m_context.settings.machineLease)
@@ -153,10 +154,12 @@
 {
     if (std::exchange(m_decisionDue, true))
         return;
+    m_decisionRequestedAt = EventLoop::now();
     m_context.loop.after(internal::decisionDelay, [this, alive = m_alive] {
         if (!*alive)
             return;
         m_decisionDue = false;
+        m_decisionCounts.delay.observe(EventLoop::now() - m_decisionRequestedAt);
         decide();
     });
 }
@@ -186,6 +189,8 @@
         m_workerController.execute(action);
     m_workerController.sendDueHolds(now);
     saveProgress();
+    ++m_decisionCounts.decisions;
+    m_decisionCounts.time += EventLoop::now() - now;
 }
 
 void ScheduleOwner::saveProgress()
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -32,14 +32,15 @@
 
 } // namespace internal
 
-WorkerController::WorkerController(HttpClient &client, Scheduler &scheduler, std::int64_t fence,
+WorkerController::WorkerController(HttpClient &workerClient, HttpClient &admissionClient,
+                                   Scheduler &scheduler, std::int64_t fence,
                                    std::string admissionAddress,
                                    std::function<bool()> mayGiveOrders,
                                    std::function<void()> onChange)
-    : m_client(client)
+    : m_admissionClient(admissionClient)
     , m_admissionAddress(std::move(admissionAddress))
     , m_scheduler(scheduler)
-    , m_calls(std::make_unique<platform::WorkerCalls>(client, fence))
+    , m_calls(std::make_unique<platform::WorkerCalls>(workerClient, fence))
     , m_mayGiveOrders(std::move(mayGiveOrders))
     , m_onChange(std::move(onChange))
 {
@@ -93,26 +94,27 @@
         m_scheduler.admissionUnanswered(request, EventLoop::now());
         return;
     }
-    m_client.call(m_admissionAddress,
-                  platform::encodeAdmissionRequest(request.job, request.occurrence, request.step,
-                                                   request.workers),
-                  internal::admissionTimeout,
-                  [this, alive = m_alive, request](const Result<HttpResponse> &response) {
-                      if (!*alive)
-                          return;
-                      const auto now = EventLoop::now();
-                      const auto tickets
-                              = response && response->status == 200
-                                        ? platform::decodeAdmissionResponse(response->body)
-                                        : Result<platform::AdmissionTickets>(Error(
-                                                ErrorKind::Unreachable,
+    m_admissionClient.call(
+            m_admissionAddress,
+            platform::encodeAdmissionRequest(request.job, request.occurrence, request.step,
+                                             request.workers),
+            internal::admissionTimeout,
+            [this, alive = m_alive, request](const Result<HttpResponse> &response) {
+                if (!*alive)
+                    return;
+                const auto now = EventLoop::now();
+                const auto tickets
+                        = response && response->status == 200
+                                  ? platform::decodeAdmissionResponse(response->body)
+                                  : Result<platform::AdmissionTickets>(
+                                          Error(ErrorKind::Unreachable,
                                                 "no usable response from the admission service"));
-                      if (tickets)
-                          m_scheduler.admissionAnswered(request, *tickets, now);
-                      else
-                          m_scheduler.admissionUnanswered(request, now);
-                      m_onChange();
-                  });
+                if (tickets)
+                    m_scheduler.admissionAnswered(request, *tickets, now);
+                else
+                    m_scheduler.admissionUnanswered(request, now);
+                m_onChange();
+            });
 }
 
 void WorkerController::deliver(const StartTask &start, const std::string &address)
@@ -199,6 +201,10 @@
                          && worker.time.known() && !stopping;
     holdState.inFlight = true;
     ++m_counts.holds;
+    if (holdState.nextHoldAt != TimePoint{}) {
+        m_counts.holdDelay.observe(now - holdState.nextHoldAt);
+        m_maxHoldDelay = std::max(m_maxHoldDelay, now - holdState.nextHoldAt);
+    }
     m_calls->hold(worker.description.address, id, m_scheduler.holdRequest(id, now),
                   mayWait ? internal::maxHoldWait : Milliseconds(0), internal::holdAnswerTimeout,
                   [this, alive = m_alive, id, now](const Result<WorkerReport> &report) {
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -92,7 +92,7 @@
     spdlog::set_default_logger(std::move(logger));
 }
 
-std::string formatFields(std::string_view event, std::initializer_list<LogField> fields)
+std::string formatFields(std::string_view event, std::span<const LogField> fields)
 {
     nlohmann::ordered_json json{{"event", event}};
     for (const auto &[name, value] : fields)
@@ -120,13 +120,18 @@
 }
 
 void logInfo(std::string_view event, std::initializer_list<LogField> fields)
+{
+    logInfo(event, std::span(fields.begin(), fields.size()));
+}
+
+void logInfo(std::string_view event, std::span<const LogField> fields)
 {
     spdlog::info("{}", internal::formatFields(event, fields));
 }
 
 void logDebug(std::string_view event, std::initializer_list<LogField> fields)
 {
-    spdlog::debug("{}", internal::formatFields(event, fields));
+    spdlog::debug("{}", internal::formatFields(event, std::span(fields.begin(), fields.size())));
 }
 
 bool debugLogEnabled()
@@ -136,7 +141,7 @@
 
 void logWarning(std::string_view event, std::initializer_list<LogField> fields)
 {
-    spdlog::warn("{}", internal::formatFields(event, fields));
+    spdlog::warn("{}", internal::formatFields(event, std::span(fields.begin(), fields.size())));
 }
 
 } // namespace dragonflysill
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -82,7 +82,7 @@
         BOOST_REQUIRE(answer->ok());
         BOOST_TEST((*answer)->body == "POST /path?x=1 body");
     }
-    BOOST_TEST(client.opened() == 1U);
+    BOOST_TEST(client.traffic().connectionsOpened == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(ClosedPortIsUnreachable)
