Reproduce decisions that get slower with the jobs that wait

Each event (a run that ended, a job that came) leads to a decision that considers every waiting step and checks every run of the fleet.

No decision changes.

--- a/bench/bench-scheduler/main.cpp
+++ b/bench/bench-scheduler/main.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/jobs/scheduler.h"
 
+#include <array>
 #include <chrono>
 #include <cstdio>
 #include <string>
@@ -14,6 +15,14 @@
 constexpr int tasksPerJob = 10;
 constexpr int rounds = 20;
 
+/** Returns an id of the length that callers use. */
+std::string jobId(int n)
+{
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%016x", static_cast<unsigned>(n));
+    return id.data();
+}
+
 struct Fleet
 {
     Scheduler scheduler{SchedulerSettings{}, 0};
@@ -34,7 +43,7 @@
         }
         for (int n = 0; n < jobs; ++n) {
             SubmittedJob job;
-            job.id = std::to_string(n);
+            job.id = jobId(n);
             job.queue = "queue";
             job.pool = "pool-" + std::to_string(n % pools);
             JobStep step;
@@ -67,10 +76,10 @@
     return elapsed.count() / rounds;
 }
 
-void measure(int workers, int pools)
+/** @param jobs open jobs; half as many as workers are about the load of the users' bursts */
+void measure(int workers, int pools, int jobs)
 {
-    // With half as many open jobs as workers, the load is about that of the users' bursts.
-    Fleet fleet(workers, pools, workers / 2);
+    Fleet fleet(workers, pools, jobs);
     const auto start = std::chrono::steady_clock::now();
     const auto actions = fleet.scheduler.decide(fleet.now, 0);
     const std::chrono::duration<double, std::milli> first
@@ -79,20 +88,21 @@
         fleet.now += 1ms;
         fleet.scheduler.decide(fleet.now, 0);
     });
-    std::printf("%8d %6d %8zu %12.2f %16.1f\n", workers, pools, actions.size(), first.count(),
-                idle);
+    std::printf("%8d %6d %6d %8zu %12.2f %16.1f\n", workers, pools, jobs, actions.size(),
+                first.count(), idle);
 }
 
 } // namespace
 
 int main()
 {
-    std::puts("workers  pools   starts     first ms   decision in us");
-    measure(49, 4);
-    measure(350, 4);
-    measure(1000, 32);
-    measure(2000, 64);
-    measure(4000, 128);
-    measure(8100, 259);
+    std::puts("workers  pools   jobs   starts     first ms   decision in us");
+    measure(49, 4, 24);
+    for (const int backlog : {0, 500, 1000, 2000})
+        measure(350, 4, 175 + backlog);
+    measure(1000, 32, 500);
+    measure(2000, 64, 1000);
+    measure(4000, 128, 2000);
+    measure(8100, 259, 4050);
     return 0;
 }
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -73,6 +73,13 @@
     JobProgress progress;
 };
 
+/** Work done by the decisions of a Scheduler so far. */
+struct DecisionWork
+{
+    std::uint64_t stepsExamined = 0; ///< Waiting steps that were considered for a start.
+    std::uint64_t runsChecked = 0; ///< Runs whose progress and orders were checked.
+};
+
 /** Timing of a Scheduler. */
 struct SchedulerSettings
 {
@@ -187,6 +194,14 @@
      */
     std::vector<SchedulerAction> decide(TimePoint now, std::int64_t unixMs);
 
+    /** Returns the actions to take right after an event, between two calls of decide(). */
+    std::vector<SchedulerAction> decideAfterEvent(TimePoint now, std::int64_t unixMs)
+    {
+        return decide(now, unixMs);
+    }
+
+    [[nodiscard]] const DecisionWork &work() const { return m_work; }
+
     /** Returns true if a worker has seen a higher fencing token, so a new owner exists. */
     [[nodiscard]] bool replaced() const { return m_replaced; }
 
@@ -255,6 +270,7 @@
     int m_runOffset;
     std::optional<TimePoint> m_firstDecisionAt; ///< Time of the first decide() call.
     bool m_replaced = false;
+    DecisionWork m_work;
     bool m_hasUrgentUpdates = false;
     std::unordered_map<std::string, std::unique_ptr<JobRun>> m_jobs;
     std::map<std::string, JobRun *> m_open; ///< Jobs that have not ended, by id.
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -27,6 +27,7 @@
             loseRuns(worker, now);
         for (auto &[task, run] : worker.runs)
             checkRun(worker, run, now);
+        m_work.runsChecked += worker.runs.size();
         if (worker.reachable)
             paceBestEffortRuns(worker, now);
         if (worker.leaving || worker.description.draining)
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -68,6 +68,7 @@
                 if (job->job().spec.steps[static_cast<std::size_t>(n)].persistent)
                     candidate.tier = Candidate::Tier::Persistent;
                 pools[job->job().pool].push_back(candidate);
+                ++m_work.stepsExamined;
             }
         }
     }
--- a/tests/jobs/schedulerharness.h
+++ b/tests/jobs/schedulerharness.h
@@ -109,6 +109,15 @@
         return actions;
     }
 
+    /** Like decide(), for the decision right after an event. */
+    std::vector<SchedulerAction> decideAfterEvent()
+    {
+        auto actions = scheduler.decideAfterEvent(now, unixMs);
+        for (const auto &it : actions)
+            std::visit([this](const auto &order) { apply(order); }, it);
+        return actions;
+    }
+
     void reportFrom(const std::string &id)
     {
         const auto request = scheduler.holdRequest(id, now);
