Decide after an event about what the event changed

Cause: every event (an end, a new job, an answer) ran a whole decision, which sorted all waiting steps (copying each job's id for each comparison), checked all runs and visited all workers. Each job that waited made each decision slower, so that less was started and more waited: congestion collapse.

A persistent step that waits is now ranked by its latest start also when its job is late; before, by its remaining work. Moves and waves are decided with decide() only.

--- a/bench/bench-scheduler/main.cpp
+++ b/bench/bench-scheduler/main.cpp
@@ -88,15 +88,20 @@
         fleet.now += 1ms;
         fleet.scheduler.decide(fleet.now, 0);
     });
-    std::printf("%8d %6d %6d %8zu %12.2f %16.1f\n", workers, pools, jobs, actions.size(),
-                first.count(), idle);
+    const double event = microseconds([&] {
+        fleet.now += 1ms;
+        fleet.report(0, {});
+        fleet.scheduler.decideAfterEvent(fleet.now, 0);
+    });
+    std::printf("%8d %6d %6d %8zu %12.2f %16.1f %16.1f\n", workers, pools, jobs, actions.size(),
+                first.count(), idle, event);
 }
 
 } // namespace
 
 int main()
 {
-    std::puts("workers  pools   jobs   starts     first ms   decision in us");
+    std::puts("workers  pools   jobs   starts     first ms   decision in us      event in us");
     measure(49, 4, 24);
     for (const int backlog : {0, 500, 1000, 2000})
         measure(350, 4, 175 + backlog);
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -139,6 +139,8 @@
 
     /** Accepted before this owner took over, so runs may exist that it does not know of yet. */
     bool inherited = false;
+    /** Its entries in the queue of waiting steps may be out of date. */
+    bool queueOutdated = false;
     /** The job is queued for saving its progress. */
     bool saveQueued = false;
     /** Local time by which the job should complete to meet its latency objective. */
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -5,10 +5,12 @@
 #include "dragonflysill/jobs/fleetview.h"
 #include "dragonflysill/jobs/jobrun.h"
 #include "dragonflysill/jobs/runtimemodel.h"
+#include "dragonflysill/jobs/waitingqueue.h"
 #include "dragonflysill/jobs/workerstate.h"
 
 #include <deque>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -194,11 +196,12 @@
      */
     std::vector<SchedulerAction> decide(TimePoint now, std::int64_t unixMs);
 
-    /** Returns the actions to take right after an event, between two calls of decide(). */
-    std::vector<SchedulerAction> decideAfterEvent(TimePoint now, std::int64_t unixMs)
-    {
-        return decide(now, unixMs);
-    }
+    /**
+     * Returns the starts that events since the last decision allow. Its cost depends on the pools
+     * and jobs that changed and not on the backlog; decide() must still be called regularly for
+     * everything that depends on time.
+     */
+    std::vector<SchedulerAction> decideAfterEvent(TimePoint now, std::int64_t unixMs);
 
     [[nodiscard]] const DecisionWork &work() const { return m_work; }
 
@@ -212,7 +215,11 @@
     [[nodiscard]] std::size_t openJobs() const { return m_open.size(); }
 
 private:
-    struct Candidate;
+    /** How many of a pool's waiting steps a decision considers. */
+    enum class Search {
+        All,
+        First, ///< Ends after a number of steps without a suitable worker.
+    };
 
     JobRun *find(std::string_view id);
     WorkerState *findWorker(std::string_view id);
@@ -251,8 +258,13 @@
     }
     [[nodiscard]] int unavailableTasks(const JobRun &job, const TaskId &task) const;
     void openOccurrences(std::int64_t unixMs, TimePoint now);
-    void dispatch(TimePoint now);
-    void dispatchPool(const std::string &pool, std::vector<Candidate> &candidates, TimePoint now);
+    /** Marks a job whose waiting steps or remaining work may have changed. */
+    void waitingChanged(JobRun &job);
+    void updateQueues(std::int64_t unixMs, TimePoint now);
+    void countUnreachedWorkers(TimePoint now);
+    void dispatchPool(const std::string &pool, Search search, TimePoint now);
+    /** Returns false if the step could not be started because no worker has enough capacity. */
+    bool startStep(const WaitingStep &waiting, std::vector<Resources> &tooLarge, TimePoint now);
     void startWaiting(JobRun &job, int occurrence, int step, TimePoint now);
     void startGang(JobRun &job, int occurrence, int step, TimePoint now);
     void startCopies(TimePoint now);
@@ -274,6 +286,10 @@
     bool m_hasUrgentUpdates = false;
     std::unordered_map<std::string, std::unique_ptr<JobRun>> m_jobs;
     std::map<std::string, JobRun *> m_open; ///< Jobs that have not ended, by id.
+    std::map<std::string, WaitingQueue, std::less<>> m_queues; ///< Waiting steps by pool.
+    std::vector<JobRun *> m_outdatedJobs; ///< Jobs with JobRun::queueOutdated.
+    TimePoint m_queuesRebuiltAt{};
+    std::set<std::string, std::less<>> m_changedPools; ///< Pools where starts may be possible now.
     std::unordered_map<std::string, WorkerState> m_workers;
     std::map<std::string, std::vector<WorkerState *>, std::less<>> m_pools;
     std::deque<std::string> m_unsavedJobs; ///< Jobs with unsaved changes, oldest first.
--- /dev/null
+++ b/include/dragonflysill/jobs/waitingqueue.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "dragonflysill/base/time.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace dragonflysill {
+
+class JobRun;
+
+/** A step with waiting tasks. */
+struct WaitingStep
+{
+    JobRun *job = nullptr;
+    int occurrence = 0;
+    int step = 0;
+};
+
+/**
+ * The steps of a pool's jobs that have waiting tasks, in the order in which they are served. An
+ * update takes time only for the steps of one job, and serving takes time only for the steps that
+ * are visited, however many others wait.
+ */
+class WaitingQueue
+{
+public:
+    /** Scheduling classes, most urgent first. */
+    enum class Tier {
+        Persistent, ///< Persistent step; its users have no service until it runs again.
+        InTime, ///< Its job can still meet its latency objective.
+        Late, ///< Its job will miss its objective and uses the capacity that others leave.
+    };
+
+    /**
+     * Replaces the entries of a job by its steps that have waiting tasks now.
+     * @param remainingWork expected run time of the job's steps that have not completed
+     */
+    void update(JobRun &job, Duration remainingWork, TimePoint now);
+
+    /** Removes the entries of a job. */
+    void remove(JobRun &job);
+
+    /**
+     * Visits the steps in order until @p visitor returns false. The visitor must not change the
+     * queue.
+     */
+    template <typename Visitor>
+    void visit(TimePoint now, Visitor visitor)
+    {
+        demoteLateJobs(now);
+        for (const auto &[key, step] : m_steps) {
+            if (!visitor(step))
+                return;
+        }
+    }
+
+private:
+    struct Key
+    {
+        Tier tier = Tier::InTime;
+        int priority = 0;
+        bool noStepDone = true; ///< No step of the occurrence has completed.
+        /** Latest start to meet the objective; for late jobs, the remaining work. */
+        Duration rank{0};
+        std::string_view job;
+        int occurrence = 0;
+        int step = 0;
+
+        auto operator<=>(const Key &) const = default;
+    };
+
+    /** What the queue holds for a job. */
+    struct JobEntries
+    {
+        std::vector<Key> keys;
+        Duration remainingWork{0};
+        std::optional<TimePoint> latestStart; ///< Not set if it is late or cannot become late.
+    };
+
+    void demoteLateJobs(TimePoint now);
+
+    std::map<Key, WaitingStep> m_steps;
+    std::unordered_map<JobRun *, JobEntries> m_jobs;
+    std::set<std::pair<TimePoint, JobRun *>> m_latestStarts; ///< Of the jobs that are in time.
+};
+
+} // namespace dragonflysill
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -91,7 +91,11 @@
     void addJob(const std::string &id, const ReplicatedJob &job, bool inherited);
     void tick();
     void requestDecision();
+    /** Returns whether this node may decide now; if not, it only extends holds that are due. */
+    bool mayDecide();
     void decide();
+    void decideAfterEvent();
+    void carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt);
     void saveProgress();
     void progressSaved(std::vector<ProgressUpdate> updates, const ConditionalWrite &write,
                        const Result<WriteOutcome> &outcome);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -56,6 +56,7 @@
         auto &accepted = m_acceptedLoad[run->job().pool];
         accepted.arrivedWork += expectedWork(*run);
         ++accepted.arrivedJobs;
+        waitingChanged(*run);
     }
     m_jobs.emplace(id, std::move(run));
 }
@@ -85,8 +86,11 @@
 void Scheduler::removeJob(std::string_view id)
 {
     const auto it = m_jobs.find(std::string(id));
-    if (it != m_jobs.end() && it->second->hasEnded())
-        m_jobs.erase(it);
+    if (it == m_jobs.end() || !it->second->hasEnded())
+        return;
+    if (it->second->queueOutdated)
+        std::erase(m_outdatedJobs, it->second.get());
+    m_jobs.erase(it);
 }
 
 void Scheduler::queueSave(JobRun &job)
@@ -106,6 +110,7 @@
 {
     const std::string id = job.job().id;
     m_open.erase(id);
+    m_queues[job.job().pool].remove(job);
     m_admissions.removeJob(id);
     for (auto &[name, worker] : m_workers) {
         const auto first = worker.runs.lower_bound(TaskId{id, 0, 0, 0});
@@ -258,7 +263,30 @@
         m_firstDecisionAt = now;
     openOccurrences(unixMs, now);
     checkWorkers(now);
-    dispatch(now);
+    if (now - m_queuesRebuiltAt >= internal::queueRebuildInterval) {
+        m_queuesRebuiltAt = now;
+        for (const auto &[id, job] : m_open)
+            waitingChanged(*job);
+    }
+    updateQueues(unixMs, now);
+    m_changedPools.clear();
+    for (const auto &[pool, queue] : m_queues)
+        dispatchPool(pool, Search::All, now);
+    startCopies(now);
+    return std::exchange(m_actions, {});
+}
+
+std::vector<SchedulerAction> Scheduler::decideAfterEvent(TimePoint now, std::int64_t unixMs)
+{
+    if (!m_firstDecisionAt)
+        return decide(now, unixMs);
+    // A run that a worker reported must be known before its task may be started elsewhere.
+    countUnreachedWorkers(now);
+    for (auto &[id, worker] : m_workers)
+        processUnadoptedRuns(worker, now);
+    updateQueues(unixMs, now);
+    for (const auto &pool : std::exchange(m_changedPools, {}))
+        dispatchPool(pool, Search::First, now);
     return std::exchange(m_actions, {});
 }
 
@@ -266,8 +294,28 @@
 {
     for (const auto &[id, job] : m_open) {
         const auto due = job->nextDueMs();
-        if (due != 0 ? due <= unixMs : job->occurrences().empty())
+        if ((due != 0 ? due <= unixMs : job->occurrences().empty())
+            && job->openDueOccurrences(unixMs, now))
+            waitingChanged(*job);
+    }
+}
+
+void Scheduler::waitingChanged(JobRun &job)
+{
+    if (!std::exchange(job.queueOutdated, true))
+        m_outdatedJobs.push_back(&job);
+}
+
+void Scheduler::updateQueues(std::int64_t unixMs, TimePoint now)
+{
+    for (auto *job : std::exchange(m_outdatedJobs, {})) {
+        job->queueOutdated = false;
+        if (job->hasEnded())
+            continue;
+        if (job->occurrences().empty())
             job->openDueOccurrences(unixMs, now);
+        m_queues[job->job().pool].update(*job, remainingWork(*job), now);
+        m_changedPools.insert(job->job().pool);
     }
 }
 
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -9,13 +9,18 @@
 
 namespace dragonflysill {
 
-void Scheduler::checkWorkers(TimePoint now)
+void Scheduler::countUnreachedWorkers(TimePoint now)
 {
     m_unreachedWorkers.clear();
     for (const auto &[id, worker] : m_workers) {
         if (!worker.fenced && !worker.retired && now < worker.heldUntil)
             ++m_unreachedWorkers[worker.description.pool];
     }
+}
+
+void Scheduler::checkWorkers(TimePoint now)
+{
+    countUnreachedWorkers(now);
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         auto &worker = it->second;
         processUnadoptedRuns(worker, now);
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -50,6 +50,12 @@
 /** Bounds of the number of workers in one admission request. */
 constexpr int minAdmissionWorkers = 4;
 constexpr int maxAdmissionWorkers = 30;
+/** Interval at which the queues of waiting steps take over changed run time estimates. */
+constexpr Duration queueRebuildInterval = 1000ms;
+/** Steps without a suitable worker after which a decision after an event ends the search. */
+constexpr int maxStepsWithoutWorker = 16;
+/** Maximum number of waiting steps of a pool that a decision after an event considers. */
+constexpr int maxStepsAfterEvent = 64;
 /** Maximum number of ends in a worker's report, from the worker protocol. */
 constexpr std::size_t maxEndsPerReport = 500;
 /** Multiple of its expected run time after which a speculative task gets a second copy. */
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -9,29 +9,6 @@
 
 namespace dragonflysill {
 
-/** A step with waiting tasks and its place in the scheduling order. */
-struct Scheduler::Candidate
-{
-    /** Scheduling classes, most urgent first. */
-    enum class Tier {
-        Persistent, ///< Persistent step; its users have no service until it runs again.
-        InTime, ///< Its job can still meet its latency objective.
-        Late, ///< Its job will miss its objective and uses the capacity that others leave.
-    };
-
-    JobRun *job = nullptr;
-    int occurrence = 0;
-    int step = 0;
-    Tier tier = Tier::InTime;
-    bool noStepDone = true; ///< No step of the job has completed.
-    Duration slack{0}; ///< Time until it must start; for late jobs, the remaining work.
-
-    [[nodiscard]] auto order() const
-    {
-        return std::tuple(tier, job->job().policy.priority, noStepDone, slack, job->job().id);
-    }
-};
-
 Duration Scheduler::remainingWork(const JobRun &job) const
 {
     const auto open = job.occurrences().begin();
@@ -49,63 +26,50 @@
     return it != m_unreachedWorkers.end() && it->second > 0;
 }
 
-void Scheduler::dispatch(TimePoint now)
-{
-    std::map<std::string, std::vector<Candidate>> pools;
-    for (const auto &[id, job] : m_open) {
-        if (job->waitingTasks() == 0 || blockedByUnknownRuns(*job))
-            continue;
-        const auto work = remainingWork(*job);
-        const bool inTime = now + work <= job->objective || job->job().spec.scheduled;
-        for (auto &[occurrence, run] : job->occurrences()) {
-            for (int n = 0; n < static_cast<int>(run.steps.size()); ++n) {
-                if (run.steps[static_cast<std::size_t>(n)].waiting == 0)
-                    continue;
-                Candidate candidate{job, occurrence, n};
-                candidate.noStepDone = run.stepsDone == 0;
-                candidate.slack = inTime ? job->objective - now - work : work;
-                candidate.tier = inTime ? Candidate::Tier::InTime : Candidate::Tier::Late;
-                if (job->job().spec.steps[static_cast<std::size_t>(n)].persistent)
-                    candidate.tier = Candidate::Tier::Persistent;
-                pools[job->job().pool].push_back(candidate);
-                ++m_work.stepsExamined;
-            }
-        }
-    }
-    for (auto &[pool, candidates] : pools)
-        dispatchPool(pool, candidates, now);
-    startCopies(now);
-}
-
-void Scheduler::dispatchPool(const std::string &pool, std::vector<Candidate> &candidates,
-                             TimePoint now)
+void Scheduler::dispatchPool(const std::string &pool, Search search, TimePoint now)
 {
     const auto workers = m_pools.find(pool);
-    if (workers == m_pools.end()
+    const auto queue = m_queues.find(pool);
+    if (queue == m_queues.end() || workers == m_pools.end()
         || std::ranges::none_of(workers->second, [now](const auto *it) { return it->usable(now); }))
         return;
-    std::ranges::sort(candidates, {}, [](const Candidate &it) { return it.order(); });
     // Amounts for which no worker had free capacity; larger ones need not be tried.
     std::vector<Resources> tooLarge;
-    for (const auto &it : candidates) {
-        const auto &step = it.job->job().spec.steps[static_cast<std::size_t>(it.step)];
-        const auto need = step.reserved();
-        const bool cannotFit = std::ranges::any_of(
-                tooLarge, [&need](const Resources &amount) { return need.covers(amount); });
-        if (cannotFit)
-            continue;
-        if (step.gang)
-            startGang(*it.job, it.occurrence, it.step, now);
-        else
-            startWaiting(*it.job, it.occurrence, it.step, now);
-        const bool needsTicket = admissionSettings(*it.job) != nullptr;
-        const bool constrained
-                = needsTicket || step.gang || step.maxPerWorker > 0 || !step.requiredLabel.empty();
-        if (!constrained
-            && it.job->occurrences()[it.occurrence].steps[static_cast<std::size_t>(it.step)].waiting
-                       > 0)
-            tooLarge.push_back(need);
-    }
+    int examined = 0;
+    int withoutWorker = 0;
+    queue->second.visit(now, [&](const WaitingStep &it) {
+        if (blockedByUnknownRuns(*it.job))
+            return true;
+        ++m_work.stepsExamined;
+        ++examined;
+        withoutWorker += static_cast<int>(!startStep(it, tooLarge, now));
+        return search == Search::All
+               || (examined < internal::maxStepsAfterEvent
+                   && withoutWorker < internal::maxStepsWithoutWorker);
+    });
+}
+
+bool Scheduler::startStep(const WaitingStep &waiting, std::vector<Resources> &tooLarge,
+                          TimePoint now)
+{
+    auto &job = *waiting.job;
+    const auto &step = job.job().spec.steps[static_cast<std::size_t>(waiting.step)];
+    const auto need = step.reserved();
+    if (std::ranges::any_of(tooLarge,
+                            [&need](const Resources &amount) { return need.covers(amount); }))
+        return false;
+    if (step.gang)
+        startGang(job, waiting.occurrence, waiting.step, now);
+    else
+        startWaiting(job, waiting.occurrence, waiting.step, now);
+    const bool needsTicket = admissionSettings(job) != nullptr;
+    const bool constrained
+            = needsTicket || step.gang || step.maxPerWorker > 0 || !step.requiredLabel.empty();
+    const auto &run = job.occurrences()[waiting.occurrence];
+    const bool started = run.steps[static_cast<std::size_t>(waiting.step)].waiting == 0;
+    if (!started && !constrained)
+        tooLarge.push_back(need);
+    return started;
 }
 
 void Scheduler::startWaiting(JobRun &job, int occurrence, int step, TimePoint now)
@@ -244,6 +208,7 @@
     worker.persistentRuns += static_cast<int>(run.persistent);
     worker.runs[id] = std::move(run);
     job.activate(id, worker.description.id);
+    waitingChanged(job);
     job.markStarted();
     queueSave(job);
     m_actions.emplace_back(std::move(action));
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -37,6 +37,8 @@
     it->lastContact = now;
     it->lastReport = now;
     it->lastReportListedEnds = !report.ended.empty();
+    if (!it->reachable || !it->fenced)
+        m_changedPools.insert(it->description.pool);
     it->reachable = true;
     it->fenced = true;
     if (it->startedMs != report.startedMs)
@@ -96,8 +98,10 @@
         if (auto *task = job->task(run->first); task != nullptr && !run->second.checkpoint.empty())
             task->checkpoint = run->second.checkpoint;
         job->deactivate(run->first, worker.description.id, now);
+        waitingChanged(*job);
     }
     worker.runs.erase(run);
+    m_changedPools.insert(worker.description.pool);
 }
 
 void Scheduler::loseRuns(WorkerState &worker, TimePoint now)
@@ -154,6 +158,7 @@
         observeCompletedRun(worker, *run, now);
     if (!job.complete(end.task, now))
         return;
+    waitingChanged(job);
     stopOtherRuns(end.task, worker.description.id, now);
     if (job.hasEnded())
         endJob(job, now);
@@ -305,6 +310,7 @@
     known.persistent = job->step(report.task).persistent;
     worker.persistentRuns += static_cast<int>(known.persistent);
     job->activate(report.task, worker.description.id);
+    waitingChanged(*job);
     job->markStarted();
     queueSave(*job);
 }
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -160,24 +160,31 @@
             return;
         m_decisionDue = false;
         m_decisionCounts.delay.observe(EventLoop::now() - m_decisionRequestedAt);
-        decide();
+        decideAfterEvent();
     });
 }
 
-void ScheduleOwner::decide()
+bool ScheduleOwner::mayDecide()
 {
     if (!m_started)
-        return;
+        return false;
     if (!m_context.mayGiveOrders()) {
         // Keep extending the holds of current runs for a while, because the lease may be recovered.
         if (m_context.mayExtendHolds())
             m_workerController.sendDueHolds(EventLoop::now());
-        return;
+        return false;
     }
     if (m_scheduler.replaced()) {
         m_context.onNewerOwner();
-        return;
+        return false;
     }
+    return true;
+}
+
+void ScheduleOwner::decide()
+{
+    if (!mayDecide())
+        return;
     const auto now = EventLoop::now();
     if (now - m_fleetDecidedAt >= internal::fleetInterval) {
         m_fleetDecidedAt = now;
@@ -185,12 +192,25 @@
         m_workers.updateRecord();
         removeOldJobs();
     }
-    for (const auto &action : m_scheduler.decide(now, unixMilliseconds()))
-        m_workerController.execute(action);
-    m_workerController.sendDueHolds(now);
+    carryOut(m_scheduler.decide(now, unixMilliseconds()), now);
+}
+
+void ScheduleOwner::decideAfterEvent()
+{
+    if (!mayDecide())
+        return;
+    const auto now = EventLoop::now();
+    carryOut(m_scheduler.decideAfterEvent(now, unixMilliseconds()), now);
+}
+
+void ScheduleOwner::carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt)
+{
+    for (const auto &it : actions)
+        m_workerController.execute(it);
+    m_workerController.sendDueHolds(startedAt);
     saveProgress();
     ++m_decisionCounts.decisions;
-    m_decisionCounts.time += EventLoop::now() - now;
+    m_decisionCounts.time += EventLoop::now() - startedAt;
 }
 
 void ScheduleOwner::saveProgress()
