Find due holds without visiting all workers

HoldSchedule keeps the workers by due time, so that the cost is that of the due ones, most overdue first; it says how late a hold was sent, too.

--- a/include/dragonflysill/node/workercontroller.h
+++ b/include/dragonflysill/node/workercontroller.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "dragonflysill/base/latencyhistogram.h"
+#include "dragonflysill/jobs/holdschedule.h"
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/net/httpclient.h"
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -55,6 +55,9 @@
     /** Sends the order of one decision, if this node still owns the schedule. */
     void execute(const SchedulerAction &action);
 
+    /** Includes workers that the scheduler has learned of since the last call. */
+    void addNewWorkers(TimePoint now);
+
     /** Sends the hold requests that are due. */
     void sendDueHolds(TimePoint now);
 
@@ -64,20 +67,13 @@
     Duration takeMaxHoldDelay() { return std::exchange(m_maxHoldDelay, Duration{0}); }
 
 private:
-    struct HoldState
-    {
-        bool inFlight = false; ///< A hold request is in flight.
-        TimePoint nextHoldAt{};
-    };
-
     template <typename Order>
     void send(const Order &order);
     void send(const RequestAdmission &request);
     void deliver(const StartTask &start, const std::string &address);
     void deliver(const StopTask &stop, const std::string &address);
     void deliver(const PaceTask &pace, const std::string &address);
-    void hold(const std::string &id, const WorkerState &worker, HoldState &holdState,
-              TimePoint now);
+    void hold(const std::string &id, const WorkerState &worker, TimePoint now);
     void logUnreachable(const std::string &id, const Error &error);
     void holdAnswered(const std::string &id, const Result<WorkerReport> &report, TimePoint sentAt);
 
@@ -87,7 +83,7 @@
     std::unique_ptr<platform::WorkerCalls> m_calls;
     std::function<bool()> m_mayGiveOrders;
     std::function<void()> m_onChange;
-    std::map<std::string, HoldState> m_holdStates;
+    HoldSchedule m_holds;
     WorkerControllerCounts m_counts;
     Duration m_maxHoldDelay{0};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -186,6 +186,7 @@
     if (!mayDecide())
         return;
     const auto now = EventLoop::now();
+    m_workerController.addNewWorkers(now);
     if (now - m_fleetDecidedAt >= internal::fleetInterval) {
         m_fleetDecidedAt = now;
         m_fleet.tick(now);
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -128,9 +128,7 @@
                        internal::logOrder("task-start-answer", start,
                                           internal::outcomeName(outcome));
                        const auto now = EventLoop::now();
-                       auto &holdState = m_holdStates[start.worker];
-                       holdState.nextHoldAt
-                               = std::min(holdState.nextHoldAt, now + internal::minHoldInterval);
+                       m_holds.bringForward(start.worker, now + internal::minHoldInterval);
                        if (const auto *it = std::get_if<platform::OrderConfirmed>(&outcome)) {
                            m_scheduler.startConfirmed(start, it->clock, now);
                        } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
@@ -176,22 +174,29 @@
                   });
 }
 
-void WorkerController::sendDueHolds(TimePoint now)
+void WorkerController::addNewWorkers(TimePoint now)
 {
     for (const auto &[id, worker] : m_scheduler.workers()) {
-        auto &holdState = m_holdStates[id];
-        if (holdState.inFlight || worker.retired || now < holdState.nextHoldAt)
+        if (!worker.retired)
+            m_holds.add(id, now);
+    }
+}
+
+void WorkerController::sendDueHolds(TimePoint now)
+{
+    for (const auto &[id, dueAt] : m_holds.takeDue(now)) {
+        const auto *worker = m_scheduler.worker(id);
+        if (worker == nullptr || worker->retired) {
+            m_holds.remove(id);
             continue;
-        hold(id, worker, holdState, now);
+        }
+        m_counts.holdDelay.observe(now - dueAt);
+        m_maxHoldDelay = std::max(m_maxHoldDelay, now - dueAt);
+        hold(id, *worker, now);
     }
-    if (m_holdStates.size() > m_scheduler.workers().size())
-        std::erase_if(m_holdStates, [this](const auto &it) {
-            return !it.second.inFlight && m_scheduler.worker(it.first) == nullptr;
-        });
 }
 
-void WorkerController::hold(const std::string &id, const WorkerState &worker, HoldState &holdState,
-                            TimePoint now)
+void WorkerController::hold(const std::string &id, const WorkerState &worker, TimePoint now)
 {
     // A run that was stopped before it started reports no end, so waiting for one would be useless.
     const bool stopping = std::ranges::any_of(worker.runs, [](const auto &it) {
@@ -199,12 +204,7 @@
     });
     const bool mayWait = worker.reachable && worker.busy() && worker.pendingEnds.empty()
                          && worker.time.known() && !stopping;
-    holdState.inFlight = true;
     ++m_counts.holds;
-    if (holdState.nextHoldAt != TimePoint{}) {
-        m_counts.holdDelay.observe(now - holdState.nextHoldAt);
-        m_maxHoldDelay = std::max(m_maxHoldDelay, now - holdState.nextHoldAt);
-    }
     m_calls->hold(worker.description.address, id, m_scheduler.holdRequest(id, now),
                   mayWait ? internal::maxHoldWait : Milliseconds(0), internal::holdAnswerTimeout,
                   [this, alive = m_alive, id, now](const Result<WorkerReport> &report) {
@@ -229,8 +229,6 @@
                                     TimePoint sentAt)
 {
     const auto now = EventLoop::now();
-    auto &holdState = m_holdStates[id];
-    holdState.inFlight = false;
     if (report) {
         for (const auto &it : report->ended) {
             if (it.end == RunEnd::Failed)
@@ -253,15 +251,15 @@
                                  || std::ranges::any_of(worker->runs, [](const auto &it) {
                                         return it.second.phase == TaskRun::Phase::Stopping;
                                     }));
-        holdState.nextHoldAt = now
-                               + (unsaved ? internal::unsavedHoldInterval
-                                  : idle  ? internal::idleHoldInterval
-                                          : internal::minHoldInterval);
+        m_holds.answered(id, now
+                                     + (unsaved ? internal::unsavedHoldInterval
+                                        : idle  ? internal::idleHoldInterval
+                                                : internal::minHoldInterval));
     } else {
         ++m_counts.holdsUnanswered;
         logUnreachable(id, report.error());
         m_scheduler.holdUnanswered(id, now);
-        holdState.nextHoldAt = now + internal::retryInterval;
+        m_holds.answered(id, now + internal::retryInterval);
     }
     m_onChange();
 }
