Stretch an overloaded owner's intervals and make its fleet tick cheaper

LoadGovernor judges by the smallest loop delay and the smallest answer time of a window whether a queue has built up, for the processor or on the link, and stretches what gets cheaper when done less often: holds, decisions after events, fleet ticks, polls of the store. The fleet tick looks instances up by name, no longer copies the fleet for each decision, and sums the load of all pools in one pass; jobs and workers are found without copying their ids; runs are checked each 200 ms.

--- a/include/dragonflysill/jobs/maintenanceplanner.h
+++ b/include/dragonflysill/jobs/maintenanceplanner.h
@@ -6,6 +6,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace dragonflysill {
@@ -86,7 +88,9 @@
         std::map<std::string, TimePoint> down; ///< Instances counted as down, since when.
     };
 
-    void decideWave(Wave &wave, const FleetView &fleet,
+    using InstancesByName = std::unordered_map<std::string_view, const InstanceView *>;
+
+    void decideWave(Wave &wave, const InstancesByName &instances,
                     const std::function<bool(const std::string &)> &hasShortage, TimePoint now,
                     MaintenanceDecision &decision);
 
--- a/include/dragonflysill/jobs/poolbalancer.h
+++ b/include/dragonflysill/jobs/poolbalancer.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -54,7 +55,10 @@
 
     void updateDemand(const FleetView &fleet, TimePoint now);
     void updateArrivalRate(Demand &demand, const PoolLoad &load, TimePoint now) const;
-    [[nodiscard]] const InstanceView *chooseInstance(const FleetView &fleet,
+    /** Instances that the current decision moves. */
+    using Ordered = std::unordered_set<const InstanceView *>;
+
+    [[nodiscard]] const InstanceView *chooseInstance(const FleetView &fleet, const Ordered &ordered,
                                                      const std::string &pool) const;
     void updateActiveInstances(int total, TimePoint now);
     [[nodiscard]] bool needsInstance(const Demand &demand, TimePoint now) const;
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflysill/base/stringhash.h"
 #include "dragonflysill/jobs/admissiontable.h"
 #include "dragonflysill/jobs/fleetconfiguration.h"
 #include "dragonflysill/jobs/fleetview.h"
@@ -14,7 +15,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -154,10 +154,7 @@
     /** Sets whether a worker gets no new tasks and its persistent tasks are moved away. */
     void setLeaving(std::string_view id, bool leaving);
     [[nodiscard]] const WorkerState *worker(std::string_view id) const;
-    [[nodiscard]] const std::unordered_map<std::string, WorkerState> &workers() const
-    {
-        return m_workers;
-    }
+    [[nodiscard]] const StringMap<WorkerState> &workers() const { return m_workers; }
 
     // Requests to workers and their answers.
 
@@ -208,8 +205,8 @@
     /** Returns true if a worker has seen a higher fencing token, so a new owner exists. */
     [[nodiscard]] bool replaced() const { return m_replaced; }
 
-    /** Returns the load of a pool from waiting and running tasks, including persistent ones. */
-    [[nodiscard]] PoolLoad load(std::string_view pool) const;
+    /** Returns the load of each pool from waiting and running tasks, including persistent ones. */
+    [[nodiscard]] std::map<std::string, PoolLoad, std::less<>> loads() const;
 
     /** Returns the number of jobs that have not ended. */
     [[nodiscard]] std::size_t openJobs() const { return m_open.size(); }
@@ -284,18 +281,18 @@
     bool m_replaced = false;
     DecisionWork m_work;
     bool m_hasUrgentUpdates = false;
-    std::unordered_map<std::string, std::unique_ptr<JobRun>> m_jobs;
+    StringMap<std::unique_ptr<JobRun>> m_jobs;
     std::map<std::string, JobRun *> m_open; ///< Jobs that have not ended, by id.
     std::map<std::string, WaitingQueue, std::less<>> m_queues; ///< Waiting steps by pool.
     std::vector<JobRun *> m_outdatedJobs; ///< Jobs with JobRun::queueOutdated.
     TimePoint m_queuesRebuiltAt{};
     std::set<std::string, std::less<>> m_changedPools; ///< Pools where starts may be possible now.
-    std::unordered_map<std::string, WorkerState> m_workers;
+    StringMap<WorkerState> m_workers;
     std::map<std::string, std::vector<WorkerState *>, std::less<>> m_pools;
     std::deque<std::string> m_unsavedJobs; ///< Jobs with unsaved changes, oldest first.
     std::map<TaskId, int> m_unwantedRuns; ///< Number of TaskRun::unwanted runs by task.
     /** Number of workers by pool that have not answered this owner yet and may have runs. */
-    std::unordered_map<std::string, int> m_unreachedWorkers;
+    StringMap<int> m_unreachedWorkers;
     std::vector<SchedulerAction> m_actions;
     std::map<std::string, PoolLoad, std::less<>> m_acceptedLoad; ///< Work and jobs by pool.
     std::map<std::string, WorkerAdmissionSettings, std::less<>> m_admissionQueues;
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -65,6 +65,7 @@
     bool fenced = false; ///< It has received this owner's fencing token.
     bool leaving = false; ///< It gets no new tasks, and its persistent tasks are moved away.
     bool retired = false; ///< It has ended permanently; its entry may still be in the store.
+    TimePoint runsCheckedAt{}; ///< Time of the last check of its runs.
     TimePoint pausedUntil{}; ///< No starts before this time, after it refused one.
     std::map<TaskId, TaskRun> runs;
     /** Reported runs that this owner has neither started nor adopted. */
--- a/include/dragonflysill/node/fleetcontroller.h
+++ b/include/dragonflysill/node/fleetcontroller.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace dragonflysill {
@@ -83,7 +84,9 @@
     void retireMissingWorkers();
     [[nodiscard]] FleetView buildView(TimePoint now);
     void fillInstanceView(InstanceView &instance, const WorkerState *worker, TimePoint now);
-    void removeCompletedOrders(const std::map<std::string, const WorkerState *> &workers);
+    using WorkersByInstance = std::unordered_map<std::string_view, const WorkerState *>;
+
+    void removeCompletedOrders(const WorkersByInstance &workers);
     void orderMove(const MoveInstance &move, const FleetView &fleet, TimePoint now);
     void orderMaintenance(const MaintainInstance &maintenance, const FleetView &fleet,
                           TimePoint now);
--- a/include/dragonflysill/node/loadmonitor.h
+++ b/include/dragonflysill/node/loadmonitor.h
@@ -39,6 +39,8 @@
      */
     std::optional<LoadReport> timerRan(TimePoint now, Duration processorTime);
 
+    /** Returns how late the last run of the timer was. */
+    [[nodiscard]] Duration lastDelay() const { return m_lastDelay; }
     [[nodiscard]] const LatencyHistogram &loopDelay() const { return m_loopDelay; }
     /** Returns the processor time that the process has used since its start. */
     [[nodiscard]] Duration processorTime() const { return m_processorTime; }
@@ -50,6 +52,7 @@
     TimePoint m_reportedAt{};
     Duration m_reportedProcessorTime{0};
     Duration m_processorTime{0};
+    Duration m_lastDelay{0};
     Duration m_maxLoopDelay{0};
     LatencyHistogram m_loopDelay;
 };
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflysill/jobs/loadgovernor.h"
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/jobservice.h"
@@ -96,6 +97,7 @@
     bool m_storeReachable = false;
     TimePoint m_storeCheckedAt{};
     LoadMonitor m_load;
+    LoadGovernor m_governor;
     LoadLogState m_loadLogged;
 };
 
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/base/latencyhistogram.h"
 #include "dragonflysill/jobs/fleetconfiguration.h"
+#include "dragonflysill/jobs/loadgovernor.h"
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/node/fleetcontroller.h"
@@ -33,6 +34,7 @@
     HttpClient &serviceClient; ///< For the platform's machine and admission services.
     StateReplica &replica;
     const platform::NodeSettings &settings;
+    LoadGovernor &governor;
     std::function<bool()> mayGiveOrders; ///< Returns whether this node still owns the schedule.
     std::function<bool()> mayExtendHolds; ///< Returns whether it may still extend holds.
     std::function<void()> onNewerOwner; ///< Called when a newer owner is detected.
--- a/include/dragonflysill/node/workercontroller.h
+++ b/include/dragonflysill/node/workercontroller.h
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/base/latencyhistogram.h"
 #include "dragonflysill/jobs/holdschedule.h"
+#include "dragonflysill/jobs/loadgovernor.h"
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/net/httpclient.h"
 
@@ -46,7 +47,7 @@
      * @param onChange called when a response may allow new scheduling decisions
      */
     WorkerController(HttpClient &workerClient, HttpClient &admissionClient, Scheduler &scheduler,
-                     std::int64_t fence, std::string admissionAddress,
+                     LoadGovernor &governor, std::int64_t fence, std::string admissionAddress,
                      std::function<bool()> mayGiveOrders, std::function<void()> onChange);
     ~WorkerController();
     WorkerController(const WorkerController &) = delete;
@@ -74,12 +75,14 @@
     void deliver(const StopTask &stop, const std::string &address);
     void deliver(const PaceTask &pace, const std::string &address);
     void hold(const std::string &id, const WorkerState &worker, TimePoint now);
+    [[nodiscard]] Duration minHoldInterval() const;
     void logUnreachable(const std::string &id, const Error &error);
     void holdAnswered(const std::string &id, const Result<WorkerReport> &report, TimePoint sentAt);
 
     HttpClient &m_admissionClient;
     std::string m_admissionAddress;
     Scheduler &m_scheduler;
+    LoadGovernor &m_governor;
     std::unique_ptr<platform::WorkerCalls> m_calls;
     std::function<bool()> m_mayGiveOrders;
     std::function<void()> m_onChange;
--- a/src/daymodel/daymodel.cpp
+++ b/src/daymodel/daymodel.cpp
@@ -317,9 +317,12 @@
     {
         FleetView fleet;
         fleet.standbyPool = standbyPool;
+        auto *scheduler = std::get_if<Scheduler>(&m_dispatch);
+        auto loads = scheduler == nullptr ? std::map<std::string, PoolLoad, std::less<>>()
+                                          : scheduler->loads();
         for (const auto &pool : m_shape.pools)
-            fleet.load[pool.name] = std::holds_alternative<Scheduler>(m_dispatch)
-                                            ? std::get<Scheduler>(m_dispatch).load(pool.name)
+            fleet.load[pool.name] = scheduler != nullptr
+                                            ? loads[pool.name]
                                             : std::get<FirstInFirstOut>(m_dispatch).load(pool.name);
         for (const auto &it : m_instances) {
             InstanceView row;
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -94,9 +94,14 @@
                            TimePoint now)
 {
     MaintenanceDecision decision;
+    if (openWaves().empty())
+        return decision;
+    InstancesByName instances;
+    for (const auto &it : fleet.instances)
+        instances.emplace(it.name, &it);
     for (auto &[number, wave] : m_waves) {
         if (!wave.completed)
-            decideWave(wave, fleet, hasShortage, now, decision);
+            decideWave(wave, instances, hasShortage, now, decision);
     }
     return decision;
 }
@@ -116,7 +121,7 @@
         wave.down.erase(it);
 }
 
-void MaintenancePlanner::decideWave(Wave &wave, const FleetView &fleet,
+void MaintenancePlanner::decideWave(Wave &wave, const InstancesByName &instances,
                                     const std::function<bool(const std::string &)> &hasShortage,
                                     TimePoint now, MaintenanceDecision &decision)
 {
@@ -124,18 +129,19 @@
     int present = 0;
     int possiblyDown = 0;
     for (const auto &name : wave.request.instances) {
-        const auto it = std::ranges::find(fleet.instances, name, &InstanceView::name);
-        if (it == fleet.instances.end()) {
+        const auto found = instances.find(name);
+        if (found == instances.end()) {
             wave.down.erase(name);
             continue;
         }
+        const auto *it = found->second;
         updateDownInstances(wave, *it, now);
         ++present;
         // The previous owner may have taken it down shortly before the takeover.
         possiblyDown += static_cast<int>(it->possiblyOrdered && !it->usable && !it->orderPending
                                          && !wave.down.contains(name));
         if (!wave.maintained.contains(name))
-            open.push_back(&*it);
+            open.push_back(it);
     }
     if (open.empty() && present > 0) {
         wave.completed = true;
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -140,12 +140,12 @@
            && it->second.present > it->second.target;
 }
 
-const InstanceView *PoolBalancer::chooseInstance(const FleetView &fleet,
+const InstanceView *PoolBalancer::chooseInstance(const FleetView &fleet, const Ordered &ordered,
                                                  const std::string &pool) const
 {
     const InstanceView *best = nullptr;
     for (const auto &it : fleet.instances) {
-        if (it.pool == pool || !canBeMoved(it))
+        if (it.pool == pool || !canBeMoved(it) || ordered.contains(&it))
             continue;
         // Prefer idle instances of other pools, which would be moved anyway, to those in standby.
         if (best == nullptr
@@ -159,19 +159,18 @@
 {
     updateDemand(fleet, now);
     std::vector<MoveInstance> moves;
-    auto remaining = fleet;
+    Ordered ordered;
     const auto order = [&](const InstanceView &instance, const std::string &pool) {
-        const std::string name = instance.name;
-        moves.push_back({name, pool});
+        moves.push_back({instance.name, pool});
         if (!instance.standby)
             --m_demand[instance.pool].present;
         if (pool != fleet.standbyPool)
             ++m_demand[pool].present;
-        std::ranges::find(remaining.instances, name, &InstanceView::name)->orderPending = true;
+        ordered.insert(&instance);
     };
     for (auto &[pool, demand] : m_demand) {
         while (needsInstance(demand, now)) {
-            const auto *it = chooseInstance(remaining, pool);
+            const auto *it = chooseInstance(fleet, ordered, pool);
             if (it == nullptr)
                 break;
             order(*it, pool);
@@ -182,8 +181,8 @@
     int active = 0;
     for (const auto &[pool, demand] : m_demand)
         active += demand.present;
-    for (const auto &it : remaining.instances) {
-        if (active > m_activeInstances && !it.standby && canBeMoved(it)
+    for (const auto &it : fleet.instances) {
+        if (active > m_activeInstances && !it.standby && canBeMoved(it) && !ordered.contains(&it)
             && now - it.idleSince >= internal::idleTimeBeforeStandby) {
             order(it, fleet.standbyPool);
             --active;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -17,25 +17,25 @@
 
 JobRun *Scheduler::find(std::string_view id)
 {
-    const auto it = m_jobs.find(std::string(id));
+    const auto it = m_jobs.find(id);
     return it == m_jobs.end() ? nullptr : it->second.get();
 }
 
 const JobRun *Scheduler::job(std::string_view id) const
 {
-    const auto it = m_jobs.find(std::string(id));
+    const auto it = m_jobs.find(id);
     return it == m_jobs.end() ? nullptr : it->second.get();
 }
 
 WorkerState *Scheduler::findWorker(std::string_view id)
 {
-    const auto it = m_workers.find(std::string(id));
+    const auto it = m_workers.find(id);
     return it == m_workers.end() ? nullptr : &it->second;
 }
 
 const WorkerState *Scheduler::worker(std::string_view id) const
 {
-    const auto it = m_workers.find(std::string(id));
+    const auto it = m_workers.find(id);
     return it == m_workers.end() ? nullptr : &it->second;
 }
 
@@ -85,7 +85,7 @@
 
 void Scheduler::removeJob(std::string_view id)
 {
-    const auto it = m_jobs.find(std::string(id));
+    const auto it = m_jobs.find(id);
     if (it == m_jobs.end() || !it->second->hasEnded())
         return;
     if (it->second->queueOutdated)
@@ -319,14 +319,11 @@
     }
 }
 
-PoolLoad Scheduler::load(std::string_view pool) const
+std::map<std::string, PoolLoad, std::less<>> Scheduler::loads() const
 {
-    PoolLoad load;
-    if (const auto it = m_acceptedLoad.find(pool); it != m_acceptedLoad.end())
-        load = it->second;
+    auto loads = m_acceptedLoad;
     for (const auto &[id, job] : m_open) {
-        if (job->job().pool != pool)
-            continue;
+        auto &load = loads[job->job().pool];
         for (const auto &[occurrence, run] : job->occurrences()) {
             for (std::size_t n = 0; n < run.steps.size(); ++n) {
                 const auto &step = job->job().spec.steps[n];
@@ -343,7 +340,7 @@
             }
         }
     }
-    return load;
+    return loads;
 }
 
 } // namespace dragonflysill
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -30,9 +30,12 @@
         }
         if (!worker.reachable && now >= worker.heldUntil)
             loseRuns(worker, now);
-        for (auto &[task, run] : worker.runs)
-            checkRun(worker, run, now);
-        m_work.runsChecked += worker.runs.size();
+        if (now - worker.runsCheckedAt >= internal::runCheckInterval) {
+            worker.runsCheckedAt = now;
+            for (auto &[task, run] : worker.runs)
+                checkRun(worker, run, now);
+            m_work.runsChecked += worker.runs.size();
+        }
         if (worker.reachable)
             paceBestEffortRuns(worker, now);
         if (worker.leaving || worker.description.draining)
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -18,6 +18,8 @@
 constexpr Duration holdMargin = 100ms;
 /** Time after which an unanswered stop or pace order is sent again. */
 constexpr Duration orderRetryDelay = 500ms;
+/** Interval between two checks of a worker's runs for missing answers and progress. */
+constexpr Duration runCheckInterval = 200ms;
 /** Minimum time without progress after which a run counts as stalled. */
 constexpr Duration minStallTimeout = 1500ms;
 /**
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -110,7 +110,9 @@
         orderMove(it, fleet, now);
     for (const auto &[id, worker] : m_scheduler.workers()) {
         const auto &name = worker.description.instance;
-        m_scheduler.setLeaving(id, maintenance.leaving.contains(name) || m_orders.contains(name));
+        const bool leaving = maintenance.leaving.contains(name) || m_orders.contains(name);
+        if (worker.leaving != leaving)
+            m_scheduler.setLeaving(id, leaving);
     }
 }
 
@@ -191,7 +193,7 @@
 
 FleetView FleetController::buildView(TimePoint now)
 {
-    std::map<std::string, const WorkerState *> workers;
+    WorkersByInstance workers;
     for (const auto &[id, worker] : m_scheduler.workers()) {
         auto &known = workers[worker.description.instance];
         if (worker.listed
@@ -200,11 +202,12 @@
     }
     removeCompletedOrders(workers);
     FleetView fleet;
+    auto loads = m_scheduler.loads();
     for (const auto &it : m_configuration.pools) {
         if (it.standby)
             fleet.standbyPool = it.name;
         else
-            fleet.load[it.name] = m_scheduler.load(it.name);
+            fleet.load[it.name] = loads[it.name];
     }
     std::int64_t milliCores = 0;
     for (const auto &[name, instance] : m_instances) {
@@ -256,8 +259,7 @@
     row.standby = isStandby(row.pool);
 }
 
-void FleetController::removeCompletedOrders(
-        const std::map<std::string, const WorkerState *> &workers)
+void FleetController::removeCompletedOrders(const WorkersByInstance &workers)
 {
     std::erase_if(m_orders, [&](const auto &entry) {
         const auto &[name, order] = entry;
--- a/src/node/loadmonitor.cpp
+++ b/src/node/loadmonitor.cpp
@@ -14,10 +14,10 @@
         m_reportedProcessorTime = processorTime;
         return std::nullopt;
     }
-    const auto delay = std::max(Duration{0}, now - *m_lastRun - m_timerInterval);
+    m_lastDelay = std::max(Duration{0}, now - *m_lastRun - m_timerInterval);
     m_lastRun = now;
-    m_loopDelay.observe(delay);
-    m_maxLoopDelay = std::max(m_maxLoopDelay, delay);
+    m_loopDelay.observe(m_lastDelay);
+    m_maxLoopDelay = std::max(m_maxLoopDelay, m_lastDelay);
     if (now - m_reportedAt < m_reportInterval)
         return std::nullopt;
     return LoadReport{now - std::exchange(m_reportedAt, now),
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -169,8 +169,13 @@
 
 void Node::checkLoad()
 {
-    if (const auto load = m_load.timerRan(EventLoop::now(), EventLoop::processorTime()))
+    const auto now = EventLoop::now();
+    if (const auto load = m_load.timerRan(now, EventLoop::processorTime()))
         logLoad(*load);
+    m_governor.recordLoopDelay(m_load.lastDelay(), now);
+    if (m_owner)
+        m_stateWatcher.setPause(
+                m_governor.stretched(internal::ownerWatchPause, internal::followerWatchPause));
     m_loop.after(internal::loadCheckInterval, [this] { checkLoad(); });
 }
 
@@ -207,6 +212,7 @@
     const auto &decisions = m_owner->decisionCounts();
     fields.emplace_back("decisions_s", perSecond(logged.decisions, decisions.decisions));
     fields.emplace_back("decision_ms", text(delta(logged.decisionTime, decisions.time)));
+    fields.emplace_back("stretch", std::to_string(m_governor.stretch()));
     fields.emplace_back("hold_delay_max_ms", text(m_owner->takeMaxHoldDelay()));
     logInfo("node-load", fields);
 }
@@ -299,7 +305,7 @@
     m_loadLogged.decisionTime = Duration{0};
     m_owner = std::make_unique<ScheduleOwner>(
             OwnerContext{m_loop, m_store, m_workerClient, m_serviceClient, m_replica, m_settings,
-                         [this] { return m_ownership.valid(); },
+                         m_governor, [this] { return m_ownership.valid(); },
                          [this] { return m_ownership.mayExtendHolds(); },
                          [this] { m_loop.post([this] { m_ownership.newerOwnerSeen(); }); }},
             fence, generation);
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -119,8 +119,9 @@
         runs[worker.description.pool] += worker.runs.size();
     }
     Json rows = Json::array();
+    auto loads = scheduler.loads();
     for (const auto &it : source.service.configuration()->pools) {
-        const auto load = scheduler.load(it.name);
+        const auto &load = loads[it.name];
         rows.push_back({{"pool", it.name},
                         {"standby", it.standby},
                         {"workers", workers[it.name]},
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -21,8 +21,12 @@
 constexpr Duration tickInterval = 50ms;
 /** Interval between two decisions about moves and maintenance. */
 constexpr Duration fleetInterval = 100ms;
+/** The same interval on an overloaded node. */
+constexpr Duration maxFleetInterval = 300ms;
 /** Delay between an event and the decision, so that events shortly after share the decision. */
 constexpr Duration decisionDelay = 3ms;
+/** The same delay on an overloaded node. */
+constexpr Duration maxDecisionDelay = 30ms;
 /** Minimum interval between two writes of progress, unless a job has ended. */
 constexpr Duration minSaveInterval = 60ms;
 /** A transaction of the store may have 32 entries: one for the owner's condition, two per job. */
@@ -51,9 +55,9 @@
     , m_fence(fence)
     , m_scheduler(internal::schedulerSettings(m_context.settings),
                   static_cast<int>(generation) * internal::runsPerOwner)
-    , m_workerController(m_context.workerClient, m_context.serviceClient, m_scheduler, fence,
-                         m_context.settings.admissionAddress, m_context.mayGiveOrders,
-                         [this] { requestDecision(); })
+    , m_workerController(m_context.workerClient, m_context.serviceClient, m_scheduler,
+                         m_context.governor, fence, m_context.settings.admissionAddress,
+                         m_context.mayGiveOrders, [this] { requestDecision(); })
     , m_fleet(m_context, m_scheduler, fence,
               generation == 0 ? EventLoop::now()
                               : EventLoop::now() + m_context.settings.machineLease)
@@ -155,7 +159,9 @@
     if (std::exchange(m_decisionDue, true))
         return;
     m_decisionRequestedAt = EventLoop::now();
-    m_context.loop.after(internal::decisionDelay, [this, alive = m_alive] {
+    const auto delay
+            = m_context.governor.stretched(internal::decisionDelay, internal::maxDecisionDelay);
+    m_context.loop.after(delay, [this, alive = m_alive] {
         if (!*alive)
             return;
         m_decisionDue = false;
@@ -187,7 +193,8 @@
         return;
     const auto now = EventLoop::now();
     m_workerController.addNewWorkers(now);
-    if (now - m_fleetDecidedAt >= internal::fleetInterval) {
+    if (now - m_fleetDecidedAt
+        >= m_context.governor.stretched(internal::fleetInterval, internal::maxFleetInterval)) {
         m_fleetDecidedAt = now;
         m_fleet.tick(now);
         m_workers.updateRecord();
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -23,23 +23,28 @@
 constexpr Duration admissionTimeout = 3000ms;
 /** Minimum interval between two holds of a worker, so that one response reports several ends. */
 constexpr Duration minHoldInterval = 25ms;
+/** The same interval on an overloaded node; two holds and a wait are shorter than a hold lasts. */
+constexpr Duration maxHoldInterval = 400ms;
 /** Interval while ended runs wait to be saved; holds are answered immediately in that state. */
 constexpr Duration unsavedHoldInterval = 80ms;
 /** Interval between two holds of a worker without runs. */
 constexpr Duration idleHoldInterval = 2000ms;
+/** The same interval on an overloaded node. */
+constexpr Duration maxIdleHoldInterval = 4000ms;
 /** Interval between two attempts to reach a worker that did not answer. */
 constexpr Duration retryInterval = 250ms;
 
 } // namespace internal
 
 WorkerController::WorkerController(HttpClient &workerClient, HttpClient &admissionClient,
-                                   Scheduler &scheduler, std::int64_t fence,
+                                   Scheduler &scheduler, LoadGovernor &governor, std::int64_t fence,
                                    std::string admissionAddress,
                                    std::function<bool()> mayGiveOrders,
                                    std::function<void()> onChange)
     : m_admissionClient(admissionClient)
     , m_admissionAddress(std::move(admissionAddress))
     , m_scheduler(scheduler)
+    , m_governor(governor)
     , m_calls(std::make_unique<platform::WorkerCalls>(workerClient, fence))
     , m_mayGiveOrders(std::move(mayGiveOrders))
     , m_onChange(std::move(onChange))
@@ -122,13 +127,15 @@
     ++m_counts.starts;
     internal::logOrder("task-start", start);
     m_calls->start(address, start, internal::orderTimeout,
-                   [this, alive = m_alive, start](const platform::OrderOutcome &outcome) {
+                   [this, alive = m_alive, start,
+                    sentAt = EventLoop::now()](const platform::OrderOutcome &outcome) {
                        if (!*alive)
                            return;
                        internal::logOrder("task-start-answer", start,
                                           internal::outcomeName(outcome));
                        const auto now = EventLoop::now();
-                       m_holds.bringForward(start.worker, now + internal::minHoldInterval);
+                       m_governor.recordResponseTime(now - sentAt, now);
+                       m_holds.bringForward(start.worker, now + minHoldInterval());
                        if (const auto *it = std::get_if<platform::OrderConfirmed>(&outcome)) {
                            m_scheduler.startConfirmed(start, it->clock, now);
                        } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
@@ -174,6 +181,11 @@
                   });
 }
 
+Duration WorkerController::minHoldInterval() const
+{
+    return m_governor.stretched(internal::minHoldInterval, internal::maxHoldInterval);
+}
+
 void WorkerController::addNewWorkers(TimePoint now)
 {
     for (const auto &[id, worker] : m_scheduler.workers()) {
@@ -251,10 +263,13 @@
                                  || std::ranges::any_of(worker->runs, [](const auto &it) {
                                         return it.second.phase == TaskRun::Phase::Stopping;
                                     }));
-        m_holds.answered(id, now
-                                     + (unsaved ? internal::unsavedHoldInterval
-                                        : idle  ? internal::idleHoldInterval
-                                                : internal::minHoldInterval));
+        m_holds.answered(id,
+                         now
+                                 + (unsaved ? m_governor.stretched(internal::unsavedHoldInterval,
+                                                                   internal::maxHoldInterval)
+                                    : idle  ? m_governor.stretched(internal::idleHoldInterval,
+                                                                   internal::maxIdleHoldInterval)
+                                            : minHoldInterval()));
     } else {
         ++m_counts.holdsUnanswered;
         logUnreachable(id, report.error());
