Limit the calls in flight to a worker and close unused connections

From then on each failed call was tried again at once or after 0.25 s: 1,000 calls a second that carried 100 bytes each.

Class: a cache without a bound, filled by bursts and by moves. The client now keeps a limited number of calls in flight to an address (a hold and two orders to a worker), lets further ones wait for up to their timeout, and reports those that it did not send as such; connections that were unused for 5 s are closed. The same cause elsewhere: the clients of the store and of the machine service have one address, so only their idle time is limited.

Tests Http/SimultaneousCallsShareALimitedNumberOfConnections (20 connections without the limit, 2 with it), CallsThatWaitedUntilTheir- DeadlineWereNotSent, UnusedConnectionsAreClosed; the client before had no limit to set.

--- a/include/dragonflysill/net/httpclient.h
+++ b/include/dragonflysill/net/httpclient.h
@@ -1,12 +1,15 @@
 #pragma once
 
 #include "dragonflysill/base/result.h"
+#include "dragonflysill/base/stringhash.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpmessage.h"
 #include "dragonflysill/net/httptraffic.h"
 
+#include <chrono>
+#include <cstddef>
+#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,6 +20,14 @@
 class HttpConnection;
 }
 
+/** Limits of an HttpClient on its connections. */
+struct HttpClientLimits
+{
+    /** Maximum number of calls in flight to an address; further ones wait. 0 for no limit. */
+    std::size_t callsPerAddress = 0;
+    std::chrono::milliseconds maxIdleTime{5000}; ///< After it, an unused connection is closed.
+};
+
 /**
  * HTTP/1.1 client on the event loop. It reuses idle connections to an address and opens new ones as
  * needed. When a call times out, its connection is closed together with all idle connections to the
@@ -28,7 +39,7 @@
     /** Receives the response, Unreachable if the request was not sent, or else OutcomeUnknown. */
     using Callback = std::function<void(Result<HttpResponse>)>;
 
-    explicit HttpClient(EventLoop &loop);
+    explicit HttpClient(EventLoop &loop, HttpClientLimits limits = {});
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -36,7 +47,8 @@
     /**
      * Sends a request.
      * @param address "IP:PORT"
-     * @param timeout time for the whole call, including the connection setup
+     * @param timeout time for the whole call, including the wait for other calls to the address and
+     * the connection setup
      */
     void call(const std::string &address, HttpRequest request, Duration timeout, Callback callback);
 
@@ -45,13 +57,46 @@
 private:
     friend class internal::HttpConnection;
 
+    struct IdleConnection
+    {
+        std::shared_ptr<internal::HttpConnection> connection;
+        TimePoint since{};
+    };
+
+    struct WaitingCall
+    {
+        HttpRequest request;
+        TimePoint deadline{};
+        Callback callback;
+    };
+
+    /** Connections and calls of an address. */
+    struct Peer
+    {
+        std::vector<IdleConnection> idle; ///< Longest idle first.
+        std::size_t callsInFlight = 0;
+        std::deque<WaitingCall> waiting;
+    };
+
+    void send(const std::string &address, Peer &peer, HttpRequest request, Duration timeout,
+              Callback callback);
+    void failLater(Callback callback, std::string detail);
     /** Closes the idle connections to an address. */
     void closeIdle(const std::string &address);
-    void keepIdle(const std::string &address, std::shared_ptr<internal::HttpConnection> connection);
+    /**
+     * Ends a call and starts the next one that waits for the address.
+     * @param connection the connection of the call, if it can be reused
+     */
+    void callEnded(const std::string &address,
+                   std::shared_ptr<internal::HttpConnection> connection);
+    /** Closes connections that have been idle for too long, and again as long as any are idle. */
+    void closeUnused();
+    void closeUnusedLater();
 
     EventLoop &m_loop;
-    std::map<std::string, std::vector<std::shared_ptr<internal::HttpConnection>>, std::less<>>
-            m_idle;
+    HttpClientLimits m_limits;
+    StringMap<Peer> m_peers;
+    bool m_closingUnused = false; ///< closeUnused() will run.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     HttpTraffic m_traffic;
 };
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -8,7 +8,9 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace dragonflysill {
 
@@ -21,6 +23,8 @@
 
 /** Maximum size of a response body in bytes; enough for an encoded page of the store's items. */
 constexpr std::uint64_t maxResponseBytes = 8U << 20U;
+/** Maximum interval between two searches for connections that have been idle for too long. */
+constexpr std::chrono::milliseconds maxUnusedCheckInterval{1000};
 
 /** One connection with at most one call in flight. */
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
@@ -136,10 +140,10 @@
         response.body = std::move(message.body());
         const bool keep = message.keep_alive();
         auto callback = std::move(m_callback);
-        if (*m_alive && keep)
-            m_client.keepIdle(m_address, shared_from_this());
-        else
+        if (!keep || !*m_alive)
             close();
+        if (*m_alive)
+            m_client.callEnded(m_address, keep ? shared_from_this() : nullptr);
         callback(std::move(response));
     }
 
@@ -150,6 +154,8 @@
             ++m_client.m_traffic.timeouts;
             m_client.closeIdle(m_address);
         }
+        if (*m_alive)
+            m_client.callEnded(m_address, nullptr);
         auto callback = std::move(m_callback);
         callback(Error(kind, m_address + ": " + ec.message()));
     }
@@ -167,8 +173,9 @@
 
 } // namespace internal
 
-HttpClient::HttpClient(EventLoop &loop)
+HttpClient::HttpClient(EventLoop &loop, HttpClientLimits limits)
     : m_loop(loop)
+    , m_limits(limits)
 {
 }
 
@@ -180,43 +187,107 @@
 void HttpClient::call(const std::string &address, HttpRequest request, Duration timeout,
                       Callback callback)
 {
-    auto &idle = m_idle[address];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+    auto &peer = m_peers[address];
+    if (m_limits.callsPerAddress != 0 && peer.callsInFlight >= m_limits.callsPerAddress) {
+        peer.waiting.push_back(
+                {std::move(request), EventLoop::now() + timeout, std::move(callback)});
+        return;
+    }
+    send(address, peer, std::move(request), timeout, std::move(callback));
+}
+
+void HttpClient::send(const std::string &address, Peer &peer, HttpRequest request, Duration timeout,
+                      Callback callback)
+{
+    while (!peer.idle.empty()) {
+        auto connection = std::move(peer.idle.back().connection);
+        peer.idle.pop_back();
         if (!connection->isUsable()) {
             connection->close();
             continue;
         }
+        ++peer.callsInFlight;
         connection->send(std::move(request), timeout, std::move(callback));
         return;
     }
     const auto endpoint = internal::parseAddress(address);
     if (!endpoint) {
-        m_loop.post([callback = std::move(callback), address] {
-            callback(Error(ErrorKind::Unreachable, "not an IP:PORT address: " + address));
-        });
+        failLater(std::move(callback), "not an IP:PORT address: " + address);
         return;
     }
     ++m_traffic.connectionsOpened;
+    ++peer.callsInFlight;
     auto connection = std::make_shared<internal::HttpConnection>(*this, m_alive, m_loop, address);
     connection->connectAndSend(*endpoint, std::move(request), timeout, std::move(callback));
 }
 
+void HttpClient::failLater(Callback callback, std::string detail)
+{
+    m_loop.post([callback = std::move(callback), detail = std::move(detail)] {
+        callback(Error(ErrorKind::Unreachable, detail));
+    });
+}
+
+void HttpClient::callEnded(const std::string &address,
+                           std::shared_ptr<internal::HttpConnection> connection)
+{
+    const auto now = EventLoop::now();
+    auto &peer = m_peers[address];
+    --peer.callsInFlight;
+    if (connection) {
+        peer.idle.push_back({std::move(connection), now});
+        if (!std::exchange(m_closingUnused, true))
+            closeUnusedLater();
+    }
+    while (!peer.waiting.empty() && peer.callsInFlight < m_limits.callsPerAddress) {
+        auto next = std::move(peer.waiting.front());
+        peer.waiting.pop_front();
+        if (next.deadline <= now) {
+            ++m_traffic.timeouts;
+            failLater(std::move(next.callback), address + ": earlier calls were not answered");
+            continue;
+        }
+        send(address, peer, std::move(next.request), next.deadline - now, std::move(next.callback));
+    }
+}
+
 void HttpClient::closeIdle(const std::string &address)
 {
-    const auto it = m_idle.find(address);
-    if (it == m_idle.end())
+    const auto it = m_peers.find(address);
+    if (it == m_peers.end())
         return;
-    for (const auto &connection : it->second)
-        connection->close();
-    m_idle.erase(it);
+    for (const auto &idle : it->second.idle)
+        idle.connection->close();
+    it->second.idle.clear();
+}
+
+void HttpClient::closeUnused()
+{
+    const auto since = EventLoop::now() - m_limits.maxIdleTime;
+    bool anyIdle = false;
+    for (auto &[address, peer] : m_peers) {
+        const auto firstUsed = std::ranges::find_if(
+                peer.idle, [since](const IdleConnection &it) { return it.since > since; });
+        for (auto it = peer.idle.begin(); it != firstUsed; ++it)
+            it->connection->close();
+        peer.idle.erase(peer.idle.begin(), firstUsed);
+        anyIdle = anyIdle || !peer.idle.empty();
+    }
+    std::erase_if(m_peers, [](const auto &it) {
+        return it.second.idle.empty() && it.second.callsInFlight == 0 && it.second.waiting.empty();
+    });
+    m_closingUnused = anyIdle;
+    if (anyIdle)
+        closeUnusedLater();
 }
 
-void HttpClient::keepIdle(const std::string &address,
-                          std::shared_ptr<internal::HttpConnection> connection)
+void HttpClient::closeUnusedLater()
 {
-    m_idle[address].push_back(std::move(connection));
+    m_loop.after(std::min(m_limits.maxIdleTime, internal::maxUnusedCheckInterval),
+                 [this, alive = m_alive] {
+                     if (*alive)
+                         closeUnused();
+                 });
 }
 
 } // namespace dragonflysill
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -41,6 +41,9 @@
 constexpr Duration maxCallTimeout = 1000ms;
 /** Interval between two checks whether the store is reachable. */
 constexpr Duration storeCheckInterval = 100ms;
+/** Maximum number of calls in flight to a worker: a hold, which waits for an end, and two orders.
+ */
+constexpr std::size_t callsPerWorker = 3;
 /** Interval between two measurements of the event loop's delay. */
 constexpr Duration loadCheckInterval = 50ms;
 /** Interval between two log lines about the load of the node. */
@@ -72,7 +75,7 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_storeClient(loop)
-    , m_workerClient(loop)
+    , m_workerClient(loop, {internal::callsPerWorker})
     , m_serviceClient(loop)
     , m_kvStore(std::make_unique<platform::KvStore>(m_storeClient, settings.storeAddress))
     , m_store(loop, *m_kvStore, StoreReachability(internal::unservedCallTimeout),
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -9,6 +9,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace dragonflysill;
 using namespace std::chrono_literals;
@@ -85,6 +87,69 @@
     BOOST_TEST(client.traffic().connectionsOpened == 1U);
 }
 
+// Guards against a node that runs out of file descriptors because each of many orders to a worker
+// at the same time opens a connection.
+BOOST_AUTO_TEST_CASE(SimultaneousCallsShareALimitedNumberOfConnections)
+{
+    constexpr int calls = 20;
+    const auto connectionsFor = [&](HttpClientLimits limits) {
+        EchoServer echo;
+        HttpClient client(echo.loop, limits);
+        int answers = 0;
+        for (int n = 0; n < calls; ++n)
+            client.call(echo.address, {"GET", "/", "", {}}, 5s, [&](const auto &answer) {
+                BOOST_TEST(answer.ok());
+                if (++answers == calls)
+                    echo.loop.stop();
+            });
+        echo.loop.run();
+        BOOST_TEST(answers == calls);
+        return client.traffic().connectionsOpened;
+    };
+    BOOST_TEST(connectionsFor({0}) == static_cast<std::uint64_t>(calls));
+    BOOST_TEST(connectionsFor({2}) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(CallsThatWaitedUntilTheirDeadlineWereNotSent)
+{
+    EchoServer echo;
+    const auto silentAddress = freeAddress();
+    std::vector<HttpServer::Respond> unanswered;
+    HttpServer silentServer(echo.loop,
+                            [&unanswered](const HttpRequest &, HttpServer::Respond respond) {
+                                unanswered.push_back(std::move(respond));
+                            });
+    BOOST_REQUIRE(silentServer.listen(silentAddress).ok());
+    HttpClient client(echo.loop, {1});
+    std::optional<Result<HttpResponse>> first;
+    client.call(silentAddress, {"GET", "/", "", {}}, 50ms,
+                [&](const auto &answer) { first = answer; });
+    const auto second = echo.call(client, {"GET", "/", "", {}}, silentAddress, 40ms);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->error().is(ErrorKind::OutcomeUnknown));
+    BOOST_TEST(second->error().is(ErrorKind::Unreachable));
+    BOOST_TEST(unanswered.size() == 1U);
+}
+
+// Guards against connections to workers that have ended and are never called again.
+BOOST_AUTO_TEST_CASE(UnusedConnectionsAreClosed)
+{
+    EchoServer echo;
+    HttpClient client(echo.loop, {0, 10ms});
+    BOOST_REQUIRE(echo.call(client, {"GET", "/", "", {}}, echo.address)->ok());
+    BOOST_TEST(echo.server.connections() == 1U);
+    std::function<void()> check = [&] {
+        if (echo.server.connections() == 0)
+            echo.loop.stop();
+        else
+            echo.loop.after(1ms, check);
+    };
+    check();
+    echo.loop.context().restart();
+    echo.loop.run();
+    BOOST_TEST(echo.server.connections() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ClosedPortIsUnreachable)
 {
     EchoServer echo;
