Keep several writes of progress in flight, ended jobs first

Cause: one write of at most 14 jobs in flight. With the loop 100 ms late that is 70 to 140 job updates a second, where 50 jobs a second change several times each; and a job that ended while its progress was queued stayed in its place in the queue. It is the same class as the decisions: a rate that falls as the delay grows.

Up to four writes are in flight; a job is in one of them at a time, since each write depends on the key's last revision. Ended jobs have a queue of their own, whether or not they were queued before.

Tests EndedJobsAreSavedFirstEvenIfTheyWereQueuedBefore and JobIsNotTaken- ForAnotherWriteUntilItsWriteHasEnded fail before.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -143,6 +143,10 @@
     bool queueOutdated = false;
     /** The job is queued for saving its progress. */
     bool saveQueued = false;
+    /** It is also queued as a job that has ended. */
+    bool endQueued = false;
+    /** A write of its progress has not been answered. */
+    bool saveInFlight = false;
     /** Local time by which the job should complete to meet its latency objective. */
     TimePoint objective{};
     /** Time of acceptance on the local clock, computed from the job's age when it was added. */
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -177,15 +177,18 @@
     // Progress.
 
     /**
-     * Removes and returns up to @p limit updates to save, oldest change first. Jobs that had ended
-     * when they were queued come before all others.
+     * Removes and returns up to @p limit updates to save: jobs that have ended first, then the
+     * others, oldest change first. A job is not returned again before updatesSaved() was called for
+     * it, so that several writes may be in flight.
      */
     [[nodiscard]] std::vector<ProgressUpdate> takeUpdates(std::size_t limit);
     /** Records that updates have been saved or, if @p saved is false, must be saved again. */
     void updatesSaved(std::span<const ProgressUpdate> updates, bool saved);
     [[nodiscard]] bool hasUpdates() const { return !m_unsavedJobs.empty(); }
+    /** Returns the number of jobs to save; some may be counted that need not be saved any more. */
+    [[nodiscard]] std::size_t queuedUpdates() const { return m_unsavedJobs.size(); }
     /** Returns true if an update contains the end of a job, which callers wait for. */
-    [[nodiscard]] bool hasUrgentUpdates() const { return m_hasUrgentUpdates; }
+    [[nodiscard]] bool hasUrgentUpdates() const { return !m_unsavedEnds.empty(); }
 
     /**
      * Returns the actions to take now.
@@ -280,7 +283,6 @@
     std::optional<TimePoint> m_firstDecisionAt; ///< Time of the first decide() call.
     bool m_replaced = false;
     DecisionWork m_work;
-    bool m_hasUrgentUpdates = false;
     StringMap<std::unique_ptr<JobRun>> m_jobs;
     std::map<std::string, JobRun *> m_open; ///< Jobs that have not ended, by id.
     std::map<std::string, WaitingQueue, std::less<>> m_queues; ///< Waiting steps by pool.
@@ -290,6 +292,7 @@
     StringMap<WorkerState> m_workers;
     std::map<std::string, std::vector<WorkerState *>, std::less<>> m_pools;
     std::deque<std::string> m_unsavedJobs; ///< Jobs with unsaved changes, oldest first.
+    std::deque<std::string> m_unsavedEnds; ///< Those of them that have ended.
     std::map<TaskId, int> m_unwantedRuns; ///< Number of TaskRun::unwanted runs by task.
     /** Number of workers by pool that have not answered this owner yet and may have runs. */
     StringMap<int> m_unreachedWorkers;
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -99,6 +99,7 @@
     void decideAfterEvent();
     void carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt);
     void saveProgress();
+    void saveUpdates(std::vector<ProgressUpdate> updates);
     void progressSaved(std::vector<ProgressUpdate> updates, const ConditionalWrite &write,
                        const Result<WriteOutcome> &outcome);
     void logJobEnd(const ProgressUpdate &update) const;
@@ -114,8 +115,9 @@
     bool m_decisionDue = false;
     TimePoint m_decisionRequestedAt{};
     DecisionCounts m_decisionCounts;
-    bool m_saving = false;
+    int m_savesInFlight = 0;
     TimePoint m_savedAt{};
+    TimePoint m_nextSaveAt{}; ///< After a write that was not applied.
     TimePoint m_fleetDecidedAt{};
     /** Waves received before the replica was complete. */
     std::vector<MaintenanceWave> m_wavesBeforeStart;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -95,15 +95,12 @@
 
 void Scheduler::queueSave(JobRun &job)
 {
-    if (job.saveQueued || job.changes() == job.saved())
+    if (job.saveInFlight || job.changes() == job.saved())
         return;
-    job.saveQueued = true;
-    if (job.hasEnded()) {
-        m_hasUrgentUpdates = true;
-        m_unsavedJobs.push_front(job.job().id);
-    } else {
+    if (job.hasEnded() && !std::exchange(job.endQueued, true))
+        m_unsavedEnds.push_back(job.job().id);
+    if (!std::exchange(job.saveQueued, true))
         m_unsavedJobs.push_back(job.job().id);
-    }
 }
 
 void Scheduler::endJob(JobRun &job, TimePoint now)
@@ -229,15 +226,18 @@
 std::vector<ProgressUpdate> Scheduler::takeUpdates(std::size_t limit)
 {
     std::vector<ProgressUpdate> updates;
-    while (updates.size() < limit && !m_unsavedJobs.empty()) {
-        auto *it = find(m_unsavedJobs.front());
-        m_unsavedJobs.pop_front();
-        if (it == nullptr)
-            continue;
-        it->saveQueued = false;
-        updates.push_back({it->job().id, it->changes(), it->progress()});
+    for (auto *queue : {&m_unsavedEnds, &m_unsavedJobs}) {
+        while (updates.size() < limit && !queue->empty()) {
+            auto *it = find(queue->front());
+            queue->pop_front();
+            // A job that has ended is in both queues.
+            if (it == nullptr || !std::exchange(it->saveQueued, false))
+                continue;
+            it->endQueued = false;
+            it->saveInFlight = true;
+            updates.push_back({it->job().id, it->changes(), it->progress()});
+        }
     }
-    m_hasUrgentUpdates = false;
     return updates;
 }
 
@@ -247,6 +247,7 @@
         auto *it = find(update.job);
         if (it == nullptr)
             continue;
+        it->saveInFlight = false;
         if (saved)
             it->markSaved(update.change);
         queueSave(*it);
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -29,6 +29,11 @@
 constexpr Duration maxDecisionDelay = 30ms;
 /** Minimum interval between two writes of progress, unless a job has ended. */
 constexpr Duration minSaveInterval = 60ms;
+/**
+ * Maximum number of writes of progress in flight. One alone would limit the saved ends by the
+ * response time of the store and by the delay of the event loop.
+ */
+constexpr int maxSavesInFlight = 4;
 /** A transaction of the store may have 32 entries: one for the owner's condition, two per job. */
 constexpr std::size_t updatesPerWrite = 14;
 /** Maximum number of jobs removed in one transaction; each has three keys. */
@@ -224,10 +229,23 @@
 void ScheduleOwner::saveProgress()
 {
     const auto now = EventLoop::now();
-    const bool due = m_scheduler.hasUrgentUpdates() || now - m_savedAt >= internal::minSaveInterval;
-    if (m_saving || !due || !m_scheduler.hasUpdates())
+    if (now < m_nextSaveAt)
+        return;
+    const auto due = [&] {
+        return m_scheduler.hasUrgentUpdates()
+               || m_scheduler.queuedUpdates() >= internal::updatesPerWrite
+               || (m_scheduler.hasUpdates() && now - m_savedAt >= internal::minSaveInterval);
+    };
+    while (m_savesInFlight < internal::maxSavesInFlight && due()) {
+        m_savedAt = now;
+        saveUpdates(m_scheduler.takeUpdates(internal::updatesPerWrite));
+    }
+}
+
+void ScheduleOwner::saveUpdates(std::vector<ProgressUpdate> updates)
+{
+    if (updates.empty())
         return;
-    auto updates = m_scheduler.takeUpdates(internal::updatesPerWrite);
     ConditionalWrite write;
     write.expected.push_back({std::string(nodekeys::owner), m_fence});
     for (const auto &it : updates) {
@@ -236,8 +254,7 @@
         write.expected.push_back({key, job == nullptr ? 0 : job->progressRevision});
         write.writes.push_back({key, encodeProgress(it.progress), 0});
     }
-    m_saving = true;
-    m_savedAt = now;
+    ++m_savesInFlight;
     m_context.store.write(write, [this, alive = m_alive, write, updates = std::move(updates)](
                                          const Result<WriteOutcome> &outcome) mutable {
         if (*alive)
@@ -249,7 +266,7 @@
                                   const ConditionalWrite &write,
                                   const Result<WriteOutcome> &outcome)
 {
-    m_saving = false;
+    --m_savesInFlight;
     const bool applied = outcome && outcome->applied;
     if (applied) {
         for (const auto &it : write.writes)
@@ -269,6 +286,7 @@
         }
     } else {
         // The next attempt waits for the minimum interval, even if a job has ended.
+        m_nextSaveAt = EventLoop::now() + internal::minSaveInterval;
         m_context.loop.after(internal::minSaveInterval, [this, alive = m_alive] {
             if (*alive)
                 requestDecision();
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -9,6 +9,40 @@
 
 BOOST_AUTO_TEST_SUITE(SchedulerDecisions)
 
+// Guards against callers that hear of a completed job only after all queued progress of others was
+// saved.
+BOOST_AUTO_TEST_CASE(EndedJobsAreSavedFirstEvenIfTheyWereQueuedBefore)
+{
+    SchedulerHarness harness;
+    harness.addWorker("a", 40);
+    for (const auto *id : {"1", "2", "3"})
+        harness.addJob(job(id, {step(2)}));
+    harness.decide();
+    harness.end({"3", 0, 0, 0}, RunEnd::Done);
+    harness.end({"3", 0, 0, 1}, RunEnd::Done);
+    BOOST_TEST(harness.scheduler.hasUrgentUpdates());
+    const auto first = harness.scheduler.takeUpdates(1);
+    BOOST_REQUIRE(first.size() == 1U);
+    BOOST_TEST(first[0].job == "3");
+    BOOST_TEST(!harness.scheduler.hasUrgentUpdates());
+    BOOST_TEST(harness.scheduler.takeUpdates(10).size() == 2U);
+}
+
+// Guards against two writes of the same job in flight, of which the second would always conflict.
+BOOST_AUTO_TEST_CASE(JobIsNotTakenForAnotherWriteUntilItsWriteHasEnded)
+{
+    SchedulerHarness harness;
+    harness.addWorker("a", 40);
+    harness.addJob(job("1", {step(2)}));
+    harness.decide();
+    const auto first = harness.scheduler.takeUpdates(10);
+    BOOST_REQUIRE(first.size() == 1U);
+    harness.end({"1", 0, 0, 0}, RunEnd::Done);
+    BOOST_TEST(harness.scheduler.takeUpdates(10).empty());
+    harness.scheduler.updatesSaved(first, true);
+    BOOST_TEST(harness.scheduler.takeUpdates(10).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(StepsRunInOrderAndTheJobCompletes)
 {
     SchedulerHarness harness;
