Read large responses in few parts

Cause: the HTTP parser empties its buffer after each read, so that the buffer never grew beyond 512 bytes. Between two reads of 512 bytes a busy loop handles every other event, 50 to 200 ms; a watch's response of 30 to 100 KB took seconds, and each hold's report two or three reads. Buffers now hold 64 KB for the store and the services, 4 KB for workers, 2 KB for callers.

Test Http/LargeResponsesAreReadInFewParts fails before (more than 100 events for 256 KB).

--- a/include/dragonflysill/net/httpclient.h
+++ b/include/dragonflysill/net/httpclient.h
@@ -26,6 +26,8 @@
     /** Maximum number of calls in flight to an address; further ones wait. 0 for no limit. */
     std::size_t callsPerAddress = 0;
     std::chrono::milliseconds maxIdleTime{5000}; ///< After it, an unused connection is closed.
+    /** Bytes that a connection reads at once; each has a buffer of this size. */
+    std::size_t readBytes = 65536;
 };
 
 /**
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -31,12 +31,14 @@
 {
 public:
     HttpConnection(HttpClient &client, std::shared_ptr<bool> alive, EventLoop &loop,
-                   std::string address)
+                   std::string address, std::size_t readBytes)
         : m_client(client)
         , m_alive(std::move(alive))
         , m_stream(loop.context())
         , m_address(std::move(address))
     {
+        // The parser empties the buffer after each read, so that it would never grow by itself.
+        m_buffer.reserve(readBytes);
     }
 
     void connectAndSend(const Tcp::endpoint &endpoint, HttpRequest request, Duration timeout,
@@ -217,7 +219,8 @@
     }
     ++m_traffic.connectionsOpened;
     ++peer.callsInFlight;
-    auto connection = std::make_shared<internal::HttpConnection>(*this, m_alive, m_loop, address);
+    auto connection = std::make_shared<internal::HttpConnection>(*this, m_alive, m_loop, address,
+                                                                 m_limits.readBytes);
     connection->connectAndSend(*endpoint, std::move(request), timeout, std::move(callback));
 }
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -20,6 +20,9 @@
 /** Maximum number of connections that wait to be accepted while the process is busy. */
 constexpr int listenBacklog = 1024;
 
+/** Bytes that a session reads at once; enough for most requests. */
+constexpr std::size_t readBytes = 2048;
+
 /** Accepts connections and holds the state that its sessions share. */
 class HttpListener : public std::enable_shared_from_this<HttpListener>
 {
@@ -62,6 +65,8 @@
     {
         ++m_listener->sessions;
         ++m_listener->traffic.connectionsOpened;
+        // The parser empties the buffer after each read, so that it would never grow by itself.
+        m_buffer.reserve(readBytes);
     }
 
     ~HttpSession() { --m_listener->sessions; }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -44,6 +44,8 @@
 /** Maximum number of calls in flight to a worker: a hold, which waits for an end, and two orders.
  */
 constexpr std::size_t callsPerWorker = 3;
+/** Bytes read at once from a worker; enough for the reports of most workers. */
+constexpr std::size_t workerReadBytes = 4096;
 /** Interval between two measurements of the event loop's delay. */
 constexpr Duration loadCheckInterval = 50ms;
 /** Interval between two log lines about the load of the node. */
@@ -75,7 +77,8 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_storeClient(loop)
-    , m_workerClient(loop, {internal::callsPerWorker})
+    , m_workerClient(loop, {.callsPerAddress = internal::callsPerWorker,
+                            .readBytes = internal::workerReadBytes})
     , m_serviceClient(loop)
     , m_kvStore(std::make_unique<platform::KvStore>(m_storeClient, settings.storeAddress))
     , m_store(loop, *m_kvStore, StoreReachability(internal::unservedCallTimeout),
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -131,6 +131,29 @@
     BOOST_TEST(unanswered.size() == 1U);
 }
 
+// Guards against a busy node that gets changes of the store seconds late, because it reads a large
+// response in many small parts and handles other events between any two of them.
+BOOST_AUTO_TEST_CASE(LargeResponsesAreReadInFewParts)
+{
+    constexpr std::size_t bytes = 256 * 1024;
+    constexpr int allowedEvents = 100;
+    EventLoop loop;
+    const auto address = freeAddress();
+    HttpServer server(loop, [](const HttpRequest &, const HttpServer::Respond &respond) {
+        respond({200, std::string(bytes, 'x'), {}});
+    });
+    BOOST_REQUIRE(server.listen(address).ok());
+    HttpClient client(loop);
+    std::optional<std::size_t> received;
+    client.call(address, {"GET", "/", "", {}}, 5s,
+                [&](const auto &answer) { received = answer.ok() ? answer->body.size() : 0; });
+    int events = 0;
+    for (; !received; ++events)
+        loop.context().run_one();
+    BOOST_TEST(*received == bytes);
+    BOOST_TEST(events <= allowedEvents);
+}
+
 // Guards against connections to workers that have ended and are never called again.
 BOOST_AUTO_TEST_CASE(UnusedConnectionsAreClosed)
 {
