Bound the starts of a decision and stretch time-outs on a late loop

On fleets with small nodes a burst of 300 starts went out in one decision of 200 to 300 ms.

A decision ends after 24 starts and another one follows after the events in between; pools take turns, the next decision begins after the pool that was served last. Time-outs of orders and holds are stretched while the governor sees a late loop; a hold with its wait stays shorter than the time for which it extends the runs.

Test DecisionCost/BurstIsStartedInBoundedPartsThatServeAllPools (the code before starts a burst in one decision).

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -103,6 +103,12 @@
 class Scheduler
 {
 public:
+    /**
+     * Number of starts after which a decision ends, so that other events are handled between the
+     * starts of a burst. A gang is started as a whole.
+     */
+    static constexpr int maxStartsPerDecision = 24;
+
     /**
      * @param runOffset added to run numbers, so that they exceed those of previous owners
      */
@@ -203,6 +209,9 @@
      */
     std::vector<SchedulerAction> decideAfterEvent(TimePoint now, std::int64_t unixMs);
 
+    /** Returns true if the last decision ended at its maximum number of starts. */
+    [[nodiscard]] bool hasMoreStarts() const { return m_startsLeft <= 0; }
+
     [[nodiscard]] const DecisionWork &work() const { return m_work; }
 
     /** Returns true if a worker has seen a higher fencing token, so a new owner exists. */
@@ -262,6 +271,9 @@
     void waitingChanged(JobRun &job);
     void updateQueues(std::int64_t unixMs, TimePoint now);
     void countUnreachedWorkers(TimePoint now);
+    /** Serves the pools, starting after the one that was served last, as long as starts are left.
+     */
+    void dispatchPools(const std::vector<std::string> &pools, Search search, TimePoint now);
     void dispatchPool(const std::string &pool, Search search, TimePoint now);
     /** Returns false if the step could not be started because no worker has enough capacity. */
     bool startStep(const WaitingStep &waiting, std::vector<Resources> &tooLarge, TimePoint now);
@@ -289,6 +301,8 @@
     std::vector<JobRun *> m_outdatedJobs; ///< Jobs with JobRun::queueOutdated.
     TimePoint m_queuesRebuiltAt{};
     std::set<std::string, std::less<>> m_changedPools; ///< Pools where starts may be possible now.
+    std::string m_lastPool; ///< Pool that was served last.
+    int m_startsLeft = maxStartsPerDecision; ///< In the current decision.
     StringMap<WorkerState> m_workers;
     std::map<std::string, std::vector<WorkerState *>, std::less<>> m_pools;
     std::deque<std::string> m_unsavedJobs; ///< Jobs with unsaved changes, oldest first.
--- a/include/dragonflysill/node/workercontroller.h
+++ b/include/dragonflysill/node/workercontroller.h
@@ -76,6 +76,7 @@
     void deliver(const PaceTask &pace, const std::string &address);
     void hold(const std::string &id, const WorkerState &worker, TimePoint now);
     [[nodiscard]] Duration minHoldInterval() const;
+    [[nodiscard]] Duration orderTimeout() const;
     void logUnreachable(const std::string &id, const Error &error);
     void holdAnswered(const std::string &id, const Result<WorkerReport> &report, TimePoint sentAt);
 
--- a/src/daymodel/daymodel.cpp
+++ b/src/daymodel/daymodel.cpp
@@ -253,11 +253,14 @@
 
     void decide()
     {
-        const auto actions = std::holds_alternative<Scheduler>(m_dispatch)
-                                     ? std::get<Scheduler>(m_dispatch).decide(m_now, 0)
-                                     : std::get<FirstInFirstOut>(m_dispatch).decide();
-        for (const auto &action : actions)
-            std::visit([this](const auto &order) { execute(order); }, action);
+        auto *scheduler = std::get_if<Scheduler>(&m_dispatch);
+        do {
+            const auto actions = scheduler != nullptr
+                                         ? scheduler->decide(m_now, 0)
+                                         : std::get<FirstInFirstOut>(m_dispatch).decide();
+            for (const auto &action : actions)
+                std::visit([this](const auto &order) { execute(order); }, action);
+        } while (scheduler != nullptr && scheduler->hasMoreStarts());
     }
 
     void execute(const StartTask &start)
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -270,9 +270,10 @@
             waitingChanged(*job);
     }
     updateQueues(unixMs, now);
-    m_changedPools.clear();
+    std::vector<std::string> pools;
     for (const auto &[pool, queue] : m_queues)
-        dispatchPool(pool, Search::All, now);
+        pools.push_back(pool);
+    dispatchPools(pools, Search::All, now);
     startCopies(now);
     return std::exchange(m_actions, {});
 }
@@ -286,8 +287,7 @@
     for (auto &[id, worker] : m_workers)
         processUnadoptedRuns(worker, now);
     updateQueues(unixMs, now);
-    for (const auto &pool : std::exchange(m_changedPools, {}))
-        dispatchPool(pool, Search::First, now);
+    dispatchPools({m_changedPools.begin(), m_changedPools.end()}, Search::First, now);
     return std::exchange(m_actions, {});
 }
 
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -26,6 +26,21 @@
     return it != m_unreachedWorkers.end() && it->second > 0;
 }
 
+void Scheduler::dispatchPools(const std::vector<std::string> &pools, Search search, TimePoint now)
+{
+    m_startsLeft = maxStartsPerDecision;
+    const auto first
+            = static_cast<std::size_t>(std::ranges::upper_bound(pools, m_lastPool) - pools.begin());
+    for (std::size_t n = 0; n < pools.size() && m_startsLeft > 0; ++n) {
+        const auto &pool = pools[(first + n) % pools.size()];
+        m_changedPools.erase(pool);
+        dispatchPool(pool, search, now);
+        m_lastPool = pool;
+        if (m_startsLeft <= 0)
+            m_changedPools.insert(pool);
+    }
+}
+
 void Scheduler::dispatchPool(const std::string &pool, Search search, TimePoint now)
 {
     const auto workers = m_pools.find(pool);
@@ -43,6 +58,8 @@
         ++m_work.stepsExamined;
         ++examined;
         withoutWorker += static_cast<int>(!startStep(it, tooLarge, now));
+        if (m_startsLeft <= 0)
+            return false;
         return search == Search::All
                || (examined < internal::maxStepsAfterEvent
                    && withoutWorker < internal::maxStepsWithoutWorker);
@@ -67,7 +84,7 @@
             = needsTicket || step.gang || step.maxPerWorker > 0 || !step.requiredLabel.empty();
     const auto &run = job.occurrences()[waiting.occurrence];
     const bool started = run.steps[static_cast<std::size_t>(waiting.step)].waiting == 0;
-    if (!started && !constrained)
+    if (!started && !constrained && m_startsLeft > 0)
         tooLarge.push_back(need);
     return started;
 }
@@ -78,7 +95,7 @@
     if (admissionSettings(job) != nullptr)
         requestAdmission(job, occurrence, step, now);
     const int count = job.job().spec.steps[static_cast<std::size_t>(step)].count;
-    for (; id.index < count; ++id.index) {
+    for (; id.index < count && m_startsLeft > 0; ++id.index) {
         auto *task = job.task(id);
         if (task == nullptr || task->phase != Task::Phase::Waiting || m_unwantedRuns.contains(id))
             continue;
@@ -212,6 +229,7 @@
     job.markStarted();
     queueSave(job);
     m_actions.emplace_back(std::move(action));
+    --m_startsLeft;
 }
 
 void Scheduler::startCopies(TimePoint now)
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -222,6 +222,8 @@
         m_workerController.execute(it);
     m_workerController.sendDueHolds(startedAt);
     saveProgress();
+    if (m_scheduler.hasMoreStarts())
+        requestDecision();
     ++m_decisionCounts.decisions;
     m_decisionCounts.time += EventLoop::now() - startedAt;
 }
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -19,6 +19,9 @@
 constexpr Duration holdAnswerTimeout = 500ms;
 /** Timeout for an order. */
 constexpr Duration orderTimeout = 500ms;
+/** The same timeouts on an overloaded node, which reads an answer later than it arrived. */
+constexpr Duration maxOrderTimeout = 1500ms;
+constexpr Duration maxHoldAnswerTimeout = 1000ms;
 /** Timeout for a request to the admission service, which needs time for each worker. */
 constexpr Duration admissionTimeout = 3000ms;
 /** Minimum interval between two holds of a worker, so that one response reports several ends. */
@@ -126,7 +129,7 @@
 {
     ++m_counts.starts;
     internal::logOrder("task-start", start);
-    m_calls->start(address, start, internal::orderTimeout,
+    m_calls->start(address, start, orderTimeout(),
                    [this, alive = m_alive, start,
                     sentAt = EventLoop::now()](const platform::OrderOutcome &outcome) {
                        if (!*alive)
@@ -157,7 +160,7 @@
 {
     ++m_counts.stops;
     internal::logOrder("task-stop", stop);
-    m_calls->stop(address, stop, internal::orderTimeout,
+    m_calls->stop(address, stop, orderTimeout(),
                   [this, alive = m_alive, stop](const platform::OrderOutcome &outcome) {
                       if (!*alive)
                           return;
@@ -173,7 +176,7 @@
 void WorkerController::deliver(const PaceTask &pace, const std::string &address)
 {
     ++m_counts.paces;
-    m_calls->pace(address, pace, internal::orderTimeout,
+    m_calls->pace(address, pace, orderTimeout(),
                   [this, alive = m_alive, pace](const platform::OrderOutcome &outcome) {
                       if (*alive)
                           m_scheduler.paceAnswered(
@@ -186,6 +189,11 @@
     return m_governor.stretched(internal::minHoldInterval, internal::maxHoldInterval);
 }
 
+Duration WorkerController::orderTimeout() const
+{
+    return m_governor.stretched(internal::orderTimeout, internal::maxOrderTimeout);
+}
+
 void WorkerController::addNewWorkers(TimePoint now)
 {
     for (const auto &[id, worker] : m_scheduler.workers()) {
@@ -218,7 +226,8 @@
                          && worker.time.known() && !stopping;
     ++m_counts.holds;
     m_calls->hold(worker.description.address, id, m_scheduler.holdRequest(id, now),
-                  mayWait ? internal::maxHoldWait : Milliseconds(0), internal::holdAnswerTimeout,
+                  mayWait ? internal::maxHoldWait : Milliseconds(0),
+                  m_governor.stretched(internal::holdAnswerTimeout, internal::maxHoldAnswerTimeout),
                   [this, alive = m_alive, id, now](const Result<WorkerReport> &report) {
                       if (*alive)
                           holdAnswered(id, report, now);
--- a/tests/jobs/decisioncosttest.cpp
+++ b/tests/jobs/decisioncosttest.cpp
@@ -3,7 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <cstdio>
+#include <map>
 #include <string>
+#include <utility>
 
 namespace dragonflysill::test {
 namespace {
@@ -32,9 +34,16 @@
             addWorker("worker-" + std::to_string(n), coresPerWorker);
         for (int n = 0; n < jobsInService + waitingJobs; ++n)
             addJob(job(jobName(n), {step(tasksPerJob)}));
-        decide();
+        startAll();
         reportAll();
-        decide();
+        startAll();
+    }
+
+    void startAll()
+    {
+        do {
+            decide();
+        } while (scheduler.hasMoreStarts());
     }
 
     /** Returns the work of the decisions after the ends of @p ends runs. */
@@ -74,6 +83,44 @@
     BOOST_TEST(work.runsChecked <= static_cast<std::uint64_t>(ends) * coresPerWorker);
 }
 
+// Guards against a decision that gives so many orders that holds, cancels and answers wait for
+// them.
+BOOST_AUTO_TEST_CASE(BurstIsStartedInBoundedPartsThatServeAllPools)
+{
+    SchedulerHarness harness;
+    for (int n = 0; n < workerCount; ++n)
+        harness.addWorker("worker-" + std::to_string(n), coresPerWorker);
+    for (const auto *pool : {"a-pool", "b-pool"}) {
+        WorkerDescription worker = harness.workers["worker-0"].description;
+        worker.id = worker.address = std::string(pool) + "-worker";
+        worker.pool = pool;
+        worker.capacity.milliCores *= workerCount;
+        worker.capacity.memoryMb *= workerCount;
+        harness.workers[worker.id].description = worker;
+        harness.scheduler.addOrUpdateWorker(worker, harness.now);
+        harness.reportFrom(worker.id);
+    }
+    for (int n = 0; n < 60; ++n) {
+        auto next = job(jobName(n), {step(tasksPerJob)});
+        next.pool = n < 20 ? "a-pool" : n < 40 ? "b-pool" : "pool";
+        harness.addJob(std::move(next));
+    }
+    std::map<std::string, std::size_t> startsOfFirstDecisions;
+    std::size_t starts = 0;
+    int decisions = 0;
+    do {
+        const auto orders = ordersOf<StartTask>(harness.decideAfterEvent());
+        BOOST_TEST(orders.size() <= static_cast<std::size_t>(Scheduler::maxStartsPerDecision));
+        starts += orders.size();
+        if (++decisions <= 3) {
+            for (const auto &it : orders)
+                ++startsOfFirstDecisions[harness.scheduler.job(it.task.job)->job().pool];
+        }
+    } while (harness.scheduler.hasMoreStarts());
+    BOOST_TEST(starts == 60U * tasksPerJob);
+    BOOST_TEST(startsOfFirstDecisions.size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace dragonflysill::test
