Let more capable nodes own the schedule first

A node that could claim the ownership waits 0.5 s while a more capable one is registered; among nodes of equal capacity nobody waits, so that fleets of one kind take over as fast as before. It does not move the ownership of a running owner.

Tests OwnershipClaims/NodeLeavesTheClaimToAMoreCapableOne (fails before: claims at once), NodeClaimsAtOnceBesideNodesThatAreNotMoreCapable, Node- ClaimsIfTheMoreCapableOneDoesNot, RegistrationIsRepeatedAfterItsLeaseHas- Ended.

--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -5,6 +5,7 @@
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/jobservice.h"
 #include "dragonflysill/node/loadmonitor.h"
+#include "dragonflysill/node/noderegistration.h"
 #include "dragonflysill/node/observedstore.h"
 #include "dragonflysill/node/ownership.h"
 #include "dragonflysill/node/prefixwatcher.h"
@@ -91,6 +92,7 @@
     PrefixWatcher m_stateWatcher;
     PrefixWatcher m_operatorWatcher;
     Ownership m_ownership;
+    NodeRegistration m_registration;
     std::unique_ptr<ScheduleOwner> m_owner;
     std::map<std::int64_t, MaintenanceWave> m_waves; ///< All waves that the operators requested.
     bool m_stopping = false;
--- a/include/dragonflysill/node/nodekeys.h
+++ b/include/dragonflysill/node/nodekeys.h
@@ -17,6 +17,8 @@
 constexpr std::string_view generation = "dragonflysill/generation"; ///< Number of owners so far.
 constexpr std::string_view workers
         = "dragonflysill/workers/"; ///< Workers that may have runs, by pool.
+constexpr std::string_view nodes
+        = "dragonflysill/nodes/"; ///< Processor capacity in milli-cores by node; with its lease.
 constexpr std::string_view waves = "dragonflysill/waves/"; ///< Maintained instances by wave.
 
 /** Returns the key of @p name below @p prefix. */
--- a/include/dragonflysill/node/ownership.h
+++ b/include/dragonflysill/node/ownership.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace dragonflysill {
@@ -34,7 +35,14 @@
         std::function<void(const std::string &reason)> lost;
     };
 
-    Ownership(EventLoop &loop, AsyncStore &store, const StateReplica &replica, std::string node,
+    /** Name and processor capacity of a node. */
+    struct Candidate
+    {
+        std::string node;
+        int milliCores = 0;
+    };
+
+    Ownership(EventLoop &loop, AsyncStore &store, const StateReplica &replica, Candidate candidate,
               std::chrono::milliseconds leaseLength, Handlers handlers);
 
     /** Starts to check periodically whether the ownership can be claimed or must be renewed. */
@@ -68,6 +76,8 @@
     void campaign();
     void claim(LeaseId lease, TimePoint grantedAt);
     [[nodiscard]] bool mayClaim() const;
+    /** Returns whether a more capable node is given the time to claim the ownership first. */
+    bool defersToOthers();
     void renew();
     void leaseRenewed(TimePoint sentAt);
     void verifyOwnerKey(TimePoint sentAt);
@@ -77,13 +87,14 @@
     EventLoop &m_loop;
     AsyncStore &m_store;
     const StateReplica &m_replica;
-    std::string m_node;
+    Candidate m_candidate;
     std::chrono::milliseconds m_leaseLength;
     Handlers m_handlers;
     LeaseId m_lease = 0;
     std::int64_t m_fence = 0;
     TimePoint m_validUntil{};
     TimePoint m_renewedAt{};
+    std::optional<TimePoint> m_claimableSince; ///< Since when this node could claim.
     bool m_renewing = false;
     bool m_campaigning = false;
     bool m_resigned = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -120,12 +120,13 @@
                                      operatorKeyChanged(it.key, it.revision, it.value);
                              }
                          }})
-    , m_ownership(loop, m_store, m_replica, settings.name,
+    , m_ownership(loop, m_store, m_replica, {settings.name, settings.milliCores},
                   std::max(internal::ownerLeaseLength, settings.minLease),
                   {[this](std::int64_t fence, std::int64_t generation) {
                        ownershipGained(fence, generation);
                    },
                    [this](const std::string &reason) { ownershipLost(reason); }})
+    , m_registration(loop, m_store, settings.name, settings.milliCores)
     , m_load(internal::loadCheckInterval, internal::loadReportInterval)
 {
     m_replica.setListener([this](const std::string &id, const ReplicatedJob &job) {
@@ -149,6 +150,7 @@
     m_stateWatcher.start();
     m_operatorWatcher.start();
     m_ownership.start();
+    m_registration.start();
     checkStore();
     checkLoad();
     return Done();
@@ -335,6 +337,7 @@
         return;
     logInfo("stopping", {{"connections", std::to_string(m_front.connections())}});
     m_ownership.resign();
+    m_registration.stop();
     m_front.drain();
     const auto latest = EventLoop::now() + m_settings.gracePeriod - internal::stopMargin;
     m_loop.after(internal::balancerRemovalTime, [this, latest] { finishStop(latest); });
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -1,6 +1,7 @@
 #include "dragonflysill/node/ownership.h"
 
 #include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/noderegistration.h"
 
 #include <utility>
 
@@ -17,14 +18,17 @@
 /** Fraction of the lease that the owner does not use, to allow for clock drift between machines. */
 constexpr double leaseSafetyMargin = 0.1;
 
+/** Time that a node gives more capable ones to claim the ownership; they notice it within 0.3 s. */
+constexpr Duration deferTime = 500ms;
+
 } // namespace internal
 
 Ownership::Ownership(EventLoop &loop, AsyncStore &store, const StateReplica &replica,
-                     std::string node, std::chrono::milliseconds leaseLength, Handlers handlers)
+                     Candidate candidate, std::chrono::milliseconds leaseLength, Handlers handlers)
     : m_loop(loop)
     , m_store(store)
     , m_replica(replica)
-    , m_node(std::move(node))
+    , m_candidate(std::move(candidate))
     , m_leaseLength(leaseLength)
     , m_handlers(std::move(handlers))
 {
@@ -53,15 +57,26 @@
             renew();
         return;
     }
-    if (!m_campaigning && mayClaim())
+    if (!mayClaim())
+        m_claimableSince.reset();
+    else if (!m_campaigning && !defersToOthers())
         campaign();
 }
 
+bool Ownership::defersToOthers()
+{
+    const auto now = EventLoop::now();
+    if (!m_claimableSince)
+        m_claimableSince = now;
+    return now - *m_claimableSince < internal::deferTime
+           && moreCapableNodeRegistered(m_replica, m_candidate.milliCores);
+}
+
 bool Ownership::mayClaim() const
 {
     // A key with this node's name was written by an earlier process of the node, because only one
     // process of a node runs at a time.
-    const bool free = m_replica.owner().revision == 0 || m_replica.owner().node == m_node;
+    const bool free = m_replica.owner().revision == 0 || m_replica.owner().node == m_candidate.node;
     return free && m_replica.loaded() && !m_resigned;
 }
 
@@ -89,7 +104,7 @@
     ConditionalWrite write;
     write.expected = {{std::string(nodekeys::owner), m_replica.owner().revision},
                       {std::string(nodekeys::generation), m_replica.generationRevision()}};
-    write.writes = {{std::string(nodekeys::owner), m_node, lease},
+    write.writes = {{std::string(nodekeys::owner), m_candidate.node, lease},
                     {std::string(nodekeys::generation), std::to_string(generation + 1), 0}};
     m_store.write(write, [this, lease, grantedAt, generation](const Result<WriteOutcome> &outcome) {
         m_campaigning = false;
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -5,6 +5,7 @@
 #include "dragonflysill/node/jobservice.h"
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/nodeviews.h"
+#include "dragonflysill/node/noderegistration.h"
 #include "dragonflysill/node/observedstore.h"
 #include "dragonflysill/node/ownership.h"
 #include "dragonflysill/node/prefixwatcher.h"
@@ -460,7 +461,7 @@
     Ownership ownership;
 
     explicit Candidate(std::chrono::milliseconds lease)
-        : ownership(loop, store, replica, "node-1", lease,
+        : ownership(loop, store, replica, {"node-1", 120}, lease,
                     {[this](std::int64_t fence, std::int64_t) { gained.push_back(fence); },
                      [this](const std::string &) { ++lost; }})
     {
@@ -493,6 +494,56 @@
     BOOST_TEST(candidate.store.items.at(std::string(nodekeys::generation)).value == "1");
 }
 
+// Guards against a small machine that owns the schedule of a large fleet while larger ones are up.
+BOOST_AUTO_TEST_CASE(NodeLeavesTheClaimToAMoreCapableOne)
+{
+    Candidate candidate(1h);
+    candidate.store.put(nodekeys::key(nodekeys::nodes, "node-2"), "500");
+    candidate.updateReplica();
+    candidate.check();
+    BOOST_TEST(candidate.gained.empty());
+}
+
+BOOST_AUTO_TEST_CASE(NodeClaimsAtOnceBesideNodesThatAreNotMoreCapable)
+{
+    Candidate candidate(1h);
+    candidate.store.put(nodekeys::key(nodekeys::nodes, "node-2"), "120");
+    candidate.store.put(nodekeys::key(nodekeys::nodes, "node-3"), "unreadable");
+    candidate.updateReplica();
+    candidate.check();
+    BOOST_TEST(candidate.gained.size() == 1U);
+}
+
+// A registered node may be cut off from the store or about to end.
+BOOST_AUTO_TEST_CASE(NodeClaimsIfTheMoreCapableOneDoesNot)
+{
+    Candidate candidate(1h);
+    candidate.store.put(nodekeys::key(nodekeys::nodes, "node-2"), "500");
+    candidate.updateReplica();
+    candidate.ownership.start();
+    while (candidate.gained.empty())
+        candidate.loop.context().run_one();
+    BOOST_TEST(candidate.gained.size() == 1U);
+}
+
+// The store may end the lease while the node is cut off from it.
+BOOST_AUTO_TEST_CASE(RegistrationIsRepeatedAfterItsLeaseHasEnded)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    NodeRegistration registration(loop, store, "node-1", 250);
+    registration.start();
+    const auto key = nodekeys::key(nodekeys::nodes, "node-1");
+    while (!store.items.contains(key))
+        loop.context().run_one();
+    BOOST_TEST(store.items[key].value == "250");
+    store.items.erase(key);
+    store.leaseEnded = true;
+    while (!store.items.contains(key))
+        loop.context().run_one();
+    BOOST_TEST(store.items[key].lease == store.lastLease);
+}
+
 BOOST_AUTO_TEST_CASE(OwnershipOfAnotherNodeIsNotClaimed)
 {
     Candidate candidate(1h);
