Keep holds apart from orders and do not send orders that waited

With a limit on the calls in flight to a worker, a hold waited behind orders without an answer on a slow link, was never sent, and the runs of the worker lapsed; an order that had waited was sent up to 1.5 s after its decision, also for a task that had ended in the meantime.

Holds and orders have clients of their own: one hold and up to four orders in flight to a worker (two left workers idle on a slow link: LOST 178 in a trial). An order that waited 0.3 s or has no connection is reported as not sent, so that its task goes to another worker at once instead of waiting for the stop of a run that never was; the new counter starts_not_sent_total tells them. A connection used within 0.1 s is reused without a system call that checks it.

Tests HoldIsSentWhileOrdersToTheWorkerAreUnanswered, OrderWithoutA- ConnectionIsReportedAsNotSent (unanswered before), StartThatWasNotSentIs- GivenToAnotherWorkerAtOnce.

--- a/include/dragonflysill/jobs/worker.h
+++ b/include/dragonflysill/jobs/worker.h
@@ -89,6 +89,7 @@
     Unhealthy, ///< The worker is overloaded or unhealthy and did nothing.
     Invalid, ///< The worker rejected the request as invalid.
     OtherIncarnation, ///< Another incarnation of the worker answered.
+    NotSent, ///< There was no connection, or earlier orders to the worker took too long.
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/net/httpclient.h
+++ b/include/dragonflysill/net/httpclient.h
@@ -25,6 +25,7 @@
 {
     /** Maximum number of calls in flight to an address; further ones wait. 0 for no limit. */
     std::size_t callsPerAddress = 0;
+    std::chrono::milliseconds maxWait{300}; ///< A call that waits longer for others is not sent.
     std::chrono::milliseconds maxIdleTime{5000}; ///< After it, an unused connection is closed.
     /** Bytes that a connection reads at once; each has a buffer of this size. */
     std::size_t readBytes = 65536;
@@ -68,6 +69,7 @@
     struct WaitingCall
     {
         HttpRequest request;
+        TimePoint since{};
         TimePoint deadline{};
         Callback callback;
     };
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -79,7 +79,8 @@
     EventLoop &m_loop;
     const platform::NodeSettings &m_settings;
     HttpClient m_storeClient;
-    HttpClient m_workerClient;
+    HttpClient m_holdClient;
+    HttpClient m_orderClient;
     HttpClient m_serviceClient;
     std::unique_ptr<platform::KvStore> m_kvStore;
     ObservedStore m_store;
--- a/include/dragonflysill/node/nodemetrics.h
+++ b/include/dragonflysill/node/nodemetrics.h
@@ -25,7 +25,7 @@
     std::size_t callerConnections = 0;
     std::size_t jobsKnown = 0;
     const LoadMonitor &load;
-    /** Traffic by peer: store, workers, services and callers. */
+    /** Traffic by peer: store, holds, orders, services and callers. */
     std::vector<std::pair<std::string, const HttpTraffic &>> traffic;
 };
 
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -30,7 +30,8 @@
 {
     EventLoop &loop;
     AsyncStore &store;
-    HttpClient &workerClient;
+    HttpClient &holdClient;
+    HttpClient &orderClient; ///< For orders to workers.
     HttpClient &serviceClient; ///< For the platform's machine and admission services.
     StateReplica &replica;
     const platform::NodeSettings &settings;
--- a/include/dragonflysill/node/workercontroller.h
+++ b/include/dragonflysill/node/workercontroller.h
@@ -27,11 +27,20 @@
     std::uint64_t starts = 0;
     std::uint64_t startsRefused = 0;
     std::uint64_t startsUnanswered = 0;
+    std::uint64_t startsNotSent = 0;
     std::uint64_t stops = 0;
     std::uint64_t paces = 0;
     std::uint64_t admissionRequests = 0; ///< Requests to the admission service.
 };
 
+/** Clients for the calls of a WorkerController, which do not wait for each other. */
+struct WorkerClients
+{
+    HttpClient &holds;
+    HttpClient &orders;
+    HttpClient &admission;
+};
+
 /**
  * Sends the scheduler's orders to the workers and passes their responses to the scheduler. While a
  * worker has runs, a hold request to it is always in flight: it extends the hold of the runs and
@@ -46,8 +55,8 @@
      * @param mayGiveOrders returns whether this node still owns the schedule
      * @param onChange called when a response may allow new scheduling decisions
      */
-    WorkerController(HttpClient &workerClient, HttpClient &admissionClient, Scheduler &scheduler,
-                     LoadGovernor &governor, std::int64_t fence, std::string admissionAddress,
+    WorkerController(const WorkerClients &clients, Scheduler &scheduler, LoadGovernor &governor,
+                     std::int64_t fence, std::string admissionAddress,
                      std::function<bool()> mayGiveOrders, std::function<void()> onChange);
     ~WorkerController();
     WorkerController(const WorkerController &) = delete;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -361,6 +361,7 @@
         worker->pausedUntil = now + internal::capacityPause;
         break;
     case StartRefusal::Unhealthy:
+    case StartRefusal::NotSent:
         worker->pausedUntil = now + internal::unhealthyPause;
         break;
     case StartRefusal::HoldExpired:
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -23,6 +23,8 @@
 
 /** Maximum size of a response body in bytes; enough for an encoded page of the store's items. */
 constexpr std::uint64_t maxResponseBytes = 8U << 20U;
+/** Idle time up to which a connection is reused without a check that its peer has not closed it. */
+constexpr std::chrono::milliseconds uncheckedIdleTime{100};
 /** Maximum interval between two searches for connections that have been idle for too long. */
 constexpr std::chrono::milliseconds maxUnusedCheckInterval{1000};
 
@@ -191,8 +193,8 @@
 {
     auto &peer = m_peers[address];
     if (m_limits.callsPerAddress != 0 && peer.callsInFlight >= m_limits.callsPerAddress) {
-        peer.waiting.push_back(
-                {std::move(request), EventLoop::now() + timeout, std::move(callback)});
+        const auto now = EventLoop::now();
+        peer.waiting.push_back({std::move(request), now, now + timeout, std::move(callback)});
         return;
     }
     send(address, peer, std::move(request), timeout, std::move(callback));
@@ -201,10 +203,12 @@
 void HttpClient::send(const std::string &address, Peer &peer, HttpRequest request, Duration timeout,
                       Callback callback)
 {
+    const auto checkedSince = EventLoop::now() - internal::uncheckedIdleTime;
     while (!peer.idle.empty()) {
         auto connection = std::move(peer.idle.back().connection);
+        const bool usedRecently = peer.idle.back().since > checkedSince;
         peer.idle.pop_back();
-        if (!connection->isUsable()) {
+        if (!usedRecently && !connection->isUsable()) {
             connection->close();
             continue;
         }
@@ -245,7 +249,7 @@
     while (!peer.waiting.empty() && peer.callsInFlight < m_limits.callsPerAddress) {
         auto next = std::move(peer.waiting.front());
         peer.waiting.pop_front();
-        if (next.deadline <= now) {
+        if (now >= next.deadline || now - next.since > m_limits.maxWait) {
             ++m_traffic.timeouts;
             failLater(std::move(next.callback), address + ": earlier calls were not answered");
             continue;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -41,9 +41,8 @@
 constexpr Duration maxCallTimeout = 1000ms;
 /** Interval between two checks whether the store is reachable. */
 constexpr Duration storeCheckInterval = 100ms;
-/** Maximum number of calls in flight to a worker: a hold, which waits for an end, and two orders.
- */
-constexpr std::size_t callsPerWorker = 3;
+/** Maximum number of orders in flight to a worker. */
+constexpr std::size_t ordersPerWorker = 4;
 /** Bytes read at once from a worker; enough for the reports of most workers. */
 constexpr std::size_t workerReadBytes = 4096;
 /** Interval between two measurements of the event loop's delay. */
@@ -77,8 +76,9 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_storeClient(loop)
-    , m_workerClient(loop, {.callsPerAddress = internal::callsPerWorker,
-                            .readBytes = internal::workerReadBytes})
+    , m_holdClient(loop, {.callsPerAddress = 1, .readBytes = internal::workerReadBytes})
+    , m_orderClient(loop, {.callsPerAddress = internal::ordersPerWorker,
+                           .readBytes = internal::workerReadBytes})
     , m_serviceClient(loop)
     , m_kvStore(std::make_unique<platform::KvStore>(m_storeClient, settings.storeAddress))
     , m_store(loop, *m_kvStore, StoreReachability(internal::unservedCallTimeout),
@@ -189,7 +189,8 @@
 
 void Node::logLoad(const LoadReport &load)
 {
-    const auto &workers = m_workerClient.traffic();
+    const auto &holds = m_holdClient.traffic();
+    const auto &orders = m_orderClient.traffic();
     const auto bytes = [](const HttpTraffic &it) { return it.bytesSent + it.bytesReceived; };
     const auto bytesStore = bytes(m_storeClient.traffic());
     const auto bytesCallers = bytes(m_front.traffic());
@@ -206,12 +207,14 @@
                                                             / toSeconds(load.period)))},
             {"loop_delay_max_ms", text(load.maxLoopDelay)},
             {"store_bytes_s", perSecond(logged.bytesStore, bytesStore)},
-            {"worker_bytes_s", perSecond(logged.bytesWorkers, bytes(workers))},
+            {"worker_bytes_s", perSecond(logged.bytesWorkers, bytes(holds) + bytes(orders))},
             {"caller_bytes_s", perSecond(logged.bytesCallers, bytesCallers)},
-            {"worker_calls_s", perSecond(logged.workerCalls, workers.calls)},
-            {"worker_timeouts", std::to_string(delta(logged.workerTimeouts, workers.timeouts))},
+            {"worker_calls_s", perSecond(logged.workerCalls, holds.calls + orders.calls)},
+            {"worker_timeouts",
+             std::to_string(delta(logged.workerTimeouts, holds.timeouts + orders.timeouts))},
             {"worker_connections_opened",
-             std::to_string(delta(logged.connectionsOpened, workers.connectionsOpened))}};
+             std::to_string(delta(logged.connectionsOpened,
+                                  holds.connectionsOpened + orders.connectionsOpened))}};
     if (!m_owner) {
         if (load.maxLoopDelay >= internal::notableLoopDelay)
             logInfo("node-load", fields);
@@ -249,7 +252,8 @@
                            m_replica.jobs().size(),
                            m_load,
                            {{"store", m_storeClient.traffic()},
-                            {"workers", m_workerClient.traffic()},
+                            {"holds", m_holdClient.traffic()},
+                            {"orders", m_orderClient.traffic()},
                             {"services", m_serviceClient.traffic()},
                             {"callers", m_front.traffic()}}}),
             {}};
@@ -312,8 +316,8 @@
     m_loadLogged.decisions = 0;
     m_loadLogged.decisionTime = Duration{0};
     m_owner = std::make_unique<ScheduleOwner>(
-            OwnerContext{m_loop, m_store, m_workerClient, m_serviceClient, m_replica, m_settings,
-                         m_governor, [this] { return m_ownership.valid(); },
+            OwnerContext{m_loop, m_store, m_holdClient, m_orderClient, m_serviceClient, m_replica,
+                         m_settings, m_governor, [this] { return m_ownership.valid(); },
                          [this] { return m_ownership.mayExtendHolds(); },
                          [this] { m_loop.post([this] { m_ownership.newerOwnerSeen(); }); }},
             fence, generation);
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -86,9 +86,9 @@
     perPeer(families, "call_timeouts_total", "Calls without a response in time by peer", metrics,
             [](const HttpTraffic &it) { return it.timeouts; });
     for (const auto &[peer, traffic] : metrics.traffic) {
-        if (peer == "workers")
-            histogram(families, "worker_send_seconds",
-                      "Time until a call to a worker was written to its connection",
+        if (peer == "orders")
+            histogram(families, "order_send_seconds",
+                      "Time until an order to a worker was written to its connection",
                       traffic.sendDelay);
     }
 }
@@ -113,6 +113,8 @@
     counter(families, "starts_refused_total", "Starts that workers refused", calls.startsRefused);
     counter(families, "starts_unanswered_total", "Starts without an answer",
             calls.startsUnanswered);
+    counter(families, "starts_not_sent_total", "Starts that were not sent to their worker",
+            calls.startsNotSent);
     counter(families, "stops_total", "Stops sent to workers", calls.stops);
     counter(families, "paces_total", "Orders that limit the speed of tasks", calls.paces);
     counter(families, "advice_total", "Questions about admitted workers", calls.admissionRequests);
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -39,16 +39,16 @@
 
 } // namespace internal
 
-WorkerController::WorkerController(HttpClient &workerClient, HttpClient &admissionClient,
-                                   Scheduler &scheduler, LoadGovernor &governor, std::int64_t fence,
+WorkerController::WorkerController(const WorkerClients &clients, Scheduler &scheduler,
+                                   LoadGovernor &governor, std::int64_t fence,
                                    std::string admissionAddress,
                                    std::function<bool()> mayGiveOrders,
                                    std::function<void()> onChange)
-    : m_admissionClient(admissionClient)
+    : m_admissionClient(clients.admission)
     , m_admissionAddress(std::move(admissionAddress))
     , m_scheduler(scheduler)
     , m_governor(governor)
-    , m_calls(std::make_unique<platform::WorkerCalls>(workerClient, fence))
+    , m_calls(std::make_unique<platform::WorkerCalls>(clients.holds, clients.orders, fence))
     , m_mayGiveOrders(std::move(mayGiveOrders))
     , m_onChange(std::move(onChange))
 {
@@ -142,7 +142,8 @@
                        if (const auto *it = std::get_if<platform::OrderConfirmed>(&outcome)) {
                            m_scheduler.startConfirmed(start, it->clock, now);
                        } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
-                           ++m_counts.startsRefused;
+                           ++(*it == StartRefusal::NotSent ? m_counts.startsNotSent
+                                                           : m_counts.startsRefused);
                            m_scheduler.startRefused(start, *it, now);
                        } else {
                            ++m_counts.startsUnanswered;
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -28,6 +28,20 @@
     BOOST_TEST(harness.scheduler.takeUpdates(10).size() == 2U);
 }
 
+// A start that was not sent needs no stop before the task starts elsewhere.
+BOOST_AUTO_TEST_CASE(StartThatWasNotSentIsGivenToAnotherWorkerAtOnce)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    harness.addJob(job("j", {step(1)}));
+    const auto start = ordersOf<StartTask>(harness.decide(true)).at(0);
+    harness.scheduler.startRefused(start, StartRefusal::NotSent, harness.now);
+    const auto actions = harness.decide(true);
+    BOOST_TEST(ordersOf<StopTask>(actions).empty());
+    BOOST_TEST(ordersOf<StartTask>(actions).at(0).worker != start.worker);
+}
+
 // Guards against two writes of the same job in flight, of which the second would always conflict.
 BOOST_AUTO_TEST_CASE(JobIsNotTakenForAnotherWriteUntilItsWriteHasEnded)
 {
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -4,7 +4,9 @@
 #include "kvstore.h"
 #include "machinecalls.h"
 #include "machineformat.h"
+#include "names.h"
 #include "nodesettings.h"
+#include "workercalls.h"
 #include "workerformat.h"
 
 #include "dragonflysill/base/random.h"
@@ -16,7 +18,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace dragonflysill;
@@ -283,6 +287,55 @@
     }
 }
 
+// Guards against runs that lapse because their worker's hold waits behind orders without an answer.
+BOOST_AUTO_TEST_CASE(HoldIsSentWhileOrdersToTheWorkerAreUnanswered)
+{
+    EventLoop loop;
+    HttpClient holdClient(loop, {1});
+    HttpClient orderClient(loop, {2});
+    const std::string address = "127.0.0.1:" + std::to_string(20000 + ::getpid() % 10000);
+    WorkerCalls calls(holdClient, orderClient, 1);
+    std::vector<HttpServer::Respond> unanswered;
+    HttpServer server(loop, [&](const HttpRequest &request, HttpServer::Respond respond) {
+        if (request.target == pathHold)
+            respond({200, R"({"clockMs":1,"born":1,"running":[],"ended":[]})", {}});
+        else
+            unanswered.push_back(std::move(respond));
+    });
+    BOOST_REQUIRE(server.listen(address).ok());
+    for (int n = 0; n < 8; ++n)
+        calls.start(address, {"worker", {"job", 0, 0, n}, 1, {}, {}, {}, 0}, 5s,
+                    [](const OrderOutcome &) {});
+    std::optional<Result<WorkerReport>> report;
+    calls.hold(address, "worker", {}, 0ms, 5s, [&](Result<WorkerReport> it) {
+        report = std::move(it);
+        loop.stop();
+    });
+    loop.run();
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST(report->ok());
+    BOOST_TEST(unanswered.size() == 2U);
+}
+
+// A start whose outcome is unknown would hold its task back until a stop of it was confirmed.
+BOOST_AUTO_TEST_CASE(OrderWithoutAConnectionIsReportedAsNotSent)
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    WorkerCalls calls(client, client, 1);
+    const std::string closedAddress = "127.0.0.1:" + std::to_string(20000 + ::getpid() % 10000);
+    std::optional<OrderOutcome> outcome;
+    calls.start(closedAddress, {"worker", {"job", 0, 0, 0}, 1, {}, {}, {}, 0}, 5s,
+                [&](const OrderOutcome &it) {
+                    outcome = it;
+                    loop.stop();
+                });
+    loop.run();
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_REQUIRE(std::holds_alternative<StartRefusal>(*outcome));
+    BOOST_TEST((std::get<StartRefusal>(*outcome) == StartRefusal::NotSent));
+}
+
 // Guards against a use after free: the ownership may end, and destroy the client, while the pages
 // of a list are being read.
 BOOST_AUTO_TEST_CASE(ListStopsWhenItsClientIsDestroyed)
