Let bench-scheduler start everything before it measures

Since a decision ends after 24 starts, the measured decisions still had starts to give. It now decides until none are left, as the owner does.

--- a/bench/bench-scheduler/main.cpp
+++ b/bench/bench-scheduler/main.cpp
@@ -81,7 +81,10 @@
 {
     Fleet fleet(workers, pools, jobs);
     const auto start = std::chrono::steady_clock::now();
-    const auto actions = fleet.scheduler.decide(fleet.now, 0);
+    std::size_t starts = 0;
+    do {
+        starts += fleet.scheduler.decide(fleet.now, 0).size();
+    } while (fleet.scheduler.hasMoreStarts());
     const std::chrono::duration<double, std::milli> first
             = std::chrono::steady_clock::now() - start;
     const double idle = microseconds([&] {
@@ -93,7 +96,7 @@
         fleet.report(0, {});
         fleet.scheduler.decideAfterEvent(fleet.now, 0);
     });
-    std::printf("%8d %6d %6d %8zu %12.2f %16.1f %16.1f\n", workers, pools, jobs, actions.size(),
+    std::printf("%8d %6d %6d %8zu %12.2f %16.1f %16.1f\n", workers, pools, jobs, starts,
                 first.count(), idle, event);
 }
 
@@ -101,7 +104,7 @@
 
 int main()
 {
-    std::puts("workers  pools   jobs   starts     first ms   decision in us      event in us");
+    std::puts("workers  pools   jobs   starts        all ms   decision in us      event in us");
     measure(49, 4, 24);
     for (const int backlog : {0, 500, 1000, 2000})
         measure(350, 4, 175 + backlog);
