--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -165,6 +165,30 @@
         {"tubo-sul", {"rotas", "recebe", "manifesto", "acerto", "apoio"}},
         {"petal-cluster", {"sympathy", "bridal", "counter", "dispatch", "registry"}}};
 
+/** Ports between the first one and those of the nodes, unless a flag names these. */
+constexpr int defaultNodePortOffset = 100;
+
+/**
+ * Writes the settings file of each node, which has two ports.
+ * @return the addresses on which the nodes serve callers
+ */
+std::vector<std::string> writeNodeSettings(const platform::FleetStandin &fleet,
+                                           const std::string &host, int firstPort, int nodes,
+                                           const std::string &folder)
+{
+    std::vector<std::string> addresses;
+    for (int n = 0; n < nodes; ++n) {
+        const auto port = firstPort + 2 * n;
+        addresses.push_back(host + ':' + std::to_string(port));
+        const auto name = "node-" + std::to_string(n + 1);
+        auto path = folder;
+        path.append("/").append(name).append(".json");
+        std::ofstream(path) << fleet.settingsFor(name, addresses.back(),
+                                                 host + ':' + std::to_string(port + 1));
+    }
+    return addresses;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -210,16 +234,10 @@
         std::cerr << started.error().text() << '\n';
         return 2;
     }
-    std::vector<std::string> nodeAddresses;
-    for (int n = 0; n < nodes; ++n) {
-        const auto port = (firstNodePort != 0 ? firstNodePort : shape.firstPort + 100) + 2 * n;
-        nodeAddresses.push_back(shape.host + ':' + std::to_string(port));
-        const auto name = "node-" + std::to_string(n + 1);
-        auto path = settingsFolder;
-        path.append("/").append(name).append(".json");
-        std::ofstream(path) << fleet.settingsFor(name, nodeAddresses.back(),
-                                                 shape.host + ':' + std::to_string(port + 1));
-    }
+    const int nodePort
+            = firstNodePort != 0 ? firstNodePort : shape.firstPort + defaultNodePortOffset;
+    const auto nodeAddresses
+            = writeNodeSettings(fleet, shape.host, nodePort, nodes, settingsFolder);
     Callers callers(loop, nodeAddresses, shape.pools, jobs, std::chrono::milliseconds(spacingMs));
     callers.start();
     loop.after(2s, [&fleet, &shape] { fleet.requestWave(shape.pools.front(), 2); });
