--- a/tests/jobs/holdscheduletest.cpp
+++ b/tests/jobs/holdscheduletest.cpp
@@ -12,6 +12,7 @@
 std::vector<std::string> names(const std::vector<HoldSchedule::DueHold> &due)
 {
     std::vector<std::string> result;
+    result.reserve(due.size());
     for (const auto &it : due)
         result.push_back(it.worker);
     return result;
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -135,7 +135,7 @@
 // response in many small parts and handles other events between any two of them.
 BOOST_AUTO_TEST_CASE(LargeResponsesAreReadInFewParts)
 {
-    constexpr std::size_t bytes = 256 * 1024;
+    constexpr std::size_t bytes = std::size_t{256} * 1024;
     constexpr int allowedEvents = 100;
     EventLoop loop;
     const auto address = freeAddress();
