Remove an accessor of HoldSchedule that nothing calls

size() came with the class and has no caller in the code or the tests. No behaviour changes; jobs-test and node-test pass.

--- a/include/dragonflysill/jobs/holdschedule.h
+++ b/include/dragonflysill/jobs/holdschedule.h
@@ -38,9 +38,6 @@
     /** Removes a worker; add() makes it known again. */
     void remove(const std::string &worker);
 
-    /** Returns the number of known workers. */
-    [[nodiscard]] std::size_t size() const { return m_states.size(); }
-
 private:
     struct State
     {
