Tell the scheduler of orders that are not sent

Cause: WorkerController::execute dropped an order when the owner's permission had expired between the decision and its order, as it does while the store is away. Ruled out by reading: unsaved ends, runs nobody wants, calls that wait in HttpClient (each ends in a callback). Change: an order that may not be sent is reported to the scheduler as not sent or not answered. Test: WorkerControllers/TasksOfStartsThatAreNotSentWaitAgain, failed before (the run stayed on its worker).

--- a/include/dragonflysill/node/workercontroller.h
+++ b/include/dragonflysill/node/workercontroller.h
@@ -62,7 +62,10 @@
     WorkerController(const WorkerController &) = delete;
     WorkerController &operator=(const WorkerController &) = delete;
 
-    /** Sends the order of one decision, if this node still owns the schedule. */
+    /**
+     * Sends the order of one decision. If this node does not own the schedule any more, the
+     * scheduler is told that the order was not sent.
+     */
     void execute(const SchedulerAction &action);
 
     /** Includes workers that the scheduler has learned of since the last call. */
@@ -80,6 +83,10 @@
     template <typename Order>
     void send(const Order &order);
     void send(const RequestAdmission &request);
+    void reportNotSent(const StartTask &start);
+    void reportNotSent(const StopTask &stop);
+    void reportNotSent(const PaceTask &pace);
+    void reportNotSent(const RequestAdmission &request);
     void deliver(const StartTask &start, const std::string &address);
     void deliver(const StopTask &stop, const std::string &address);
     void deliver(const PaceTask &pace, const std::string &address);
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -86,6 +86,30 @@
 {
     if (m_mayGiveOrders())
         std::visit([this](const auto &order) { send(order); }, action);
+    else
+        std::visit([this](const auto &order) { reportNotSent(order); }, action);
+}
+
+void WorkerController::reportNotSent(const StartTask &start)
+{
+    ++m_counts.startsNotSent;
+    m_scheduler.startRefused(start, StartRefusal::NotSent, EventLoop::now());
+}
+
+void WorkerController::reportNotSent(const StopTask &stop)
+{
+    // The scheduler repeats a stop that is not answered.
+    m_scheduler.stopUnanswered(stop, EventLoop::now());
+}
+
+void WorkerController::reportNotSent(const PaceTask &pace)
+{
+    m_scheduler.paceAnswered(pace, false);
+}
+
+void WorkerController::reportNotSent(const RequestAdmission &request)
+{
+    m_scheduler.admissionUnanswered(request, EventLoop::now());
 }
 
 template <typename Order>
