Wait for the registrations of nodes that start together before claiming the schedule

Cause: at the first start no registration is in the store, so the first node to see a free key became the owner, whatever its size. Change: a node claims only 0.3 s after its own registration has arrived, within the 0.5 s for which it leaves the claim to others; a key of an earlier process of the node is replaced at once as before. A registration names the address for other nodes and the zone besides the capacity; the form of earlier versions is read. Tests: NodeDoesNotClaimBeforeItKnowsTheNodesThatStartedWithIt (failed before), NodeClaimsIfItsRegistration- DoesNotArrive, the two of registrations. The test of a repeated registration expects the longer value.

--- a/include/dragonflysill/node/nodekeys.h
+++ b/include/dragonflysill/node/nodekeys.h
@@ -18,7 +18,7 @@
 constexpr std::string_view workers
         = "dragonflysill/workers/"; ///< Workers that may have runs, by pool.
 constexpr std::string_view nodes
-        = "dragonflysill/nodes/"; ///< Processor capacity in milli-cores by node; with its lease.
+        = "dragonflysill/nodes/"; ///< RegisteredNode by name; with the node's lease.
 constexpr std::string_view waves = "dragonflysill/waves/"; ///< Maintained instances by wave.
 
 /** Returns the key of @p name below @p prefix. */
--- a/include/dragonflysill/node/noderegistration.h
+++ b/include/dragonflysill/node/noderegistration.h
@@ -5,19 +5,47 @@
 #include "dragonflysill/store/asyncstore.h"
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace dragonflysill {
 
+/** What other nodes know of a running node. */
+struct RegisteredNode
+{
+    std::string name;
+    int milliCores = 0; ///< Processor capacity.
+    std::string peerAddress; ///< "IP:PORT" for requests of other nodes; empty for none.
+    std::string zone;
+
+    bool operator==(const RegisteredNode &) const = default;
+};
+
+/** Returns the value that is stored under a node's name. */
+std::string encodeRegistration(const RegisteredNode &node);
+
+/**
+ * Decodes a node's registration. Earlier versions registered the capacity alone.
+ * @param name name of the node
+ */
+RegisteredNode decodeRegistration(std::string name, std::string_view value);
+
+/** Returns all registered nodes, ordered by name. */
+std::vector<RegisteredNode> registeredNodes(const StateReplica &replica);
+
+/** Returns a registered node; nothing if there is none with this name. */
+std::optional<RegisteredNode> registeredNode(const StateReplica &replica, std::string_view name);
+
 /**
- * Keeps a node's processor capacity in the store as long as the node runs, so that a node knows
- * whether a more capable one could own the schedule in its place.
+ * Keeps a node's registration in the store as long as the node runs. Other nodes learn from it
+ * where the node takes requests, and whether a more capable one could own the schedule.
  */
 class NodeRegistration
 {
 public:
-    /** @param milliCores processor capacity of the node */
-    NodeRegistration(EventLoop &loop, AsyncStore &store, std::string node, int milliCores);
+    NodeRegistration(EventLoop &loop, AsyncStore &store, RegisteredNode node);
     ~NodeRegistration() { *m_alive = false; }
     NodeRegistration(const NodeRegistration &) = delete;
     NodeRegistration &operator=(const NodeRegistration &) = delete;
@@ -35,8 +63,7 @@
 
     EventLoop &m_loop;
     AsyncStore &m_store;
-    std::string m_node;
-    int m_milliCores;
+    RegisteredNode m_node;
     LeaseId m_lease = 0;
     bool m_stopped = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/include/dragonflysill/node/ownership.h
+++ b/include/dragonflysill/node/ownership.h
@@ -40,6 +40,8 @@
     {
         std::string node;
         int milliCores = 0;
+        /** Time from its registration after which those of nodes started with it are known. */
+        std::chrono::milliseconds registrationTime{300};
     };
 
     Ownership(EventLoop &loop, AsyncStore &store, const StateReplica &replica, Candidate candidate,
@@ -76,6 +78,8 @@
     void campaign();
     void claim(LeaseId lease, TimePoint grantedAt);
     [[nodiscard]] bool mayClaim() const;
+    /** Returns whether the owner key was written by this node or an earlier process of it. */
+    [[nodiscard]] bool isOwnKey() const;
     /** Returns whether a more capable node is given the time to claim the ownership first. */
     bool defersToOthers();
     void renew();
@@ -95,6 +99,7 @@
     TimePoint m_validUntil{};
     TimePoint m_renewedAt{};
     std::optional<TimePoint> m_claimableSince; ///< Since when this node could claim.
+    std::optional<TimePoint> m_registeredSince; ///< Since when the replica has its registration.
     bool m_renewing = false;
     bool m_campaigning = false;
     bool m_resigned = false;
--- a/include/dragonflysill/node/statereplica.h
+++ b/include/dragonflysill/node/statereplica.h
@@ -83,6 +83,9 @@
      */
     [[nodiscard]] std::vector<KeyValue> otherItems(std::string_view prefix) const;
 
+    /** Returns one of these items; nullptr if the key does not exist. */
+    [[nodiscard]] const KeyValue *otherItem(std::string_view key) const;
+
 private:
     void set(const std::string &key, const std::string &value, std::int64_t revision);
     void remove(const std::string &key, std::int64_t revision);
--- a/src/node/noderegistration.cpp
+++ b/src/node/noderegistration.cpp
@@ -19,12 +19,47 @@
 
 } // namespace internal
 
-NodeRegistration::NodeRegistration(EventLoop &loop, AsyncStore &store, std::string node,
-                                   int milliCores)
+std::string encodeRegistration(const RegisteredNode &node)
+{
+    return std::to_string(node.milliCores) + ' ' + node.peerAddress + ' ' + node.zone;
+}
+
+RegisteredNode decodeRegistration(std::string name, std::string_view value)
+{
+    RegisteredNode node;
+    node.name = std::move(name);
+    std::from_chars(value.data(), value.data() + value.size(), node.milliCores);
+    const auto address = value.find(' ');
+    if (address == std::string_view::npos)
+        return node;
+    const auto zone = value.find(' ', address + 1);
+    node.peerAddress = value.substr(address + 1, zone - address - 1);
+    if (zone != std::string_view::npos)
+        node.zone = value.substr(zone + 1);
+    return node;
+}
+
+std::vector<RegisteredNode> registeredNodes(const StateReplica &replica)
+{
+    std::vector<RegisteredNode> nodes;
+    for (const auto &it : replica.otherItems(nodekeys::nodes))
+        nodes.push_back(decodeRegistration(std::string(nodekeys::nameIn(nodekeys::nodes, it.key)),
+                                           it.value));
+    return nodes;
+}
+
+std::optional<RegisteredNode> registeredNode(const StateReplica &replica, std::string_view name)
+{
+    const auto *it = replica.otherItem(nodekeys::key(nodekeys::nodes, name));
+    if (it == nullptr)
+        return std::nullopt;
+    return decodeRegistration(std::string(name), it->value);
+}
+
+NodeRegistration::NodeRegistration(EventLoop &loop, AsyncStore &store, RegisteredNode node)
     : m_loop(loop)
     , m_store(store)
     , m_node(std::move(node))
-    , m_milliCores(milliCores)
 {
 }
 
@@ -60,8 +95,8 @@
         }
         m_lease = lease->id;
         ConditionalWrite write;
-        write.writes
-                = {{nodekeys::key(nodekeys::nodes, m_node), std::to_string(m_milliCores), m_lease}};
+        write.writes = {{nodekeys::key(nodekeys::nodes, m_node.name), encodeRegistration(m_node),
+                         m_lease}};
         m_store.write(write, [this, alive](const Result<WriteOutcome> &outcome) {
             if (*alive)
                 again(outcome && outcome->applied ? &NodeRegistration::keepAlive
@@ -82,10 +117,8 @@
 
 bool moreCapableNodeRegistered(const StateReplica &replica, int milliCores)
 {
-    return std::ranges::any_of(replica.otherItems(nodekeys::nodes), [milliCores](const auto &it) {
-        int other = 0;
-        std::from_chars(it.value.data(), it.value.data() + it.value.size(), other);
-        return other > milliCores;
+    return std::ranges::any_of(registeredNodes(replica), [milliCores](const RegisteredNode &it) {
+        return it.milliCores > milliCores;
     });
 }
 
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -59,7 +59,7 @@
     }
     if (!mayClaim())
         m_claimableSince.reset();
-    else if (!m_campaigning && !defersToOthers())
+    else if (!m_campaigning && (isOwnKey() || !defersToOthers()))
         campaign();
 }
 
@@ -68,18 +68,27 @@
     const auto now = EventLoop::now();
     if (!m_claimableSince)
         m_claimableSince = now;
+    if (!m_registeredSince && registeredNode(m_replica, m_candidate.node))
+        m_registeredSince = now;
+    const bool othersUnknown
+            = !m_registeredSince || now - *m_registeredSince < m_candidate.registrationTime;
     return now - *m_claimableSince < internal::deferTime
-           && moreCapableNodeRegistered(m_replica, m_candidate.milliCores);
+           && (othersUnknown || moreCapableNodeRegistered(m_replica, m_candidate.milliCores));
 }
 
 bool Ownership::mayClaim() const
 {
     // A key with this node's name was written by an earlier process of the node, because only one
     // process of a node runs at a time.
-    const bool free = m_replica.owner().revision == 0 || m_replica.owner().node == m_candidate.node;
+    const bool free = m_replica.owner().revision == 0 || isOwnKey();
     return free && m_replica.loaded() && !m_resigned;
 }
 
+bool Ownership::isOwnKey() const
+{
+    return m_replica.owner().revision != 0 && m_replica.owner().node == m_candidate.node;
+}
+
 void Ownership::campaign()
 {
     m_campaigning = true;
--- a/src/node/statereplica.cpp
+++ b/src/node/statereplica.cpp
@@ -166,4 +166,10 @@
     return found;
 }
 
+const KeyValue *StateReplica::otherItem(std::string_view key) const
+{
+    const auto it = m_otherItems.find(key);
+    return it == m_otherItems.end() ? nullptr : &it->second;
+}
+
 } // namespace dragonflysill
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -460,12 +460,14 @@
     int lost = 0;
     Ownership ownership;
 
-    explicit Candidate(std::chrono::milliseconds lease)
-        : ownership(loop, store, replica, {"node-1", 120}, lease,
+    explicit Candidate(std::chrono::milliseconds lease,
+                       std::chrono::milliseconds registrationTime = 0ms)
+        : ownership(loop, store, replica, {"node-1", 120, registrationTime}, lease,
                     {[this](std::int64_t fence, std::int64_t) { gained.push_back(fence); },
                      [this](const std::string &) { ++lost; }})
     {
-        replica.reset({}, 1);
+        store.put(nodekeys::key(nodekeys::nodes, "node-1"), "120");
+        updateReplica();
     }
 
     void check()
@@ -514,6 +516,28 @@
     BOOST_TEST(candidate.gained.size() == 1U);
 }
 
+// Guards against a small machine that owns the schedule because it was the first to start: nodes
+// that start together do not know of each other before their registrations have been stored.
+BOOST_AUTO_TEST_CASE(NodeDoesNotClaimBeforeItKnowsTheNodesThatStartedWithIt)
+{
+    Candidate candidate(1h, 1h);
+    candidate.check();
+    BOOST_TEST(candidate.gained.empty());
+    candidate.store.items.erase(nodekeys::key(nodekeys::nodes, "node-1"));
+    candidate.updateReplica();
+    candidate.check();
+    BOOST_TEST(candidate.gained.empty());
+}
+
+BOOST_AUTO_TEST_CASE(NodeClaimsIfItsRegistrationDoesNotArrive)
+{
+    Candidate candidate(1h, 1h);
+    candidate.ownership.start();
+    while (candidate.gained.empty())
+        candidate.loop.context().run_one();
+    BOOST_TEST(candidate.gained.size() == 1U);
+}
+
 // A registered node may be cut off from the store or about to end.
 BOOST_AUTO_TEST_CASE(NodeClaimsIfTheMoreCapableOneDoesNot)
 {
@@ -526,17 +550,32 @@
     BOOST_TEST(candidate.gained.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(RegistrationNamesCapacityPeerAddressAndZone)
+{
+    const RegisteredNode node{"node-1", 250, "10.0.0.1:7000", "zone-a"};
+    BOOST_TEST((decodeRegistration("node-1", encodeRegistration(node)) == node));
+    const RegisteredNode withoutPort{"node-1", 250, "", "zone-a"};
+    BOOST_TEST((decodeRegistration("node-1", encodeRegistration(withoutPort)) == withoutPort));
+}
+
+// During a rolling update, nodes of the earlier version register their capacity alone.
+BOOST_AUTO_TEST_CASE(RegistrationOfAnEarlierVersionNamesTheCapacityAlone)
+{
+    BOOST_TEST((decodeRegistration("node-1", "250") == RegisteredNode{"node-1", 250, "", ""}));
+    BOOST_TEST((decodeRegistration("node-1", "junk") == RegisteredNode{"node-1", 0, "", ""}));
+}
+
 // The store may end the lease while the node is cut off from it.
 BOOST_AUTO_TEST_CASE(RegistrationIsRepeatedAfterItsLeaseHasEnded)
 {
     EventLoop loop;
     FakeStore store(loop);
-    NodeRegistration registration(loop, store, "node-1", 250);
+    NodeRegistration registration(loop, store, {"node-1", 250, "10.0.0.1:7000", "zone-a"});
     registration.start();
     const auto key = nodekeys::key(nodekeys::nodes, "node-1");
     while (!store.items.contains(key))
         loop.context().run_one();
-    BOOST_TEST(store.items[key].value == "250");
+    BOOST_TEST(store.items[key].value == "250 10.0.0.1:7000 zone-a");
     store.items.erase(key);
     store.leaseEnded = true;
     while (!store.items.contains(key))
