Ask the owner of the schedule for the status of a job that has not ended

Cause: callers were told "running" long after their job had completed. The replica that answered follows the store with a pause of 200 ms, and in a turn with more changes than a watch returns. A caller that asks some milliseconds before the end is saved learns of it with its next request, 0.25 s later. Change: nodes send such requests to the owner over TCP frames of FlatBuffers (library peers, net/FrameConnection); the owner answers from its replica, which it updates as soon as a write of progress is acknowledged, and lets a request for a job whose open tasks all run wait up to 150 ms for its end. Without an answer the node's replica or the store answers as before; 410 still needs proof from the store. Frames moved from wire to base; listening sockets of HttpServer and FrameServer share TcpListener. Tests: PeerCodec (round trip, damaged bytes), PeerLinks, FrameDelays, StatusOfJobs, WaitersForTheEndOfAJob, JobsThatMayEndSoon.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -134,6 +134,11 @@
     /** Returns the number of waiting tasks in steps that are ready. */
     [[nodiscard]] int waitingTasks() const { return m_waitingTasks; }
 
+    /**
+     * Returns true if the job ends when the tasks that are active now have completed, or has ended.
+     */
+    [[nodiscard]] bool mayEndSoon() const;
+
     /** Returns true if a task has been started. */
     [[nodiscard]] bool started() const { return m_progress.state != JobStatus::Queued; }
 
--- a/include/dragonflysill/jobs/worker.h
+++ b/include/dragonflysill/jobs/worker.h
@@ -77,6 +77,7 @@
     WorkerClock clock = 0; ///< The worker's clock when it answered.
     std::vector<RunningReport> running;
     std::vector<EndReport> ended; ///< Ends that have not been acknowledged.
+    bool runningListed = true; ///< False if the running tasks were left out.
 };
 
 /** Why a worker did not start a task. */
--- a/include/dragonflysill/net/httpserver.h
+++ b/include/dragonflysill/net/httpserver.h
@@ -13,8 +13,8 @@
 namespace dragonflysill {
 
 namespace internal {
-class HttpListener;
-class HttpSession;
+struct HttpServerState;
+class TcpListener;
 } // namespace internal
 
 /** Limits of an HttpServer on the requests of its clients. */
@@ -63,7 +63,8 @@
     [[nodiscard]] const HttpTraffic &traffic() const;
 
 private:
-    std::shared_ptr<internal::HttpListener> m_listener;
+    std::shared_ptr<internal::HttpServerState> m_state;
+    std::shared_ptr<internal::TcpListener> m_listener;
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -8,6 +8,7 @@
 #include "dragonflysill/node/statereplica.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -48,6 +49,17 @@
      */
     void setStoreReachable(bool reachable);
 
+    /** Asks the owner of the schedule for the status of a job; no value if it gives none. */
+    using AskOwner
+            = std::function<void(const std::string &id,
+                                 std::function<void(std::optional<JobStatus>)> callback)>;
+
+    /**
+     * Sets how the owner of the schedule is asked, which knows of progress before the replica does.
+     * Without it, requests for the status of a job are answered from the replica.
+     */
+    void setAskOwner(AskOwner askOwner) { m_askOwner = std::move(askOwner); }
+
     /** Handles one request; @p respond may be called asynchronously. */
     void handle(const HttpRequest &request, HttpServer::Respond respond);
 
@@ -63,6 +75,8 @@
                             const std::string &value, std::int64_t revision,
                             const HttpServer::Respond &respond);
     void showStatus(std::string_view id, const HttpServer::Respond &respond);
+    /** Answers from the replica, or from the store if the job is missing in it. */
+    void showStoredStatus(std::string_view id, const HttpServer::Respond &respond);
     void cancel(std::string_view id, TimePoint deadline, const HttpServer::Respond &respond);
     void writeCancel(const std::string &id, TimePoint deadline, const HttpServer::Respond &respond);
     /** Reads a job that is missing in the replica from the store and adds it to the replica. */
@@ -73,6 +87,7 @@
     AsyncStore &m_store;
     StateReplica &m_replica;
     BatchWriter m_writer;
+    AskOwner m_askOwner;
     std::optional<FleetConfiguration> m_configuration;
     bool m_storeReachable = false;
     Random m_random;
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -5,12 +5,14 @@
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/jobservice.h"
 #include "dragonflysill/node/loadmonitor.h"
+#include "dragonflysill/node/nodepeers.h"
 #include "dragonflysill/node/noderegistration.h"
 #include "dragonflysill/node/observedstore.h"
 #include "dragonflysill/node/ownership.h"
 #include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/scheduleowner.h"
 #include "dragonflysill/node/statereplica.h"
+#include "dragonflysill/node/statuswaiters.h"
 
 #include <cstdint>
 #include <map>
@@ -66,6 +68,13 @@
     void operatorKeyChanged(const std::string &key, std::int64_t revision,
                             const std::string &bytes);
     void replicaChanged();
+    /** Answers a request of another node. */
+    void handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond);
+    /** Answers a status query as the owner of the schedule; no value if this node is not the owner.
+     */
+    void answerAsOwner(const StatusQuery &query, const StatusWaiters::Callback &callback);
+    /** Asks the owner of the schedule, which may be this node, for the status of a job. */
+    void askOwner(const std::string &job, StatusWaiters::Callback callback);
     void ownershipGained(std::int64_t fence, std::int64_t generation);
     void ownershipLost(const std::string &reason);
     void checkStore();
@@ -90,6 +99,8 @@
     HttpServer m_readiness;
     HttpServer m_operators;
     std::string m_metricsAddress;
+    NodePeers m_peers;
+    StatusWaiters m_statusWaiters;
     PrefixWatcher m_stateWatcher;
     PrefixWatcher m_operatorWatcher;
     Ownership m_ownership;
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -71,6 +71,9 @@
     /** Adds a maintenance wave that the operators requested; a known one is ignored. */
     void addWave(const MaintenanceWave &wave);
 
+    /** Returns true if the job may end shortly or its end is being saved. */
+    [[nodiscard]] bool mayEndSoon(std::string_view job) const;
+
     [[nodiscard]] const Scheduler &scheduler() const { return m_scheduler; }
     [[nodiscard]] const WorkerControllerCounts &workerCallCounts() const
     {
--- a/src/wire/frame.cpp
+++ b/src/base/frame.cpp
@@ -1,4 +1,4 @@
-#include "dragonflysill/wire/frame.h"
+#include "dragonflysill/base/frame.h"
 
 #include <cstdint>
 
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -80,6 +80,24 @@
         finishStep(occurrence, step, now);
 }
 
+bool JobRun::mayEndSoon() const
+{
+    if (hasEnded())
+        return true;
+    if (m_waitingTasks > 0 || m_nextOccurrence < m_job.spec.occurrences
+        || std::ranges::any_of(m_job.spec.steps, &JobStep::persistent))
+        return false;
+    return std::ranges::all_of(m_occurrences, [this](const auto &occurrence) {
+        const auto &[number, run] = occurrence;
+        for (std::size_t n = 0; n < run.steps.size(); ++n) {
+            if (!run.steps[n].ready
+                && !m_progress.stepsDone.contains({number, static_cast<int>(n)}))
+                return false;
+        }
+        return true;
+    });
+}
+
 Task *JobRun::task(const TaskId &id)
 {
     const auto it = m_occurrences.find(id.occurrence);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,6 +1,6 @@
 #include "dragonflysill/net/httpserver.h"
 
-#include "address.h"
+#include "tcplistener.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -17,71 +17,47 @@
 
 namespace internal {
 
-/** Maximum number of connections that wait to be accepted while the process is busy. */
-constexpr int listenBacklog = 1024;
-
 /** Bytes that a session reads at once; enough for most requests. */
 constexpr std::size_t readBytes = 2048;
 
-/** Accepts connections and holds the state that its sessions share. */
-class HttpListener : public std::enable_shared_from_this<HttpListener>
+/** The state of a server that its sessions share; they may outlive the server. */
+struct HttpServerState
 {
-public:
-    HttpListener(EventLoop &loop, HttpServer::Handler requestHandler)
-        : handler(std::move(requestHandler))
-        , m_loop(loop)
-        , m_acceptor(loop.context())
-    {
-    }
-
-    Result<Done> open(const std::string &address);
-    void accept();
-    void close()
-    {
-        closed = true;
-        beast::error_code ignored;
-        m_acceptor.close(ignored);
-    }
-
     HttpServer::Handler handler;
     HttpServerLimits limits;
     bool draining = false;
     bool closed = false;
     std::size_t sessions = 0;
     HttpTraffic traffic;
-
-private:
-    EventLoop &m_loop;
-    Tcp::acceptor m_acceptor;
 };
 
 /** One connection from a client. */
 class HttpSession : public std::enable_shared_from_this<HttpSession>
 {
 public:
-    HttpSession(Tcp::socket socket, std::shared_ptr<HttpListener> listener)
+    HttpSession(Tcp::socket socket, std::shared_ptr<HttpServerState> server)
         : m_stream(std::move(socket))
-        , m_listener(std::move(listener))
+        , m_server(std::move(server))
     {
-        ++m_listener->sessions;
-        ++m_listener->traffic.connectionsOpened;
+        ++m_server->sessions;
+        ++m_server->traffic.connectionsOpened;
         // The parser empties the buffer after each read, so that it would never grow by itself.
         m_buffer.reserve(readBytes);
     }
 
-    ~HttpSession() { --m_listener->sessions; }
+    ~HttpSession() { --m_server->sessions; }
     HttpSession(const HttpSession &) = delete;
     HttpSession &operator=(const HttpSession &) = delete;
 
     void readRequest()
     {
         m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_listener->limits.headerBytes));
-        m_parser->body_limit(m_listener->limits.bodyBytes);
-        m_stream.expires_after(m_listener->limits.idleTimeout);
+        m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.headerBytes));
+        m_parser->body_limit(m_server->limits.bodyBytes);
+        m_stream.expires_after(m_server->limits.idleTimeout);
         http::async_read_header(m_stream, m_buffer, *m_parser,
                                 [self = shared_from_this()](beast::error_code ec, std::size_t n) {
-                                    self->m_listener->traffic.bytesReceived += n;
+                                    self->m_server->traffic.bytesReceived += n;
                                     if (ec)
                                         self->refuse(ec);
                                     else
@@ -96,10 +72,10 @@
             handle();
             return;
         }
-        m_stream.expires_after(m_listener->limits.requestTimeout);
+        m_stream.expires_after(m_server->limits.requestTimeout);
         http::async_read(m_stream, m_buffer, *m_parser,
                          [self = shared_from_this()](beast::error_code ec, std::size_t n) {
-                             self->m_listener->traffic.bytesReceived += n;
+                             self->m_server->traffic.bytesReceived += n;
                              if (ec)
                                  self->refuse(ec);
                              else
@@ -110,8 +86,8 @@
     void handle()
     {
         m_stream.expires_never();
-        ++m_listener->traffic.calls;
-        if (m_listener->closed) {
+        ++m_server->traffic.calls;
+        if (m_server->closed) {
             // The server was destroyed, and with it possibly the objects that the handler uses.
             beast::error_code ignored;
             m_stream.socket().close(ignored);
@@ -126,7 +102,7 @@
             request.headers.emplace_back(it.name_string(), it.value());
         request.body = std::move(message.body());
         auto answered = std::make_shared<bool>(false);
-        m_listener->handler(std::move(request),
+        m_server->handler(std::move(request),
                             [self = shared_from_this(), answered](HttpResponse response) {
                                 if (*answered)
                                     return;
@@ -165,12 +141,12 @@
         if (!response.body.empty())
             m_response.set(http::field::content_type, "application/json");
         m_response.body() = std::move(response.body);
-        m_response.keep_alive(m_keepAlive && !m_listener->draining);
+        m_response.keep_alive(m_keepAlive && !m_server->draining);
         m_response.prepare_payload();
-        m_stream.expires_after(m_listener->limits.requestTimeout);
+        m_stream.expires_after(m_server->limits.requestTimeout);
         http::async_write(m_stream, m_response,
                           [self = shared_from_this()](beast::error_code ec, std::size_t n) {
-                              self->m_listener->traffic.bytesSent += n;
+                              self->m_server->traffic.bytesSent += n;
                               self->written(ec);
                           });
     }
@@ -192,7 +168,7 @@
     }
 
     beast::tcp_stream m_stream;
-    std::shared_ptr<HttpListener> m_listener;
+    std::shared_ptr<HttpServerState> m_server;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
@@ -200,51 +176,21 @@
     bool m_keepAlive = false;
 };
 
-Result<Done> HttpListener::open(const std::string &address)
-{
-    const auto endpoint = parseAddress(address);
-    if (!endpoint)
-        return Error(ErrorKind::SettingsInvalid, "not an IP:PORT address: " + address);
-    boost::system::error_code ec;
-    m_acceptor.open(endpoint->protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(*endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(listenBacklog, ec);
-    if (ec)
-        return Error(ErrorKind::SettingsInvalid, address + ": " + ec.message());
-    accept();
-    return Done();
-}
-
-void HttpListener::accept()
-{
-    m_acceptor.async_accept([self = shared_from_this()](beast::error_code ec, Tcp::socket socket) {
-        if (self->closed)
-            return;
-        if (ec) {
-            // No file descriptors are left: wait until other connections have been closed.
-            self->m_loop.after(std::chrono::milliseconds(50), [self] { self->accept(); });
-            return;
-        }
-        beast::error_code ignored;
-        socket.set_option(Tcp::no_delay(true), ignored);
-        std::make_shared<HttpSession>(std::move(socket), self)->readRequest();
-        self->accept();
-    });
-}
-
 } // namespace internal
 
 HttpServer::HttpServer(EventLoop &loop, Handler handler)
-    : m_listener(std::make_shared<internal::HttpListener>(loop, std::move(handler)))
+    : m_state(std::make_shared<internal::HttpServerState>())
+    , m_listener(std::make_shared<internal::TcpListener>(
+              loop, [state = m_state](Tcp::socket socket) {
+                  std::make_shared<internal::HttpSession>(std::move(socket), state)->readRequest();
+              }))
 {
+    m_state->handler = std::move(handler);
 }
 
 HttpServer::~HttpServer()
 {
+    m_state->closed = true;
     m_listener->close();
 }
 
@@ -255,22 +201,22 @@
 
 void HttpServer::setLimits(const HttpServerLimits &limits)
 {
-    m_listener->limits = limits;
+    m_state->limits = limits;
 }
 
 void HttpServer::drain()
 {
-    m_listener->draining = true;
+    m_state->draining = true;
 }
 
 std::size_t HttpServer::connections() const
 {
-    return m_listener->sessions;
+    return m_state->sessions;
 }
 
 const HttpTraffic &HttpServer::traffic() const
 {
-    return m_listener->traffic;
+    return m_state->traffic;
 }
 
 } // namespace dragonflysill
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -202,6 +202,22 @@
 void JobService::showStatus(std::string_view id, const HttpServer::Respond &respond)
 {
     ++m_counts.statusRequests;
+    const auto known = m_replica.status(id);
+    if (!m_askOwner || (known && isFinal(*known))) {
+        showStoredStatus(id, respond);
+        return;
+    }
+    m_askOwner(std::string(id), [this, id = std::string(id),
+                                 respond](const std::optional<JobStatus> &status) {
+        if (status)
+            respond(internal::status(200, platform::encodeState(*status)));
+        else
+            showStoredStatus(id, respond);
+    });
+}
+
+void JobService::showStoredStatus(std::string_view id, const HttpServer::Respond &respond)
+{
     if (const auto status = m_replica.status(id)) {
         respond(internal::status(200, platform::encodeState(*status)));
         return;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -45,6 +45,13 @@
 constexpr std::size_t ordersPerWorker = 4;
 /** Bytes read at once from a worker; enough for the reports of most workers. */
 constexpr std::size_t workerReadBytes = 4096;
+/**
+ * Time for which a request for the status of a job waits if the job may end shortly. Callers ask
+ * again after some time, so an end that they miss by milliseconds costs them that time.
+ */
+constexpr Milliseconds statusWait = 150ms;
+/** Time for the owner's answer to a status query after that wait. */
+constexpr Duration ownerAnswerTimeout = 300ms;
 /** Interval between two measurements of the event loop's delay. */
 constexpr Duration loadCheckInterval = 50ms;
 /** Interval between two log lines about the load of the node. */
@@ -64,6 +71,13 @@
 /** Part of the grace period that is left unused, so that the process exits before it is killed. */
 constexpr Duration stopMargin = 1500ms;
 
+/** Returns the address for requests of other nodes; empty if the settings name no port for it. */
+std::string peerAddress(const platform::NodeSettings &settings)
+{
+    return settings.firstPort == 0 ? std::string()
+                                   : settings.ip + ':' + std::to_string(settings.firstPort);
+}
+
 std::uint64_t randomSeed(const platform::NodeSettings &settings)
 {
     return stableHash(settings.name)
@@ -100,6 +114,10 @@
                       respond(handleOperatorRequest(request));
                   })
     , m_metricsAddress(std::move(metricsAddress))
+    , m_peers(loop, [this](ReceivedRequest request, const PeerServer::Respond &respond) {
+        handlePeerRequest(std::move(request), respond);
+    })
+    , m_statusWaiters(loop, [this](const std::string &job) { return m_replica.status(job); })
     , m_stateWatcher(loop, m_store, std::string(nodekeys::root), internal::followerWatchPause,
                      {[this](std::span<const KeyValue> items, std::int64_t asOf) {
                           m_replica.reset(items, asOf);
@@ -126,12 +144,18 @@
                        ownershipGained(fence, generation);
                    },
                    [this](const std::string &reason) { ownershipLost(reason); }})
-    , m_registration(loop, m_store, settings.name, settings.milliCores)
+    , m_registration(loop, m_store,
+                     {settings.name, settings.milliCores, internal::peerAddress(settings),
+                      settings.zone})
     , m_load(internal::loadCheckInterval, internal::loadReportInterval)
 {
     m_replica.setListener([this](const std::string &id, const ReplicatedJob &job) {
         if (m_owner)
             m_owner->jobChanged(id, job);
+        m_statusWaiters.jobChanged(id);
+    });
+    m_service.setAskOwner([this](const std::string &job, StatusWaiters::Callback callback) {
+        askOwner(job, std::move(callback));
     });
 }
 
@@ -147,6 +171,10 @@
         if (auto opened = m_operators.listen(m_metricsAddress); !opened)
             return opened;
     }
+    if (const auto address = internal::peerAddress(m_settings); !address.empty()) {
+        if (auto opened = m_peers.listen(address); !opened)
+            return opened;
+    }
     m_stateWatcher.start();
     m_operatorWatcher.start();
     m_ownership.start();
@@ -308,6 +336,56 @@
     m_ownership.check();
 }
 
+void Node::handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond)
+{
+    if (const auto *status = std::get_if<StatusQuery>(&request.message)) {
+        answerAsOwner(*status, [respond](const std::optional<JobStatus> &it) {
+            respond(StatusAnswer{it});
+        });
+    } else if (const auto *pending = std::get_if<PendingQuery>(&request.message)) {
+        PendingAnswer answer;
+        if (m_owner && m_ownership.valid())
+            answer.count = m_replica.pending(pending->queue);
+        respond(answer);
+    } else {
+        respond(Error(ErrorKind::InvalidInput, "this node takes no orders for workers"));
+    }
+}
+
+void Node::answerAsOwner(const StatusQuery &query, const StatusWaiters::Callback &callback)
+{
+    if (!m_owner || !m_ownership.valid()) {
+        callback(std::nullopt);
+        return;
+    }
+    const auto status = m_replica.status(query.job);
+    if (!status || isFinal(*status) || query.wait.count() == 0 || !m_owner->mayEndSoon(query.job))
+        callback(status);
+    else
+        m_statusWaiters.wait(query.job, query.wait, callback);
+}
+
+void Node::askOwner(const std::string &job, StatusWaiters::Callback callback)
+{
+    const StatusQuery query{job, internal::statusWait};
+    const auto &owner = m_replica.owner();
+    if (m_owner || owner.revision == 0) {
+        answerAsOwner(query, callback);
+        return;
+    }
+    const auto node = registeredNode(m_replica, owner.node);
+    if (!node || node->peerAddress.empty()) {
+        callback(std::nullopt);
+        return;
+    }
+    m_peers.link(node->peerAddress)
+            .call(query, query.wait + internal::ownerAnswerTimeout,
+                  [callback = std::move(callback)](const Result<PeerAnswer> &answer) {
+                      const auto *status = answer ? std::get_if<StatusAnswer>(&*answer) : nullptr;
+                      callback(status == nullptr ? std::nullopt : status->status);
+                  });
+}
+
 void Node::ownershipGained(std::int64_t fence, std::int64_t generation)
 {
     logInfo("ownership-gained",
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -132,6 +132,12 @@
     requestDecision();
 }
 
+bool ScheduleOwner::mayEndSoon(std::string_view job) const
+{
+    const auto *it = m_scheduler.job(job);
+    return it != nullptr && it->mayEndSoon();
+}
+
 void ScheduleOwner::setConfiguration(const FleetConfiguration &configuration)
 {
     m_fleet.setConfiguration(configuration);
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -73,11 +73,11 @@
                      {"outcome", outcome}});
 }
 
-std::string outcomeName(const platform::OrderOutcome &outcome)
+std::string outcomeName(const OrderOutcome &outcome)
 {
     if (const auto *it = std::get_if<StartRefusal>(&outcome))
         return "refused-" + std::to_string(static_cast<int>(*it));
-    return std::holds_alternative<platform::OrderConfirmed>(outcome) ? "confirmed" : "unanswered";
+    return std::holds_alternative<OrderConfirmed>(outcome) ? "confirmed" : "unanswered";
 }
 
 } // namespace internal
@@ -155,7 +155,7 @@
     internal::logOrder("task-start", start);
     m_calls->start(address, start, orderTimeout(),
                    [this, alive = m_alive, start,
-                    sentAt = EventLoop::now()](const platform::OrderOutcome &outcome) {
+                    sentAt = EventLoop::now()](const OrderOutcome &outcome) {
                        if (!*alive)
                            return;
                        internal::logOrder("task-start-answer", start,
@@ -163,7 +163,7 @@
                        const auto now = EventLoop::now();
                        m_governor.recordResponseTime(now - sentAt, now);
                        m_holds.bringForward(start.worker, now + minHoldInterval());
-                       if (const auto *it = std::get_if<platform::OrderConfirmed>(&outcome)) {
+                       if (const auto *it = std::get_if<OrderConfirmed>(&outcome)) {
                            m_scheduler.startConfirmed(start, it->clock, now);
                        } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
                            ++(*it == StartRefusal::NotSent ? m_counts.startsNotSent
@@ -186,11 +186,11 @@
     ++m_counts.stops;
     internal::logOrder("task-stop", stop);
     m_calls->stop(address, stop, orderTimeout(),
-                  [this, alive = m_alive, stop](const platform::OrderOutcome &outcome) {
+                  [this, alive = m_alive, stop](const OrderOutcome &outcome) {
                       if (!*alive)
                           return;
                       internal::logOrder("task-stop-answer", stop, internal::outcomeName(outcome));
-                      if (std::holds_alternative<platform::OrderConfirmed>(outcome))
+                      if (std::holds_alternative<OrderConfirmed>(outcome))
                           m_scheduler.stopConfirmed(stop, EventLoop::now());
                       else
                           m_scheduler.stopUnanswered(stop, EventLoop::now());
@@ -202,10 +202,10 @@
 {
     ++m_counts.paces;
     m_calls->pace(address, pace, orderTimeout(),
-                  [this, alive = m_alive, pace](const platform::OrderOutcome &outcome) {
+                  [this, alive = m_alive, pace](const OrderOutcome &outcome) {
                       if (*alive)
                           m_scheduler.paceAnswered(
-                                  pace, std::holds_alternative<platform::OrderConfirmed>(outcome));
+                                  pace, std::holds_alternative<OrderConfirmed>(outcome));
                   });
 }
 
--- /dev/null
+++ b/tests/node/statustest.cpp
@@ -0,0 +1,194 @@
+#include "fakestore.h"
+
+#include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/jobs/jobrun.h"
+#include "dragonflysill/node/jobservice.h"
+#include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/statuswaiters.h"
+#include "jobs/schedulerharness.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Waiters for the ends of jobs whose status the test sets. */
+struct WaitersFixture
+{
+    EventLoop loop;
+    std::map<std::string, JobStatus> known;
+    StatusWaiters waiters{loop, [this](const std::string &job) -> std::optional<JobStatus> {
+                              const auto it = known.find(job);
+                              return it == known.end() ? std::nullopt : std::optional(it->second);
+                          }};
+    std::vector<std::optional<JobStatus>> answers;
+
+    void wait(const std::string &job, Duration time)
+    {
+        waiters.wait(job, time, [this](std::optional<JobStatus> it) { answers.push_back(it); });
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WaitersForTheEndOfAJob, WaitersFixture)
+
+// Guards against callers that learn of the end of their job only with their next request, because
+// they asked some milliseconds before the end was saved.
+BOOST_AUTO_TEST_CASE(RequestIsAnsweredWhenTheJobEnds)
+{
+    known["a"] = JobStatus::Running;
+    wait("a", 1h);
+    wait("a", 1h);
+    waiters.jobChanged("a");
+    BOOST_TEST(answers.empty());
+    known["a"] = JobStatus::Completed;
+    waiters.jobChanged("b");
+    BOOST_TEST(answers.empty());
+    waiters.jobChanged("a");
+    BOOST_REQUIRE(answers.size() == 2U);
+    BOOST_TEST((*answers[0] == JobStatus::Completed));
+    BOOST_TEST(waiters.jobs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestIsAnsweredWithTheCurrentStatusAfterItsTime)
+{
+    known["a"] = JobStatus::Running;
+    wait("a", 10ms);
+    wait("b", 1h);
+    while (answers.empty())
+        loop.context().run_one();
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_TEST((*answers[0] == JobStatus::Running));
+    BOOST_TEST(waiters.jobs() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(JobsThatMayEndSoon)
+
+BOOST_AUTO_TEST_CASE(JobMayEndSoonWhenAllItsOpenTasksAreActive)
+{
+    JobRun run(job("j", {step(2), step(1, {0})}), {}, 0);
+    run.openDueOccurrences(0, TimePoint{});
+    BOOST_TEST(!run.mayEndSoon());
+    run.activate({"j", 0, 0, 0}, "w");
+    run.activate({"j", 0, 0, 1}, "w");
+    BOOST_TEST(!run.mayEndSoon()); // The second step has not begun.
+    run.complete({"j", 0, 0, 0}, TimePoint{});
+    run.complete({"j", 0, 0, 1}, TimePoint{});
+    BOOST_TEST(!run.mayEndSoon());
+    run.activate({"j", 0, 1, 0}, "w");
+    BOOST_TEST(run.mayEndSoon());
+    run.complete({"j", 0, 1, 0}, TimePoint{});
+    BOOST_TEST(run.hasEnded());
+    BOOST_TEST(run.mayEndSoon());
+}
+
+BOOST_AUTO_TEST_CASE(PersistentJobNeverEndsByItself)
+{
+    auto persistent = step(1);
+    persistent.persistent = true;
+    JobRun run(job("j", {persistent}), {}, 0);
+    run.openDueOccurrences(0, TimePoint{});
+    run.activate({"j", 0, 0, 0}, "w");
+    BOOST_TEST(!run.mayEndSoon());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+const std::string jobId = "0123456789abcdef";
+
+/** A job service on a fake store, and an owner of the schedule that the test plays. */
+struct StatusFixture
+{
+    EventLoop loop;
+    FakeStore store{loop};
+    StateReplica replica;
+    JobService service{loop, store, replica, 1};
+    int asked = 0;
+    std::optional<JobStatus> ownerAnswer;
+
+    StatusFixture()
+    {
+        FleetConfiguration configuration;
+        configuration.version = 1;
+        configuration.queues = {{"queue", "host", "/q/", "pool", 200ms, {}, {}}};
+        service.setConfiguration(configuration);
+        service.setStoreReachable(true);
+        service.setAskOwner([this](const std::string &, const StatusWaiters::Callback &callback) {
+            ++asked;
+            callback(ownerAnswer);
+        });
+        replica.reset({}, 1);
+    }
+
+    /** Requests the status of the job; returns the response's status and body. */
+    std::string show()
+    {
+        std::string answer;
+        service.handle({"GET", "/q/" + jobId, {}, {{"Host", "host"}}},
+                       [&](const HttpResponse &it) {
+                           answer = std::to_string(it.status) + ' ' + it.body;
+                       });
+        loop.context().restart();
+        loop.run();
+        return answer;
+    }
+
+    void addJob(JobStatus status)
+    {
+        JobProgress progress;
+        progress.state = status;
+        replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), "record", 2);
+        replica.applyOwn(nodekeys::key(nodekeys::progress, jobId), encodeProgress(progress), 3);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StatusOfJobs, StatusFixture)
+
+// Guards against callers that are told "running" long after their job has completed, because the
+// replica of the node that they asked follows the store with a delay.
+BOOST_AUTO_TEST_CASE(StatusOfAnOpenJobIsAskedFromTheOwner)
+{
+    addJob(JobStatus::Running);
+    ownerAnswer = JobStatus::Completed;
+    BOOST_TEST(show() == R"(200 {"state":"completed"})");
+    BOOST_TEST(asked == 1);
+}
+
+BOOST_AUTO_TEST_CASE(StatusOfAnEndedJobIsKnownWithoutTheOwner)
+{
+    addJob(JobStatus::Failed);
+    BOOST_TEST(show() == R"(200 {"state":"failed"})");
+    BOOST_TEST(asked == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ReplicaAnswersIfTheOwnerDoesNot)
+{
+    addJob(JobStatus::Running);
+    BOOST_TEST(show() == R"(200 {"state":"running"})");
+    BOOST_TEST(asked == 1);
+}
+
+// An unknown id is proved by the store, whatever the owner knows.
+BOOST_AUTO_TEST_CASE(JobThatNobodyKnowsIsGoneOnlyIfTheStoreSaysSo)
+{
+    BOOST_TEST(show() == "410 ");
+    store.reachable = false;
+    BOOST_TEST(show() == "503 ");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/peers/codectest.cpp
@@ -0,0 +1,169 @@
+#include "dragonflysill/peers/codec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <string>
+#include <vector>
+
+using namespace dragonflysill;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TaskId task{"0123456789abCDEF", 2, 1, 17};
+
+/** Returns a batch with one message of each kind. */
+PeerBatch everyMessage()
+{
+    PeerBatch batch;
+    batch.sentMs = 123456;
+    batch.fence = 42;
+    batch.requests
+            = {{1, StatusQuery{task.job, 150ms}},
+               {2, PendingQuery{"queue"}},
+               {3, DelegatedStart{{"w", task, 1001, "payload", "check", "ticket", 9000}, "a:1",
+                                  500ms}},
+               {4, DelegatedStop{{"w", task, 1001}, "a:1", 501ms}},
+               {5, DelegatedPace{{"v", task, 1001, 40}, "a:2", 502ms}},
+               {6, DelegatedHold{{"w", "a:1"}, {7777, 12}, 800ms, 503ms, false}}};
+    WorkerReport report;
+    report.startedMs = 5;
+    report.clock = 6;
+    report.runningListed = false;
+    report.running = {{task, 3, "saved", 41, 2.5}, {task, 4, {}, 100, std::nullopt}};
+    report.ended = {{9, task, 2, RunEnd::Failed, "other"}};
+    batch.answers = {{7, StatusAnswer{JobStatus::Failed}},
+                     {8, StatusAnswer{}},
+                     {9, PendingAnswer{3}},
+                     {10, PendingAnswer{}},
+                     {11, OrderConfirmed{88}},
+                     {12, StartRefusal::InsufficientCapacity},
+                     {13, report},
+                     {14, Error(ErrorKind::OutcomeUnknown, "lost")}};
+    return batch;
+}
+
+template <typename Message, typename Variant>
+const Message &messageOf(const std::vector<Numbered<Variant>> &messages, std::uint32_t call)
+{
+    const auto it = std::ranges::find(messages, call, &Numbered<Variant>::call);
+    BOOST_REQUIRE(it != messages.end());
+    return std::get<Message>(it->message);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerCodec)
+
+BOOST_AUTO_TEST_CASE(RequestsAreDecodedAsTheyWereEncoded)
+{
+    PeerEncoder encoder;
+    PeerDecoder decoder;
+    const auto decoded = decoder.decode(encoder.encode(everyMessage()));
+    BOOST_REQUIRE(decoded.ok());
+    const auto &batch = *decoded;
+    BOOST_TEST(batch.sentMs == 123456);
+    BOOST_TEST(batch.fence == 42);
+    BOOST_TEST(messageOf<StatusQuery>(batch.requests, 1).job == task.job);
+    BOOST_TEST((messageOf<StatusQuery>(batch.requests, 1).wait == 150ms));
+    BOOST_TEST(messageOf<PendingQuery>(batch.requests, 2).queue == "queue");
+    const auto &start = messageOf<DelegatedStart>(batch.requests, 3);
+    BOOST_TEST(start.order.worker == "w");
+    BOOST_TEST(start.address == "a:1");
+    BOOST_TEST((start.order.task == task));
+    BOOST_TEST(start.order.run == 1001);
+    BOOST_TEST(start.order.payload == "payload");
+    BOOST_TEST(start.order.checkpoint == "check");
+    BOOST_TEST(start.order.ticket == "ticket");
+    BOOST_TEST(start.order.holdUntil == 9000);
+    BOOST_TEST((start.timeout == 500ms));
+    BOOST_TEST((messageOf<DelegatedStop>(batch.requests, 4).order.task == task));
+    const auto &pace = messageOf<DelegatedPace>(batch.requests, 5);
+    BOOST_TEST(pace.order.worker == "v");
+    BOOST_TEST(pace.address == "a:2");
+    BOOST_TEST(pace.order.percent == 40);
+    const auto &hold = messageOf<DelegatedHold>(batch.requests, 6);
+    BOOST_TEST(hold.worker.id == "w");
+    BOOST_TEST(*hold.request.holdUntil == 7777);
+    BOOST_TEST(hold.request.acknowledgedEnds == 12);
+    BOOST_TEST((hold.wait == 800ms));
+    BOOST_TEST((hold.timeout == 503ms));
+    BOOST_TEST(!hold.listRunning);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersAreDecodedAsTheyWereEncoded)
+{
+    PeerEncoder encoder;
+    PeerDecoder decoder;
+    const auto decoded = decoder.decode(encoder.encode(everyMessage()));
+    BOOST_REQUIRE(decoded.ok());
+    const auto &answers = decoded->answers;
+    BOOST_TEST((*messageOf<StatusAnswer>(answers, 7).status == JobStatus::Failed));
+    BOOST_TEST(!messageOf<StatusAnswer>(answers, 8).status.has_value());
+    BOOST_TEST(*messageOf<PendingAnswer>(answers, 9).count == 3);
+    BOOST_TEST(!messageOf<PendingAnswer>(answers, 10).count.has_value());
+    BOOST_TEST(messageOf<OrderConfirmed>(answers, 11).clock == 88);
+    BOOST_TEST((messageOf<StartRefusal>(answers, 12) == StartRefusal::InsufficientCapacity));
+    const auto &report = messageOf<WorkerReport>(answers, 13);
+    BOOST_TEST(report.startedMs == 5);
+    BOOST_TEST(report.clock == 6);
+    BOOST_TEST(!report.runningListed);
+    BOOST_REQUIRE(report.running.size() == 2U);
+    BOOST_TEST((report.running[0].task == task));
+    BOOST_TEST(report.running[0].checkpoint == "saved");
+    BOOST_TEST(report.running[0].percent == 41);
+    BOOST_TEST(*report.running[0].usage == 2.5);
+    BOOST_TEST(report.running[1].checkpoint.empty());
+    BOOST_TEST(!report.running[1].usage.has_value());
+    BOOST_REQUIRE(report.ended.size() == 1U);
+    BOOST_TEST(report.ended[0].number == 9);
+    BOOST_TEST((report.ended[0].end == RunEnd::Failed));
+    BOOST_TEST(report.ended[0].checkpoint == "other");
+    const auto &error = messageOf<Error>(answers, 14);
+    BOOST_TEST(error.is(ErrorKind::OutcomeUnknown));
+    BOOST_TEST(error.detail == "lost");
+}
+
+BOOST_AUTO_TEST_CASE(WorkersAreNamedOnceOnAConnection)
+{
+    PeerEncoder encoder;
+    PeerDecoder decoder;
+    const auto first = encoder.encode(everyMessage());
+    const auto second = encoder.encode(everyMessage());
+    BOOST_TEST(second.size() < first.size());
+    BOOST_REQUIRE(decoder.decode(first).ok());
+    const auto decoded = decoder.decode(second);
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST(messageOf<DelegatedStart>(decoded->requests, 3).order.worker == "w");
+}
+
+// Guards against orders to a worker that the sender did not mean: a decoder that has missed a batch
+// does not know what the numbers of the next one stand for.
+BOOST_AUTO_TEST_CASE(BatchWithUnknownWorkerNumberIsCorrupt)
+{
+    PeerEncoder encoder;
+    PeerDecoder decoder;
+    encoder.encode(everyMessage());
+    const auto decoded = decoder.decode(encoder.encode(everyMessage()));
+    BOOST_REQUIRE(!decoded.ok());
+    BOOST_TEST(decoded.error().is(ErrorKind::Corrupt));
+}
+
+// One malformed frame must neither end the process nor be taken for another message kind.
+RC_BOOST_PROP(DamagedBatchesAreRefusedOrDecoded, ())
+{
+    PeerEncoder encoder;
+    auto bytes = encoder.encode(everyMessage());
+    const auto damages = *rc::gen::inRange(1, 8);
+    for (int n = 0; n < damages; ++n)
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = *rc::gen::arbitrary<char>();
+    if (*rc::gen::arbitrary<bool>())
+        bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size()));
+    PeerDecoder decoder;
+    const auto decoded = decoder.decode(bytes);
+    const bool handled = decoded.ok() || decoded.error().is(ErrorKind::Corrupt);
+    RC_ASSERT(handled);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/wire/messagelooptest.cpp
+++ b/tests/wire/messagelooptest.cpp
@@ -1,5 +1,5 @@
 #include "dragonflysill/wire/messageloop.h"
-#include "dragonflysill/wire/frame.h"
+#include "dragonflysill/base/frame.h"
 
 #include <boost/test/unit_test.hpp>
 
