--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -50,9 +50,8 @@
     void setStoreReachable(bool reachable);
 
     /** Asks the owner of the schedule for the status of a job; no value if it gives none. */
-    using AskOwner
-            = std::function<void(const std::string &id,
-                                 std::function<void(std::optional<JobStatus>)> callback)>;
+    using AskOwner = std::function<void(const std::string &id,
+                                        std::function<void(std::optional<JobStatus>)> callback)>;
 
     /**
      * Sets how the owner of the schedule is asked, which knows of progress before the replica does.
--- a/src/net/frameconnection.cpp
+++ b/src/net/frameconnection.cpp
@@ -110,28 +110,28 @@
         if (!m_established || !m_writing.empty() || m_queued.empty())
             return;
         m_writing = std::exchange(m_queued, {});
-        asio::async_write(m_socket, asio::buffer(m_writing),
-                          [self = shared_from_this()](const boost::system::error_code &ec,
-                                                      std::size_t n) {
-                              self->traffic.bytesSent += n;
-                              self->m_writing.clear();
-                              if (ec)
-                                  self->fail(ec.message());
-                              else
-                                  self->write();
-                          });
+        asio::async_write(
+                m_socket, asio::buffer(m_writing),
+                [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+                    self->traffic.bytesSent += n;
+                    self->m_writing.clear();
+                    if (ec)
+                        self->fail(ec.message());
+                    else
+                        self->write();
+                });
     }
 
     void read()
     {
-        m_socket.async_read_some(asio::buffer(m_readBuffer),
-                                 [self = shared_from_this()](const boost::system::error_code &ec,
-                                                             std::size_t n) {
-                                     if (ec)
-                                         self->fail(ec.message());
-                                     else
-                                         self->received(n);
-                                 });
+        m_socket.async_read_some(
+                asio::buffer(m_readBuffer),
+                [self = shared_from_this()](const boost::system::error_code &ec, std::size_t n) {
+                    if (ec)
+                        self->fail(ec.message());
+                    else
+                        self->received(n);
+                });
     }
 
     void received(std::size_t n)
@@ -210,10 +210,9 @@
 
 FrameServer::FrameServer(EventLoop &loop, Accepted accepted)
     : m_listener(std::make_shared<internal::TcpListener>(
-              loop,
-              [accepted = std::move(accepted)](Tcp::socket socket) {
-                  accepted(std::make_shared<internal::FrameSocket>(std::move(socket)));
-              }))
+            loop, [accepted = std::move(accepted)](Tcp::socket socket) {
+                accepted(std::make_shared<internal::FrameSocket>(std::move(socket)));
+            }))
 {
 }
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -103,12 +103,12 @@
         request.body = std::move(message.body());
         auto answered = std::make_shared<bool>(false);
         m_server->handler(std::move(request),
-                            [self = shared_from_this(), answered](HttpResponse response) {
-                                if (*answered)
-                                    return;
-                                *answered = true;
-                                self->write(std::move(response));
-                            });
+                          [self = shared_from_this(), answered](HttpResponse response) {
+                              if (*answered)
+                                  return;
+                              *answered = true;
+                              self->write(std::move(response));
+                          });
     }
 
     /** Responds to a malformed request with an error; closes the connection without a response
@@ -180,8 +180,8 @@
 
 HttpServer::HttpServer(EventLoop &loop, Handler handler)
     : m_state(std::make_shared<internal::HttpServerState>())
-    , m_listener(std::make_shared<internal::TcpListener>(
-              loop, [state = m_state](Tcp::socket socket) {
+    , m_listener(
+              std::make_shared<internal::TcpListener>(loop, [state = m_state](Tcp::socket socket) {
                   std::make_shared<internal::HttpSession>(std::move(socket), state)->readRequest();
               }))
 {
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -207,13 +207,13 @@
         showStoredStatus(id, respond);
         return;
     }
-    m_askOwner(std::string(id), [this, id = std::string(id),
-                                 respond](const std::optional<JobStatus> &status) {
-        if (status)
-            respond(internal::status(200, platform::encodeState(*status)));
-        else
-            showStoredStatus(id, respond);
-    });
+    m_askOwner(std::string(id),
+               [this, id = std::string(id), respond](const std::optional<JobStatus> &status) {
+                   if (status)
+                       respond(internal::status(200, platform::encodeState(*status)));
+                   else
+                       showStoredStatus(id, respond);
+               });
 }
 
 void JobService::showStoredStatus(std::string_view id, const HttpServer::Respond &respond)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -114,9 +114,10 @@
                       respond(handleOperatorRequest(request));
                   })
     , m_metricsAddress(std::move(metricsAddress))
-    , m_peers(loop, [this](ReceivedRequest request, const PeerServer::Respond &respond) {
-        handlePeerRequest(std::move(request), respond);
-    })
+    , m_peers(loop,
+              [this](ReceivedRequest request, const PeerServer::Respond &respond) {
+                  handlePeerRequest(std::move(request), respond);
+              })
     , m_statusWaiters(loop, [this](const std::string &job) { return m_replica.status(job); })
     , m_stateWatcher(loop, m_store, std::string(nodekeys::root), internal::followerWatchPause,
                      {[this](std::span<const KeyValue> items, std::int64_t asOf) {
@@ -144,9 +145,9 @@
                        ownershipGained(fence, generation);
                    },
                    [this](const std::string &reason) { ownershipLost(reason); }})
-    , m_registration(loop, m_store,
-                     {settings.name, settings.milliCores, internal::peerAddress(settings),
-                      settings.zone})
+    , m_registration(
+              loop, m_store,
+              {settings.name, settings.milliCores, internal::peerAddress(settings), settings.zone})
     , m_load(internal::loadCheckInterval, internal::loadReportInterval)
 {
     m_replica.setListener([this](const std::string &id, const ReplicatedJob &job) {
@@ -339,9 +340,8 @@
 void Node::handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond)
 {
     if (const auto *status = std::get_if<StatusQuery>(&request.message)) {
-        answerAsOwner(*status, [respond](const std::optional<JobStatus> &it) {
-            respond(StatusAnswer{it});
-        });
+        answerAsOwner(*status,
+                      [respond](const std::optional<JobStatus> &it) { respond(StatusAnswer{it}); });
     } else if (const auto *pending = std::get_if<PendingQuery>(&request.message)) {
         PendingAnswer answer;
         if (m_owner && m_ownership.valid())
--- a/src/node/noderegistration.cpp
+++ b/src/node/noderegistration.cpp
@@ -95,8 +95,8 @@
         }
         m_lease = lease->id;
         ConditionalWrite write;
-        write.writes = {{nodekeys::key(nodekeys::nodes, m_node.name), encodeRegistration(m_node),
-                         m_lease}};
+        write.writes = {
+                {nodekeys::key(nodekeys::nodes, m_node.name), encodeRegistration(m_node), m_lease}};
         m_store.write(write, [this, alive](const Result<WriteOutcome> &outcome) {
             if (*alive)
                 again(outcome && outcome->applied ? &NodeRegistration::keepAlive
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -153,32 +153,31 @@
 {
     ++m_counts.starts;
     internal::logOrder("task-start", start);
-    m_calls->start(address, start, orderTimeout(),
-                   [this, alive = m_alive, start,
-                    sentAt = EventLoop::now()](const OrderOutcome &outcome) {
-                       if (!*alive)
-                           return;
-                       internal::logOrder("task-start-answer", start,
-                                          internal::outcomeName(outcome));
-                       const auto now = EventLoop::now();
-                       m_governor.recordResponseTime(now - sentAt, now);
-                       m_holds.bringForward(start.worker, now + minHoldInterval());
-                       if (const auto *it = std::get_if<OrderConfirmed>(&outcome)) {
-                           m_scheduler.startConfirmed(start, it->clock, now);
-                       } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
-                           ++(*it == StartRefusal::NotSent ? m_counts.startsNotSent
-                                                           : m_counts.startsRefused);
-                           m_scheduler.startRefused(start, *it, now);
-                       } else {
-                           ++m_counts.startsUnanswered;
-                           logInfo("start-unanswered", {{"job", start.task.job},
-                                                        {"task", start.task.position()},
-                                                        {"run", std::to_string(start.run)},
-                                                        {"worker", start.worker}});
-                           m_scheduler.startUnanswered(start, now);
-                       }
-                       m_onChange();
-                   });
+    m_calls->start(
+            address, start, orderTimeout(),
+            [this, alive = m_alive, start, sentAt = EventLoop::now()](const OrderOutcome &outcome) {
+                if (!*alive)
+                    return;
+                internal::logOrder("task-start-answer", start, internal::outcomeName(outcome));
+                const auto now = EventLoop::now();
+                m_governor.recordResponseTime(now - sentAt, now);
+                m_holds.bringForward(start.worker, now + minHoldInterval());
+                if (const auto *it = std::get_if<OrderConfirmed>(&outcome)) {
+                    m_scheduler.startConfirmed(start, it->clock, now);
+                } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
+                    ++(*it == StartRefusal::NotSent ? m_counts.startsNotSent
+                                                    : m_counts.startsRefused);
+                    m_scheduler.startRefused(start, *it, now);
+                } else {
+                    ++m_counts.startsUnanswered;
+                    logInfo("start-unanswered", {{"job", start.task.job},
+                                                 {"task", start.task.position()},
+                                                 {"run", std::to_string(start.run)},
+                                                 {"worker", start.worker}});
+                    m_scheduler.startUnanswered(start, now);
+                }
+                m_onChange();
+            });
 }
 
 void WorkerController::deliver(const StopTask &stop, const std::string &address)
@@ -204,8 +203,8 @@
     m_calls->pace(address, pace, orderTimeout(),
                   [this, alive = m_alive, pace](const OrderOutcome &outcome) {
                       if (*alive)
-                          m_scheduler.paceAnswered(
-                                  pace, std::holds_alternative<OrderConfirmed>(outcome));
+                          m_scheduler.paceAnswered(pace,
+                                                   std::holds_alternative<OrderConfirmed>(outcome));
                   });
 }
 
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -164,8 +164,8 @@
     {
         m_holds.emplace_back(call, worker(hold.worker), encodeTime(hold.timeout),
                              encodeTime(hold.wait), hold.request.acknowledgedEnds,
-                             hold.request.holdUntil.value_or(0),
-                             hold.request.holdUntil.has_value(), hold.listRunning);
+                             hold.request.holdUntil.value_or(0), hold.request.holdUntil.has_value(),
+                             hold.listRunning);
     }
 
     void add(std::uint32_t call, const StatusAnswer &answer)
@@ -314,10 +314,10 @@
     {
         forEach(m_from.starts(), [this](const peers::Start &it) {
             auto target = worker(it.worker());
-            StartTask order{std::move(target.id),      decodeTask(*it.task()),
-                            it.run(),                  toString(it.payload()),
-                            toString(it.checkpoint()), toString(it.ticket()),
-                            it.hold_until()};
+            StartTask order{
+                    std::move(target.id),   decodeTask(*it.task()),    it.run(),
+                    toString(it.payload()), toString(it.checkpoint()), toString(it.ticket()),
+                    it.hold_until()};
             addRequest(it.call(), DelegatedStart{std::move(order), std::move(target.address),
                                                  Milliseconds(it.timeout_ms())});
         });
@@ -376,9 +376,8 @@
 
     void readReports()
     {
-        forEach(m_from.reports(), [this](const peers::Report &it) {
-            addAnswer(it.call(), readReport(it));
-        });
+        forEach(m_from.reports(),
+                [this](const peers::Report &it) { addAnswer(it.call(), readReport(it)); });
     }
 
     WorkerReport readReport(const peers::Report &from)
@@ -419,9 +418,8 @@
 
 std::pair<std::uint32_t, bool> PeerEncoder::number(const WorkerTarget &worker)
 {
-    const auto [it, isNew]
-            = m_numbers.try_emplace(worker.id + '@' + worker.address,
-                                    static_cast<std::uint32_t>(m_numbers.size()));
+    const auto [it, isNew] = m_numbers.try_emplace(worker.id + '@' + worker.address,
+                                                   static_cast<std::uint32_t>(m_numbers.size()));
     return {it->second, isNew};
 }
 
--- a/src/peers/framedelay.cpp
+++ b/src/peers/framedelay.cpp
@@ -17,8 +17,8 @@
     const auto difference = receivedAt - sentAt;
     if (!m_smallest)
         m_windowStart = receivedAt;
-    const auto known = std::min(m_smallest.value_or(difference),
-                                m_previousSmallest.value_or(difference));
+    const auto known
+            = std::min(m_smallest.value_or(difference), m_previousSmallest.value_or(difference));
     const auto delay = std::max<Duration>(Duration{0}, difference - known);
     if (receivedAt - m_windowStart >= internal::windowLength) {
         m_previousSmallest = std::exchange(m_smallest, std::nullopt);
--- a/src/peers/peerlink.cpp
+++ b/src/peers/peerlink.cpp
@@ -160,8 +160,8 @@
         const auto call = it++;
         if (now < call->second.deadline)
             continue;
-        fail(call->second,
-             call->second.sent ? ErrorKind::OutcomeUnknown : ErrorKind::Unreachable, "no answer");
+        fail(call->second, call->second.sent ? ErrorKind::OutcomeUnknown : ErrorKind::Unreachable,
+             "no answer");
         m_calls.erase(call);
     }
     if (m_state == State::Opening && now - m_openedAt >= internal::openTimeout) {
--- a/src/peers/peerserver.cpp
+++ b/src/peers/peerserver.cpp
@@ -118,7 +118,7 @@
 
 PeerServer::PeerServer(EventLoop &loop, Handler handler)
     : m_state(std::make_shared<internal::PeerServerState>(
-              internal::PeerServerState{loop, std::move(handler), {}, 0, false}))
+            internal::PeerServerState{loop, std::move(handler), {}, 0, false}))
     , m_server(loop, [state = std::weak_ptr(m_state)](
                              const std::shared_ptr<internal::FrameSocket> &socket) {
         const auto server = state.lock();
--- a/src/wire/messageloop.cpp
+++ b/src/wire/messageloop.cpp
@@ -1,7 +1,7 @@
 #include "dragonflysill/wire/messageloop.h"
 
-#include "dragonflysill/wire/codec.h"
 #include "dragonflysill/base/frame.h"
+#include "dragonflysill/wire/codec.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/tests/node/statustest.cpp
+++ b/tests/node/statustest.cpp
@@ -137,10 +137,9 @@
     std::string show()
     {
         std::string answer;
-        service.handle({"GET", "/q/" + jobId, {}, {{"Host", "host"}}},
-                       [&](const HttpResponse &it) {
-                           answer = std::to_string(it.status) + ' ' + it.body;
-                       });
+        service.handle({"GET", "/q/" + jobId, {}, {{"Host", "host"}}}, [&](const HttpResponse &it) {
+            answer = std::to_string(it.status) + ' ' + it.body;
+        });
         loop.context().restart();
         loop.run();
         return answer;
--- a/tests/node/workercontrollertest.cpp
+++ b/tests/node/workercontrollertest.cpp
@@ -1,6 +1,6 @@
+#include "dragonflysill/node/workercontroller.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpclient.h"
-#include "dragonflysill/node/workercontroller.h"
 #include "jobs/schedulerharness.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/peers/codectest.cpp
+++ b/tests/peers/codectest.cpp
@@ -19,14 +19,14 @@
     PeerBatch batch;
     batch.sentMs = 123456;
     batch.fence = 42;
-    batch.requests
-            = {{1, StatusQuery{task.job, 150ms}},
-               {2, PendingQuery{"queue"}},
-               {3, DelegatedStart{{"w", task, 1001, "payload", "check", "ticket", 9000}, "a:1",
-                                  500ms}},
-               {4, DelegatedStop{{"w", task, 1001}, "a:1", 501ms}},
-               {5, DelegatedPace{{"v", task, 1001, 40}, "a:2", 502ms}},
-               {6, DelegatedHold{{"w", "a:1"}, {7777, 12}, 800ms, 503ms, false}}};
+    batch.requests = {
+            {1, StatusQuery{task.job, 150ms}},
+            {2, PendingQuery{"queue"}},
+            {3,
+             DelegatedStart{{"w", task, 1001, "payload", "check", "ticket", 9000}, "a:1", 500ms}},
+            {4, DelegatedStop{{"w", task, 1001}, "a:1", 501ms}},
+            {5, DelegatedPace{{"v", task, 1001, 40}, "a:2", 502ms}},
+            {6, DelegatedHold{{"w", "a:1"}, {7777, 12}, 800ms, 503ms, false}}};
     WorkerReport report;
     report.startedMs = 5;
     report.clock = 6;
--- a/tests/peers/peerlinktest.cpp
+++ b/tests/peers/peerlinktest.cpp
@@ -1,5 +1,5 @@
-#include "dragonflysill/peers/framedelay.h"
 #include "dragonflysill/peers/peerlink.h"
+#include "dragonflysill/peers/framedelay.h"
 #include "dragonflysill/peers/peerserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -60,7 +60,8 @@
     void runUntil(Condition done)
     {
         loop.context().restart();
-        while (!done() && loop.context().run_one() > 0) { }
+        while (!done() && loop.context().run_one() > 0) {
+        }
         BOOST_REQUIRE(done());
     }
 };
--- a/tests/wire/codectest.cpp
+++ b/tests/wire/codectest.cpp
@@ -1,6 +1,6 @@
 #include "dragonflysill/wire/codec.h"
-#include "dragonflysill/base/random.h"
 #include "dragonflysill/base/frame.h"
+#include "dragonflysill/base/random.h"
 
 #include <boost/test/unit_test.hpp>
 
