Skip waiting steps that are too large for the free capacity without visiting them

Cause: a decision after an event ends after 16 steps without a suitable worker. In a turn the steps with the earliest objectives wait first; when their tasks fit on no worker, the free capacity that smaller ones could use stayed unused until the next full decision, of at most 24 starts each 50 ms. Change: WaitingQueue keeps the steps by the whole cores that a task reserves, and a visit merges the sizes up to the largest free capacity of a usable worker, which is taken again after each step that found none. Test: DecisionCost/OfAnEventDoesNotGrowWithStepsThatAreTooLarge, failed before (0 of 4 starts).

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -275,6 +275,9 @@
      */
     void dispatchPools(const std::vector<std::string> &pools, Search search, TimePoint now);
     void dispatchPool(const std::string &pool, Search search, TimePoint now);
+    /** Returns the most free milli-cores of a usable worker; nothing if none is usable. */
+    [[nodiscard]] static std::optional<std::int64_t>
+    largestFreeCapacity(std::span<WorkerState *const> workers, TimePoint now);
     /** Returns false if the step could not be started because no worker has enough capacity. */
     bool startStep(const WaitingStep &waiting, std::vector<Resources> &tooLarge, TimePoint now);
     void startWaiting(JobRun &job, int occurrence, int step, TimePoint now);
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -45,19 +45,24 @@
 {
     const auto workers = m_pools.find(pool);
     const auto queue = m_queues.find(pool);
-    if (queue == m_queues.end() || workers == m_pools.end()
-        || std::ranges::none_of(workers->second, [now](const auto *it) { return it->usable(now); }))
+    if (queue == m_queues.end() || workers == m_pools.end())
+        return;
+    auto largest = largestFreeCapacity(workers->second, now);
+    if (!largest)
         return;
     // Amounts for which no worker had free capacity; larger ones need not be tried.
     std::vector<Resources> tooLarge;
     int examined = 0;
     int withoutWorker = 0;
-    queue->second.visit(now, [&](const WaitingStep &it) {
+    queue->second.visit(now, *largest, [&](const WaitingStep &it) {
         if (blockedByUnknownRuns(*it.job))
             return true;
         ++m_work.stepsExamined;
         ++examined;
-        withoutWorker += static_cast<int>(!startStep(it, tooLarge, now));
+        if (!startStep(it, tooLarge, now)) {
+            ++withoutWorker;
+            largest = largestFreeCapacity(workers->second, now).value_or(0);
+        }
         if (m_startsLeft <= 0)
             return false;
         return search == Search::All
@@ -66,6 +71,17 @@
     });
 }
 
+std::optional<std::int64_t>
+Scheduler::largestFreeCapacity(std::span<WorkerState *const> workers, TimePoint now)
+{
+    std::optional<std::int64_t> largest;
+    for (const auto *it : workers) {
+        if (it->usable(now))
+            largest = std::max(largest.value_or(0), it->free().milliCores);
+    }
+    return largest;
+}
+
 bool Scheduler::startStep(const WaitingStep &waiting, std::vector<Resources> &tooLarge,
                           TimePoint now)
 {
--- a/src/jobs/waitingqueue.cpp
+++ b/src/jobs/waitingqueue.cpp
@@ -31,8 +31,9 @@
             key.job = job.job().id;
             key.occurrence = occurrence;
             key.step = static_cast<int>(n);
-            m_steps.emplace(key, WaitingStep{&job, occurrence, key.step});
-            entries.keys.push_back(key);
+            const auto size = job.job().spec.steps[n].reserved().milliCores / milliCoresPerCore;
+            m_stepsBySize[size].emplace(key, WaitingStep{&job, occurrence, key.step});
+            entries.keys.emplace_back(size, key);
         }
     }
 }
@@ -42,8 +43,12 @@
     const auto it = m_jobs.find(&job);
     if (it == m_jobs.end())
         return;
-    for (const auto &key : it->second.keys)
-        m_steps.erase(key);
+    for (const auto &[size, key] : it->second.keys) {
+        const auto steps = m_stepsBySize.find(size);
+        steps->second.erase(key);
+        if (steps->second.empty())
+            m_stepsBySize.erase(steps);
+    }
     if (it->second.latestStart)
         m_latestStarts.erase({*it->second.latestStart, &job});
     m_jobs.erase(it);
--- a/tests/jobs/decisioncosttest.cpp
+++ b/tests/jobs/decisioncosttest.cpp
@@ -75,6 +75,36 @@
                <= allowedGrowth * static_cast<double>(few.stepsExamined));
 }
 
+// Guards against free capacity that stays unused in a turn: while hundreds of large steps that fit on
+// no worker wait first, the small steps behind them must be found after each event.
+BOOST_AUTO_TEST_CASE(OfAnEventDoesNotGrowWithStepsThatAreTooLarge)
+{
+    constexpr int largeSteps = 500;
+    SchedulerHarness harness;
+    for (int n = 0; n < workerCount; ++n)
+        harness.addWorker("worker-" + std::to_string(n), coresPerWorker);
+    for (int n = 0; n < workerCount; ++n) {
+        auto filling = step(1);
+        filling.need.milliCores = (coresPerWorker - 1) * 1000;
+        harness.addJob(job(jobName(n), {filling}));
+    }
+    do {
+        harness.decide();
+    } while (harness.scheduler.hasMoreStarts());
+    for (int n = 0; n < largeSteps; ++n) {
+        auto large = step(1);
+        large.need.milliCores = 2000 + n % 8 * 1000;
+        harness.addJob(job(jobName(1000 + n), {large}));
+    }
+    harness.advanceTime(10ms);
+    harness.addJob(job(jobName(5000), {step(4)}));
+    const auto before = harness.scheduler.work().stepsExamined;
+    const auto starts = ordersOf<StartTask>(harness.decideAfterEvent());
+    BOOST_REQUIRE(starts.size() == 4U);
+    BOOST_TEST(starts[0].task.job == jobName(5000));
+    BOOST_TEST(harness.scheduler.work().stepsExamined - before <= 16U);
+}
+
 // Guards against an owner that checks every run of the fleet each time that one of them ends.
 BOOST_AUTO_TEST_CASE(OfAnEventDoesNotGrowWithTheRunsOfTheFleet)
 {
