--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -27,6 +27,19 @@
     std::uint64_t unknownQueue = 0; ///< Requests for a queue or job id that does not exist.
 };
 
+/** How a JobService reaches the owner of the schedule. */
+struct OwnerRequests
+{
+    /** Asks for the status of a job; no value if the owner does not know it or gives no answer. */
+    std::function<void(const std::string &job, std::function<void(std::optional<JobStatus>)>)>
+            status;
+    /** Asks for the number of jobs of a queue that have not started a task. */
+    std::function<void(const std::string &queue, std::function<void(std::optional<int>)>)> pending;
+    /** Tells of a job or cancel request that this node has stored. */
+    std::function<void(const std::string &key, const std::string &value, std::int64_t revision)>
+            stored;
+};
+
 /**
  * Handles the requests of callers: accepts jobs once they are stored, reports their state and
  * cancels them. It answers "not accepted" only if the job can no longer become stored.
@@ -49,15 +62,11 @@
      */
     void setStoreReachable(bool reachable);
 
-    /** Asks the owner of the schedule for the status of a job; no value if it gives none. */
-    using AskOwner = std::function<void(const std::string &id,
-                                        std::function<void(std::optional<JobStatus>)> callback)>;
-
     /**
-     * Sets how the owner of the schedule is asked, which knows of progress before the replica does.
-     * Without it, requests for the status of a job are answered from the replica.
+     * Sets how the owner of the schedule is reached. Without it, requests are answered from the
+     * replica and the store alone.
      */
-    void setAskOwner(AskOwner askOwner) { m_askOwner = std::move(askOwner); }
+    void setOwnerRequests(OwnerRequests requests) { m_ownerRequests = std::move(requests); }
 
     /** Handles one request; @p respond may be called asynchronously. */
     void handle(const HttpRequest &request, HttpServer::Respond respond);
@@ -75,18 +84,21 @@
                             const HttpServer::Respond &respond);
     void showStatus(std::string_view id, const HttpServer::Respond &respond);
     /** Answers from the replica, or from the store if the job is missing in it. */
-    void showStoredStatus(std::string_view id, const HttpServer::Respond &respond);
+    void showStoredStatus(const std::string &id, const HttpServer::Respond &respond);
+    void showPending(const Queue &queue, const HttpServer::Respond &respond);
     void cancel(std::string_view id, TimePoint deadline, const HttpServer::Respond &respond);
     void writeCancel(const std::string &id, TimePoint deadline, const HttpServer::Respond &respond);
-    /** Reads a job that is missing in the replica from the store and adds it to the replica. */
-    void fetch(std::string_view id, std::function<void(Result<Done>)> callback);
+    /** Reads from the store whether a job was accepted. */
+    void findStored(const std::string &id, std::function<void(Result<Done>)> callback);
+    /** Applies a key that this node has stored, and tells the owner of it. */
+    void keyStored(const std::string &key, const std::string &value, std::int64_t revision);
     /** Counts a rejected submission and returns 503 with a Retry-After header. */
     [[nodiscard]] HttpResponse notAccepted();
 
     AsyncStore &m_store;
     StateReplica &m_replica;
     BatchWriter m_writer;
-    AskOwner m_askOwner;
+    OwnerRequests m_ownerRequests;
     std::optional<FleetConfiguration> m_configuration;
     bool m_storeReachable = false;
     Random m_random;
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -68,13 +68,24 @@
     void operatorKeyChanged(const std::string &key, std::int64_t revision,
                             const std::string &bytes);
     void replicaChanged();
+    /** Starts or ends to follow all keys as the node's part requires. */
+    void updateStateWatcher();
+    /** Returns handlers that apply the keys with a prefix to the replica. */
+    PrefixWatcher::Handlers replicaHandlers(std::string_view prefix);
     /** Answers a request of another node. */
     void handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond);
     /** Answers a status query as the owner of the schedule; no value if this node is not the owner.
      */
     void answerAsOwner(const StatusQuery &query, const StatusWaiters::Callback &callback);
+    /** Returns how the requests of callers reach the owner of the schedule. */
+    OwnerRequests ownerRequests();
+    /** Returns the link to the owner of the schedule; nullptr if it is this node or unknown. */
+    PeerLink *ownerLink();
     /** Asks the owner of the schedule, which may be this node, for the status of a job. */
-    void askOwner(const std::string &job, StatusWaiters::Callback callback);
+    void askStatus(const std::string &job, StatusWaiters::Callback callback);
+    void askPending(const std::string &queue, std::function<void(std::optional<int>)> callback);
+    /** Tells the owner of the schedule of a key that this node has stored. */
+    void keyStored(const std::string &key, const std::string &value, std::int64_t revision);
     void ownershipGained(std::int64_t fence, std::int64_t generation);
     void ownershipLost(const std::string &reason);
     void checkStore();
@@ -101,7 +112,10 @@
     std::string m_metricsAddress;
     NodePeers m_peers;
     StatusWaiters m_statusWaiters;
-    PrefixWatcher m_stateWatcher;
+    PrefixWatcher m_ownerWatcher;
+    PrefixWatcher m_nodesWatcher;
+    /** Follows all keys; only on the owner of the schedule and the nodes that stand by. */
+    std::unique_ptr<PrefixWatcher> m_stateWatcher;
     PrefixWatcher m_operatorWatcher;
     Ownership m_ownership;
     NodeRegistration m_registration;
--- a/include/dragonflysill/node/noderegistration.h
+++ b/include/dragonflysill/node/noderegistration.h
@@ -69,6 +69,12 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
+/**
+ * Returns true if the node is one of the few most capable registered ones, which follow all keys so
+ * that they can take over the schedule at once.
+ */
+bool isStandby(const StateReplica &replica, std::string_view name);
+
 /** Returns true if a node with more than this processor capacity is registered. */
 bool moreCapableNodeRegistered(const StateReplica &replica, int milliCores);
 
--- a/include/dragonflysill/node/ownership.h
+++ b/include/dragonflysill/node/ownership.h
@@ -76,7 +76,7 @@
 private:
     void tick();
     void campaign();
-    void claim(LeaseId lease, TimePoint grantedAt);
+    void claim(LeaseId lease, TimePoint grantedAt, const Result<KeyValue> &stored);
     [[nodiscard]] bool mayClaim() const;
     /** Returns whether the owner key was written by this node or an earlier process of it. */
     [[nodiscard]] bool isOwnKey() const;
--- a/include/dragonflysill/node/prefixwatcher.h
+++ b/include/dragonflysill/node/prefixwatcher.h
@@ -28,7 +28,15 @@
         std::function<void(std::span<const KeyUpdate> updates, std::int64_t asOf)> changed;
     };
 
-    PrefixWatcher(EventLoop &loop, AsyncStore &store, std::string prefix, Duration pause,
+    /** Times of a watch. */
+    struct Timing
+    {
+        Duration pause{0}; ///< Between two polls.
+        /** Maximum duration of a poll, after which a silent connection is noticed. */
+        std::chrono::milliseconds wait{1000};
+    };
+
+    PrefixWatcher(EventLoop &loop, AsyncStore &store, std::string prefix, Timing timing,
                   Handlers handlers);
     ~PrefixWatcher();
     PrefixWatcher(const PrefixWatcher &) = delete;
@@ -38,7 +46,7 @@
     void start();
 
     /** Sets the pause between two polls. */
-    void setPause(Duration pause) { m_pause = pause; }
+    void setPause(Duration pause) { m_timing.pause = pause; }
 
     /** Returns when the store last answered successfully. */
     [[nodiscard]] TimePoint lastResponseAt() const { return m_lastResponseAt; }
@@ -53,7 +61,7 @@
     EventLoop &m_loop;
     AsyncStore &m_store;
     std::string m_prefix;
-    Duration m_pause;
+    Timing m_timing;
     Handlers m_handlers;
     Backoff m_backoff;
     std::vector<KeyValue> m_listedItems;
--- a/include/dragonflysill/node/statereplica.h
+++ b/include/dragonflysill/node/statereplica.h
@@ -37,9 +37,10 @@
 };
 
 /**
- * A node's local copy of the keys in nodekeys. Callers' requests are answered from it, and a node
- * that takes over the schedule starts from it. Changes are applied in the order of their revisions;
- * a change that is older than the known revision of its key is ignored. Not thread-safe.
+ * A node's local copy of the keys in nodekeys. Every node follows the owner and the registered
+ * nodes; the owner and the nodes that may replace it at once follow all keys. Changes are applied
+ * in the order of their revisions; a change that is older than the known revision of its key is
+ * ignored. Not thread-safe.
  */
 class StateReplica
 {
@@ -47,23 +48,36 @@
     /** Receives a job that was added or whose record, progress or cancel request changed. */
     using Listener = std::function<void(const std::string &id, const ReplicatedJob &job)>;
 
-    /** Replaces the contents with a full list of the keys as of revision @p asOf. */
-    void reset(std::span<const KeyValue> items, std::int64_t asOf);
+    /**
+     * Replaces the keys with a prefix by a full list as of revision @p asOf. Changes that are newer
+     * than the list are kept.
+     * @param prefix nodekeys::root, or a prefix of keys that belong to no job
+     */
+    void reset(std::string_view prefix, std::span<const KeyValue> items, std::int64_t asOf);
 
-    /** Applies changes that a watch reported, up to revision @p asOf. */
-    void apply(std::span<const KeyUpdate> updates, std::int64_t asOf);
+    /** Applies changes of keys with a prefix that a watch reported, up to revision @p asOf. */
+    void apply(std::string_view prefix, std::span<const KeyUpdate> updates, std::int64_t asOf);
 
-    /** Applies a change that this node wrote itself, before the watch reports it. */
+    /**
+     * Applies a change that this node or another has written, before the watch reports it. Changes
+     * of jobs are ignored unless followsJobs().
+     */
     void applyOwn(const std::string &key, const std::string &value, std::int64_t revision);
 
+    /** Sets whether all keys are followed; without it, the known jobs are dropped. */
+    void followJobs(bool follow);
+    [[nodiscard]] bool followsJobs() const { return m_followsJobs; }
+
     /** Sets the listener; it is called after all changes of a call have been applied. */
     void setListener(Listener listener) { m_listener = std::move(listener); }
 
-    [[nodiscard]] bool loaded() const { return m_loaded; }
+    /** Returns true once the owner and the registered nodes are known. */
+    [[nodiscard]] bool loaded() const { return m_ownerAsOf != 0 && m_nodesAsOf != 0; }
+    /** Returns the revision up to which all keys are known; 0 before the first list of them. */
     [[nodiscard]] std::int64_t asOf() const { return m_asOf; }
+    /** Returns the revision up to which owner() is known. */
+    [[nodiscard]] std::int64_t ownerAsOf() const { return m_ownerAsOf; }
     [[nodiscard]] const OwnerRecord &owner() const { return m_owner; }
-    [[nodiscard]] std::int64_t generation() const { return m_generation; }
-    [[nodiscard]] std::int64_t generationRevision() const { return m_generationRevision; }
     [[nodiscard]] const ReplicatedJob *job(std::string_view id) const;
     [[nodiscard]] const std::unordered_map<std::string, ReplicatedJob> &jobs() const
     {
@@ -79,8 +93,7 @@
     /** Returns the number of jobs of a queue that have not started a task. */
     [[nodiscard]] int pending(std::string_view queue) const;
 
-    /** Returns the items with a prefix that belong to no job and are not the owner or generation.
-     */
+    /** Returns the items with a prefix that belong to no job and are not the owner. */
     [[nodiscard]] std::vector<KeyValue> otherItems(std::string_view prefix) const;
 
     /** Returns one of these items; nullptr if the key does not exist. */
@@ -89,15 +102,19 @@
 private:
     void set(const std::string &key, const std::string &value, std::int64_t revision);
     void remove(const std::string &key, std::int64_t revision);
+    /** Removes what a full list as of a revision does not contain. */
+    void removeUnlisted(std::string_view prefix, std::span<const KeyValue> items,
+                        std::int64_t asOf);
+    void advance(std::string_view prefix, std::int64_t asOf);
     void setJobKey(const std::string &key, const std::string &value, std::int64_t revision);
     void notifyListener();
 
-    bool m_loaded = false;
-    std::int64_t m_asOf = 0;
+    bool m_followsJobs = false;
+    std::int64_t m_asOf = 0; ///< Of all keys.
+    std::int64_t m_ownerAsOf = 0;
+    std::int64_t m_nodesAsOf = 0;
     OwnerRecord m_owner;
     std::int64_t m_ownerChanged = 0;
-    std::int64_t m_generation = 0;
-    std::int64_t m_generationRevision = 0;
     std::unordered_map<std::string, ReplicatedJob> m_jobs;
     std::map<std::string, KeyValue, std::less<>> m_otherItems;
     Listener m_listener;
--- a/include/dragonflysill/peers/messages.h
+++ b/include/dragonflysill/peers/messages.h
@@ -27,6 +27,17 @@
     std::string queue;
 };
 
+/**
+ * Tells the owner of the schedule of a job or cancel request that the sender has stored, before the
+ * owner's watch reports it. It is not answered.
+ */
+struct StoredKey
+{
+    std::string key;
+    std::string value;
+    std::int64_t revision = 0;
+};
+
 /** A worker that a delegate shall call. */
 struct WorkerTarget
 {
@@ -68,8 +79,8 @@
     bool listRunning = true; ///< Whether the report shall list the running tasks.
 };
 
-using PeerRequest = std::variant<StatusQuery, PendingQuery, DelegatedStart, DelegatedStop,
-                                 DelegatedPace, DelegatedHold>;
+using PeerRequest = std::variant<StatusQuery, PendingQuery, StoredKey, DelegatedStart,
+                                 DelegatedStop, DelegatedPace, DelegatedHold>;
 
 /** Answer to a StatusQuery; empty if the peer does not know the job. */
 struct StatusAnswer
@@ -87,6 +98,9 @@
 using PeerAnswer = std::variant<StatusAnswer, PendingAnswer, OrderConfirmed, StartRefusal,
                                 WorkerReport, Error>;
 
+/** Number of a request that is not answered. */
+constexpr std::uint32_t noCall = 0;
+
 /** A request or answer with the number of its call. */
 template <typename Message>
 struct Numbered
--- a/include/dragonflysill/peers/peerlink.h
+++ b/include/dragonflysill/peers/peerlink.h
@@ -46,6 +46,9 @@
     /** Sends a request. @param timeout time for the whole call, including the connection setup */
     void call(PeerRequest request, Duration timeout, Callback callback);
 
+    /** Sends a request that is not answered; it is lost if the peer cannot be reached. */
+    void notify(PeerRequest request);
+
     /** Opens the connection if it is closed and no attempt failed shortly before. */
     void connect();
 
@@ -94,7 +97,8 @@
     std::map<std::uint32_t, Call> m_calls;
     TimePoint m_openedAt{};
     TimePoint m_sentAt{};
-    std::optional<TimePoint> m_waitingSince; ///< First frame since the peer last sent one.
+    /** Time of the first frame that the peer should answer and after which it sent nothing. */
+    std::optional<TimePoint> m_waitingSince;
     TimePoint m_retryAt{};
     bool m_flushing = false; ///< flush() will run.
     bool m_checking = false; ///< check() will run.
--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -20,6 +20,9 @@
 
 namespace {
 
+/** Ports of a node: for callers, for readiness checks and for other nodes. */
+constexpr int portsPerNode = 3;
+
 constexpr const char *jobBody
         = R"({"spec":"demo","steps":[{"count":2,"cpu":1000,"memMb":64,"estimateMs":100},)"
           R"({"count":1,"cpu":1000,"memMb":64,"estimateMs":100,"after":[0]}]})";
@@ -169,7 +172,7 @@
 constexpr int defaultNodePortOffset = 100;
 
 /**
- * Writes the settings file of each node, which has two ports.
+ * Writes the settings file of each node.
  * @return the addresses on which the nodes serve callers
  */
 std::vector<std::string> writeNodeSettings(const platform::FleetStandin &fleet,
@@ -178,13 +181,13 @@
 {
     std::vector<std::string> addresses;
     for (int n = 0; n < nodes; ++n) {
-        const auto port = firstPort + 2 * n;
+        const auto port = firstPort + portsPerNode * n;
         addresses.push_back(host + ':' + std::to_string(port));
         const auto name = "node-" + std::to_string(n + 1);
         auto path = folder;
         path.append("/").append(name).append(".json");
         std::ofstream(path) << fleet.settingsFor(name, addresses.back(),
-                                                 host + ':' + std::to_string(port + 1));
+                                                 host + ':' + std::to_string(port + 1), port + 2);
     }
     return addresses;
 }
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/jobs/jobcodec.h"
 #include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/storedstatus.h"
 #include "dragonflysill/telemetry/log.h"
 #include "ingress.h"
 #include "jobformat.h"
@@ -85,7 +86,7 @@
     const auto id = call.path.substr(queue->prefix.size());
     using Action = platform::CallerRequest::Action;
     if (call.action == Action::Show && id.empty()) {
-        respond(internal::status(200, platform::encodePending(m_replica.pending(queue->name))));
+        showPending(*queue, respond);
         return;
     }
     if (!platform::isJobId(id)) {
@@ -168,7 +169,7 @@
     switch (outcome) {
     case PendingWrite::Outcome::Stored:
     case PendingWrite::Outcome::Existed:
-        m_replica.applyOwn(nodekeys::key(nodekeys::jobs, id), value, revision);
+        keyStored(nodekeys::key(nodekeys::jobs, id), value, revision);
         if (value == rejectedRecord) {
             respond(notAccepted());
             return;
@@ -186,37 +187,56 @@
     }
 }
 
-void JobService::fetch(std::string_view id, std::function<void(Result<Done>)> callback)
+void JobService::keyStored(const std::string &key, const std::string &value, std::int64_t revision)
+{
+    m_replica.applyOwn(key, value, revision);
+    if (m_ownerRequests.stored)
+        m_ownerRequests.stored(key, value, revision);
+}
+
+void JobService::findStored(const std::string &id, std::function<void(Result<Done>)> callback)
 {
     m_store.get(nodekeys::key(nodekeys::jobs, id),
-                [this, callback = std::move(callback)](const Result<KeyValue> &item) {
-                    if (!item) {
+                [callback = std::move(callback)](const Result<KeyValue> &item) {
+                    if (!item)
                         callback(item.error());
-                        return;
-                    }
-                    m_replica.applyOwn(item->key, item->value, item->modRevision);
-                    callback(Done());
+                    else if (item->value == rejectedRecord)
+                        callback(Error(ErrorKind::NotFound, "the job was rejected"));
+                    else
+                        callback(Done());
                 });
 }
 
+void JobService::showPending(const Queue &queue, const HttpServer::Respond &respond)
+{
+    if (m_replica.followsJobs() || !m_ownerRequests.pending) {
+        respond(internal::status(200, platform::encodePending(m_replica.pending(queue.name))));
+        return;
+    }
+    m_ownerRequests.pending(queue.name, [respond](std::optional<int> count) {
+        respond(count ? internal::status(200, platform::encodePending(*count))
+                      : internal::status(503));
+    });
+}
+
 void JobService::showStatus(std::string_view id, const HttpServer::Respond &respond)
 {
     ++m_counts.statusRequests;
     const auto known = m_replica.status(id);
-    if (!m_askOwner || (known && isFinal(*known))) {
-        showStoredStatus(id, respond);
+    if (!m_ownerRequests.status || (known && isFinal(*known))) {
+        showStoredStatus(std::string(id), respond);
         return;
     }
-    m_askOwner(std::string(id),
-               [this, id = std::string(id), respond](const std::optional<JobStatus> &status) {
-                   if (status)
-                       respond(internal::status(200, platform::encodeState(*status)));
-                   else
-                       showStoredStatus(id, respond);
-               });
+    m_ownerRequests.status(std::string(id), [this, id = std::string(id),
+                                             respond](const std::optional<JobStatus> &status) {
+        if (status)
+            respond(internal::status(200, platform::encodeState(*status)));
+        else
+            showStoredStatus(id, respond);
+    });
 }
 
-void JobService::showStoredStatus(std::string_view id, const HttpServer::Respond &respond)
+void JobService::showStoredStatus(const std::string &id, const HttpServer::Respond &respond)
 {
     if (const auto status = m_replica.status(id)) {
         respond(internal::status(200, platform::encodeState(*status)));
@@ -226,11 +246,10 @@
         respond(internal::status(503));
         return;
     }
-    fetch(id, [this, id = std::string(id), respond](const Result<Done> &found) {
-        const auto status = m_replica.status(id);
+    readStoredStatus(m_store, id, [respond](const Result<JobStatus> &status) {
         if (status)
             respond(internal::status(200, platform::encodeState(*status)));
-        else if (found || found.error().is(ErrorKind::NotFound))
+        else if (status.error().is(ErrorKind::NotFound))
             respond(internal::status(410));
         else
             respond(internal::status(503));
@@ -247,14 +266,15 @@
         writeCancel(std::string(id), deadline, respond);
         return;
     }
-    fetch(id, [this, id = std::string(id), deadline, respond](const Result<Done> &found) {
-        if (m_replica.job(id) != nullptr)
-            writeCancel(id, deadline, respond);
-        else if (found || found.error().is(ErrorKind::NotFound))
-            respond(internal::status(410));
-        else
-            respond(internal::status(503));
-    });
+    findStored(std::string(id),
+               [this, id = std::string(id), deadline, respond](const Result<Done> &found) {
+                   if (found)
+                       writeCancel(id, deadline, respond);
+                   else if (found.error().is(ErrorKind::NotFound))
+                       respond(internal::status(410));
+                   else
+                       respond(internal::status(503));
+               });
 }
 
 void JobService::writeCancel(const std::string &id, TimePoint deadline,
@@ -278,7 +298,7 @@
         }
         ++m_counts.cancelled;
         logInfo("job-cancelled", {{"key", key}, {"revision", std::to_string(revision)}});
-        m_replica.applyOwn(key, value, revision);
+        keyStored(key, value, revision);
         respond(internal::status(200));
     };
     m_writer.write(std::move(write));
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -26,8 +26,14 @@
 constexpr Milliseconds ownerLeaseLength = 1500ms;
 /** Pause between two polls for changes of jobs on the owner; changes accumulate during it. */
 constexpr Duration ownerWatchPause = 20ms;
-/** The same pause on the other nodes. */
-constexpr Duration followerWatchPause = 200ms;
+/** The same pause on nodes that stand by. */
+constexpr Duration standbyWatchPause = 200ms;
+/** Longest polls for the owner of the schedule, the registered nodes and the operators' keys. */
+constexpr Milliseconds ownerWatchWait = 2000ms;
+constexpr Milliseconds nodesWatchWait = 5000ms;
+constexpr Milliseconds operatorWatchWait = 1000ms;
+/** Pause between two polls for the registered nodes, which change together when many restart. */
+constexpr Duration nodesWatchPause = 100ms;
 /** Time without a response to a watch after which the store counts as unreachable. */
 constexpr Duration watchTimeout = 2300ms;
 /**
@@ -94,7 +100,8 @@
     , m_orderClient(loop, {.callsPerAddress = internal::ordersPerWorker,
                            .readBytes = internal::workerReadBytes})
     , m_serviceClient(loop)
-    , m_kvStore(std::make_unique<platform::KvStore>(m_storeClient, settings.storeAddress))
+    , m_kvStore(std::make_unique<platform::KvStore>(m_storeClient, settings.storeAddress,
+                                                    settings.linkBytesPerSecond))
     , m_store(loop, *m_kvStore, StoreReachability(internal::unservedCallTimeout),
               AdaptiveTimeout(internal::minCallTimeout, internal::maxCallTimeout))
     , m_service(loop, m_store, m_replica, internal::randomSeed(settings))
@@ -119,16 +126,13 @@
                   handlePeerRequest(std::move(request), respond);
               })
     , m_statusWaiters(loop, [this](const std::string &job) { return m_replica.status(job); })
-    , m_stateWatcher(loop, m_store, std::string(nodekeys::root), internal::followerWatchPause,
-                     {[this](std::span<const KeyValue> items, std::int64_t asOf) {
-                          m_replica.reset(items, asOf);
-                          replicaChanged();
-                      },
-                      [this](std::span<const KeyUpdate> updates, std::int64_t asOf) {
-                          m_replica.apply(updates, asOf);
-                          replicaChanged();
-                      }})
-    , m_operatorWatcher(loop, m_store, platform::prefixOperator, Duration{0},
+    , m_ownerWatcher(loop, m_store, std::string(nodekeys::owner),
+                     {Duration{0}, internal::ownerWatchWait}, replicaHandlers(nodekeys::owner))
+    , m_nodesWatcher(loop, m_store, std::string(nodekeys::nodes),
+                     {internal::nodesWatchPause, internal::nodesWatchWait},
+                     replicaHandlers(nodekeys::nodes))
+    , m_operatorWatcher(loop, m_store, platform::prefixOperator,
+                        {Duration{0}, internal::operatorWatchWait},
                         {[this](std::span<const KeyValue> items, std::int64_t) {
                              for (const auto &it : items)
                                  operatorKeyChanged(it.key, it.modRevision, it.value);
@@ -155,9 +159,7 @@
             m_owner->jobChanged(id, job);
         m_statusWaiters.jobChanged(id);
     });
-    m_service.setAskOwner([this](const std::string &job, StatusWaiters::Callback callback) {
-        askOwner(job, std::move(callback));
-    });
+    m_service.setOwnerRequests(ownerRequests());
 }
 
 Node::~Node() = default;
@@ -176,7 +178,8 @@
         if (auto opened = m_peers.listen(address); !opened)
             return opened;
     }
-    m_stateWatcher.start();
+    m_ownerWatcher.start();
+    m_nodesWatcher.start();
     m_operatorWatcher.start();
     m_ownership.start();
     m_registration.start();
@@ -188,7 +191,7 @@
 void Node::checkStore()
 {
     const auto lastWatchResponse
-            = std::max(m_stateWatcher.lastResponseAt(), m_operatorWatcher.lastResponseAt());
+            = std::max(m_ownerWatcher.lastResponseAt(), m_operatorWatcher.lastResponseAt());
     const auto now = EventLoop::now();
     const bool paused = now - std::exchange(m_storeCheckedAt, now) > internal::maxCheckDelay;
     const bool reachable = now - lastWatchResponse < internal::watchTimeout
@@ -210,9 +213,9 @@
     if (const auto load = m_load.timerRan(now, EventLoop::processorTime()))
         logLoad(*load);
     m_governor.recordLoopDelay(m_load.lastDelay(), now);
-    if (m_owner)
-        m_stateWatcher.setPause(
-                m_governor.stretched(internal::ownerWatchPause, internal::followerWatchPause));
+    if (m_owner && m_stateWatcher)
+        m_stateWatcher->setPause(
+                m_governor.stretched(internal::ownerWatchPause, internal::standbyWatchPause));
     m_loop.after(internal::loadCheckInterval, [this] { checkLoad(); });
 }
 
@@ -332,9 +335,41 @@
         m_owner->setConfiguration(*m_service.configuration());
 }
 
+PrefixWatcher::Handlers Node::replicaHandlers(std::string_view prefix)
+{
+    return {[this, prefix](std::span<const KeyValue> items, std::int64_t asOf) {
+                m_replica.reset(prefix, items, asOf);
+                replicaChanged();
+            },
+            [this, prefix](std::span<const KeyUpdate> updates, std::int64_t asOf) {
+                m_replica.apply(prefix, updates, asOf);
+                replicaChanged();
+            }};
+}
+
 void Node::replicaChanged()
 {
     m_ownership.check();
+    // A watcher must not end within its own handler.
+    m_loop.post([this] { updateStateWatcher(); });
+}
+
+void Node::updateStateWatcher()
+{
+    const bool follow = m_owner || isStandby(m_replica, m_settings.name);
+    if (follow == (m_stateWatcher != nullptr))
+        return;
+    logInfo("jobs-followed", {{"follow", follow ? "yes" : "no"}});
+    m_replica.followJobs(follow);
+    m_stateWatcher.reset();
+    if (!follow)
+        return;
+    m_stateWatcher = std::make_unique<PrefixWatcher>(
+            m_loop, m_store, std::string(nodekeys::root),
+            PrefixWatcher::Timing{m_owner ? internal::ownerWatchPause
+                                          : internal::standbyWatchPause},
+            replicaHandlers(nodekeys::root));
+    m_stateWatcher->start();
 }
 
 void Node::handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond)
@@ -347,6 +382,9 @@
         if (m_owner && m_ownership.valid())
             answer.count = m_replica.pending(pending->queue);
         respond(answer);
+    } else if (const auto *stored = std::get_if<StoredKey>(&request.message)) {
+        if (m_owner)
+            m_replica.applyOwn(stored->key, stored->value, stored->revision);
     } else {
         respond(Error(ErrorKind::InvalidInput, "this node takes no orders for workers"));
     }
@@ -365,32 +403,67 @@
         m_statusWaiters.wait(query.job, query.wait, callback);
 }
 
-void Node::askOwner(const std::string &job, StatusWaiters::Callback callback)
+OwnerRequests Node::ownerRequests()
+{
+    return {[this](const std::string &job, StatusWaiters::Callback callback) {
+                askStatus(job, std::move(callback));
+            },
+            [this](const std::string &queue, std::function<void(std::optional<int>)> callback) {
+                askPending(queue, std::move(callback));
+            },
+            [this](const std::string &key, const std::string &value, std::int64_t revision) {
+                keyStored(key, value, revision);
+            }};
+}
+
+PeerLink *Node::ownerLink()
 {
-    const StatusQuery query{job, internal::statusWait};
     const auto &owner = m_replica.owner();
-    if (m_owner || owner.revision == 0) {
+    if (m_owner || owner.revision == 0)
+        return nullptr;
+    const auto node = registeredNode(m_replica, owner.node);
+    return !node || node->peerAddress.empty() ? nullptr : &m_peers.link(node->peerAddress);
+}
+
+void Node::askStatus(const std::string &job, StatusWaiters::Callback callback)
+{
+    const StatusQuery query{job, internal::statusWait};
+    auto *link = ownerLink();
+    if (link == nullptr) {
         answerAsOwner(query, callback);
         return;
     }
-    const auto node = registeredNode(m_replica, owner.node);
-    if (!node || node->peerAddress.empty()) {
-        callback(std::nullopt);
+    link->call(query, query.wait + internal::ownerAnswerTimeout,
+               [callback = std::move(callback)](const Result<PeerAnswer> &answer) {
+                   const auto *status = answer ? std::get_if<StatusAnswer>(&*answer) : nullptr;
+                   callback(status == nullptr ? std::nullopt : status->status);
+               });
+}
+
+void Node::askPending(const std::string &queue, std::function<void(std::optional<int>)> callback)
+{
+    auto *link = ownerLink();
+    if (link == nullptr) {
+        callback(m_owner ? std::optional(m_replica.pending(queue)) : std::nullopt);
         return;
     }
-    m_peers.link(node->peerAddress)
-            .call(query, query.wait + internal::ownerAnswerTimeout,
-                  [callback = std::move(callback)](const Result<PeerAnswer> &answer) {
-                      const auto *status = answer ? std::get_if<StatusAnswer>(&*answer) : nullptr;
-                      callback(status == nullptr ? std::nullopt : status->status);
-                  });
+    link->call(PendingQuery{queue}, internal::ownerAnswerTimeout,
+               [callback = std::move(callback)](const Result<PeerAnswer> &answer) {
+                   const auto *pending = answer ? std::get_if<PendingAnswer>(&*answer) : nullptr;
+                   callback(pending == nullptr ? std::nullopt : pending->count);
+               });
+}
+
+void Node::keyStored(const std::string &key, const std::string &value, std::int64_t revision)
+{
+    if (auto *link = ownerLink())
+        link->notify(StoredKey{key, value, revision});
 }
 
 void Node::ownershipGained(std::int64_t fence, std::int64_t generation)
 {
     logInfo("ownership-gained",
             {{"fence", std::to_string(fence)}, {"generation", std::to_string(generation)}});
-    m_stateWatcher.setPause(internal::ownerWatchPause);
     m_loadLogged.decisions = 0;
     m_loadLogged.decisionTime = Duration{0};
     m_owner = std::make_unique<ScheduleOwner>(
@@ -399,6 +472,8 @@
                          [this] { return m_ownership.mayExtendHolds(); },
                          [this] { m_loop.post([this] { m_ownership.newerOwnerSeen(); }); }},
             fence, generation);
+    updateStateWatcher();
+    m_stateWatcher->setPause(internal::ownerWatchPause);
     if (m_service.configuration())
         m_owner->setConfiguration(*m_service.configuration());
     for (const auto &[number, wave] : m_waves)
@@ -408,7 +483,8 @@
 void Node::ownershipLost(const std::string &reason)
 {
     logInfo("ownership-lost", {{"reason", reason}});
-    m_stateWatcher.setPause(internal::followerWatchPause);
+    if (m_stateWatcher)
+        m_stateWatcher->setPause(internal::standbyWatchPause);
     // Deleted later, because a function of the owner may be on the call stack.
     m_loop.post([owner = std::shared_ptr<ScheduleOwner>(std::move(m_owner))] {});
 }
--- a/src/node/noderegistration.cpp
+++ b/src/node/noderegistration.cpp
@@ -1,5 +1,6 @@
 #include "dragonflysill/node/noderegistration.h"
 
+#include "dragonflysill/base/hash.h"
 #include "dragonflysill/node/nodekeys.h"
 
 #include <algorithm>
@@ -16,6 +17,8 @@
 constexpr Milliseconds registrationLease = 4000ms;
 /** Interval between two renewals, and before a failed call is repeated. */
 constexpr Duration registrationInterval = 1300ms;
+/** Number of nodes that follow all keys; more than the platform loses at once on most days. */
+constexpr std::ptrdiff_t standbyNodes = 4;
 
 } // namespace internal
 
@@ -115,6 +118,19 @@
     });
 }
 
+bool isStandby(const StateReplica &replica, std::string_view name)
+{
+    const auto nodes = registeredNodes(replica);
+    const auto self = std::ranges::find(nodes, name, &RegisteredNode::name);
+    if (self == nodes.end())
+        return false;
+    const auto rank = [](const RegisteredNode &it) {
+        return std::pair(-it.milliCores, stableHash(it.name));
+    };
+    return std::ranges::count_if(nodes, [&](const auto &it) { return rank(it) < rank(*self); })
+           < internal::standbyNodes;
+}
+
 bool moreCapableNodeRegistered(const StateReplica &replica, int milliCores)
 {
     return std::ranges::any_of(registeredNodes(replica), [milliCores](const RegisteredNode &it) {
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -79,6 +79,7 @@
                          {"owner", source.replica.owner().node},
                          {"owner_fence", source.replica.owner().revision},
                          {"owns_schedule", source.owner != nullptr},
+                         {"follows_jobs", source.replica.followsJobs()},
                          {"jobs_known", source.replica.jobs().size()},
                          {"jobs_accepted", counts.accepted},
                          {"jobs_rejected", counts.rejected},
@@ -87,6 +88,8 @@
 
 HttpResponse jobs(const NodeViewSource &source)
 {
+    if (!source.replica.followsJobs())
+        return notOwnerResponse(source);
     Json rows = Json::array();
     bool more = false;
     for (const auto &[id, job] : source.replica.jobs()) {
@@ -197,6 +200,8 @@
 
 HttpResponse explainJob(const NodeViewSource &source, const std::string &id)
 {
+    if (!source.replica.followsJobs())
+        return notOwnerResponse(source);
     const auto *job = source.replica.job(id);
     if (job == nullptr)
         return errorResponse(404, ErrorKind::NotFound, "job " + id);
--- a/src/node/observedstore.cpp
+++ b/src/node/observedstore.cpp
@@ -58,7 +58,12 @@
 void ObservedStore::list(const std::string &prefix, const std::string &after,
                          Callback<StorePage> callback)
 {
-    m_store.list(prefix, after, observe(std::move(callback)));
+    // A page may take long on a slow link, so that its time says little about the store.
+    m_store.list(prefix, after, [this, callback = std::move(callback)](Result<StorePage> result) {
+        if (internal::served(result))
+            m_reachability.responseReceived(EventLoop::now());
+        callback(std::move(result));
+    });
 }
 
 void ObservedStore::watch(const std::string &prefix, std::int64_t after,
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/noderegistration.h"
 
+#include <charconv>
 #include <utility>
 
 namespace dragonflysill {
@@ -21,6 +22,13 @@
 /** Time that a node gives more capable ones to claim the ownership; they notice it within 0.3 s. */
 constexpr Duration deferTime = 500ms;
 
+std::int64_t parseCount(const std::string &text)
+{
+    std::int64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
 } // namespace internal
 
 Ownership::Ownership(EventLoop &loop, AsyncStore &store, const StateReplica &replica,
@@ -49,7 +57,7 @@
 {
     if (m_fence != 0) {
         const bool superseded
-                = m_replica.asOf() >= m_fence && m_replica.owner().revision != m_fence;
+                = m_replica.ownerAsOf() >= m_fence && m_replica.owner().revision != m_fence;
         if (superseded)
             lose("the store names another owner or none");
         else if (!m_renewing
@@ -73,7 +81,8 @@
     const bool othersUnknown
             = !m_registeredSince || now - *m_registeredSince < m_candidate.registrationTime;
     return now - *m_claimableSince < internal::deferTime
-           && (othersUnknown || moreCapableNodeRegistered(m_replica, m_candidate.milliCores));
+           && (othersUnknown || moreCapableNodeRegistered(m_replica, m_candidate.milliCores)
+               || !isStandby(m_replica, m_candidate.node));
 }
 
 bool Ownership::mayClaim() const
@@ -94,25 +103,30 @@
     m_campaigning = true;
     const auto sentAt = EventLoop::now();
     m_store.grantLease(m_leaseLength, [this, sentAt](const Result<GrantedLease> &lease) {
-        if (lease)
-            claim(lease->id, sentAt);
-        else
+        if (!lease) {
             m_campaigning = false;
+            return;
+        }
+        m_store.get(std::string(nodekeys::generation),
+                    [this, sentAt, id = lease->id](const Result<KeyValue> &generation) {
+                        claim(id, sentAt, generation);
+                    });
     });
 }
 
-void Ownership::claim(LeaseId lease, TimePoint grantedAt)
+void Ownership::claim(LeaseId lease, TimePoint grantedAt, const Result<KeyValue> &stored)
 {
-    if (!mayClaim()) {
-        // Another node became the owner while the lease was granted.
+    const bool generationKnown = stored || stored.error().is(ErrorKind::NotFound);
+    if (!mayClaim() || !generationKnown) {
+        // Another node became the owner while the lease was granted, or the store is not reachable.
         m_campaigning = false;
         m_store.endLease(lease, [](const Result<Done> &) {});
         return;
     }
-    const auto generation = m_replica.generation();
+    const auto generation = stored ? internal::parseCount(stored->value) : 0;
     ConditionalWrite write;
     write.expected = {{std::string(nodekeys::owner), m_replica.owner().revision},
-                      {std::string(nodekeys::generation), m_replica.generationRevision()}};
+                      {std::string(nodekeys::generation), stored ? stored->modRevision : 0}};
     write.writes = {{std::string(nodekeys::owner), m_candidate.node, lease},
                     {std::string(nodekeys::generation), std::to_string(generation + 1), 0}};
     m_store.write(write, [this, lease, grantedAt, generation](const Result<WriteOutcome> &outcome) {
--- a/src/node/prefixwatcher.cpp
+++ b/src/node/prefixwatcher.cpp
@@ -11,19 +11,17 @@
 
 using namespace std::chrono_literals;
 
-/** Maximum duration of one poll, so that a silent connection is detected soon after. */
-constexpr std::chrono::milliseconds maxWatchWait = 1000ms;
 /** Delays after failed calls. */
 constexpr BackoffLimits backoffLimits{50ms, 400ms};
 
 } // namespace internal
 
-PrefixWatcher::PrefixWatcher(EventLoop &loop, AsyncStore &store, std::string prefix, Duration pause,
+PrefixWatcher::PrefixWatcher(EventLoop &loop, AsyncStore &store, std::string prefix, Timing timing,
                              Handlers handlers)
     : m_loop(loop)
     , m_store(store)
     , m_prefix(std::move(prefix))
-    , m_pause(pause)
+    , m_timing(timing)
     , m_handlers(std::move(handlers))
     , m_backoff(stableHash(m_prefix)
                         ^ static_cast<std::uint64_t>(EventLoop::now().time_since_epoch().count()),
@@ -76,7 +74,7 @@
 
 void PrefixWatcher::waitForChanges()
 {
-    m_store.watch(m_prefix, m_asOf, internal::maxWatchWait,
+    m_store.watch(m_prefix, m_asOf, m_timing.wait,
                   [this, alive = m_alive](const Result<StoreChanges> &changes) {
                       if (*alive)
                           changesReceived(changes);
@@ -96,11 +94,11 @@
     m_lastResponseAt = EventLoop::now();
     m_asOf = std::max(m_asOf, changes->asOf);
     m_handlers.changed(changes->updates, m_asOf);
-    if (changes->updates.empty() || m_pause == Duration{0}) {
+    if (changes->updates.empty() || m_timing.pause == Duration{0}) {
         waitForChanges();
         return;
     }
-    m_loop.after(m_pause, [this, alive = m_alive] {
+    m_loop.after(m_timing.pause, [this, alive = m_alive] {
         if (*alive)
             waitForChanges();
     });
--- a/src/node/statereplica.cpp
+++ b/src/node/statereplica.cpp
@@ -4,38 +4,46 @@
 #include "dragonflysill/node/nodekeys.h"
 
 #include <algorithm>
-#include <charconv>
+#include <iterator>
+#include <unordered_set>
 #include <utility>
 
 namespace dragonflysill {
 
-namespace internal {
-
-std::int64_t parseCount(const std::string &text)
+void StateReplica::reset(std::string_view prefix, std::span<const KeyValue> items,
+                         std::int64_t asOf)
 {
-    std::int64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
+    removeUnlisted(prefix, items, asOf);
+    for (const auto &it : items)
+        set(it.key, it.value, it.modRevision);
+    advance(prefix, asOf);
+    notifyListener();
 }
 
-} // namespace internal
-
-void StateReplica::reset(std::span<const KeyValue> items, std::int64_t asOf)
+void StateReplica::removeUnlisted(std::string_view prefix, std::span<const KeyValue> items,
+                                  std::int64_t asOf)
 {
-    m_jobs.clear();
-    m_otherItems.clear();
-    m_owner = {};
-    m_ownerChanged = 0;
-    m_generation = 0;
-    m_generationRevision = 0;
-    m_asOf = asOf;
-    m_loaded = true;
+    std::unordered_set<std::string_view> listed;
     for (const auto &it : items)
-        set(it.key, it.value, it.modRevision);
-    notifyListener();
+        listed.insert(it.key);
+    if (nodekeys::owner.starts_with(prefix) && !listed.contains(nodekeys::owner))
+        remove(std::string(nodekeys::owner), asOf);
+    for (auto it = m_otherItems.lower_bound(prefix);
+         it != m_otherItems.end() && it->first.starts_with(prefix);) {
+        const bool keep = listed.contains(it->first) || it->second.modRevision > asOf;
+        it = keep ? std::next(it) : m_otherItems.erase(it);
+    }
+    if (prefix != nodekeys::root)
+        return;
+    std::erase_if(m_jobs, [&](const auto &it) {
+        const auto &[id, job] = it;
+        const auto newest = std::max(job.acceptedRevision, job.progressRevision);
+        return newest <= asOf && !listed.contains(nodekeys::key(nodekeys::jobs, id));
+    });
 }
 
-void StateReplica::apply(std::span<const KeyUpdate> updates, std::int64_t asOf)
+void StateReplica::apply(std::string_view prefix, std::span<const KeyUpdate> updates,
+                         std::int64_t asOf)
 {
     for (const auto &it : updates) {
         if (it.deleted)
@@ -43,16 +51,35 @@
         else
             set(it.key, it.value, it.revision);
     }
-    m_asOf = std::max(m_asOf, asOf);
+    advance(prefix, asOf);
     notifyListener();
 }
 
+void StateReplica::advance(std::string_view prefix, std::int64_t asOf)
+{
+    if (prefix == nodekeys::root)
+        m_asOf = std::max(m_asOf, asOf);
+    if (nodekeys::owner.starts_with(prefix))
+        m_ownerAsOf = std::max(m_ownerAsOf, asOf);
+    if (nodekeys::nodes.starts_with(prefix))
+        m_nodesAsOf = std::max(m_nodesAsOf, asOf);
+}
+
 void StateReplica::applyOwn(const std::string &key, const std::string &value, std::int64_t revision)
 {
     set(key, value, revision);
     notifyListener();
 }
 
+void StateReplica::followJobs(bool follow)
+{
+    if (std::exchange(m_followsJobs, follow) == follow || follow)
+        return;
+    m_jobs.clear();
+    m_changed.clear();
+    m_asOf = 0;
+}
+
 void StateReplica::notifyListener()
 {
     for (const auto &id : std::exchange(m_changed, {})) {
@@ -69,14 +96,10 @@
             m_owner = {value, revision};
             m_ownerChanged = revision;
         }
-    } else if (key == nodekeys::generation) {
-        if (revision > m_generationRevision) {
-            m_generation = internal::parseCount(value);
-            m_generationRevision = revision;
-        }
     } else if (key.starts_with(nodekeys::jobs) || key.starts_with(nodekeys::progress)
                || key.starts_with(nodekeys::cancelled)) {
-        setJobKey(key, value, revision);
+        if (m_followsJobs)
+            setJobKey(key, value, revision);
     } else {
         auto &item = m_otherItems[key];
         if (revision > item.modRevision)
@@ -127,7 +150,9 @@
     }
     if (const auto id = nodekeys::nameIn(nodekeys::jobs, key); !id.empty())
         m_jobs.erase(std::string(id));
-    m_otherItems.erase(key);
+    const auto it = m_otherItems.find(key);
+    if (it != m_otherItems.end() && it->second.modRevision < revision)
+        m_otherItems.erase(it);
 }
 
 const ReplicatedJob *StateReplica::job(std::string_view id) const
--- a/src/node/workerregistry.cpp
+++ b/src/node/workerregistry.cpp
@@ -33,7 +33,8 @@
     , m_scheduler(scheduler)
     , m_fence(fence)
     , m_onChange(std::move(onChange))
-    , m_watcher(context.loop, context.store, platform::prefixWorkers, internal::watchPause,
+    , m_watcher(context.loop, context.store, platform::prefixWorkers,
+                PrefixWatcher::Timing{internal::watchPause},
                 {[this](std::span<const KeyValue> items, std::int64_t) { reset(items); },
                  [this](std::span<const KeyUpdate> updates, std::int64_t) { change(updates); }})
 {
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -92,10 +92,11 @@
         const auto refused = structs(m_refused);
         const auto reports = m_builder.CreateVector(m_reports);
         const auto failures = m_builder.CreateVector(m_failures);
+        const auto storedKeys = m_builder.CreateVector(m_storedKeys);
         m_builder.Finish(peers::CreateBatch(m_builder, batchVersion, batch.sentMs, batch.fence,
                                             workers, statusQueries, pendingQueries, starts, stops,
                                             paces, holds, statusAnswers, pendingAnswers, confirmed,
-                                            refused, reports, failures));
+                                            refused, reports, failures, storedKeys));
         return {reinterpret_cast<const char *>(m_builder.GetBufferPointer()), m_builder.GetSize()};
     }
 
@@ -133,6 +134,13 @@
                 peers::CreatePendingQuery(m_builder, call, m_builder.CreateString(query.queue)));
     }
 
+    void add(std::uint32_t /*call*/, const StoredKey &stored)
+    {
+        m_storedKeys.push_back(peers::CreateStoredKey(m_builder, m_builder.CreateString(stored.key),
+                                                      m_builder.CreateString(stored.value),
+                                                      stored.revision));
+    }
+
     void add(std::uint32_t call, const DelegatedStart &start)
     {
         const auto &order = start.order;
@@ -238,6 +246,7 @@
     std::vector<peers::Refused> m_refused;
     std::vector<flatbuffers::Offset<peers::Report>> m_reports;
     std::vector<flatbuffers::Offset<peers::Failure>> m_failures;
+    std::vector<flatbuffers::Offset<peers::StoredKey>> m_storedKeys;
 };
 
 /** Calls a function for each item of a vector that may be missing. */
@@ -308,6 +317,9 @@
         forEach(m_from.pending_queries(), [this](const peers::PendingQuery &it) {
             addRequest(it.call(), PendingQuery{it.queue()->str()});
         });
+        forEach(m_from.stored_keys(), [this](const peers::StoredKey &it) {
+            addRequest(noCall, StoredKey{it.key()->str(), it.value()->str(), it.revision()});
+        });
     }
 
     void readOrders()
--- a/src/peers/peerlink.cpp
+++ b/src/peers/peerlink.cpp
@@ -1,7 +1,8 @@
 #include "dragonflysill/peers/peerlink.h"
 
+#include <algorithm>
 #include <chrono>
-#include <vector>
+#include <utility>
 
 namespace dragonflysill {
 
@@ -17,6 +18,8 @@
 constexpr Duration pingInterval = 300ms;
 /** Time without any frame from a peer that should answer after which the connection is dead. */
 constexpr Duration silenceTimeout = 800ms;
+/** Maximum number of requests that wait for a connection. */
+constexpr std::size_t maxWaitingRequests = 10000;
 /** Delay after a failure before the next attempt to connect. */
 constexpr Duration reconnectDelay = 200ms;
 
@@ -55,7 +58,9 @@
 void PeerLink::call(PeerRequest request, Duration timeout, Callback callback)
 {
     connect();
-    const auto number = ++m_lastCall;
+    if (++m_lastCall == noCall)
+        ++m_lastCall;
+    const auto number = m_lastCall;
     m_calls[number] = {EventLoop::now() + timeout, false, std::move(callback)};
     m_batch.requests.push_back({number, std::move(request)});
     if (m_state == State::Open)
@@ -63,6 +68,17 @@
     checkLater();
 }
 
+void PeerLink::notify(PeerRequest request)
+{
+    connect();
+    if (m_state == State::Closed || m_batch.requests.size() >= internal::maxWaitingRequests)
+        return;
+    m_batch.requests.push_back({noCall, std::move(request)});
+    if (m_state == State::Open)
+        flushLater();
+    checkLater();
+}
+
 void PeerLink::flushLater()
 {
     if (std::exchange(m_flushing, true))
@@ -80,9 +96,13 @@
     if (m_state != State::Open || m_batch.empty())
         return;
     // Calls that have timed out meanwhile are not sent.
-    std::erase_if(m_batch.requests, [this](const auto &it) { return !m_calls.contains(it.call); });
-    for (const auto &it : m_batch.requests)
-        m_calls[it.call].sent = true;
+    std::erase_if(m_batch.requests, [this](const auto &it) {
+        return it.call != noCall && !m_calls.contains(it.call);
+    });
+    for (const auto &it : m_batch.requests) {
+        if (it.call != noCall)
+            m_calls[it.call].sent = true;
+    }
     sendBatch(std::exchange(m_batch, {}));
 }
 
@@ -90,7 +110,11 @@
 {
     auto stamped = batch;
     m_sentAt = EventLoop::now();
-    m_waitingSince = m_waitingSince.value_or(m_sentAt);
+    const bool answered = batch.requests.empty()
+                          || std::ranges::any_of(batch.requests,
+                                                 [](const auto &it) { return it.call != noCall; });
+    if (answered)
+        m_waitingSince = m_waitingSince.value_or(m_sentAt);
     stamped.sentMs = m_sentAt.time_since_epoch() / std::chrono::milliseconds(1);
     stamped.fence = m_fence;
     m_connection->send(m_encoder.encode(stamped));
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -45,7 +45,8 @@
         configuration.queues = {{"queue", "host", "/q/", "pool", 200ms, {}, {}}};
         service.setConfiguration(configuration);
         service.setStoreReachable(true);
-        replica.reset({}, 1);
+        replica.followJobs(true);
+        replica.reset(nodekeys::root, {}, 1);
     }
 
     /** Sends a request and runs the loop until it is idle; status 0 if there is no response. */
@@ -91,7 +92,8 @@
     const std::vector<KeyValue> items{
             {nodekeys::key(nodekeys::jobs, jobId), "record", 5, 5, 0},
             {nodekeys::key(nodekeys::progress, jobId), encodeProgress(progress), 6, 6, 0}};
-    replica.reset(items, 6);
+    replica.followJobs(true);
+    replica.reset(nodekeys::root, items, 6);
     BOOST_REQUIRE(seen.size() == 1U);
     BOOST_TEST((seen[0] == JobStatus::Completed));
 }
@@ -104,18 +106,20 @@
     JobProgress running;
     running.state = JobStatus::Running;
     const auto key = nodekeys::key(nodekeys::progress, jobId);
-    replica.reset({}, 1);
+    replica.followJobs(true);
+    replica.reset(nodekeys::root, {}, 1);
     replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), "record", 2);
     replica.applyOwn(key, encodeProgress(completed), 9);
     const std::vector<KeyUpdate> late{{key, encodeProgress(running), 7, false}};
-    replica.apply(late, 9);
+    replica.apply(nodekeys::root, late, 9);
     BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
 }
 
 BOOST_AUTO_TEST_CASE(CancelRequestAppliesUnlessTheJobHasEnded)
 {
     StateReplica replica;
-    replica.reset({}, 1);
+    replica.followJobs(true);
+    replica.reset(nodekeys::root, {}, 1);
     replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), "record", 2);
     replica.applyOwn(nodekeys::key(nodekeys::cancelled, jobId), "1", 3);
     BOOST_TEST((*replica.status(jobId) == JobStatus::Cancelled));
@@ -125,10 +129,68 @@
     BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
 }
 
+// A full list is read in pages while changes go on, so that it is older than what this node has
+// learned meanwhile. Guards against an owner that forgets jobs after the store lost its history.
+BOOST_AUTO_TEST_CASE(FullListKeepsWhatIsNewer)
+{
+    StateReplica replica;
+    replica.followJobs(true);
+    const std::string newer = "0123456789abcde0";
+    const std::string removed = "0123456789abcde1";
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), "record", 2);
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, removed), "record", 3);
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, newer), "record", 9);
+    JobProgress completed;
+    completed.state = JobStatus::Completed;
+    replica.applyOwn(nodekeys::key(nodekeys::progress, jobId), encodeProgress(completed), 8);
+    const std::vector<KeyValue> items{{nodekeys::key(nodekeys::jobs, jobId), "record", 2, 2, 0}};
+    replica.reset(nodekeys::root, items, 5);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
+    BOOST_TEST(replica.job(newer) != nullptr);
+    BOOST_TEST(replica.job(removed) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatDoesNotFollowJobsKeepsNone)
+{
+    StateReplica replica;
+    const auto key = nodekeys::key(nodekeys::jobs, jobId);
+    replica.applyOwn(key, "record", 2);
+    BOOST_TEST(replica.jobs().empty());
+    replica.followJobs(true);
+    replica.applyOwn(key, "record", 2);
+    replica.reset(nodekeys::root, {}, 1);
+    BOOST_TEST(replica.jobs().size() == 1U);
+    BOOST_TEST(replica.asOf() == 1);
+    replica.followJobs(false);
+    BOOST_TEST(replica.jobs().empty());
+    BOOST_TEST(replica.asOf() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(OwnerAndNodesAreKnownWithoutTheJobs)
+{
+    StateReplica replica;
+    const auto key = nodekeys::key(nodekeys::nodes, "node-1");
+    const std::vector<KeyValue> owner{{std::string(nodekeys::owner), "node-1", 4, 4, 0}};
+    const std::vector<KeyValue> nodes{{key, "120", 3, 3, 0}};
+    replica.reset(nodekeys::owner, owner, 5);
+    BOOST_TEST(!replica.loaded());
+    replica.reset(nodekeys::nodes, nodes, 6);
+    BOOST_TEST(replica.loaded());
+    BOOST_TEST(replica.owner().node == "node-1");
+    BOOST_TEST(replica.ownerAsOf() == 5);
+    BOOST_TEST(replica.asOf() == 0);
+    replica.reset(nodekeys::nodes, {}, 7);
+    BOOST_TEST(replica.owner().node == "node-1");
+    BOOST_TEST(replica.otherItem(key) == nullptr);
+    replica.reset(nodekeys::owner, {}, 7);
+    BOOST_TEST(replica.owner().revision == 0);
+}
+
 BOOST_AUTO_TEST_CASE(RejectedIdIsNoJob)
 {
     StateReplica replica;
-    replica.reset({}, 1);
+    replica.followJobs(true);
+    replica.reset(nodekeys::root, {}, 1);
     replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), std::string(rejectedRecord), 2);
     BOOST_TEST(replica.job(jobId) == nullptr);
 }
@@ -136,14 +198,15 @@
 BOOST_AUTO_TEST_CASE(OlderOwnerChangesAreIgnored)
 {
     StateReplica replica;
-    replica.reset({}, 1);
+    replica.followJobs(true);
+    replica.reset(nodekeys::root, {}, 1);
     const std::string owner(nodekeys::owner);
     replica.applyOwn(owner, "node-2", 8);
     const std::vector<KeyUpdate> old{{owner, "", 7, true}};
-    replica.apply(old, 8);
+    replica.apply(nodekeys::root, old, 8);
     BOOST_TEST(replica.owner().node == "node-2");
     const std::vector<KeyUpdate> gone{{owner, "", 9, true}};
-    replica.apply(gone, 9);
+    replica.apply(nodekeys::root, gone, 9);
     BOOST_TEST(replica.owner().revision == 0);
 }
 
@@ -420,7 +483,7 @@
         store.put("p/" + std::to_string(n), "v");
     std::size_t items = 0;
     std::int64_t asOf = 0;
-    PrefixWatcher watcher(loop, store, "p/", 0ms,
+    PrefixWatcher watcher(loop, store, "p/", {},
                           {[&](std::span<const KeyValue> it, std::int64_t) { items = it.size(); },
                            [&](std::span<const KeyUpdate>, std::int64_t it) { asOf = it; }});
     watcher.start();
@@ -438,7 +501,7 @@
     store.compactedUpTo = store.revision + 1;
     store.watchLimit = 2;
     int readings = 0;
-    PrefixWatcher watcher(loop, store, "p/", 0ms,
+    PrefixWatcher watcher(loop, store, "p/", {},
                           {[&](std::span<const KeyValue>, std::int64_t) { ++readings; },
                            [](std::span<const KeyUpdate>, std::int64_t) {}});
     watcher.start();
@@ -482,7 +545,7 @@
         std::vector<KeyValue> items;
         for (const auto &[key, item] : store.items)
             items.push_back(item);
-        replica.reset(items, store.revision);
+        replica.reset(nodekeys::root, items, store.revision);
     }
 };
 
@@ -496,6 +559,36 @@
     BOOST_TEST(candidate.store.items.at(std::string(nodekeys::generation)).value == "1");
 }
 
+// The node that takes over must know the jobs at once, but not every node can afford to follow
+// them.
+BOOST_AUTO_TEST_CASE(FewMostCapableNodesStandBy)
+{
+    StateReplica replica;
+    std::vector<KeyValue> items;
+    for (int n = 0; n < 12; ++n)
+        items.push_back({nodekeys::key(nodekeys::nodes, "node-" + std::to_string(n)),
+                         n == 3 || n == 7 ? "500" : "120", n + 1, n + 1, 0});
+    replica.reset(nodekeys::nodes, items, 20);
+    int standby = 0;
+    for (int n = 0; n < 12; ++n)
+        standby += static_cast<int>(isStandby(replica, "node-" + std::to_string(n)));
+    BOOST_TEST(standby == 4);
+    BOOST_TEST(isStandby(replica, "node-3"));
+    BOOST_TEST(isStandby(replica, "node-7"));
+    BOOST_TEST(!isStandby(replica, "unknown"));
+}
+
+BOOST_AUTO_TEST_CASE(NodeThatDoesNotStandByLeavesTheClaimToThoseThatDo)
+{
+    Candidate candidate(1h);
+    for (int n = 2; n < 40; ++n)
+        candidate.store.put(nodekeys::key(nodekeys::nodes, "node-" + std::to_string(n)), "120");
+    candidate.updateReplica();
+    BOOST_REQUIRE(!isStandby(candidate.replica, "node-1"));
+    candidate.check();
+    BOOST_TEST(candidate.gained.empty());
+}
+
 // Guards against a small machine that owns the schedule of a large fleet while larger ones are up.
 BOOST_AUTO_TEST_CASE(NodeLeavesTheClaimToAMoreCapableOne)
 {
@@ -646,10 +739,11 @@
     candidate.check();
     BOOST_REQUIRE(candidate.gained.size() == 1U);
     BOOST_TEST(!candidate.ownership.valid());
+    const auto readsOfTheClaim = candidate.store.reads;
     candidate.updateReplica();
     candidate.check();
     BOOST_TEST(candidate.store.renewals == 1);
-    BOOST_TEST(candidate.store.reads == 1);
+    BOOST_TEST(candidate.store.reads == readsOfTheClaim + 1);
     BOOST_TEST(candidate.lost == 0);
 }
 
--- a/tests/node/statustest.cpp
+++ b/tests/node/statustest.cpp
@@ -126,11 +126,15 @@
         configuration.queues = {{"queue", "host", "/q/", "pool", 200ms, {}, {}}};
         service.setConfiguration(configuration);
         service.setStoreReachable(true);
-        service.setAskOwner([this](const std::string &, const StatusWaiters::Callback &callback) {
-            ++asked;
-            callback(ownerAnswer);
-        });
-        replica.reset({}, 1);
+        service.setOwnerRequests(
+                {[this](const std::string &, const StatusWaiters::Callback &callback) {
+                     ++asked;
+                     callback(ownerAnswer);
+                 },
+                 {},
+                 {}});
+        replica.followJobs(true);
+        replica.reset(nodekeys::root, {}, 1);
     }
 
     /** Requests the status of the job; returns the response's status and body. */
@@ -191,3 +195,110 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/** A job service on a node that does not follow the jobs. */
+struct FollowerFixture : StatusFixture
+{
+    std::optional<int> ownerPending;
+    std::vector<std::string> storedKeys;
+
+    FollowerFixture()
+    {
+        replica.followJobs(false);
+        service.setOwnerRequests(
+                {[this](const std::string &, const StatusWaiters::Callback &callback) {
+                     ++asked;
+                     callback(ownerAnswer);
+                 },
+                 [this](const std::string &, const std::function<void(std::optional<int>)> &it) {
+                     it(ownerPending);
+                 },
+                 [this](const std::string &key, const std::string &, std::int64_t) {
+                     storedKeys.push_back(key);
+                 }});
+    }
+
+    std::string call(const std::string &method, const std::string &path,
+                     const std::string &body = {})
+    {
+        std::string answer;
+        service.handle({method, path, body, {{"Host", "host"}}}, [&](const HttpResponse &it) {
+            answer = std::to_string(it.status) + ' ' + it.body;
+        });
+        loop.context().restart();
+        loop.run();
+        return answer;
+    }
+
+    void storeKey(std::string_view prefix, const std::string &value)
+    {
+        store.put(nodekeys::key(prefix, jobId), value);
+    }
+
+    void storeProgress(JobStatus status)
+    {
+        JobProgress progress;
+        progress.state = status;
+        storeKey(nodekeys::progress, encodeProgress(progress));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(NodeThatDoesNotFollowJobs, FollowerFixture)
+
+// While the ownership changes there is nobody to ask, and the store knows the state of each job.
+BOOST_AUTO_TEST_CASE(ReadsTheStatusFromTheStoreIfTheOwnerDoesNotAnswer)
+{
+    BOOST_TEST(show() == "410 ");
+    storeKey(nodekeys::jobs, "record");
+    BOOST_TEST(show() == R"(200 {"state":"queued"})");
+    storeProgress(JobStatus::Running);
+    BOOST_TEST(show() == R"(200 {"state":"running"})");
+    storeKey(nodekeys::cancelled, "1");
+    BOOST_TEST(show() == R"(200 {"state":"cancelled"})");
+    storeProgress(JobStatus::Completed);
+    BOOST_TEST(show() == R"(200 {"state":"completed"})");
+    storeKey(nodekeys::jobs, std::string(rejectedRecord));
+    BOOST_TEST(show() == "410 ");
+    store.reachable = false;
+    BOOST_TEST(show() == "503 ");
+}
+
+BOOST_AUTO_TEST_CASE(TellsTheOwnerOfAcceptedAndCancelledJobs)
+{
+    BOOST_TEST(call("POST", "/q/" + jobId, R"({"spec":"text","steps":[{"count":1,"cpu":100}]})")
+               == "200 ");
+    BOOST_TEST(call("DELETE", "/q/" + jobId) == "200 ");
+    BOOST_REQUIRE(storedKeys.size() == 2U);
+    BOOST_TEST(storedKeys[0] == nodekeys::key(nodekeys::jobs, jobId));
+    BOOST_TEST(storedKeys[1] == nodekeys::key(nodekeys::cancelled, jobId));
+    BOOST_TEST(replica.jobs().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AcceptsARepeatedSubmissionAsTheSameJob)
+{
+    const std::string body = R"({"spec":"text","steps":[{"count":1,"cpu":100}]})";
+    BOOST_TEST(call("POST", "/q/" + jobId, body) == "200 ");
+    BOOST_TEST(call("POST", "/q/" + jobId, body) == "200 ");
+    BOOST_TEST(store.items.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CancelsOnlyJobsThatTheStoreKnows)
+{
+    BOOST_TEST(call("DELETE", "/q/" + jobId) == "410 ");
+    storeKey(nodekeys::jobs, std::string(rejectedRecord));
+    BOOST_TEST(call("DELETE", "/q/" + jobId) == "410 ");
+}
+
+// A wrong count is worse than none.
+BOOST_AUTO_TEST_CASE(AsksTheOwnerHowManyJobsArePending)
+{
+    BOOST_TEST(call("GET", "/q/") == "503 ");
+    ownerPending = 3;
+    BOOST_TEST(call("GET", "/q/") == R"(200 {"pending":3})");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/peers/codectest.cpp
+++ b/tests/peers/codectest.cpp
@@ -27,6 +27,7 @@
             {4, DelegatedStop{{"w", task, 1001}, "a:1", 501ms}},
             {5, DelegatedPace{{"v", task, 1001, 40}, "a:2", 502ms}},
             {6, DelegatedHold{{"w", "a:1"}, {7777, 12}, 800ms, 503ms, false}}};
+    batch.requests.push_back({noCall, StoredKey{"key", "value", 5}});
     WorkerReport report;
     report.startedMs = 5;
     report.clock = 6;
@@ -68,6 +69,10 @@
     BOOST_TEST(messageOf<StatusQuery>(batch.requests, 1).job == task.job);
     BOOST_TEST((messageOf<StatusQuery>(batch.requests, 1).wait == 150ms));
     BOOST_TEST(messageOf<PendingQuery>(batch.requests, 2).queue == "queue");
+    const auto &stored = messageOf<StoredKey>(batch.requests, noCall);
+    BOOST_TEST(stored.key == "key");
+    BOOST_TEST(stored.value == "value");
+    BOOST_TEST(stored.revision == 5);
     const auto &start = messageOf<DelegatedStart>(batch.requests, 3);
     BOOST_TEST(start.order.worker == "w");
     BOOST_TEST(start.address == "a:1");
--- a/tests/peers/peerlinktest.cpp
+++ b/tests/peers/peerlinktest.cpp
@@ -156,6 +156,28 @@
     BOOST_TEST(server->connections() == 1U);
 }
 
+// Guards against a link that takes the silence after a message without an answer for that of a dead
+// peer.
+BOOST_AUTO_TEST_CASE(MessagesWithoutAnAnswerDoNotMakeThePeerLookSilent)
+{
+    ask("a");
+    runUntil([this] { return answers.size() == 1; });
+    link.notify(StoredKey{"key", "value", 7});
+    runUntil([this] { return requests.size() == 2; });
+    const auto &stored = std::get<StoredKey>(requests[1].message);
+    BOOST_TEST(stored.key == "key");
+    BOOST_TEST(stored.value == "value");
+    BOOST_TEST(stored.revision == 7);
+    bool asked = false;
+    loop.after(1s, [&] {
+        ask("b");
+        asked = true;
+    });
+    runUntil([&] { return asked && answers.size() == 2; });
+    BOOST_TEST(answers[1].ok());
+    BOOST_TEST(server->connections() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnswerAfterTheSessionHasEndedIsDropped)
 {
     answering = false;
