Send calls to a worker again while they are not answered

A lost start cost 0.5 s, a stop, 0.4 s and a report, and most jobs of a dozen tasks have one. Change: WorkerOrders sends a start, stop or hold again to the same worker after 80 ms without an answer, at most three copies; the run's number makes it one order. OrderAttempts decides: one confirmation counts, and a refusal only if no copy may still be carried out. A worker with runs that end by themselves waits 250 ms for an end, one with persistent tasks alone 800 ms as before. A pace is not repeated, since a late copy would undo a newer one. Weighed: shorter timeouts alone (the start must then still be stopped and seen as stopped).

--- /dev/null
+++ b/include/dragonflysill/jobs/orderattempts.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "dragonflysill/jobs/orderoutcome.h"
+
+#include <optional>
+
+namespace dragonflysill {
+
+/**
+ * The copies of an order to a worker. An order without an answer is sent again to the same worker,
+ * which carries it out once: it knows the run by its number. A copy that was not answered may still
+ * take effect, so that an order counts as refused only if every copy was.
+ */
+class OrderAttempts
+{
+public:
+    /** Maximum number of copies. */
+    static constexpr int maxCopies = 3;
+
+    /** Returns whether another copy may be sent. */
+    [[nodiscard]] bool mayRepeat() const { return !m_decided && m_sent < maxCopies; }
+
+    /** Records that a copy was sent. */
+    void copySent();
+
+    /**
+     * Records the outcome of a copy.
+     * @return the outcome of the order, once, when it is known
+     */
+    std::optional<OrderOutcome> copyAnswered(const OrderOutcome &outcome);
+
+private:
+    int m_sent = 0;
+    int m_outstanding = 0;
+    bool m_decided = false;
+    bool m_unanswered = false; ///< A copy may still be carried out.
+    std::optional<OrderOutcome> m_refusal;
+    std::optional<OrderOutcome> m_notSent;
+    OrderUnanswered m_reason;
+};
+
+} // namespace dragonflysill
--- a/include/dragonflysill/node/workercontroller.h
+++ b/include/dragonflysill/node/workercontroller.h
@@ -4,7 +4,9 @@
 #include "dragonflysill/jobs/holdschedule.h"
 #include "dragonflysill/jobs/loadgovernor.h"
 #include "dragonflysill/jobs/scheduler.h"
+#include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpclient.h"
+#include "dragonflysill/node/workerorders.h"
 
 #include <cstdint>
 #include <functional>
@@ -14,10 +16,6 @@
 
 namespace dragonflysill {
 
-namespace platform {
-class WorkerCalls;
-}
-
 /** Counters of the calls to workers. */
 struct WorkerControllerCounts
 {
@@ -55,8 +53,8 @@
      * @param mayGiveOrders returns whether this node still owns the schedule
      * @param onChange called when a response may allow new scheduling decisions
      */
-    WorkerController(const WorkerClients &clients, Scheduler &scheduler, LoadGovernor &governor,
-                     std::int64_t fence, std::string admissionAddress,
+    WorkerController(EventLoop &loop, const WorkerClients &clients, Scheduler &scheduler,
+                     LoadGovernor &governor, std::int64_t fence, std::string admissionAddress,
                      std::function<bool()> mayGiveOrders, std::function<void()> onChange);
     ~WorkerController();
     WorkerController(const WorkerController &) = delete;
@@ -76,6 +74,9 @@
 
     [[nodiscard]] const WorkerControllerCounts &counts() const { return m_counts; }
 
+    /** Returns the number of calls that were sent again for want of an answer. */
+    [[nodiscard]] std::uint64_t repeatedCalls() const { return m_orders.repeated(); }
+
     /** Returns the longest delay of a hold since the last call. */
     Duration takeMaxHoldDelay() { return std::exchange(m_maxHoldDelay, Duration{0}); }
 
@@ -100,7 +101,7 @@
     std::string m_admissionAddress;
     Scheduler &m_scheduler;
     LoadGovernor &m_governor;
-    std::unique_ptr<platform::WorkerCalls> m_calls;
+    WorkerOrders m_orders;
     std::function<bool()> m_mayGiveOrders;
     std::function<void()> m_onChange;
     HoldSchedule m_holds;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -47,8 +47,10 @@
 constexpr Duration maxCallTimeout = 1000ms;
 /** Interval between two checks whether the store is reachable. */
 constexpr Duration storeCheckInterval = 100ms;
-/** Maximum number of orders in flight to a worker. */
-constexpr std::size_t ordersPerWorker = 4;
+/** Maximum number of orders in flight to a worker, with those that are sent again. */
+constexpr std::size_t ordersPerWorker = 8;
+/** Maximum number of holds in flight to a worker: one, and its copies. */
+constexpr std::size_t holdsPerWorker = 3;
 /** Bytes read at once from a worker; enough for the reports of most workers. */
 constexpr std::size_t workerReadBytes = 4096;
 /**
@@ -96,7 +98,8 @@
     : m_loop(loop)
     , m_settings(settings)
     , m_storeClient(loop)
-    , m_holdClient(loop, {.callsPerAddress = 1, .readBytes = internal::workerReadBytes})
+    , m_holdClient(loop, {.callsPerAddress = internal::holdsPerWorker,
+                          .readBytes = internal::workerReadBytes})
     , m_orderClient(loop, {.callsPerAddress = internal::ordersPerWorker,
                            .readBytes = internal::workerReadBytes})
     , m_serviceClient(loop)
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -60,7 +60,8 @@
     , m_fence(fence)
     , m_scheduler(internal::schedulerSettings(m_context.settings),
                   static_cast<int>(generation) * internal::runsPerOwner)
-    , m_workerController({m_context.holdClient, m_context.orderClient, m_context.serviceClient},
+    , m_workerController(m_context.loop,
+                         {m_context.holdClient, m_context.orderClient, m_context.serviceClient},
                          m_scheduler, m_context.governor, fence,
                          m_context.settings.admissionAddress, m_context.mayGiveOrders,
                          [this] { requestDecision(); })
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -2,7 +2,6 @@
 
 #include "admissionformat.h"
 #include "dragonflysill/telemetry/log.h"
-#include "workercalls.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +14,9 @@
 
 /** Maximum time for which a worker with runs waits for a run to end before it answers a hold. */
 constexpr Milliseconds maxHoldWait = 800ms;
+/** The same time for a worker with runs that end by themselves, so that a lost answer costs less.
+ */
+constexpr Milliseconds shortHoldWait = 250ms;
 /** Time after that wait at which a worker that has not answered counts as unreachable. */
 constexpr Duration holdAnswerTimeout = 500ms;
 /** Timeout for an order. */
@@ -39,8 +41,8 @@
 
 } // namespace internal
 
-WorkerController::WorkerController(const WorkerClients &clients, Scheduler &scheduler,
-                                   LoadGovernor &governor, std::int64_t fence,
+WorkerController::WorkerController(EventLoop &loop, const WorkerClients &clients,
+                                   Scheduler &scheduler, LoadGovernor &governor, std::int64_t fence,
                                    std::string admissionAddress,
                                    std::function<bool()> mayGiveOrders,
                                    std::function<void()> onChange)
@@ -48,7 +50,7 @@
     , m_admissionAddress(std::move(admissionAddress))
     , m_scheduler(scheduler)
     , m_governor(governor)
-    , m_calls(std::make_unique<platform::WorkerCalls>(clients.holds, clients.orders, fence))
+    , m_orders(loop, clients.holds, clients.orders, governor, fence)
     , m_mayGiveOrders(std::move(mayGiveOrders))
     , m_onChange(std::move(onChange))
 {
@@ -153,7 +155,7 @@
 {
     ++m_counts.starts;
     internal::logOrder("task-start", start);
-    m_calls->start(
+    m_orders.start(
             address, start, orderTimeout(),
             [this, alive = m_alive, start, sentAt = EventLoop::now()](const OrderOutcome &outcome) {
                 if (!*alive)
@@ -184,7 +186,7 @@
 {
     ++m_counts.stops;
     internal::logOrder("task-stop", stop);
-    m_calls->stop(address, stop, orderTimeout(),
+    m_orders.stop(address, stop, orderTimeout(),
                   [this, alive = m_alive, stop](const OrderOutcome &outcome) {
                       if (!*alive)
                           return;
@@ -200,7 +202,7 @@
 void WorkerController::deliver(const PaceTask &pace, const std::string &address)
 {
     ++m_counts.paces;
-    m_calls->pace(address, pace, orderTimeout(),
+    m_orders.pace(address, pace, orderTimeout(),
                   [this, alive = m_alive, pace](const OrderOutcome &outcome) {
                       if (*alive)
                           m_scheduler.paceAnswered(pace,
@@ -248,9 +250,11 @@
     });
     const bool mayWait = worker.reachable && worker.busy() && worker.pendingEnds.empty()
                          && worker.time.known() && !stopping;
+    const bool onlyPersistent = worker.persistentRuns == static_cast<int>(worker.runs.size());
+    const auto wait = onlyPersistent ? internal::maxHoldWait : internal::shortHoldWait;
     ++m_counts.holds;
-    m_calls->hold(worker.description.address, id, m_scheduler.holdRequest(id, now),
-                  mayWait ? internal::maxHoldWait : Milliseconds(0),
+    m_orders.hold(worker.description.address, id, m_scheduler.holdRequest(id, now),
+                  mayWait ? wait : Milliseconds(0),
                   m_governor.stretched(internal::holdAnswerTimeout, internal::maxHoldAnswerTimeout),
                   [this, alive = m_alive, id, now](const Result<WorkerReport> &report) {
                       if (*alive)
--- a/tests/node/workercontrollertest.cpp
+++ b/tests/node/workercontrollertest.cpp
@@ -21,7 +21,8 @@
     HttpClient client{loop};
     LoadGovernor governor;
     bool mayGiveOrders = true;
-    WorkerController controller{{client, client, client},
+    WorkerController controller{loop,
+                                {client, client, client},
                                 harness.scheduler,
                                 governor,
                                 1,
--- /dev/null
+++ b/tests/node/workerorderstest.cpp
@@ -0,0 +1,121 @@
+#include "dragonflysill/node/workerorders.h"
+#include "dragonflysill/net/eventloop.h"
+#include "dragonflysill/net/httpclient.h"
+#include "dragonflysill/net/httpserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace dragonflysill;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A worker that does not answer the first calls of a path. */
+struct SilentWorkerFixture
+{
+    EventLoop loop;
+    std::string address = freeAddress();
+    int silentCalls = 1;
+    std::map<std::string, int> calls; ///< By path.
+    std::vector<HttpServer::Respond> unanswered;
+    HttpServer worker{loop, [this](const HttpRequest &request, HttpServer::Respond respond) {
+                          if (++calls[request.target] <= silentCalls)
+                              unanswered.push_back(std::move(respond));
+                          else
+                              respond({200, body, {}});
+                      }};
+    std::string body = R"({"clockMs":7,"born":3,"running":[],"ended":[]})";
+    HttpClient client{loop};
+    LoadGovernor governor;
+    WorkerOrders orders{loop, client, client, governor, 1};
+
+    SilentWorkerFixture() { BOOST_REQUIRE(worker.listen(address).ok()); }
+
+    static std::string freeAddress()
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::acceptor acceptor(context,
+                                                {boost::asio::ip::make_address("127.0.0.1"), 0});
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    template <typename T>
+    T await(std::optional<T> &result)
+    {
+        loop.context().restart();
+        while (!result && loop.context().run_one() > 0) {
+        }
+        BOOST_REQUIRE(result.has_value());
+        return *result;
+    }
+
+    OrderOutcome start(Duration timeout)
+    {
+        std::optional<OrderOutcome> result;
+        orders.start(address, {"w", {"j", 0, 0, 0}, 1, "p", {}, {}, 100}, timeout,
+                     [&](const OrderOutcome &it) { result = it; });
+        return await(result);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WorkersThatDoNotAnswer, SilentWorkerFixture)
+
+// Guards against tasks that are given up and started elsewhere because one answer of a worker that
+// is well was lost.
+BOOST_AUTO_TEST_CASE(StartIsSentAgainToTheSameWorker)
+{
+    const auto outcome = start(10s);
+    BOOST_REQUIRE(std::holds_alternative<OrderConfirmed>(outcome));
+    BOOST_TEST(std::get<OrderConfirmed>(outcome).clock == 7);
+    BOOST_TEST(calls["/v1/run-start"] == 2);
+    BOOST_TEST(orders.repeated() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StartThatNoCopyOfWasAnsweredMayHaveBeenCarriedOut)
+{
+    silentCalls = 100;
+    BOOST_TEST(std::holds_alternative<OrderUnanswered>(start(300ms)));
+    BOOST_TEST(calls["/v1/run-start"] == OrderAttempts::maxCopies);
+}
+
+BOOST_AUTO_TEST_CASE(StopIsSentAgain)
+{
+    std::optional<OrderOutcome> result;
+    orders.stop(address, {"w", {"j", 0, 0, 0}, 1}, 10s,
+                [&](const OrderOutcome &it) { result = it; });
+    BOOST_TEST(std::holds_alternative<OrderConfirmed>(await(result)));
+    BOOST_TEST(calls["/v1/run-stop"] == 2);
+}
+
+// Guards against a worker whose ended runs go unnoticed and whose capacity stays unused until the
+// timeout of a lost hold.
+BOOST_AUTO_TEST_CASE(HoldIsSentAgain)
+{
+    std::optional<Result<WorkerReport>> result;
+    orders.hold(address, "w", {}, 50ms, 10s, [&](const Result<WorkerReport> &it) { result = it; });
+    const auto report = await(result);
+    BOOST_REQUIRE(report.ok());
+    BOOST_TEST(report->startedMs == 3);
+    BOOST_TEST(calls["/v1/hold"] == 2);
+}
+
+// A copy that arrives after a newer pace would undo it.
+BOOST_AUTO_TEST_CASE(PaceIsNotSentAgain)
+{
+    std::optional<OrderOutcome> result;
+    orders.pace(address, {"w", {"j", 0, 0, 0}, 1, 40}, 300ms,
+                [&](const OrderOutcome &it) { result = it; });
+    BOOST_TEST(std::holds_alternative<OrderUnanswered>(await(result)));
+    BOOST_TEST(calls["/v1/pace"] == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
