--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -92,10 +92,11 @@
         const auto refused = structs(m_refused);
         const auto reports = m_builder.CreateVector(m_reports);
         const auto failures = m_builder.CreateVector(m_failures);
+        const auto storedKeys = m_builder.CreateVector(m_storedKeys);
         m_builder.Finish(peers::CreateBatch(m_builder, batchVersion, batch.sentMs, batch.fence,
                                             workers, statusQueries, pendingQueries, starts, stops,
                                             paces, holds, statusAnswers, pendingAnswers, confirmed,
-                                            refused, reports, failures));
+                                            refused, reports, failures, storedKeys));
         return {reinterpret_cast<const char *>(m_builder.GetBufferPointer()), m_builder.GetSize()};
     }
 
@@ -133,6 +134,13 @@
                 peers::CreatePendingQuery(m_builder, call, m_builder.CreateString(query.queue)));
     }
 
+    void add(std::uint32_t /*call*/, const StoredKey &stored)
+    {
+        m_storedKeys.push_back(peers::CreateStoredKey(m_builder, m_builder.CreateString(stored.key),
+                                                      m_builder.CreateString(stored.value),
+                                                      stored.revision));
+    }
+
     void add(std::uint32_t call, const DelegatedStart &start)
     {
         const auto &order = start.order;
@@ -164,8 +172,8 @@
     {
         m_holds.emplace_back(call, worker(hold.worker), encodeTime(hold.timeout),
                              encodeTime(hold.wait), hold.request.acknowledgedEnds,
-                             hold.request.holdUntil.value_or(0),
-                             hold.request.holdUntil.has_value(), hold.listRunning);
+                             hold.request.holdUntil.value_or(0), hold.request.holdUntil.has_value(),
+                             hold.listRunning);
     }
 
     void add(std::uint32_t call, const StatusAnswer &answer)
@@ -238,6 +246,7 @@
     std::vector<peers::Refused> m_refused;
     std::vector<flatbuffers::Offset<peers::Report>> m_reports;
     std::vector<flatbuffers::Offset<peers::Failure>> m_failures;
+    std::vector<flatbuffers::Offset<peers::StoredKey>> m_storedKeys;
 };
 
 /** Calls a function for each item of a vector that may be missing. */
@@ -308,16 +317,19 @@
         forEach(m_from.pending_queries(), [this](const peers::PendingQuery &it) {
             addRequest(it.call(), PendingQuery{it.queue()->str()});
         });
+        forEach(m_from.stored_keys(), [this](const peers::StoredKey &it) {
+            addRequest(noCall, StoredKey{it.key()->str(), it.value()->str(), it.revision()});
+        });
     }
 
     void readOrders()
     {
         forEach(m_from.starts(), [this](const peers::Start &it) {
             auto target = worker(it.worker());
-            StartTask order{std::move(target.id),      decodeTask(*it.task()),
-                            it.run(),                  toString(it.payload()),
-                            toString(it.checkpoint()), toString(it.ticket()),
-                            it.hold_until()};
+            StartTask order{
+                    std::move(target.id),   decodeTask(*it.task()),    it.run(),
+                    toString(it.payload()), toString(it.checkpoint()), toString(it.ticket()),
+                    it.hold_until()};
             addRequest(it.call(), DelegatedStart{std::move(order), std::move(target.address),
                                                  Milliseconds(it.timeout_ms())});
         });
@@ -376,9 +388,8 @@
 
     void readReports()
     {
-        forEach(m_from.reports(), [this](const peers::Report &it) {
-            addAnswer(it.call(), readReport(it));
-        });
+        forEach(m_from.reports(),
+                [this](const peers::Report &it) { addAnswer(it.call(), readReport(it)); });
     }
 
     WorkerReport readReport(const peers::Report &from)
@@ -419,9 +430,8 @@
 
 std::pair<std::uint32_t, bool> PeerEncoder::number(const WorkerTarget &worker)
 {
-    const auto [it, isNew]
-            = m_numbers.try_emplace(worker.id + '@' + worker.address,
-                                    static_cast<std::uint32_t>(m_numbers.size()));
+    const auto [it, isNew] = m_numbers.try_emplace(worker.id + '@' + worker.address,
+                                                   static_cast<std::uint32_t>(m_numbers.size()));
     return {it->second, isNew};
 }
 
--- a/tests/node/workercontrollertest.cpp
+++ b/tests/node/workercontrollertest.cpp
@@ -1,6 +1,6 @@
+#include "dragonflysill/node/workercontroller.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpclient.h"
-#include "dragonflysill/node/workercontroller.h"
 #include "jobs/schedulerharness.h"
 
 #include <boost/test/unit_test.hpp>
@@ -21,7 +21,8 @@
     HttpClient client{loop};
     LoadGovernor governor;
     bool mayGiveOrders = true;
-    WorkerController controller{{client, client, client},
+    WorkerController controller{loop,
+                                {client, client, client},
                                 harness.scheduler,
                                 governor,
                                 1,
--- a/tests/peers/peerlinktest.cpp
+++ b/tests/peers/peerlinktest.cpp
@@ -1,5 +1,5 @@
-#include "dragonflysill/peers/framedelay.h"
 #include "dragonflysill/peers/peerlink.h"
+#include "dragonflysill/peers/framedelay.h"
 #include "dragonflysill/peers/peerserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -60,7 +60,8 @@
     void runUntil(Condition done)
     {
         loop.context().restart();
-        while (!done() && loop.context().run_one() > 0) { }
+        while (!done() && loop.context().run_one() > 0) {
+        }
         BOOST_REQUIRE(done());
     }
 };
@@ -155,6 +156,28 @@
     BOOST_TEST(server->connections() == 1U);
 }
 
+// Guards against a link that takes the silence after a message without an answer for that of a dead
+// peer.
+BOOST_AUTO_TEST_CASE(MessagesWithoutAnAnswerDoNotMakeThePeerLookSilent)
+{
+    ask("a");
+    runUntil([this] { return answers.size() == 1; });
+    link.notify(StoredKey{"key", "value", 7});
+    runUntil([this] { return requests.size() == 2; });
+    const auto &stored = std::get<StoredKey>(requests[1].message);
+    BOOST_TEST(stored.key == "key");
+    BOOST_TEST(stored.value == "value");
+    BOOST_TEST(stored.revision == 7);
+    bool asked = false;
+    loop.after(1s, [&] {
+        ask("b");
+        asked = true;
+    });
+    runUntil([&] { return asked && answers.size() == 2; });
+    BOOST_TEST(answers[1].ok());
+    BOOST_TEST(server->connections() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AnswerAfterTheSessionHasEndedIsDropped)
 {
     answering = false;
