Empty more instances at a time for waves, and size pools by memory too

Change: up to 8 % of a pool (at least two) are emptied at a time, instances with persistent tasks first and without counting them as down; a pool that is short is passed over until its occupied instances need the time that is left. PoolBalancer takes the larger need of cores and memory.

--- a/include/dragonflysill/jobs/fleetview.h
+++ b/include/dragonflysill/jobs/fleetview.h
@@ -28,7 +28,8 @@
     /** The previous owner may have given it an order shortly before the takeover. */
     bool possiblyOrdered = false;
     TimePoint idleSince{}; ///< Since when it has been empty.
-    std::int64_t milliCores = 0; ///< Its capacity.
+    std::int64_t milliCores = 0; ///< Its processor capacity.
+    std::int64_t memoryMb = 0; ///< Its memory.
 };
 
 /** The load of a pool. */
@@ -36,6 +37,7 @@
 {
     std::int64_t waitingMilliCores = 0; ///< Milli-cores that waiting tasks need.
     std::int64_t runningMilliCores = 0; ///< Milli-cores of running tasks.
+    std::int64_t memoryMb = 0; ///< Memory of waiting and running tasks.
     double arrivedWork = 0; ///< Expected core-seconds of all jobs accepted so far.
     std::int64_t arrivedJobs = 0; ///< Jobs accepted so far.
     int spread = 0; ///< Workers needed for the limit of persistent tasks per worker.
--- a/include/dragonflysill/jobs/maintenanceplanner.h
+++ b/include/dragonflysill/jobs/maintenanceplanner.h
@@ -90,7 +90,9 @@
 
     using InstancesByName = std::unordered_map<std::string_view, const InstanceView *>;
 
-    void decideWave(Wave &wave, const InstancesByName &instances,
+    using InstanceCounts = std::map<std::string, int, std::less<>>; ///< By pool.
+
+    void decideWave(Wave &wave, const InstancesByName &instances, const InstanceCounts &poolSizes,
                     const std::function<bool(const std::string &)> &hasShortage, TimePoint now,
                     MaintenanceDecision &decision);
 
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -13,8 +13,16 @@
 constexpr Duration roundTime = 4000ms;
 /** Maximum age of the list of instances. */
 constexpr Duration listLag = 1000ms;
-/** Maximum number of instances of a pool that a wave empties at the same time. */
-constexpr int maxEmptyingPerPool = 2;
+/** Expected time to move the tasks of an instance to others. */
+constexpr Duration emptyingTime = 2500ms;
+/** Maximum part of a pool's instances that a wave empties at the same time, and their minimum. */
+constexpr double maxEmptyingShare = 0.08;
+constexpr int minEmptying = 2;
+
+int maxEmptying(int instances)
+{
+    return std::max(minEmptying, static_cast<int>(instances * maxEmptyingShare));
+}
 
 } // namespace internal
 
@@ -97,11 +105,14 @@
     if (openWaves().empty())
         return decision;
     InstancesByName instances;
-    for (const auto &it : fleet.instances)
+    InstanceCounts poolSizes;
+    for (const auto &it : fleet.instances) {
         instances.emplace(it.name, &it);
+        ++poolSizes[it.pool];
+    }
     for (auto &[number, wave] : m_waves) {
         if (!wave.completed)
-            decideWave(wave, instances, hasShortage, now, decision);
+            decideWave(wave, instances, poolSizes, hasShortage, now, decision);
     }
     return decision;
 }
@@ -122,6 +133,7 @@
 }
 
 void MaintenancePlanner::decideWave(Wave &wave, const InstancesByName &instances,
+                                    const InstanceCounts &poolSizes,
                                     const std::function<bool(const std::string &)> &hasShortage,
                                     TimePoint now, MaintenanceDecision &decision)
 {
@@ -150,32 +162,50 @@
     const auto rounds = (static_cast<int>(open.size()) + wave.request.maxInstancesDown - 1)
                         / std::max(1, wave.request.maxInstancesDown);
     const bool late = now + (rounds + 1) * internal::roundTime >= wave.deadline;
+    // Persistent tasks move away a few of each job at a time, which takes longest, so that their
+    // instances come first; the others are ready at once.
     std::ranges::sort(open, {}, [](const InstanceView *it) {
-        return std::tuple(!it->standby, !it->empty, it->hasPersistentTasks, !it->leaving, it->name);
+        return std::tuple(!it->leaving, !it->hasPersistentTasks, !it->standby, !it->empty,
+                          it->name);
     });
+    // Occupied instances take longer, because only some of a pool are emptied at the same time.
+    InstanceCounts occupied;
+    for (const auto *it : open)
+        occupied[it->pool] += static_cast<int>(!it->standby && !it->empty);
+    const auto lateIn = [&](const std::string &pool) {
+        const int limit = internal::maxEmptying(poolSizes.at(pool));
+        const int emptyings = (occupied[pool] + limit - 1) / limit;
+        return late
+               || now + emptyings * internal::emptyingTime + internal::roundTime >= wave.deadline;
+    };
     int down = static_cast<int>(wave.down.size()) + possiblyDown;
     for (const auto *it : open)
         down += static_cast<int>(it->orderPending);
     std::map<std::string, int> emptying;
     for (const auto *it : open) {
-        if (down >= wave.request.maxInstancesDown)
-            return;
         if (it->orderPending || it->possiblyOrdered || it->draining
             || it->state != FleetInstance::State::Up)
             continue;
-        if (!it->standby && !late && hasShortage(it->pool) && !it->leaving)
+        if (!it->standby && hasShortage(it->pool) && !lateIn(it->pool) && !it->leaving)
             continue;
         if (it->standby || (it->empty && it->usable) || (it->empty && it->leaving)) {
+            if (down >= wave.request.maxInstancesDown) {
+                // An instance that was emptied stays so until its turn has come.
+                if (it->leaving) {
+                    ++emptying[it->pool];
+                    decision.leaving.insert(it->name);
+                }
+                continue;
+            }
             decision.orders.push_back({it->name, wave.request.number});
             decision.leaving.insert(it->name);
             ++down;
             continue;
         }
         if (it->usable || it->leaving) {
-            if (emptying[it->pool]++ >= internal::maxEmptyingPerPool)
+            if (emptying[it->pool]++ >= internal::maxEmptying(poolSizes.at(it->pool)))
                 continue;
             decision.leaving.insert(it->name);
-            ++down;
         }
     }
 }
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -12,12 +12,15 @@
 
 /** Time constant for smoothing the arrival rate; short, so that a burst is detected early. */
 constexpr Duration rateTimeConstant = 300ms;
-/** Time constant of the slower average of the rate, whose difference to the first one is its trend. */
+/** Time constant of the slower average of the rate, whose difference to the first one is its trend.
+ */
 constexpr Duration trendTimeConstant = 800ms;
 /** Time for which a rising rate is extrapolated: a move and the first contact with the worker. */
 constexpr Duration moveLead = 2100ms;
 /** Fraction of an instance's cores that tasks of different sizes can use. */
 constexpr double packing = 0.85;
+/** The same fraction of its memory; the tasks that need most of it leave larger gaps. */
+constexpr double memoryPacking = 0.75;
 /**
  * Spare instances of a pool, as a fraction of an even share of all instances, as far as there are
  * enough. They take the start of a burst until other instances have arrived.
@@ -46,11 +49,13 @@
 void PoolBalancer::updateDemand(const FleetView &fleet, TimePoint now)
 {
     double coresPerInstance = 1;
+    double memoryPerInstance = 1;
     std::erase_if(m_demand, [&](const auto &it) { return !fleet.load.contains(it.first); });
     for (auto &[pool, demand] : m_demand)
         demand.present = 0;
     for (const auto &it : fleet.instances) {
         coresPerInstance = std::max(coresPerInstance, static_cast<double>(it.milliCores) / 1000);
+        memoryPerInstance = std::max(memoryPerInstance, static_cast<double>(it.memoryMb));
         if (fleet.load.contains(it.pool) && !it.draining && !it.leaving
             && (it.usable || it.orderPending))
             ++m_demand[it.pool].present;
@@ -61,10 +66,15 @@
         updateArrivalRate(demand, load, now);
         const double present
                 = static_cast<double>(load.waitingMilliCores + load.runningMilliCores) / 1000;
-        const double cores = std::max(present, expectedRate(demand) * internal::confidence(demand.jobs));
-        demand.needed = std::max(
-                load.spread,
-                static_cast<int>(std::ceil(cores / (coresPerInstance * internal::packing))));
+        const double cores
+                = std::max(present, expectedRate(demand) * internal::confidence(demand.jobs));
+        const double byCores = cores / (coresPerInstance * internal::packing);
+        const double byMemory = memoryPerInstance > 1
+                                        ? static_cast<double>(load.memoryMb)
+                                                  / (memoryPerInstance * internal::memoryPacking)
+                                        : 0;
+        demand.needed
+                = std::max(load.spread, static_cast<int>(std::ceil(std::max(byCores, byMemory))));
         total += demand.needed;
     }
     const auto instances = static_cast<double>(fleet.instances.size());
@@ -118,9 +128,8 @@
 
 double PoolBalancer::expectedRate(const Demand &demand)
 {
-    const double trend
-            = (demand.rate - demand.slowRate)
-              / toSeconds(internal::trendTimeConstant - internal::rateTimeConstant);
+    const double trend = (demand.rate - demand.slowRate)
+                         / toSeconds(internal::trendTimeConstant - internal::rateTimeConstant);
     return demand.rate + std::max(0.0, trend) * toSeconds(internal::moveLead);
 }
 
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -339,11 +339,12 @@
                     load.spread = std::max(load.spread, (step.count + step.maxPerWorker - 1)
                                                                 / step.maxPerWorker);
                 const auto cpu = step.reserved().milliCores;
+                const int running = tasks.ready ? static_cast<int>(tasks.tasks.size())
+                                                          - tasks.waiting - tasks.done
+                                                : 0;
                 load.waitingMilliCores += cpu * tasks.waiting;
-                if (tasks.ready)
-                    load.runningMilliCores += cpu
-                                              * (static_cast<int>(tasks.tasks.size())
-                                                 - tasks.waiting - tasks.done);
+                load.runningMilliCores += cpu * running;
+                load.memoryMb += step.need.memoryMb * (tasks.waiting + running);
             }
         }
     }
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -210,6 +210,7 @@
             fleet.load[it.name] = loads[it.name];
     }
     std::int64_t milliCores = 0;
+    std::int64_t memoryMb = 0;
     for (const auto &[name, instance] : m_instances) {
         InstanceView row;
         row.name = name;
@@ -219,10 +220,13 @@
         const auto worker = workers.find(name);
         fillInstanceView(row, worker == workers.end() ? nullptr : worker->second, now);
         milliCores = std::max(milliCores, row.milliCores);
+        memoryMb = std::max(memoryMb, row.memoryMb);
         fleet.instances.push_back(std::move(row));
     }
-    for (auto &it : fleet.instances)
+    for (auto &it : fleet.instances) {
         it.milliCores = it.milliCores == 0 ? milliCores : it.milliCores;
+        it.memoryMb = it.memoryMb == 0 ? memoryMb : it.memoryMb;
+    }
     return fleet;
 }
 
@@ -239,6 +243,7 @@
         row.draining = worker->description.draining;
         row.empty = worker->empty();
         row.milliCores = worker->description.capacity.milliCores;
+        row.memoryMb = worker->description.capacity.memoryMb;
         row.leaving = worker->leaving;
         row.hasPersistentTasks = worker->persistentRuns > 0;
         auto &since = m_idleSince[worker->description.id];
--- a/tests/jobs/decisionstest.cpp
+++ b/tests/jobs/decisionstest.cpp
@@ -163,6 +163,23 @@
     }
 }
 
+// Guards against persistent tasks that find no room although their pool has idle cores: their
+// memory fills the instances first.
+BOOST_AUTO_TEST_CASE(MemoryOfTasksCountsLikeTheirCores)
+{
+    Fleet fleet({{"a", 10}, {"b", 10}}, 40);
+    for (auto &it : fleet.view.instances)
+        it.memoryMb = 128000;
+    fleet.view.load["a"].runningMilliCores = 24 * 9000;
+    fleet.view.load["a"].memoryMb = 24 * 64000;
+    PoolBalancer balancer;
+    balancer.decide(fleet.view, fleet.now);
+    BOOST_TEST(balancer.neededInstances("a") >= 12);
+    fleet.view.load["a"].memoryMb = 24 * 4000;
+    balancer.decide(fleet.view, fleet.now);
+    BOOST_TEST(balancer.neededInstances("a") <= 5);
+}
+
 BOOST_AUTO_TEST_CASE(FallingRateIsNotExtrapolated)
 {
     Fleet fleet({{"falling", 100}, {"other", 20}}, 0);
@@ -289,6 +306,53 @@
     BOOST_TEST(planner.decide(fleet.view, isShort, fleet.now).orders.size() == 1U);
 }
 
+// The pattern of a wave during turns: 350 instances, two of five due within 26 s, each pool in turn
+// short of instances, and in each pool the tasks of one persistent job, which may miss one task at
+// a time, on every tenth instance. Guards against a wave that is late because its instances with
+// persistent tasks, which become empty one after the other, are left for the end.
+BOOST_AUTO_TEST_CASE(WaveOfALargeFleetCompletesInTimeDuringTurns)
+{
+    constexpr Duration emptying = 2500ms;
+    constexpr Duration down = 2000ms;
+    Fleet fleet({{"a", 62}, {"b", 70}, {"c", 77}, {"d", 85}}, 56);
+    MaintenanceWave request = wave({}, 60);
+    request.duration = 26000ms;
+    for (std::size_t n = 0; n < fleet.view.instances.size(); ++n) {
+        auto &it = fleet.view.instances[n];
+        it.hasPersistentTasks = !it.standby;
+        it.empty = !it.hasPersistentTasks;
+        if (n % 5 < 2)
+            request.instances.push_back(it.name);
+    }
+    MaintenancePlanner planner(2000ms);
+    const auto begin = fleet.now;
+    planner.addWave(request, {}, begin);
+    std::map<std::string, TimePoint> emptyAt;
+    std::map<std::string, TimePoint> upAt;
+    while (!planner.completed(1) && fleet.now - begin < 60s) {
+        const auto turn = ((fleet.now - begin) / 4000ms) % 4;
+        const auto inTurn = [turn](const std::string &pool) { return pool[0] == 'a' + turn; };
+        const auto decision = planner.decide(fleet.view, inTurn, fleet.now);
+        for (auto &it : fleet.view.instances) {
+            it.leaving = decision.leaving.contains(it.name);
+            if (it.leaving && !it.empty)
+                it.empty = fleet.now
+                           >= emptyAt.try_emplace(it.name, fleet.now + emptying).first->second;
+            it.hasPersistentTasks = it.hasPersistentTasks && !it.empty;
+            if (upAt.contains(it.name) && fleet.now >= upAt[it.name])
+                it.state = FleetInstance::State::Up;
+        }
+        for (const auto &it : decision.orders) {
+            fleet.instance(it.instance).state = FleetInstance::State::Maintenance;
+            upAt[it.instance] = fleet.now + down;
+            planner.accepted(1, it.instance, fleet.now);
+        }
+        fleet.now += 100ms;
+    }
+    BOOST_TEST(planner.completed(1));
+    BOOST_TEST((fleet.now - begin <= 26s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(HealthRunTimesAndCodec)
