Exchange fewer bytes with delegates and with the store

Each start carried the payload of its job, frames went out every 2 to 3 ms with empty vectors, reports listed the running tasks once a second, and the owner read back all progress that it wrote. Change: payloads are sent once a connection and numbered, the newest 4,096 are kept; frames wait 5 ms for others; lists come every 2 s, or 0.4 s while a persistent task starts or a best-effort task is paced; once it knows all keys the owner follows accepted and cancelled jobs alone, and goes on from its revision without a list when it loses the ownership. Tests: PayloadOfAJobIsSentOnceOnAConnection, ListOfTheJobsKeepsTheirProgress, WatchGoesOnFromAKnownRevision- WithoutAList.

--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -16,9 +16,12 @@
 #include "dragonflysill/node/workerdelegate.h"
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -67,12 +70,22 @@
     void stop();
 
 private:
+    /** Keys of jobs that a node follows. */
+    enum class Following {
+        Nothing,
+        AllKeys, ///< To take over the schedule.
+        NewJobs, ///< Accepted and cancelled jobs; the owner itself writes all other keys.
+    };
+
     void configurationChanged(std::int64_t revision, const std::string &bytes);
     void operatorKeyChanged(const std::string &key, std::int64_t revision,
                             const std::string &bytes);
     void replicaChanged();
-    /** Starts or ends to follow all keys as the node's part requires. */
-    void updateStateWatcher();
+    /** Follows the keys of jobs that the node's part requires. */
+    void updateStateWatchers();
+    /** Watches keys, from a revision up to which they are known, or 0 to list them first. */
+    void watchState(std::initializer_list<std::string_view> prefixes, std::int64_t asOf);
+    void setStateWatchPause(Duration pause);
     /** Returns handlers that apply the keys with a prefix to the replica. */
     PrefixWatcher::Handlers replicaHandlers(std::string_view prefix);
     /** Answers a request of another node. */
@@ -117,8 +130,8 @@
     StatusWaiters m_statusWaiters;
     PrefixWatcher m_ownerWatcher;
     PrefixWatcher m_nodesWatcher;
-    /** Follows all keys; only on the owner of the schedule and the nodes that stand by. */
-    std::unique_ptr<PrefixWatcher> m_stateWatcher;
+    Following m_following = Following::Nothing;
+    std::vector<std::unique_ptr<PrefixWatcher>> m_stateWatchers;
     PrefixWatcher m_operatorWatcher;
     Ownership m_ownership;
     NodeRegistration m_registration;
--- a/include/dragonflysill/node/prefixwatcher.h
+++ b/include/dragonflysill/node/prefixwatcher.h
@@ -45,6 +45,12 @@
     /** Starts with a full list of the items. */
     void start();
 
+    /** Starts with the changes after a revision up to which the items are known. */
+    void startFrom(std::int64_t asOf);
+
+    /** Returns the revision up to which the items are known; 0 before the first list. */
+    [[nodiscard]] std::int64_t asOf() const { return m_asOf; }
+
     /** Sets the pause between two polls. */
     void setPause(Duration pause) { m_timing.pause = pause; }
 
--- a/include/dragonflysill/node/statereplica.h
+++ b/include/dragonflysill/node/statereplica.h
@@ -51,7 +51,7 @@
     /**
      * Replaces the keys with a prefix by a full list as of revision @p asOf. Changes that are newer
      * than the list are kept.
-     * @param prefix nodekeys::root, or a prefix of keys that belong to no job
+     * @param prefix nodekeys::root, or the prefix of one kind of keys
      */
     void reset(std::string_view prefix, std::span<const KeyValue> items, std::int64_t asOf);
 
--- a/include/dragonflysill/peers/codec.h
+++ b/include/dragonflysill/peers/codec.h
@@ -5,6 +5,8 @@
 #include "dragonflysill/peers/messages.h"
 
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -12,19 +14,29 @@
 namespace dragonflysill {
 
 /**
- * Encodes the batches of one direction of a connection. Workers are named once and numbered
- * afterwards, so the decoder must receive all batches in order.
+ * Encodes the batches of one direction of a connection. Workers and the payloads of jobs are sent
+ * once and numbered afterwards, so the decoder must receive all batches in order.
  */
 class PeerEncoder
 {
 public:
     std::string encode(const PeerBatch &batch);
 
-    /** Returns the number of a worker and whether the decoder does not know it yet. */
-    std::pair<std::uint32_t, bool> number(const WorkerTarget &worker);
+    /** A number, and whether the decoder does not know yet what it stands for. */
+    struct Number
+    {
+        std::uint32_t value = 0;
+        bool isNew = false;
+    };
+
+    [[nodiscard]] Number workerNumber(const WorkerTarget &worker);
+    [[nodiscard]] Number payloadNumber(const std::string &job);
 
 private:
-    StringMap<std::uint32_t> m_numbers; ///< By id and address.
+    StringMap<std::uint32_t> m_workers; ///< By id and address.
+    StringMap<std::uint32_t> m_payloads; ///< By job.
+    std::deque<std::string> m_payloadJobs; ///< Jobs in m_payloads, oldest first.
+    std::uint32_t m_lastPayload = 0;
 };
 
 /** Decodes the batches of one direction of a connection. */
@@ -36,6 +48,7 @@
 
 private:
     std::unordered_map<std::uint32_t, WorkerTarget> m_workers;
+    std::map<std::uint32_t, std::string> m_payloads;
 };
 
 } // namespace dragonflysill
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -71,8 +71,8 @@
     });
 }
 
-std::optional<std::int64_t>
-Scheduler::largestFreeCapacity(std::span<WorkerState *const> workers, TimePoint now)
+std::optional<std::int64_t> Scheduler::largestFreeCapacity(std::span<WorkerState *const> workers,
+                                                           TimePoint now)
 {
     std::optional<std::int64_t> largest;
     for (const auto *it : workers) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -217,8 +217,8 @@
     if (const auto load = m_load.timerRan(now, EventLoop::processorTime()))
         logLoad(*load);
     m_governor.recordLoopDelay(m_load.lastDelay(), now);
-    if (m_owner && m_stateWatcher)
-        m_stateWatcher->setPause(
+    if (m_owner)
+        setStateWatchPause(
                 m_governor.stretched(internal::ownerWatchPause, internal::standbyWatchPause));
     m_loop.after(internal::loadCheckInterval, [this] { checkLoad(); });
 }
@@ -358,25 +358,56 @@
 {
     m_ownership.check();
     // A watcher must not end within its own handler.
-    m_loop.post([this] { updateStateWatcher(); });
+    m_loop.post([this] { updateStateWatchers(); });
 }
 
-void Node::updateStateWatcher()
+void Node::updateStateWatchers()
 {
-    const bool follow = m_owner || isStandby(m_replica, m_settings.name);
-    if (follow == (m_stateWatcher != nullptr))
-        return;
-    logInfo("jobs-followed", {{"follow", follow ? "yes" : "no"}});
-    m_replica.followJobs(follow);
-    m_stateWatcher.reset();
-    if (!follow)
+    auto following = Following::Nothing;
+    if (m_owner)
+        following
+                = m_replica.asOf() >= m_ownership.fence() ? Following::NewJobs : Following::AllKeys;
+    else if (isStandby(m_replica, m_settings.name))
+        following = Following::AllKeys;
+    const auto before = m_following;
+    // The owner goes on with new jobs once it knows all keys.
+    if (following == before || (m_owner && before == Following::NewJobs))
         return;
-    m_stateWatcher = std::make_unique<PrefixWatcher>(
-            m_loop, m_store, std::string(nodekeys::root),
-            PrefixWatcher::Timing{m_owner ? internal::ownerWatchPause
-                                          : internal::standbyWatchPause},
-            replicaHandlers(nodekeys::root));
-    m_stateWatcher->start();
+    m_following = following;
+    auto asOf = before == Following::AllKeys ? m_replica.asOf() : std::int64_t{0};
+    for (const auto &it : m_stateWatchers) {
+        if (before == Following::NewJobs)
+            asOf = asOf == 0 ? it->asOf() : std::min(asOf, it->asOf());
+    }
+    logInfo("jobs-followed", {{"keys", following == Following::Nothing   ? "none"
+                                       : following == Following::AllKeys ? "all"
+                                                                         : "new"}});
+    m_stateWatchers.clear();
+    m_replica.followJobs(following != Following::Nothing);
+    if (following == Following::AllKeys)
+        watchState({nodekeys::root}, asOf);
+    else if (following == Following::NewJobs)
+        watchState({nodekeys::jobs, nodekeys::cancelled}, asOf);
+}
+
+void Node::watchState(std::initializer_list<std::string_view> prefixes, std::int64_t asOf)
+{
+    const auto pause = m_owner ? internal::ownerWatchPause : internal::standbyWatchPause;
+    for (const auto prefix : prefixes) {
+        m_stateWatchers.push_back(std::make_unique<PrefixWatcher>(
+                m_loop, m_store, std::string(prefix), PrefixWatcher::Timing{pause},
+                replicaHandlers(prefix)));
+        if (asOf == 0)
+            m_stateWatchers.back()->start();
+        else
+            m_stateWatchers.back()->startFrom(asOf);
+    }
+}
+
+void Node::setStateWatchPause(Duration pause)
+{
+    for (const auto &it : m_stateWatchers)
+        it->setPause(pause);
 }
 
 void Node::handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond)
@@ -479,8 +510,8 @@
                          [this] { return m_ownership.mayExtendHolds(); },
                          [this] { m_loop.post([this] { m_ownership.newerOwnerSeen(); }); }},
             fence, generation);
-    updateStateWatcher();
-    m_stateWatcher->setPause(internal::ownerWatchPause);
+    updateStateWatchers();
+    setStateWatchPause(internal::ownerWatchPause);
     if (m_service.configuration())
         m_owner->setConfiguration(*m_service.configuration());
     for (const auto &[number, wave] : m_waves)
@@ -490,8 +521,8 @@
 void Node::ownershipLost(const std::string &reason)
 {
     logInfo("ownership-lost", {{"reason", reason}});
-    if (m_stateWatcher)
-        m_stateWatcher->setPause(internal::standbyWatchPause);
+    setStateWatchPause(internal::standbyWatchPause);
+    m_loop.post([this] { updateStateWatchers(); });
     // Deleted later, because a function of the owner may be on the call stack.
     m_loop.post([owner = std::shared_ptr<ScheduleOwner>(std::move(m_owner))] {});
 }
--- a/src/node/nodepeers.cpp
+++ b/src/node/nodepeers.cpp
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 
 /** Time for which a request waits for others to share its frame. */
-constexpr Duration requestFlushDelay = 2ms;
+constexpr Duration requestFlushDelay = 5ms;
 
 } // namespace internal
 
--- a/src/node/prefixwatcher.cpp
+++ b/src/node/prefixwatcher.cpp
@@ -41,6 +41,12 @@
     list({});
 }
 
+void PrefixWatcher::startFrom(std::int64_t asOf)
+{
+    m_asOf = asOf;
+    waitForChanges();
+}
+
 void PrefixWatcher::list(const std::string &after)
 {
     m_store.list(m_prefix, after, [this, alive = m_alive](Result<StorePage> page) {
--- a/src/node/statereplica.cpp
+++ b/src/node/statereplica.cpp
@@ -33,7 +33,7 @@
         const bool keep = listed.contains(it->first) || it->second.modRevision > asOf;
         it = keep ? std::next(it) : m_otherItems.erase(it);
     }
-    if (prefix != nodekeys::root)
+    if (!nodekeys::jobs.starts_with(prefix))
         return;
     std::erase_if(m_jobs, [&](const auto &it) {
         const auto &[id, job] = it;
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -37,7 +37,11 @@
 /** The same interval on an overloaded node. */
 constexpr Duration maxIdleHoldInterval = 4000ms;
 /** Interval between two reports of a delegate that list the running tasks. */
-constexpr Duration runningListInterval = 1000ms;
+constexpr Duration runningListInterval = 2000ms;
+/** The same interval while a persistent task starts up or a best-effort task must be paced. */
+constexpr Duration shortRunningListInterval = 400ms;
+/** Progress of a persistent task that is serving. */
+constexpr int servingPercent = 100;
 /** Interval between two attempts to reach a worker that did not answer. */
 constexpr Duration retryInterval = 250ms;
 
@@ -272,13 +276,20 @@
 
 bool WorkerController::needsRunningList(const WorkerState &worker, TimePoint now)
 {
-    // Only a list shows that a stopped run is gone, and which runs a new owner has inherited.
-    return !worker.fenced || !worker.reachable
-           || now - worker.lastReport >= internal::runningListInterval
-           || std::ranges::any_of(worker.runs, [](const auto &it) {
-                  return it.second.phase == TaskRun::Phase::Stopping
-                         || it.second.phase == TaskRun::Phase::Unconfirmed;
-              });
+    if (!worker.fenced || !worker.reachable)
+        return true;
+    const auto age = now - worker.lastReport;
+    if (age >= internal::runningListInterval)
+        return true;
+    return std::ranges::any_of(worker.runs, [age](const auto &it) {
+        const auto &run = it.second;
+        // Only a list shows that a stopped run is gone.
+        const bool settling = run.phase == TaskRun::Phase::Stopping
+                              || run.phase == TaskRun::Phase::Unconfirmed;
+        const bool starting = run.persistent && run.percent < internal::servingPercent;
+        const bool paced = run.reserved.milliCores == 0;
+        return settling || ((starting || paced) && age >= internal::shortRunningListInterval);
+    });
 }
 
 void WorkerController::logUnreachable(const std::string &id, const Error &error)
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t batchVersion = 1;
 /** Length of a job id in a JobKey. */
 constexpr std::size_t jobKeyLength = 16;
+/** Number of payloads that a decoder keeps, and that an encoder takes for known. */
+constexpr std::uint32_t keptPayloads = 4096;
+constexpr std::uint32_t knownPayloads = keptPayloads / 2;
 /** Encodes an unknown status or count. */
 constexpr int unknownValue = -1;
 
@@ -79,10 +82,10 @@
 
     std::string finish(const PeerBatch &batch)
     {
-        const auto workers = m_builder.CreateVector(m_workers);
+        const auto workers = tables(m_workers);
         const auto statusQueries = structs(m_statusQueries);
-        const auto pendingQueries = m_builder.CreateVector(m_pendingQueries);
-        const auto starts = m_builder.CreateVector(m_starts);
+        const auto pendingQueries = tables(m_pendingQueries);
+        const auto starts = tables(m_starts);
         const auto stops = structs(m_stops);
         const auto paces = structs(m_paces);
         const auto holds = structs(m_holds);
@@ -90,13 +93,14 @@
         const auto pendingAnswers = structs(m_pendingAnswers);
         const auto confirmed = structs(m_confirmed);
         const auto refused = structs(m_refused);
-        const auto reports = m_builder.CreateVector(m_reports);
-        const auto failures = m_builder.CreateVector(m_failures);
-        const auto storedKeys = m_builder.CreateVector(m_storedKeys);
+        const auto reports = tables(m_reports);
+        const auto failures = tables(m_failures);
+        const auto storedKeys = tables(m_storedKeys);
+        const auto payloads = tables(m_payloads);
         m_builder.Finish(peers::CreateBatch(m_builder, batchVersion, batch.sentMs, batch.fence,
                                             workers, statusQueries, pendingQueries, starts, stops,
                                             paces, holds, statusAnswers, pendingAnswers, confirmed,
-                                            refused, reports, failures, storedKeys));
+                                            refused, reports, failures, storedKeys, payloads));
         return {reinterpret_cast<const char *>(m_builder.GetBufferPointer()), m_builder.GetSize()};
     }
 
@@ -108,14 +112,30 @@
         return items.empty() ? 0 : m_builder.CreateVectorOfStructs(items);
     }
 
+    template <typename Table>
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Table>>>
+    tables(const std::vector<flatbuffers::Offset<Table>> &items)
+    {
+        return items.empty() ? 0 : m_builder.CreateVector(items);
+    }
+
     std::uint32_t worker(const WorkerTarget &target)
     {
-        const auto [number, isNew] = m_encoder.number(target);
-        if (isNew)
-            m_workers.push_back(peers::CreateWorkerName(m_builder, number,
+        const auto number = m_encoder.workerNumber(target);
+        if (number.isNew)
+            m_workers.push_back(peers::CreateWorkerName(m_builder, number.value,
                                                         m_builder.CreateString(target.id),
                                                         m_builder.CreateString(target.address)));
-        return number;
+        return number.value;
+    }
+
+    std::uint32_t payload(const StartTask &order)
+    {
+        const auto number = m_encoder.payloadNumber(order.task.job);
+        if (number.isNew)
+            m_payloads.push_back(peers::CreatePayload(m_builder, number.value,
+                                                      m_builder.CreateString(order.payload)));
+        return number.value;
     }
 
     flatbuffers::Offset<flatbuffers::String> optionalText(const std::string &text)
@@ -146,11 +166,11 @@
         const auto &order = start.order;
         const auto number = worker({order.worker, start.address});
         const auto task = encodeTask(order.task);
-        const auto payload = optionalText(order.payload);
+        const auto payloadNumber = payload(order);
         const auto checkpoint = optionalText(order.checkpoint);
         const auto ticket = optionalText(order.ticket);
         m_starts.push_back(peers::CreateStart(m_builder, call, number, encodeTime(start.timeout),
-                                              &task, order.run, order.holdUntil, payload,
+                                              &task, order.run, order.holdUntil, payloadNumber,
                                               checkpoint, ticket));
     }
 
@@ -247,6 +267,7 @@
     std::vector<flatbuffers::Offset<peers::Report>> m_reports;
     std::vector<flatbuffers::Offset<peers::Failure>> m_failures;
     std::vector<flatbuffers::Offset<peers::StoredKey>> m_storedKeys;
+    std::vector<flatbuffers::Offset<peers::Payload>> m_payloads;
 };
 
 /** Calls a function for each item of a vector that may be missing. */
@@ -264,9 +285,11 @@
 {
 public:
     BatchReader(const peers::Batch &from,
-                const std::unordered_map<std::uint32_t, WorkerTarget> &workers)
+                const std::unordered_map<std::uint32_t, WorkerTarget> &workers,
+                const std::map<std::uint32_t, std::string> &payloads)
         : m_from(from)
         , m_workers(workers)
+        , m_payloads(payloads)
     {
         m_batch.sentMs = from.sent_ms();
         m_batch.fence = from.fence();
@@ -279,7 +302,7 @@
         readAnswers();
         readReports();
         if (!m_valid)
-            return Error(ErrorKind::Corrupt, "batch has an unknown worker number or value");
+            return Error(ErrorKind::Corrupt, "batch has an unknown number or value");
         return std::move(m_batch);
     }
 
@@ -301,6 +324,13 @@
         return it == m_workers.end() ? WorkerTarget{} : it->second;
     }
 
+    std::string payload(std::uint32_t number)
+    {
+        const auto it = m_payloads.find(number);
+        m_valid = m_valid && it != m_payloads.end();
+        return it == m_payloads.end() ? std::string() : it->second;
+    }
+
     template <typename Enum>
     Enum enumValue(int value, Enum first, Enum last)
     {
@@ -326,10 +356,9 @@
     {
         forEach(m_from.starts(), [this](const peers::Start &it) {
             auto target = worker(it.worker());
-            StartTask order{
-                    std::move(target.id),   decodeTask(*it.task()),    it.run(),
-                    toString(it.payload()), toString(it.checkpoint()), toString(it.ticket()),
-                    it.hold_until()};
+            StartTask order{std::move(target.id),  decodeTask(*it.task()),    it.run(),
+                            payload(it.payload()), toString(it.checkpoint()), toString(it.ticket()),
+                            it.hold_until()};
             addRequest(it.call(), DelegatedStart{std::move(order), std::move(target.address),
                                                  Milliseconds(it.timeout_ms())});
         });
@@ -422,19 +451,34 @@
 
     const peers::Batch &m_from;
     const std::unordered_map<std::uint32_t, WorkerTarget> &m_workers;
+    const std::map<std::uint32_t, std::string> &m_payloads;
     PeerBatch m_batch;
     bool m_valid = true;
 };
 
 } // namespace internal
 
-std::pair<std::uint32_t, bool> PeerEncoder::number(const WorkerTarget &worker)
+PeerEncoder::Number PeerEncoder::workerNumber(const WorkerTarget &worker)
 {
-    const auto [it, isNew] = m_numbers.try_emplace(worker.id + '@' + worker.address,
-                                                   static_cast<std::uint32_t>(m_numbers.size()));
+    const auto [it, isNew] = m_workers.try_emplace(worker.id + '@' + worker.address,
+                                                   static_cast<std::uint32_t>(m_workers.size()));
     return {it->second, isNew};
 }
 
+PeerEncoder::Number PeerEncoder::payloadNumber(const std::string &job)
+{
+    const auto it = m_payloads.find(job);
+    if (it != m_payloads.end())
+        return {it->second, false};
+    if (m_payloadJobs.size() >= internal::knownPayloads) {
+        m_payloads.erase(m_payloadJobs.front());
+        m_payloadJobs.pop_front();
+    }
+    m_payloads.emplace(job, ++m_lastPayload);
+    m_payloadJobs.push_back(job);
+    return {m_lastPayload, true};
+}
+
 std::string PeerEncoder::encode(const PeerBatch &batch)
 {
     internal::BatchBuilder builder(*this);
@@ -458,7 +502,12 @@
     internal::forEach(from.workers(), [this](const peers::WorkerName &it) {
         m_workers[it.number()] = {it.id()->str(), it.address()->str()};
     });
-    return internal::BatchReader(from, m_workers).read();
+    internal::forEach(from.payloads(), [this](const peers::Payload &it) {
+        m_payloads[it.number()] = it.text()->str();
+        while (m_payloads.size() > internal::keptPayloads)
+            m_payloads.erase(m_payloads.begin());
+    });
+    return internal::BatchReader(from, m_workers, m_payloads).read();
 }
 
 } // namespace dragonflysill
--- a/src/peers/peerserver.cpp
+++ b/src/peers/peerserver.cpp
@@ -14,7 +14,7 @@
 using namespace std::chrono_literals;
 
 /** Time for which an answer waits for others to share its frame. */
-constexpr Duration answerFlushDelay = 3ms;
+constexpr Duration answerFlushDelay = 5ms;
 
 class PeerSession;
 
--- a/tests/jobs/decisioncosttest.cpp
+++ b/tests/jobs/decisioncosttest.cpp
@@ -75,8 +75,8 @@
                <= allowedGrowth * static_cast<double>(few.stepsExamined));
 }
 
-// Guards against free capacity that stays unused in a turn: while hundreds of large steps that fit on
-// no worker wait first, the small steps behind them must be found after each event.
+// Guards against free capacity that stays unused in a turn: while hundreds of large steps that fit
+// on no worker wait first, the small steps behind them must be found after each event.
 BOOST_AUTO_TEST_CASE(OfAnEventDoesNotGrowWithStepsThatAreTooLarge)
 {
     constexpr int largeSteps = 500;
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -150,6 +150,26 @@
     BOOST_TEST(replica.job(removed) == nullptr);
 }
 
+// The owner follows new jobs alone. Guards against a list of them that drops the progress, which
+// the owner itself has written.
+BOOST_AUTO_TEST_CASE(ListOfTheJobsKeepsTheirProgress)
+{
+    StateReplica replica;
+    replica.followJobs(true);
+    const std::string removed = "0123456789abcde1";
+    JobProgress running;
+    running.state = JobStatus::Running;
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), "record", 2);
+    replica.applyOwn(nodekeys::key(nodekeys::progress, jobId), encodeProgress(running), 3);
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, removed), "record", 2);
+    const std::vector<KeyValue> items{{nodekeys::key(nodekeys::jobs, jobId), "record", 2, 2, 0}};
+    replica.reset(nodekeys::jobs, items, 5);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Running));
+    BOOST_TEST(replica.job(removed) == nullptr);
+    replica.reset(nodekeys::cancelled, {}, 6);
+    BOOST_TEST(replica.job(jobId) != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(NodeThatDoesNotFollowJobsKeepsNone)
 {
     StateReplica replica;
@@ -492,6 +512,30 @@
     BOOST_TEST(asOf == store.revision);
 }
 
+BOOST_AUTO_TEST_CASE(WatchGoesOnFromAKnownRevisionWithoutAList)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.put("p/1", "old");
+    const auto known = store.revision;
+    store.put("p/2", "new");
+    store.watchLimit = 1;
+    int lists = 0;
+    std::vector<std::string> changed;
+    PrefixWatcher watcher(loop, store, "p/", {},
+                          {[&](std::span<const KeyValue>, std::int64_t) { ++lists; },
+                           [&](std::span<const KeyUpdate> updates, std::int64_t) {
+                               for (const auto &it : updates)
+                                   changed.push_back(it.key);
+                           }});
+    watcher.startFrom(known);
+    loop.run();
+    BOOST_TEST(lists == 0);
+    BOOST_REQUIRE(changed.size() == 1U);
+    BOOST_TEST(changed[0] == "p/2");
+    BOOST_TEST(watcher.asOf() == store.revision);
+}
+
 // The store may compact its history at any time.
 BOOST_AUTO_TEST_CASE(CompactedHistoryLeadsToANewList)
 {
--- a/tests/peers/codectest.cpp
+++ b/tests/peers/codectest.cpp
@@ -143,6 +143,35 @@
     BOOST_TEST(messageOf<DelegatedStart>(decoded->requests, 3).order.worker == "w");
 }
 
+// A job's payload may be kilobytes long, and its tasks start on many workers.
+BOOST_AUTO_TEST_CASE(PayloadOfAJobIsSentOnceOnAConnection)
+{
+    PeerEncoder encoder;
+    PeerDecoder decoder;
+    const auto batchOf = [](const std::string &job, std::uint32_t call) {
+        PeerBatch batch;
+        batch.requests
+                = {{call, DelegatedStart{{"w", {job, 0, 0, 0}, 1, "payload of " + job, {}, {}, 9},
+                                         "a:1",
+                                         500ms}}};
+        return batch;
+    };
+    const auto payloadOf = [&](const std::string &job, std::uint32_t call) {
+        const auto decoded = decoder.decode(encoder.encode(batchOf(job, call)));
+        BOOST_REQUIRE(decoded.ok());
+        return messageOf<DelegatedStart>(decoded->requests, call).order.payload;
+    };
+    BOOST_TEST(payloadOf("first", 1) == "payload of first");
+    BOOST_TEST(payloadOf("first", 2) == "payload of first");
+    BOOST_TEST(encoder.encode(batchOf("first", 3)).find("payload of first") == std::string::npos);
+    // Many other jobs push it out of what both sides keep.
+    for (int n = 0; n < 10000; ++n) {
+        const auto job = "job-" + std::to_string(n);
+        BOOST_REQUIRE(payloadOf(job, 4) == "payload of " + job);
+    }
+    BOOST_TEST(payloadOf("first", 5) == "payload of first");
+}
+
 // Guards against orders to a worker that the sender did not mean: a decoder that has missed a batch
 // does not know what the numbers of the next one stand for.
 BOOST_AUTO_TEST_CASE(BatchWithUnknownWorkerNumberIsCorrupt)
