--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -284,8 +284,8 @@
     return std::ranges::any_of(worker.runs, [age](const auto &it) {
         const auto &run = it.second;
         // Only a list shows that a stopped run is gone.
-        const bool settling = run.phase == TaskRun::Phase::Stopping
-                              || run.phase == TaskRun::Phase::Unconfirmed;
+        const bool settling
+                = run.phase == TaskRun::Phase::Stopping || run.phase == TaskRun::Phase::Unconfirmed;
         const bool starting = run.persistent && run.percent < internal::servingPercent;
         const bool paced = run.reserved.milliCores == 0;
         return settling || ((starting || paced) && age >= internal::shortRunningListInterval);
