--- a/src/node/statuswaiters.cpp
+++ b/src/node/statuswaiters.cpp
@@ -45,11 +45,11 @@
     const auto now = EventLoop::now();
     std::vector<std::pair<Waiter, std::string>> expired;
     for (auto &[job, waiters] : m_waiting) {
-        const auto first = std::ranges::partition(
-                waiters, [now](const Waiter &it) { return now < it.until; });
-        for (auto &waiter : first)
-            expired.emplace_back(std::move(waiter), job);
-        waiters.erase(first.begin(), first.end());
+        const auto first = std::partition(waiters.begin(), waiters.end(),
+                                          [now](const Waiter &it) { return now < it.until; });
+        std::for_each(first, waiters.end(),
+                      [&](Waiter &it) { expired.emplace_back(std::move(it), job); });
+        waiters.erase(first, waiters.end());
     }
     std::erase_if(m_waiting, [](const auto &it) { return it.second.empty(); });
     for (const auto &[waiter, job] : expired)
--- a/tests/jobs/decisioncosttest.cpp
+++ b/tests/jobs/decisioncosttest.cpp
@@ -85,7 +85,7 @@
         harness.addWorker("worker-" + std::to_string(n), coresPerWorker);
     for (int n = 0; n < workerCount; ++n) {
         auto filling = step(1);
-        filling.need.milliCores = (coresPerWorker - 1) * 1000;
+        filling.need.milliCores = std::int64_t{coresPerWorker - 1} * 1000;
         harness.addJob(job(jobName(n), {filling}));
     }
     do {
--- a/tests/jobs/decisionstest.cpp
+++ b/tests/jobs/decisionstest.cpp
@@ -170,12 +170,12 @@
     Fleet fleet({{"a", 10}, {"b", 10}}, 40);
     for (auto &it : fleet.view.instances)
         it.memoryMb = 128000;
-    fleet.view.load["a"].runningMilliCores = 24 * 9000;
-    fleet.view.load["a"].memoryMb = 24 * 64000;
+    fleet.view.load["a"].runningMilliCores = std::int64_t{24} * 9000;
+    fleet.view.load["a"].memoryMb = std::int64_t{24} * 64000;
     PoolBalancer balancer;
     balancer.decide(fleet.view, fleet.now);
     BOOST_TEST(balancer.neededInstances("a") >= 12);
-    fleet.view.load["a"].memoryMb = 24 * 4000;
+    fleet.view.load["a"].memoryMb = std::int64_t{24} * 4000;
     balancer.decide(fleet.view, fleet.now);
     BOOST_TEST(balancer.neededInstances("a") <= 5);
 }
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -609,6 +609,7 @@
 {
     StateReplica replica;
     std::vector<KeyValue> items;
+    items.reserve(12);
     for (int n = 0; n < 12; ++n)
         items.push_back({nodekeys::key(nodekeys::nodes, "node-" + std::to_string(n)),
                          n == 3 || n == 7 ? "500" : "120", n + 1, n + 1, 0});
