Let Retry-After grow with the time for which nothing can be accepted

Change: RetryAdvice asks for about as long as the outage has lasted, 1 s to 6 s on average, spread by half. The change serves callers that do as asked.

--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dragonflysill/base/latencyhistogram.h"
-#include "dragonflysill/base/random.h"
 #include "dragonflysill/jobs/fleetconfiguration.h"
+#include "dragonflysill/jobs/retryadvice.h"
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/batchwriter.h"
 #include "dragonflysill/node/statereplica.h"
@@ -101,7 +101,8 @@
     OwnerRequests m_ownerRequests;
     std::optional<FleetConfiguration> m_configuration;
     bool m_storeReachable = false;
-    Random m_random;
+    std::optional<TimePoint> m_unreachableSince;
+    RetryAdvice m_retryAdvice;
     JobServiceCounts m_counts;
     LatencyHistogram m_submissionLatency;
 };
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -25,11 +25,6 @@
 /** Wait for the store if neither the request nor the queue sets a timeout; also the maximum wait.
  */
 constexpr Milliseconds defaultWait = 2000ms;
-/**
- * Retry-After of rejected submissions is random between 1 and this many seconds, to spread the
- * retries.
- */
-constexpr std::size_t maxRetryAfterS = 2;
 
 /** Names of the values of PendingWrite::Outcome in the log. */
 constexpr std::array outcomeNames{"stored", "existed", "not-done", "unknown"};
@@ -46,7 +41,7 @@
     : m_store(store)
     , m_replica(replica)
     , m_writer(loop, store)
-    , m_random(seed)
+    , m_retryAdvice(seed)
 {
 }
 
@@ -59,14 +54,19 @@
 void JobService::setStoreReachable(bool reachable)
 {
     m_storeReachable = reachable;
-    if (!reachable)
-        m_writer.completeAll();
+    if (reachable) {
+        m_unreachableSince.reset();
+        return;
+    }
+    m_unreachableSince = m_unreachableSince.value_or(EventLoop::now());
+    m_writer.completeAll();
 }
 
 HttpResponse JobService::notAccepted()
 {
     ++m_counts.rejected;
-    const auto seconds = 1 + m_random.below(internal::maxRetryAfterS);
+    const auto outage = m_unreachableSince ? EventLoop::now() - *m_unreachableSince : Duration{0};
+    const auto seconds = m_retryAdvice.secondsAfter(outage);
     return {503, {}, {{"Retry-After", std::to_string(seconds)}}};
 }
 
