Start only as many tasks as the link of the owner's machine carries

Cause: on nodes of 2 Mbit/s (small twins) the orders of a turn filled the owner's link. The governor sees a late loop and slow answers, not the link. Nodes now also register their bandwidth: the field had stayed 0, so that delegates were chosen by processor alone.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -9,6 +9,7 @@
 #include "dragonflysill/jobs/waitingqueue.h"
 #include "dragonflysill/jobs/workerstate.h"
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <set>
@@ -209,6 +210,9 @@
      */
     std::vector<SchedulerAction> decideAfterEvent(TimePoint now, std::int64_t unixMs);
 
+    /** Bounds the starts of later decisions below maxStartsPerDecision; 0 allows none. */
+    void setStartLimit(int starts) { m_startLimit = std::clamp(starts, 0, maxStartsPerDecision); }
+
     /** Returns true if the last decision ended at its maximum number of starts. */
     [[nodiscard]] bool hasMoreStarts() const { return m_startsLeft <= 0; }
 
@@ -305,6 +309,7 @@
     TimePoint m_queuesRebuiltAt{};
     std::set<std::string, std::less<>> m_changedPools; ///< Pools where starts may be possible now.
     std::string m_lastPool; ///< Pool that was served last.
+    int m_startLimit = maxStartsPerDecision;
     int m_startsLeft = maxStartsPerDecision; ///< In the current decision.
     StringMap<WorkerState> m_workers;
     std::map<std::string, std::vector<WorkerState *>, std::less<>> m_pools;
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -106,6 +106,8 @@
     void ownershipLost(const std::string &reason);
     void checkStore();
     void checkLoad();
+    /** Records the bytes of all connections for the link budget. */
+    void recordTraffic(TimePoint now);
     void logLoad(const LoadReport &load);
     void finishStop(TimePoint latest);
     [[nodiscard]] bool ready() const;
@@ -142,6 +144,7 @@
     TimePoint m_storeCheckedAt{};
     LoadMonitor m_load;
     LoadGovernor m_governor;
+    LinkBudget m_linkBudget;
     WorkerDelegate m_delegate;
     LoadLogState m_loadLogged;
 };
--- a/include/dragonflysill/node/noderegistration.h
+++ b/include/dragonflysill/node/noderegistration.h
@@ -12,6 +12,10 @@
 
 namespace dragonflysill {
 
+namespace platform {
+struct NodeSettings;
+}
+
 /** What other nodes know of a running node. */
 struct RegisteredNode
 {
@@ -24,6 +28,12 @@
     bool operator==(const RegisteredNode &) const = default;
 };
 
+/** Returns the address for requests of other nodes; empty if the settings name no port for it. */
+std::string peerAddress(const platform::NodeSettings &settings);
+
+/** Returns what a node with these settings registers. */
+RegisteredNode registrationOf(const platform::NodeSettings &settings);
+
 /** Returns the value that is stored under a node's name. */
 std::string encodeRegistration(const RegisteredNode &node);
 
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/base/latencyhistogram.h"
 #include "dragonflysill/jobs/fleetconfiguration.h"
+#include "dragonflysill/jobs/linkbudget.h"
 #include "dragonflysill/jobs/loadgovernor.h"
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/net/httpclient.h"
@@ -38,6 +39,7 @@
     StateReplica &replica;
     const platform::NodeSettings &settings;
     LoadGovernor &governor;
+    LinkBudget &linkBudget;
     NodePeers &peers;
     std::function<bool()> mayGiveOrders; ///< Returns whether this node still owns the schedule.
     std::function<bool()> mayExtendHolds; ///< Returns whether it may still extend holds.
@@ -113,6 +115,8 @@
     bool mayDecide();
     void decide();
     void decideAfterEvent();
+    /** Bounds the starts of the next decision to what the machine's link carries. */
+    void limitStarts();
     void carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt);
     void saveProgress();
     void saveUpdates(std::vector<ProgressUpdate> updates);
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -28,7 +28,7 @@
 
 void Scheduler::dispatchPools(const std::vector<std::string> &pools, Search search, TimePoint now)
 {
-    m_startsLeft = maxStartsPerDecision;
+    m_startsLeft = m_startLimit;
     const auto first
             = static_cast<std::size_t>(std::ranges::upper_bound(pools, m_lastPool) - pools.begin());
     for (std::size_t n = 0; n < pools.size() && m_startsLeft > 0; ++n) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -79,13 +79,6 @@
 /** Part of the grace period that is left unused, so that the process exits before it is killed. */
 constexpr Duration stopMargin = 1500ms;
 
-/** Returns the address for requests of other nodes; empty if the settings name no port for it. */
-std::string peerAddress(const platform::NodeSettings &settings)
-{
-    return settings.firstPort == 0 ? std::string()
-                                   : settings.ip + ':' + std::to_string(settings.firstPort);
-}
-
 std::uint64_t randomSeed(const platform::NodeSettings &settings)
 {
     return stableHash(settings.name)
@@ -152,10 +145,9 @@
                        ownershipGained(fence, generation);
                    },
                    [this](const std::string &reason) { ownershipLost(reason); }})
-    , m_registration(
-              loop, m_store,
-              {settings.name, settings.milliCores, internal::peerAddress(settings), settings.zone})
+    , m_registration(loop, m_store, registrationOf(settings))
     , m_load(internal::loadCheckInterval, internal::loadReportInterval)
+    , m_linkBudget(settings.linkBytesPerSecond)
     , m_delegate(loop, m_holdClient, m_orderClient, m_governor)
 {
     m_replica.setListener([this](const std::string &id, const ReplicatedJob &job) {
@@ -178,7 +170,7 @@
         if (auto opened = m_operators.listen(m_metricsAddress); !opened)
             return opened;
     }
-    if (const auto address = internal::peerAddress(m_settings); !address.empty()) {
+    if (const auto address = peerAddress(m_settings); !address.empty()) {
         if (auto opened = m_peers.listen(address); !opened)
             return opened;
     }
@@ -217,12 +209,27 @@
     if (const auto load = m_load.timerRan(now, EventLoop::processorTime()))
         logLoad(*load);
     m_governor.recordLoopDelay(m_load.lastDelay(), now);
+    recordTraffic(now);
     if (m_owner)
         setStateWatchPause(
                 m_governor.stretched(internal::ownerWatchPause, internal::standbyWatchPause));
     m_loop.after(internal::loadCheckInterval, [this] { checkLoad(); });
 }
 
+void Node::recordTraffic(TimePoint now)
+{
+    const auto peers = m_peers.traffic();
+    auto sent = peers.bytesSent;
+    auto received = peers.bytesReceived;
+    for (const auto *it :
+         {&m_storeClient.traffic(), &m_holdClient.traffic(), &m_orderClient.traffic(),
+          &m_serviceClient.traffic(), &m_front.traffic()}) {
+        sent += it->bytesSent;
+        received += it->bytesReceived;
+    }
+    m_linkBudget.record(sent, received, now);
+}
+
 void Node::logLoad(const LoadReport &load)
 {
     const auto &holds = m_holdClient.traffic();
@@ -506,7 +513,8 @@
     m_loadLogged.decisionTime = Duration{0};
     m_owner = std::make_unique<ScheduleOwner>(
             OwnerContext{m_loop, m_store, m_holdClient, m_orderClient, m_serviceClient, m_replica,
-                         m_settings, m_governor, m_peers, [this] { return m_ownership.valid(); },
+                         m_settings, m_governor, m_linkBudget, m_peers,
+                         [this] { return m_ownership.valid(); },
                          [this] { return m_ownership.mayExtendHolds(); },
                          [this] { m_loop.post([this] { m_ownership.newerOwnerSeen(); }); }},
             fence, generation);
--- a/src/node/noderegistration.cpp
+++ b/src/node/noderegistration.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/base/hash.h"
 #include "dragonflysill/node/nodekeys.h"
+#include "nodesettings.h"
 
 #include <algorithm>
 #include <charconv>
@@ -22,6 +23,18 @@
 
 } // namespace internal
 
+std::string peerAddress(const platform::NodeSettings &settings)
+{
+    return settings.firstPort == 0 ? std::string()
+                                   : settings.ip + ':' + std::to_string(settings.firstPort);
+}
+
+RegisteredNode registrationOf(const platform::NodeSettings &settings)
+{
+    return {settings.name, settings.milliCores, peerAddress(settings), settings.zone,
+            settings.linkBytesPerSecond};
+}
+
 std::string encodeRegistration(const RegisteredNode &node)
 {
     return std::to_string(node.milliCores) + ' ' + node.peerAddress + ' ' + node.zone + ' '
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -219,6 +219,7 @@
         m_routes.update(now);
         removeOldJobs();
     }
+    limitStarts();
     carryOut(m_scheduler.decide(now, unixMilliseconds()), now);
 }
 
@@ -227,16 +228,25 @@
     if (!mayDecide())
         return;
     const auto now = EventLoop::now();
+    limitStarts();
     carryOut(m_scheduler.decideAfterEvent(now, unixMilliseconds()), now);
 }
 
+void ScheduleOwner::limitStarts()
+{
+    m_scheduler.setStartLimit(m_context.linkBudget.starts(Scheduler::maxStartsPerDecision));
+}
+
 void ScheduleOwner::carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt)
 {
     for (const auto &it : actions)
         m_workerController.execute(it);
     m_workerController.sendDueHolds(startedAt);
     saveProgress();
-    if (m_scheduler.hasMoreStarts())
+    m_context.linkBudget.started(static_cast<int>(std::ranges::count_if(
+            actions, [](const auto &it) { return std::holds_alternative<StartTask>(it); })));
+    // On a full link, the next decision without an event is early enough.
+    if (m_scheduler.hasMoreStarts() && m_context.linkBudget.starts(1) > 0)
         requestDecision();
     ++m_decisionCounts.decisions;
     m_decisionCounts.time += EventLoop::now() - startedAt;
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -12,6 +12,7 @@
 #include "dragonflysill/node/statereplica.h"
 #include "dragonflysill/node/storereachability.h"
 #include "dragonflysill/node/workerrecord.h"
+#include "nodesettings.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -688,6 +689,21 @@
     BOOST_TEST(candidate.gained.size() == 1U);
 }
 
+// The delegates of workers are chosen by processor and bandwidth.
+BOOST_AUTO_TEST_CASE(NodeRegistersItsBandwidth)
+{
+    platform::NodeSettings settings;
+    settings.name = "node-1";
+    settings.ip = "10.1.0.9";
+    settings.firstPort = 7060;
+    settings.milliCores = 120;
+    settings.linkBytesPerSecond = 250000;
+    const auto node = registrationOf(settings);
+    BOOST_TEST(node.peerAddress == "10.1.0.9:7060");
+    BOOST_TEST(node.milliCores == 120);
+    BOOST_TEST(node.linkBytesPerSecond == 250000);
+}
+
 BOOST_AUTO_TEST_CASE(RegistrationNamesCapacityPeerAddressAndZone)
 {
     const RegisteredNode node{"node-1", 250, "10.0.0.1:7000", "zone-a", 1.25e6};
