--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -3,6 +3,7 @@
 
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/telemetry/settings.h"
+#include "faultseries.h"
 #include "fleetstandin.h"
 
 #include <algorithm>
@@ -203,6 +204,7 @@
     int jobs = 300;
     int spacingMs = 25;
     int limitS = 90;
+    std::uint64_t faultSeed = 0;
     std::string deployment = "tubo-sul";
     Settings flags("fleet-standin", "Simulates the users' platform and its callers on loopback.",
                    DRAGONFLYSILL_VERSION);
@@ -219,6 +221,8 @@
     flags.add("deployment", deployment, "tubo-sul or petal-cluster");
     flags.add("workers-per-pool", shape.workersPerPool, "number of backend servers of each pool");
     flags.add("seed", shape.seed, "seed of the tasks' run times");
+    flags.add("fault-seed", faultSeed,
+              "seed of a series of faults of the store and of backend servers; 0 for none");
     if (const auto code = flags.parse(argc, argv))
         return *code;
 
@@ -244,10 +248,17 @@
     Callers callers(loop, nodeAddresses, shape.pools, jobs, std::chrono::milliseconds(spacingMs));
     callers.start();
     loop.after(2s, [&fleet, &shape] { fleet.requestWave(shape.pools.front(), 2); });
+    FaultSeries faults(loop, fleet, faultSeed);
+    if (faultSeed != 0)
+        faults.start(jobs * Duration(std::chrono::milliseconds(spacingMs)));
     std::function<void(int)> reportProgress = [&](int second) {
         std::cout << "second " << second << ": accepted " << callers.accepted << ", completed "
                   << callers.completed << ", maintained " << fleet.tally().maintained << std::endl;
-        if ((callers.finished() && fleet.waveCompleted()) || second >= limitS)
+        const bool broken = callers.lost > 0 || fleet.tally().duplicateStarts > 0
+                            || fleet.tally().outOfOrder > 0 || fleet.tally().overCeiling > 0;
+        if (broken)
+            std::cout << "a promise is broken in second " << second << std::endl;
+        if ((callers.finished() && fleet.waveCompleted()) || second >= limitS || broken)
             loop.stop();
         else
             loop.after(1s, [&reportProgress, second] { reportProgress(second + 1); });
