Keep the former owner's replica complete after it has lost the ownership

A node that owns the schedule again with such a replica starts tasks that have ended, and does not wait for workers that still hold runs. Change: StateFollower (split off Node) goes on from the revision up to which the store named this node as the owner, and lists all keys if a write has no known outcome. OwnerStore applies the owner's writes to the replica and counts the unknown outcomes. Tests: FollowingOfKeys/ProgressOfTheNextOwnerIsReadAfterTheOwnershipWasLost fails with the revision of the watches (the rule before), WritesOfTheOwner/ReplicaKnowsWhatTheOwnerHasWritten and WriteWithALostResponseStaysUnconfirmed. FakeStore's watch now reports only keys with the prefix, as the store does.

--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -9,18 +9,18 @@
 #include "dragonflysill/node/noderegistration.h"
 #include "dragonflysill/node/observedstore.h"
 #include "dragonflysill/node/ownership.h"
+#include "dragonflysill/node/ownerstore.h"
 #include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/scheduleowner.h"
+#include "dragonflysill/node/statefollower.h"
 #include "dragonflysill/node/statereplica.h"
 #include "dragonflysill/node/statuswaiters.h"
 #include "dragonflysill/node/workerdelegate.h"
 
 #include <cstdint>
-#include <initializer_list>
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace dragonflysill {
@@ -70,24 +70,12 @@
     void stop();
 
 private:
-    /** Keys of jobs that a node follows. */
-    enum class Following {
-        Nothing,
-        AllKeys, ///< To take over the schedule.
-        NewJobs, ///< Accepted and cancelled jobs; the owner itself writes all other keys.
-    };
-
     void configurationChanged(std::int64_t revision, const std::string &bytes);
     void operatorKeyChanged(const std::string &key, std::int64_t revision,
                             const std::string &bytes);
     void replicaChanged();
     /** Follows the keys of jobs that the node's part requires. */
-    void updateStateWatchers();
-    /** Watches keys, from a revision up to which they are known, or 0 to list them first. */
-    void watchState(std::initializer_list<std::string_view> prefixes, std::int64_t asOf);
-    void setStateWatchPause(Duration pause);
-    /** Returns handlers that apply the keys with a prefix to the replica. */
-    PrefixWatcher::Handlers replicaHandlers(std::string_view prefix);
+    void followState();
     /** Answers a request of another node. */
     void handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond);
     /** Answers a status query as the owner of the schedule; no value if this node is not the owner.
@@ -130,13 +118,13 @@
     std::string m_metricsAddress;
     NodePeers m_peers;
     StatusWaiters m_statusWaiters;
+    StateFollower m_stateFollower;
     PrefixWatcher m_ownerWatcher;
     PrefixWatcher m_nodesWatcher;
-    Following m_following = Following::Nothing;
-    std::vector<std::unique_ptr<PrefixWatcher>> m_stateWatchers;
     PrefixWatcher m_operatorWatcher;
     Ownership m_ownership;
     NodeRegistration m_registration;
+    std::unique_ptr<OwnerStore> m_ownerStore;
     std::unique_ptr<ScheduleOwner> m_owner;
     std::map<std::int64_t, MaintenanceWave> m_waves; ///< All waves that the operators requested.
     bool m_stopping = false;
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -120,8 +120,7 @@
     void carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt);
     void saveProgress();
     void saveUpdates(std::vector<ProgressUpdate> updates);
-    void progressSaved(std::vector<ProgressUpdate> updates, const ConditionalWrite &write,
-                       const Result<WriteOutcome> &outcome);
+    void progressSaved(std::vector<ProgressUpdate> updates, const Result<WriteOutcome> &outcome);
     void logJobEnd(const ProgressUpdate &update) const;
     void removeOldJobs();
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -122,11 +122,13 @@
                   handlePeerRequest(std::move(request), respond);
               })
     , m_statusWaiters(loop, [this](const std::string &job) { return m_replica.status(job); })
+    , m_stateFollower(loop, m_store, m_replica, [this] { replicaChanged(); })
     , m_ownerWatcher(loop, m_store, std::string(nodekeys::owner),
-                     {Duration{0}, internal::ownerWatchWait}, replicaHandlers(nodekeys::owner))
+                     {Duration{0}, internal::ownerWatchWait},
+                     m_stateFollower.handlers(nodekeys::owner))
     , m_nodesWatcher(loop, m_store, std::string(nodekeys::nodes),
                      {internal::nodesWatchPause, internal::nodesWatchWait},
-                     replicaHandlers(nodekeys::nodes))
+                     m_stateFollower.handlers(nodekeys::nodes))
     , m_operatorWatcher(loop, m_store, platform::prefixOperator,
                         {Duration{0}, internal::operatorWatchWait},
                         {[this](std::span<const KeyValue> items, std::int64_t) {
@@ -211,7 +213,7 @@
     m_governor.recordLoopDelay(m_load.lastDelay(), now);
     recordTraffic(now);
     if (m_owner)
-        setStateWatchPause(
+        m_stateFollower.setPause(
                 m_governor.stretched(internal::ownerWatchPause, internal::standbyWatchPause));
     m_loop.after(internal::loadCheckInterval, [this] { checkLoad(); });
 }
@@ -349,72 +351,28 @@
         m_owner->setConfiguration(*m_service.configuration());
 }
 
-PrefixWatcher::Handlers Node::replicaHandlers(std::string_view prefix)
-{
-    return {[this, prefix](std::span<const KeyValue> items, std::int64_t asOf) {
-                m_replica.reset(prefix, items, asOf);
-                replicaChanged();
-            },
-            [this, prefix](std::span<const KeyUpdate> updates, std::int64_t asOf) {
-                m_replica.apply(prefix, updates, asOf);
-                replicaChanged();
-            }};
-}
-
 void Node::replicaChanged()
 {
+    // No other node writes the owner's keys while the store names this node as the owner.
+    if (m_owner && m_replica.owner().revision == m_ownership.fence())
+        m_stateFollower.setKnownRevision(m_replica.ownerAsOf());
     m_ownership.check();
     // A watcher must not end within its own handler.
-    m_loop.post([this] { updateStateWatchers(); });
+    m_loop.post([this] { followState(); });
 }
 
-void Node::updateStateWatchers()
+void Node::followState()
 {
-    auto following = Following::Nothing;
-    if (m_owner)
-        following
-                = m_replica.asOf() >= m_ownership.fence() ? Following::NewJobs : Following::AllKeys;
-    else if (isStandby(m_replica, m_settings.name))
-        following = Following::AllKeys;
-    const auto before = m_following;
+    using Keys = StateFollower::Keys;
     // The owner goes on with new jobs once it knows all keys.
-    if (following == before || (m_owner && before == Following::NewJobs))
+    if (m_owner && m_stateFollower.keys() == Keys::NewJobs)
         return;
-    m_following = following;
-    auto asOf = before == Following::AllKeys ? m_replica.asOf() : std::int64_t{0};
-    for (const auto &it : m_stateWatchers) {
-        if (before == Following::NewJobs)
-            asOf = asOf == 0 ? it->asOf() : std::min(asOf, it->asOf());
-    }
-    logInfo("jobs-followed", {{"keys", following == Following::Nothing   ? "none"
-                                       : following == Following::AllKeys ? "all"
-                                                                         : "new"}});
-    m_stateWatchers.clear();
-    m_replica.followJobs(following != Following::Nothing);
-    if (following == Following::AllKeys)
-        watchState({nodekeys::root}, asOf);
-    else if (following == Following::NewJobs)
-        watchState({nodekeys::jobs, nodekeys::cancelled}, asOf);
-}
-
-void Node::watchState(std::initializer_list<std::string_view> prefixes, std::int64_t asOf)
-{
-    const auto pause = m_owner ? internal::ownerWatchPause : internal::standbyWatchPause;
-    for (const auto prefix : prefixes) {
-        m_stateWatchers.push_back(std::make_unique<PrefixWatcher>(
-                m_loop, m_store, std::string(prefix), PrefixWatcher::Timing{pause},
-                replicaHandlers(prefix)));
-        if (asOf == 0)
-            m_stateWatchers.back()->start();
-        else
-            m_stateWatchers.back()->startFrom(asOf);
-    }
-}
-
-void Node::setStateWatchPause(Duration pause)
-{
-    for (const auto &it : m_stateWatchers)
-        it->setPause(pause);
+    auto keys = Keys::None;
+    if (m_owner)
+        keys = m_replica.asOf() >= m_ownership.fence() ? Keys::NewJobs : Keys::All;
+    else if (isStandby(m_replica, m_settings.name))
+        keys = Keys::All;
+    m_stateFollower.follow(keys, m_owner ? internal::ownerWatchPause : internal::standbyWatchPause);
 }
 
 void Node::handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond)
@@ -511,15 +469,16 @@
             {{"fence", std::to_string(fence)}, {"generation", std::to_string(generation)}});
     m_loadLogged.decisions = 0;
     m_loadLogged.decisionTime = Duration{0};
+    m_ownerStore = std::make_unique<OwnerStore>(m_store, m_replica);
     m_owner = std::make_unique<ScheduleOwner>(
-            OwnerContext{m_loop, m_store, m_holdClient, m_orderClient, m_serviceClient, m_replica,
-                         m_settings, m_governor, m_linkBudget, m_peers,
+            OwnerContext{m_loop, *m_ownerStore, m_holdClient, m_orderClient, m_serviceClient,
+                         m_replica, m_settings, m_governor, m_linkBudget, m_peers,
                          [this] { return m_ownership.valid(); },
                          [this] { return m_ownership.mayExtendHolds(); },
                          [this] { m_loop.post([this] { m_ownership.newerOwnerSeen(); }); }},
             fence, generation);
-    updateStateWatchers();
-    setStateWatchPause(internal::ownerWatchPause);
+    followState();
+    m_stateFollower.setPause(internal::ownerWatchPause);
     if (m_service.configuration())
         m_owner->setConfiguration(*m_service.configuration());
     for (const auto &[number, wave] : m_waves)
@@ -529,10 +488,13 @@
 void Node::ownershipLost(const std::string &reason)
 {
     logInfo("ownership-lost", {{"reason", reason}});
-    setStateWatchPause(internal::standbyWatchPause);
-    m_loop.post([this] { updateStateWatchers(); });
+    m_stateFollower.setPause(internal::standbyWatchPause);
+    if (m_ownerStore->unconfirmedWrites() > 0)
+        m_stateFollower.setKnownRevision(0);
+    m_loop.post([this] { followState(); });
     // Deleted later, because a function of the owner may be on the call stack.
-    m_loop.post([owner = std::shared_ptr<ScheduleOwner>(std::move(m_owner))] {});
+    m_loop.post([store = std::shared_ptr<OwnerStore>(std::move(m_ownerStore)),
+                 owner = std::shared_ptr<ScheduleOwner>(std::move(m_owner))] {});
 }
 
 void Node::stop()
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -281,23 +281,19 @@
         write.writes.push_back({key, encodeProgress(it.progress), 0});
     }
     ++m_savesInFlight;
-    m_context.store.write(write, [this, alive = m_alive, write, updates = std::move(updates)](
+    m_context.store.write(write, [this, alive = m_alive, updates = std::move(updates)](
                                          const Result<WriteOutcome> &outcome) mutable {
         if (*alive)
-            progressSaved(std::move(updates), write, outcome);
+            progressSaved(std::move(updates), outcome);
     });
 }
 
 void ScheduleOwner::progressSaved(std::vector<ProgressUpdate> updates,
-                                  const ConditionalWrite &write,
                                   const Result<WriteOutcome> &outcome)
 {
     --m_savesInFlight;
     const bool applied = outcome && outcome->applied;
-    if (applied) {
-        for (const auto &it : write.writes)
-            m_context.replica.applyOwn(it.key, it.value, outcome->revision);
-    } else if (outcome) {
+    if (outcome && !applied) {
         // An earlier write whose response was lost may have been applied.
         for (const auto &it : outcome->current)
             m_context.replica.applyOwn(it.key, it.value, it.modRevision);
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -43,6 +43,7 @@
     void list(const std::string &prefix, const std::string &after,
               Callback<StorePage> callback) override
     {
+        ++lists;
         StorePage page;
         page.asOf = revision;
         for (const auto &[key, item] : items) {
@@ -57,7 +58,7 @@
         answer(std::move(callback), Result<StorePage>(std::move(page)));
     }
 
-    void watch(const std::string &, std::int64_t after, std::chrono::milliseconds,
+    void watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds,
                Callback<StoreChanges> callback) override
     {
         ++watches;
@@ -69,7 +70,7 @@
         }
         StoreChanges result;
         for (const auto &it : changes) {
-            if (it.revision > after)
+            if (it.revision > after && it.key.starts_with(prefix))
                 result.updates.push_back(it);
         }
         result.asOf = revision;
@@ -136,6 +137,7 @@
     bool leaseEnded = false;
     int writes = 0;
     int reads = 0;
+    int lists = 0;
     int watches = 0;
     int watchLimit
             = 1; ///< Number of watches that are answered; later ones are not, to end the loop.
--- /dev/null
+++ b/tests/node/statefollowertest.cpp
@@ -0,0 +1,142 @@
+#include "fakestore.h"
+
+#include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/ownerstore.h"
+#include "dragonflysill/node/statefollower.h"
+#include "dragonflysill/node/statereplica.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Keys = StateFollower::Keys;
+
+const std::string jobId = "0123456789abcdef";
+const std::string jobKey = nodekeys::key(nodekeys::jobs, jobId);
+const std::string progressKey = nodekeys::key(nodekeys::progress, jobId);
+const std::string workersKey = nodekeys::key(nodekeys::workers, "pool");
+
+std::string progressIn(JobStatus state)
+{
+    JobProgress progress;
+    progress.state = state;
+    return encodeProgress(progress);
+}
+
+/** A node that follows a store with one job. */
+struct FollowerFixture
+{
+    EventLoop loop;
+    FakeStore store{loop};
+    StateReplica replica;
+    StateFollower follower{loop, store, replica, [] {}};
+
+    FollowerFixture()
+    {
+        store.pageSize = 100;
+        store.watchLimit = 0;
+        store.put(jobKey, "record");
+    }
+
+    /** Follows keys until the store has answered a number of polls. */
+    void follow(Keys keys, int polls)
+    {
+        store.watchLimit = store.watches + polls;
+        follower.follow(keys, 0ms);
+        loop.context().restart();
+        loop.run();
+    }
+
+    /** Becomes the owner of the schedule, which follows new jobs alone. */
+    void followAsOwner()
+    {
+        follow(Keys::All, 1);
+        follow(Keys::NewJobs, 2);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FollowingOfKeys, FollowerFixture)
+
+BOOST_AUTO_TEST_CASE(FormerOwnerGoesOnWithoutAListFromWhereItHeldTheSchedule)
+{
+    followAsOwner();
+    follower.setKnownRevision(store.revision);
+    store.put(progressKey, progressIn(JobStatus::Running));
+    follow(Keys::All, 1);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Running));
+    BOOST_TEST(store.lists == 1);
+}
+
+// An owner that was paused reads new jobs up to a revision at which another node has already
+// written progress. Guards against a node that owns the schedule again without knowing it, and
+// starts tasks that have ended.
+BOOST_AUTO_TEST_CASE(ProgressOfTheNextOwnerIsReadAfterTheOwnershipWasLost)
+{
+    followAsOwner();
+    const auto heldUpTo = store.revision;
+    store.put(progressKey, progressIn(JobStatus::Completed));
+    store.put(workersKey, "workers of the next owner");
+    follower.setKnownRevision(heldUpTo);
+    // The watchers of new jobs reach the revision of the other owner's writes.
+    store.watchLimit = store.watches + 2;
+    loop.context().restart();
+    loop.run();
+    follow(Keys::All, 1);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
+    BOOST_REQUIRE(replica.otherItem(workersKey) != nullptr);
+    BOOST_TEST(replica.otherItem(workersKey)->value == "workers of the next owner");
+}
+
+BOOST_AUTO_TEST_CASE(AllKeysAreListedIfAWriteOfTheOwnerIsNotKnown)
+{
+    followAsOwner();
+    store.put(progressKey, progressIn(JobStatus::Completed));
+    store.compactedUpTo = store.revision + 1;
+    follower.setKnownRevision(0);
+    follow(Keys::All, 0);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WritesOfTheOwner, FollowerFixture)
+
+// The owner does not follow its records of workers. Guards against a node that owns the schedule
+// again and does not wait for workers that it recorded before.
+BOOST_AUTO_TEST_CASE(ReplicaKnowsWhatTheOwnerHasWritten)
+{
+    OwnerStore ownerStore(store, replica);
+    followAsOwner();
+    ownerStore.write({{}, {{workersKey, "workers", 0}}, {}}, [](const Result<WriteOutcome> &) {});
+    loop.context().restart();
+    loop.run();
+    BOOST_REQUIRE(replica.otherItem(workersKey) != nullptr);
+    BOOST_TEST(replica.otherItem(workersKey)->value == "workers");
+    BOOST_TEST(ownerStore.unconfirmedWrites() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(WriteWithALostResponseStaysUnconfirmed)
+{
+    OwnerStore ownerStore(store, replica);
+    store.faults = {FakeStore::Fault::LostAfter, FakeStore::Fault::Unavailable,
+                    FakeStore::Fault::Silent};
+    for (int n = 0; n < 3; ++n) {
+        ownerStore.write({{}, {{workersKey, "workers", 0}}, {}},
+                         [](const Result<WriteOutcome> &) {});
+    }
+    BOOST_TEST(ownerStore.unconfirmedWrites() == 3U);
+    loop.context().restart();
+    loop.run();
+    BOOST_TEST(ownerStore.unconfirmedWrites() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
