Let the watchers of the follower's test reach the other owner's writes

Cause: the polls of the test's watchers were never answered after the other owner had written, so that ProgressOfTheNextOwnerIsReadAfterTheOwnershipWasLost passed with the rule before the change as well. Now it fails with that rule (the watches' own revision in place of the one up to which the schedule was held), and passes without.

--- a/tests/node/statefollowertest.cpp
+++ b/tests/node/statefollowertest.cpp
@@ -81,15 +81,13 @@
 // starts tasks that have ended.
 BOOST_AUTO_TEST_CASE(ProgressOfTheNextOwnerIsReadAfterTheOwnershipWasLost)
 {
-    followAsOwner();
+    follow(Keys::All, 1);
     const auto heldUpTo = store.revision;
     store.put(progressKey, progressIn(JobStatus::Completed));
     store.put(workersKey, "workers of the next owner");
-    follower.setKnownRevision(heldUpTo);
     // The watchers of new jobs reach the revision of the other owner's writes.
-    store.watchLimit = store.watches + 2;
-    loop.context().restart();
-    loop.run();
+    follow(Keys::NewJobs, 2);
+    follower.setKnownRevision(heldUpTo);
     follow(Keys::All, 1);
     BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
     BOOST_REQUIRE(replica.otherItem(workersKey) != nullptr);
