End every program with 2 on an unusable command line, and handle signals from the start

Cause: dragonflysill-node ended with 109 on an unknown flag (CLI11's own code), though scripts tell wrong use by 2. Seen while writing the soak: the node installs its signal handlers only after it has opened its ports, so that SIGHUP for changed settings ended a process that was just starting. Change: Settings::parse returns exitUsage for every error; the node installs its handlers before it reads its settings, so that early signals are handled once the loop runs.

--- a/include/dragonflysill/telemetry/settings.h
+++ b/include/dragonflysill/telemetry/settings.h
@@ -18,6 +18,9 @@
 class Settings
 {
 public:
+    /** Exit code of every program whose command line or environment is unusable. */
+    static constexpr int exitUsage = 2;
+
     /**
      * @param program the program's name
      * @param description one sentence for --help
@@ -46,7 +49,8 @@
 
     /**
      * Parses the command line and the environment.
-     * @return nothing if the program should run, otherwise the exit code with which it must end
+     * @return nothing if the program should run, otherwise the exit code with which it must end:
+     * 0 after --help, --version and --check-settings, or exitUsage
      */
     std::optional<int> parse(int argc, const char *const *argv);
 
--- a/programs/dragonflysill-node/main.cpp
+++ b/programs/dragonflysill-node/main.cpp
@@ -49,6 +49,10 @@
             ->check(CLI::Range(0, 65535));
     if (const auto code = flags.parse(argc, argv))
         return *code;
+    // Signals that arrive during the start are handled once the loop runs. Without a handler, a
+    // change of the settings would end the process.
+    EventLoop loop;
+    boost::asio::signal_set signals(loop.context(), SIGTERM, SIGINT, SIGHUP);
     auto settings = platform::loadSettings();
     if (!settings) {
         std::cerr << settings.error().text() << '\n';
@@ -56,7 +60,6 @@
     }
     startBoundedLogging("node-" + settings->name, logLevel);
     std::signal(SIGPIPE, SIG_IGN);
-    EventLoop loop;
     Node node(loop, *settings,
               metricsPort == 0 ? std::string() : settings->ip + ':' + std::to_string(metricsPort));
     if (const auto started = node.start(); !started) {
@@ -64,7 +67,6 @@
         return exitStartupError;
     }
     logInfo("started", {{"zone", settings->zone}, {"front", settings->frontAddress}});
-    boost::asio::signal_set signals(loop.context(), SIGTERM, SIGINT, SIGHUP);
     std::function<void()> awaitSignal = [&] {
         signals.async_wait([&](const boost::system::error_code &ec, int signal) {
             if (ec)
--- a/programs/dragonflysill/main.cpp
+++ b/programs/dragonflysill/main.cpp
@@ -156,7 +156,7 @@
     addStateCommands(settings.app(), line);
     addNodeCommands(settings.app(), line);
     if (const auto code = settings.parse(argc, argv))
-        return *code == 0 ? ExitOk : ExitUsage;
+        return *code;
     if (!line.command) {
         std::cerr << settings.app().help();
         return ExitUsage;
--- a/src/telemetry/settings.cpp
+++ b/src/telemetry/settings.cpp
@@ -34,7 +34,8 @@
     try {
         m_app->parse(argc, argv);
     } catch (const CLI::ParseError &e) {
-        return m_app->exit(e);
+        // Prints help, version or the error; CLI11's own codes for errors differ by their cause.
+        return m_app->exit(e) == 0 ? 0 : Settings::exitUsage;
     }
     if (!m_checkOnly)
         return std::nullopt;
