--- a/programs/fleet-standin/faultseries.cpp
+++ b/programs/fleet-standin/faultseries.cpp
@@ -1,7 +1,6 @@
 #include "faultseries.h"
 
 #include <chrono>
-#include <iostream>
 
 namespace dragonflysill {
 
@@ -9,27 +8,40 @@
 
 using namespace std::chrono_literals;
 
-constexpr Duration minPause = 300ms;
-constexpr Duration maxPause = 1500ms;
+constexpr Duration minPause = 100ms;
+constexpr Duration maxPause = 900ms;
 constexpr Duration minFault = 200ms;
 constexpr Duration maxFault = 2500ms;
 constexpr Duration minDelay = 20ms;
 constexpr Duration maxDelay = 250ms;
-constexpr std::size_t faultKinds = 6;
+/** Bandwidth of a limited link; a day of the soak needs about ten times as much at the owner. */
+constexpr double limitedBytesPerSecond = 20000;
+/** Of this many faults, one hits the store and one the fleet; the others hit links. */
+constexpr std::size_t faultGroups = 4;
+constexpr std::size_t storeFaults = 4;
+constexpr std::size_t linkFaults = 6;
+constexpr std::size_t fleetFaults = 4;
+
+std::string lasting(std::string_view fault, Duration length)
+{
+    return std::string(fault) + " for " + std::to_string(length / 1ms) + " ms";
+}
 
 } // namespace internal
 
-FaultSeries::FaultSeries(EventLoop &loop, platform::FleetStandin &fleet, std::uint64_t seed)
+FaultSeries::FaultSeries(EventLoop &loop, platform::FleetStandin &fleet, FaultLinks &links,
+                         const DayLog &log, std::uint64_t seed)
     : m_loop(loop)
     , m_fleet(fleet)
+    , m_links(links)
+    , m_log(log)
     , m_random(seed)
 {
 }
 
 void FaultSeries::start(Duration length)
 {
-    m_startedAt = EventLoop::now();
-    m_endsAt = m_startedAt + length;
+    m_endsAt = EventLoop::now() + length;
     scheduleNext();
 }
 
@@ -46,47 +58,99 @@
 
 void FaultSeries::cause()
 {
-    const auto kind = m_random.below(internal::faultKinds);
+    switch (m_random.below(internal::faultGroups)) {
+    case 0:
+        failStore();
+        break;
+    case 1:
+        changeFleet();
+        break;
+    default:
+        failLink();
+        break;
+    }
+}
+
+void FaultSeries::failStore()
+{
     const auto length = between(internal::minFault, internal::maxFault);
-    const auto delay = between(internal::minDelay, internal::maxDelay);
-    switch (kind) {
+    switch (m_random.below(internal::storeFaults)) {
     case 0:
         m_fleet.store().pause(length);
-        log("store away", length);
+        m_log.note("fault", internal::lasting("store away", length));
         break;
     case 1:
-        m_fleet.store().slowDown(length, delay);
-        log("store slow", length);
+        m_fleet.store().slowDown(length, between(internal::minDelay, internal::maxDelay));
+        m_log.note("fault", internal::lasting("store slow", length));
         break;
     case 2:
         m_fleet.store().loseAnswers(length);
-        log("answers of the store lost", length);
+        m_log.note("fault", internal::lasting("answers of the store lost", length));
         break;
-    case 3:
+    default:
         m_fleet.store().forgetHistory();
-        log("history of the store dropped", Duration{0});
+        m_log.note("fault", "history of the store dropped");
+        break;
+    }
+}
+
+void FaultSeries::failLink()
+{
+    const auto links = m_links.links();
+    if (links.empty())
+        return;
+    const auto &[name, link] = links[m_random.below(links.size())];
+    const auto length = between(internal::minFault, internal::maxFault);
+    switch (m_random.below(internal::linkFaults)) {
+    case 0:
+        link->delay(length, between(internal::minDelay, internal::maxDelay));
+        m_log.note("fault", internal::lasting(name + " slow", length));
+        break;
+    case 1:
+        link->cut(length, Direction::ToServer);
+        m_log.note("fault", internal::lasting(name + " cut", length));
+        break;
+    case 2:
+        link->cut(length, Direction::ToClient);
+        m_log.note("fault", internal::lasting(name + " cut towards the client", length));
+        break;
+    case 3:
+        link->limit(length, internal::limitedBytesPerSecond);
+        m_log.note("fault", internal::lasting(name + " narrow", length));
         break;
     case 4:
-        m_fleet.crashWorker();
-        log("backend server crashed", Duration{0});
+        link->reset();
+        m_log.note("fault", name + " reset");
         break;
     default:
-        m_fleet.renewConfiguration();
-        log("configuration changed", Duration{0});
+        link->silence();
+        m_log.note("fault", name + " silent on the open connections");
         break;
     }
 }
 
-Duration FaultSeries::between(Duration shortest, Duration longest)
+void FaultSeries::changeFleet()
 {
-    return shortest + scaled(longest - shortest, m_random.unit());
+    switch (m_random.below(internal::fleetFaults)) {
+    case 0:
+        m_fleet.removeMachine();
+        m_fleet.addMachine();
+        m_log.note("change", "an instance removed and another one added");
+        break;
+    case 1:
+        m_fleet.renewConfiguration();
+        m_log.note("change", "configuration changed");
+        break;
+    default:
+        m_fleet.crashWorker();
+        m_log.note("fault", "backend server crashed");
+        break;
+    }
 }
 
-void FaultSeries::log(std::string_view fault, Duration length)
+Duration FaultSeries::between(Duration shortest, Duration longest)
 {
-    std::cout << "fault " << (EventLoop::now() - m_startedAt) / std::chrono::milliseconds(1)
-              << " ms: " << fault << ' ' << length / std::chrono::milliseconds(1) << " ms"
-              << std::endl;
+    return shortest + scaled(longest - shortest, m_random.unit());
 }
 
 } // namespace dragonflysill
--- a/programs/fleet-standin/faultseries.h
+++ b/programs/fleet-standin/faultseries.h
@@ -1,22 +1,26 @@
 #pragma once
 
+#include "daylog.h"
 #include "dragonflysill/base/random.h"
 #include "dragonflysill/net/eventloop.h"
+#include "faultlinks.h"
 #include "fleetstandin.h"
 
 #include <cstdint>
-#include <string_view>
+#include <string>
 
 namespace dragonflysill {
 
 /**
  * A seeded series of faults of the simulated platform: its store is away, slow, loses answers or
- * drops its history, backend servers crash, and the configuration changes. Faults overlap.
+ * drops its history, links are slow, cut, reset or silent, backend servers crash, instances come
+ * and go, and the configuration changes. Faults overlap.
  */
 class FaultSeries
 {
 public:
-    FaultSeries(EventLoop &loop, platform::FleetStandin &fleet, std::uint64_t seed);
+    FaultSeries(EventLoop &loop, platform::FleetStandin &fleet, FaultLinks &links,
+                const DayLog &log, std::uint64_t seed);
 
     /** Starts the series; no fault begins after @p length, so that all jobs can end. */
     void start(Duration length);
@@ -24,14 +28,17 @@
 private:
     void scheduleNext();
     void cause();
+    void failStore();
+    void failLink();
+    void changeFleet();
     /** Returns a random time between two bounds. */
     [[nodiscard]] Duration between(Duration shortest, Duration longest);
-    void log(std::string_view fault, Duration length);
 
     EventLoop &m_loop;
     platform::FleetStandin &m_fleet;
+    FaultLinks &m_links;
+    const DayLog &m_log;
     Random m_random;
-    TimePoint m_startedAt{};
     TimePoint m_endsAt{};
 };
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,11 +5,11 @@
 run_dir=$(mktemp -d)
 declare -A pid_of=()
 
-# start NAME COMMAND...: starts a process in the background; its output goes to $run_dir/NAME.log.
+# start NAME COMMAND...: starts a process in the background; its output is added to $run_dir/NAME.log.
 start() {
     local name=$1
     shift
-    "$@" >"$run_dir/$name.log" 2>&1 &
+    "$@" >>"$run_dir/$name.log" 2>&1 &
     pid_of[$name]=$!
 }
 
--- a/src/node/statuswaiters.cpp
+++ b/src/node/statuswaiters.cpp
@@ -47,8 +47,9 @@
     for (auto &[job, waiters] : m_waiting) {
         const auto first = std::partition(waiters.begin(), waiters.end(),
                                           [now](const Waiter &it) { return now < it.until; });
-        std::for_each(first, waiters.end(),
-                      [&](Waiter &it) { expired.emplace_back(std::move(it), job); });
+        std::for_each(first, waiters.end(), [&expired, &job = job](Waiter &it) {
+            expired.emplace_back(std::move(it), job);
+        });
         waiters.erase(first, waiters.end());
     }
     std::erase_if(m_waiting, [](const auto &it) { return it.second.empty(); });
