--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -27,7 +27,11 @@
 
 now_ms() { echo $(($(date +%s%N) / 1000000)); }
 note() { echo "signal $(($(now_ms) - started)) ms: $*" >>"$dir/standin.log"; }
-start_node() { DRAGONFLYSILL_SETTINGS="$dir/$1.json" start "$1" "$node_program" --metrics-port 0; }
+declare -A started_at=()
+start_node() {
+    started_at[$1]=$(now_ms)
+    DRAGONFLYSILL_SETTINGS="$dir/$1.json" start "$1" "$node_program" --metrics-port 0
+}
 
 # signal_nodes LENGTH_MS: sends a seeded series of signals, several of which overlap. The node with
 # the highest number is added in the course of the series, and node 1 may be removed for good.
@@ -73,7 +77,8 @@
                 0) kill_now "$name" && restart_at[$name]=$((now + pause)) && note "$name killed" ;;
                 1) kill -STOP "${pid_of[$name]}" && resume_at[$name]=$((now + pause)) && note "$name paused for $pause ms" ;;
                 2) kill -TERM "${pid_of[$name]}" && restart_at[$name]=$((now + pause + 3000)) && note "$name told to stop" ;;
-                3) kill -HUP "${pid_of[$name]}" && note "$name told to read its settings" ;;
+                # Before a program has set its handlers, the signal would end it.
+                3) [ "$now" -gt $((started_at[$name] + 500)) ] && kill -HUP "${pid_of[$name]}" && note "$name told to read its settings" ;;
                 esac
             fi
         fi
