Let pools that work off late jobs yield instances to jobs that are in time

Cause: if more is asked than the fleet holds, the pool of the last turn keeps its instances, since its late jobs still count as need and its instances are never empty; the jobs of the next turn wait until they are late as well. Change: PoolLoad tells the part of late jobs. Beyond the fleet's size PoolBalancer gives instances to work in time first and late work the rest; a pool above its share lets instances run empty (those without persistent tasks), as many as others lack. Tests: Balancing/PoolWithLateJobsYieldsInstancesToJobsInTime (failed before: 2 instances, not 12), SmallDemandsAreMet..., PoolsThatBothExceedTheFleetShareItEqually, LateJobsGetTheInstancesThatJobsInTimeLeave, InstancesWithPersistentTasksDoNotYield.

--- a/include/dragonflysill/jobs/fleetview.h
+++ b/include/dragonflysill/jobs/fleetview.h
@@ -38,6 +38,10 @@
     std::int64_t waitingMilliCores = 0; ///< Milli-cores that waiting tasks need.
     std::int64_t runningMilliCores = 0; ///< Milli-cores of running tasks.
     std::int64_t memoryMb = 0; ///< Memory of waiting and running tasks.
+    /** Milli-cores of waiting and running tasks of jobs that can't meet their objective any more.
+     */
+    std::int64_t lateMilliCores = 0;
+    std::int64_t lateMemoryMb = 0; ///< Memory of these tasks.
     double arrivedWork = 0; ///< Expected core-seconds of all jobs accepted so far.
     std::int64_t arrivedJobs = 0; ///< Jobs accepted so far.
     int spread = 0; ///< Workers needed for the limit of persistent tasks per worker.
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -154,6 +154,8 @@
     bool saveInFlight = false;
     /** Local time by which the job should complete to meet its latency objective. */
     TimePoint objective{};
+    /** Latest start of the job's remaining work with which it meets its objective. */
+    TimePoint latestStart = TimePoint::max();
     /** Time of acceptance on the local clock, computed from the job's age when it was added. */
     TimePoint accepted{};
 
--- a/include/dragonflysill/jobs/poolbalancer.h
+++ b/include/dragonflysill/jobs/poolbalancer.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -21,7 +22,8 @@
 /**
  * Moves instances between pools as demand changes: a pool whose demand exceeds its capacity gets
  * idle instances of other pools and of the standby pool, and instances that stay idle are moved to
- * the standby pool, where they cost nothing.
+ * the standby pool, where they cost nothing. If the demand exceeds the fleet, jobs that can still
+ * meet their objective come first: pools that work off late jobs yield instances to them.
  */
 class PoolBalancer
 {
@@ -29,7 +31,16 @@
     /** Returns the moves to order now. */
     std::vector<MoveInstance> decide(const FleetView &fleet, TimePoint now);
 
-    /** Returns how many instances a pool needs for its current load. */
+    /**
+     * Returns the instances that shall get no new tasks, so that they can be moved to a pool that
+     * needs them more.
+     */
+    [[nodiscard]] const std::set<std::string> &yielding() const { return m_yielding; }
+
+    /**
+     * Returns how many instances a pool needs for its current load, or its share of all instances
+     * if the demand exceeds the fleet.
+     */
     [[nodiscard]] int neededInstances(const std::string &pool) const;
 
     /** Returns how many instances serve a pool or are being moved to it. */
@@ -47,14 +58,20 @@
         double arrivedWork = 0;
         std::int64_t arrivedJobs = 0;
         TimePoint measuredAt{};
-        int needed = 0; ///< Instances needed for the current load.
+        int needed = 0; ///< Instances needed for the current load, or the pool's share.
+        int inTime = 0; ///< Instances needed without the tasks of late jobs.
         int target = 0; ///< Instances needed plus spare ones for the start of a burst.
         int present = 0; ///< Instances that serve the pool or are being moved to it.
         TimePoint shortSince{}; ///< Since when fewer instances than needed are present.
         TimePoint belowTargetSince{}; ///< Since when fewer instances than the target are present.
+        TimePoint aboveShareSince{}; ///< Since when more than the share of the fleet is present.
     };
 
     void updateDemand(const FleetView &fleet, TimePoint now);
+    /** Limits the demand of the pools to their shares of the fleet; work in time comes first. */
+    void shareInstances(int instances);
+    /** Chooses the instances that pools with more than their share yield to others. */
+    void chooseYielding(const FleetView &fleet, TimePoint now);
     /** Returns the rate at the time when an instance that is ordered now could serve. */
     [[nodiscard]] static double expectedRate(const Demand &demand);
     void updateArrivalRate(Demand &demand, const PoolLoad &load, TimePoint now) const;
@@ -71,6 +88,8 @@
     /** Decreasing maxima of the instances that all pools need, for a sliding-window maximum. */
     std::deque<std::pair<TimePoint, int>> m_totalNeeds;
     int m_activeInstances = 0; ///< Instances that are kept out of standby.
+    bool m_overloaded = false; ///< The demand exceeds the fleet.
+    std::set<std::string> m_yielding;
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -222,7 +222,7 @@
     [[nodiscard]] bool replaced() const { return m_replaced; }
 
     /** Returns the load of each pool from waiting and running tasks, including persistent ones. */
-    [[nodiscard]] std::map<std::string, PoolLoad, std::less<>> loads() const;
+    [[nodiscard]] std::map<std::string, PoolLoad, std::less<>> loads(TimePoint now) const;
 
     /** Returns the number of jobs that have not ended. */
     [[nodiscard]] std::size_t openJobs() const { return m_open.size(); }
--- a/src/daymodel/daymodel.cpp
+++ b/src/daymodel/daymodel.cpp
@@ -322,7 +322,7 @@
         fleet.standbyPool = standbyPool;
         auto *scheduler = std::get_if<Scheduler>(&m_dispatch);
         auto loads = scheduler == nullptr ? std::map<std::string, PoolLoad, std::less<>>()
-                                          : scheduler->loads();
+                                          : scheduler->loads(m_now);
         for (const auto &pool : m_shape.pools)
             fleet.load[pool.name] = scheduler != nullptr
                                             ? loads[pool.name]
@@ -348,6 +348,12 @@
             it.upAt = m_now + moveDuration;
             it.idleSince = it.upAt;
         }
+        if (scheduler == nullptr)
+            return;
+        for (const auto &it : m_instances) {
+            if (it.up)
+                scheduler->setLeaving(it.worker.id, m_balancer.yielding().contains(it.name));
+        }
     }
 
     DayResult summarize()
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -38,12 +39,35 @@
 /** Time for which an instance must be idle before it is moved to standby. */
 constexpr Duration idleTimeBeforeStandby = 1200ms;
 
+/** Time for which a pool must have more than its share of the fleet before it yields instances. */
+constexpr Duration yieldDelay = 300ms;
+
 /** Returns the confidence (0 to 1) in a rate based on this many arrivals of random size. */
 double confidence(double jobs)
 {
     return jobs <= 1 ? 0 : 1 - 1 / std::sqrt(jobs);
 }
 
+/**
+ * Limits demands to what is available: the largest ones are lowered to the same level, so that
+ * small ones are met and an overestimated one takes nothing from them.
+ * @return what is left
+ */
+int limitToShares(std::vector<int> &demands, int available)
+{
+    std::vector<int *> byDemand;
+    for (auto &it : demands)
+        byDemand.push_back(&it);
+    std::ranges::sort(byDemand, {}, [](const int *it) { return *it; });
+    auto open = static_cast<int>(byDemand.size());
+    for (auto *it : byDemand) {
+        *it = std::min(*it, available / open);
+        available -= *it;
+        --open;
+    }
+    return available;
+}
+
 } // namespace internal
 
 void PoolBalancer::updateDemand(const FleetView &fleet, TimePoint now)
@@ -61,20 +85,25 @@
             ++m_demand[it.pool].present;
     }
     int total = 0;
+    const auto instancesFor = [&](double cores, std::int64_t memoryMb) {
+        const double byCores = cores / (coresPerInstance * internal::packing);
+        const double byMemory = memoryPerInstance > 1
+                                        ? static_cast<double>(memoryMb)
+                                                  / (memoryPerInstance * internal::memoryPacking)
+                                        : 0;
+        return static_cast<int>(std::ceil(std::max(byCores, byMemory)));
+    };
     for (const auto &[pool, load] : fleet.load) {
         auto &demand = m_demand[pool];
         updateArrivalRate(demand, load, now);
         const double present
                 = static_cast<double>(load.waitingMilliCores + load.runningMilliCores) / 1000;
-        const double cores
-                = std::max(present, expectedRate(demand) * internal::confidence(demand.jobs));
-        const double byCores = cores / (coresPerInstance * internal::packing);
-        const double byMemory = memoryPerInstance > 1
-                                        ? static_cast<double>(load.memoryMb)
-                                                  / (memoryPerInstance * internal::memoryPacking)
-                                        : 0;
+        const double expected = expectedRate(demand) * internal::confidence(demand.jobs);
         demand.needed
-                = std::max(load.spread, static_cast<int>(std::ceil(std::max(byCores, byMemory))));
+                = std::max(load.spread, instancesFor(std::max(present, expected), load.memoryMb));
+        const double inTime = present - static_cast<double>(load.lateMilliCores) / 1000;
+        demand.inTime = std::max(load.spread, instancesFor(std::max(inTime, expected),
+                                                           load.memoryMb - load.lateMemoryMb));
         total += demand.needed;
     }
     const auto instances = static_cast<double>(fleet.instances.size());
@@ -83,7 +112,12 @@
                                     internal::spareShare * instances / pools);
     updateActiveInstances(total + static_cast<int>(spare) * static_cast<int>(fleet.load.size()),
                           now);
+    m_overloaded = total > static_cast<int>(fleet.instances.size());
+    if (m_overloaded)
+        shareInstances(static_cast<int>(fleet.instances.size()));
     for (auto &[pool, demand] : m_demand) {
+        if (!m_overloaded || demand.present <= demand.needed)
+            demand.aboveShareSince = now;
         demand.target = demand.needed + static_cast<int>(spare);
         if (demand.present >= demand.needed)
             demand.shortSince = now;
@@ -92,6 +126,53 @@
     }
 }
 
+void PoolBalancer::shareInstances(int instances)
+{
+    std::vector<int> inTime;
+    std::vector<int> late;
+    for (const auto &[pool, demand] : m_demand) {
+        inTime.push_back(demand.inTime);
+        late.push_back(demand.needed - demand.inTime);
+    }
+    const auto left = internal::limitToShares(inTime, instances);
+    internal::limitToShares(late, left);
+    std::size_t n = 0;
+    for (auto &[pool, demand] : m_demand) {
+        demand.needed = inTime[n] + late[n];
+        ++n;
+    }
+}
+
+void PoolBalancer::chooseYielding(const FleetView &fleet, TimePoint now)
+{
+    int shortage = 0;
+    std::map<std::string, int> excess;
+    for (const auto &[pool, demand] : m_demand) {
+        shortage += std::max(0, demand.needed - demand.present);
+        if (now - demand.aboveShareSince >= internal::yieldDelay)
+            excess[pool] = demand.present - demand.needed;
+    }
+    std::vector<const InstanceView *> candidates;
+    for (const auto &it : fleet.instances) {
+        if (it.usable && !it.leaving && !it.draining && !it.orderPending && !it.possiblyOrdered
+            && !it.hasPersistentTasks && excess.contains(it.pool))
+            candidates.push_back(&it);
+    }
+    // An instance that has begun to yield goes on, since it will be empty first.
+    std::ranges::stable_partition(candidates,
+                                  [this](const auto *it) { return m_yielding.contains(it->name); });
+    std::set<std::string> chosen;
+    for (const auto *it : candidates) {
+        if (shortage == 0)
+            break;
+        if (excess[it->pool]-- <= 0)
+            continue;
+        chosen.insert(it->name);
+        --shortage;
+    }
+    m_yielding = std::move(chosen);
+}
+
 void PoolBalancer::updateActiveInstances(int total, TimePoint now)
 {
     while (!m_totalNeeds.empty() && m_totalNeeds.back().second <= total)
@@ -199,6 +280,7 @@
             order(*it, pool);
         }
     }
+    chooseYielding(fleet, now);
     if (fleet.standbyPool.empty())
         return moves;
     int active = 0;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -321,12 +321,15 @@
             continue;
         if (job->occurrences().empty())
             job->openDueOccurrences(unixMs, now);
-        m_queues[job->job().pool].update(*job, remainingWork(*job), now);
+        const auto remaining = remainingWork(*job);
+        if (!job->job().spec.scheduled)
+            job->latestStart = job->objective - remaining;
+        m_queues[job->job().pool].update(*job, remaining, now);
         m_changedPools.insert(job->job().pool);
     }
 }
 
-std::map<std::string, PoolLoad, std::less<>> Scheduler::loads() const
+std::map<std::string, PoolLoad, std::less<>> Scheduler::loads(TimePoint now) const
 {
     auto loads = m_acceptedLoad;
     for (const auto &[id, job] : m_open) {
@@ -345,6 +348,10 @@
                 load.waitingMilliCores += cpu * tasks.waiting;
                 load.runningMilliCores += cpu * running;
                 load.memoryMb += step.need.memoryMb * (tasks.waiting + running);
+                if (now > job->latestStart && !step.persistent) {
+                    load.lateMilliCores += cpu * (tasks.waiting + running);
+                    load.lateMemoryMb += step.need.memoryMb * (tasks.waiting + running);
+                }
             }
         }
     }
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -98,6 +98,8 @@
     if (!m_listedOnce || !m_context.mayGiveOrders())
         return;
     auto fleet = buildView(now);
+    for (auto &it : fleet.instances)
+        it.leaving = it.leaving && !m_balancer.yielding().contains(it.name);
     const auto maintenance = m_maintenance.decide(
             fleet, [this](const std::string &pool) { return m_balancer.hasShortage(pool); }, now);
     for (auto &it : fleet.instances)
@@ -110,7 +112,8 @@
         orderMove(it, fleet, now);
     for (const auto &[id, worker] : m_scheduler.workers()) {
         const auto &name = worker.description.instance;
-        const bool leaving = maintenance.leaving.contains(name) || m_orders.contains(name);
+        const bool leaving = maintenance.leaving.contains(name) || m_orders.contains(name)
+                             || m_balancer.yielding().contains(name);
         if (worker.leaving != leaving)
             m_scheduler.setLeaving(id, leaving);
     }
@@ -202,7 +205,7 @@
     }
     removeCompletedOrders(workers);
     FleetView fleet;
-    auto loads = m_scheduler.loads();
+    auto loads = m_scheduler.loads(now);
     for (const auto &it : m_configuration.pools) {
         if (it.standby)
             fleet.standbyPool = it.name;
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -122,7 +122,7 @@
         runs[worker.description.pool] += worker.runs.size();
     }
     Json rows = Json::array();
-    auto loads = scheduler.loads();
+    auto loads = scheduler.loads(EventLoop::now());
     for (const auto &it : source.service.configuration()->pools) {
         const auto &load = loads[it.name];
         rows.push_back({{"pool", it.name},
--- a/tests/jobs/decisionstest.cpp
+++ b/tests/jobs/decisionstest.cpp
@@ -180,6 +180,100 @@
     BOOST_TEST(balancer.neededInstances("a") <= 5);
 }
 
+// In a turn of pool a more was asked than the fleet holds; its jobs are late when the turn of pool
+// b begins. Guards against a pool that works off late jobs while those of another one, which could
+// be in time, wait for its instances and become late as well.
+BOOST_AUTO_TEST_CASE(PoolWithLateJobsYieldsInstancesToJobsInTime)
+{
+    constexpr std::int64_t usableCores = 54000;
+    Fleet fleet({{"a", 30}, {"b", 2}}, 0);
+    for (auto &it : fleet.view.instances)
+        it.empty = false;
+    auto &late = fleet.view.load["a"];
+    late.runningMilliCores = 30 * usableCores;
+    late.waitingMilliCores = 60 * usableCores;
+    late.lateMilliCores = late.waitingMilliCores + late.runningMilliCores;
+    fleet.view.load["b"].waitingMilliCores = 12 * usableCores;
+    PoolBalancer balancer;
+    for (int tick = 0; tick < 30; ++tick) {
+        const auto moves = balancer.decide(fleet.view, fleet.now);
+        for (const auto &it : moves)
+            BOOST_TEST(it.pool == "b");
+        fleet.apply(moves);
+        // The tasks of instances that get no new ones end, and those that arrive get some.
+        for (auto &it : fleet.view.instances)
+            it.empty = it.pool == "a" && balancer.yielding().contains(it.name);
+        late.runningMilliCores
+                = (fleet.count("a") - static_cast<int>(balancer.yielding().size())) * usableCores;
+        fleet.now += 100ms;
+    }
+    BOOST_TEST(fleet.count("b") == 12);
+    BOOST_TEST(balancer.yielding().empty());
+}
+
+// The demand of a burst is extrapolated, so that it may be overestimated. Guards against taking
+// instances from pools whose small demand is known.
+BOOST_AUTO_TEST_CASE(SmallDemandsAreMetWhenThatOfAnotherPoolExceedsTheFleet)
+{
+    constexpr std::int64_t usableCores = 54000;
+    Fleet fleet({{"a", 30}, {"b", 15}, {"c", 5}}, 0);
+    fleet.view.load["a"].waitingMilliCores = 80 * usableCores;
+    fleet.view.load["b"].waitingMilliCores = 20 * usableCores;
+    fleet.view.load["b"].lateMilliCores = 10 * usableCores;
+    fleet.view.load["c"].waitingMilliCores = 5 * usableCores;
+    PoolBalancer balancer;
+    balancer.decide(fleet.view, fleet.now);
+    BOOST_TEST(balancer.neededInstances("a") == 35);
+    BOOST_TEST(balancer.neededInstances("b") == 10);
+    BOOST_TEST(balancer.neededInstances("c") == 5);
+}
+
+BOOST_AUTO_TEST_CASE(PoolsThatBothExceedTheFleetShareItEqually)
+{
+    constexpr std::int64_t usableCores = 54000;
+    Fleet fleet({{"a", 30}, {"b", 15}}, 0);
+    fleet.view.load["a"].waitingMilliCores = 80 * usableCores;
+    fleet.view.load["b"].waitingMilliCores = 40 * usableCores;
+    PoolBalancer balancer;
+    balancer.decide(fleet.view, fleet.now);
+    BOOST_TEST(balancer.neededInstances("a") == 23);
+    BOOST_TEST(balancer.neededInstances("b") == 22);
+}
+
+BOOST_AUTO_TEST_CASE(LateJobsGetTheInstancesThatJobsInTimeLeave)
+{
+    constexpr std::int64_t usableCores = 54000;
+    Fleet fleet({{"a", 30}, {"b", 10}}, 0);
+    fleet.view.load["a"].waitingMilliCores = 60 * usableCores;
+    fleet.view.load["a"].lateMilliCores = 60 * usableCores;
+    fleet.view.load["b"].waitingMilliCores = 15 * usableCores;
+    PoolBalancer balancer;
+    balancer.decide(fleet.view, fleet.now);
+    BOOST_TEST(balancer.neededInstances("a") == 25);
+    BOOST_TEST(balancer.neededInstances("b") == 15);
+}
+
+// Persistent tasks would have to be moved away first, which interrupts them.
+BOOST_AUTO_TEST_CASE(InstancesWithPersistentTasksDoNotYield)
+{
+    constexpr std::int64_t usableCores = 54000;
+    Fleet fleet({{"a", 10}, {"b", 2}}, 0);
+    for (auto &it : fleet.view.instances) {
+        it.empty = false;
+        it.hasPersistentTasks = it.name != "a-3";
+    }
+    fleet.view.load["a"].waitingMilliCores = 60 * usableCores;
+    fleet.view.load["a"].lateMilliCores = 60 * usableCores;
+    fleet.view.load["b"].waitingMilliCores = 8 * usableCores;
+    PoolBalancer balancer;
+    for (int tick = 0; tick < 10; ++tick) {
+        balancer.decide(fleet.view, fleet.now);
+        fleet.now += 100ms;
+    }
+    BOOST_TEST(balancer.yielding() == std::set<std::string>{"a-3"},
+               boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(FallingRateIsNotExtrapolated)
 {
     Fleet fleet({{"falling", 100}, {"other", 20}}, 0);
