Notice at once that the store is back

Cause: whether the store is reachable is told by the watches of two keys. Change: the first poll of a watch after a failure does not wait, and an unreachable store is asked for one key every 100 ms; once it answers, the watches are sent again, at most every 2 s. Tests: PrefixWatching/FirstPollAfterAnOutageIsAnsweredAtOnce and HangingPollIsReplacedOnRequest (failed before).

--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -73,6 +73,8 @@
     void configurationChanged(std::int64_t revision, const std::string &bytes);
     void operatorKeyChanged(const std::string &key, std::int64_t revision,
                             const std::string &bytes);
+    /** Asks the unreachable store for a key and sends its watches again once it answers. */
+    void probeStore();
     void replicaChanged();
     /** Follows the keys of jobs that the node's part requires. */
     void followState();
@@ -129,6 +131,8 @@
     std::map<std::int64_t, MaintenanceWave> m_waves; ///< All waves that the operators requested.
     bool m_stopping = false;
     bool m_storeReachable = false;
+    bool m_probing = false; ///< A call of probeStore() is in flight.
+    TimePoint m_polledAgainAt{}; ///< When the watches were last sent again.
     TimePoint m_storeCheckedAt{};
     LoadMonitor m_load;
     LoadGovernor m_governor;
--- a/include/dragonflysill/node/prefixwatcher.h
+++ b/include/dragonflysill/node/prefixwatcher.h
@@ -4,6 +4,7 @@
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/store/asyncstore.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <span>
@@ -48,6 +49,12 @@
     /** Starts with the changes after a revision up to which the items are known. */
     void startFrom(std::int64_t asOf);
 
+    /**
+     * Replaces a poll that is not answered by a new one, for use when the store is back. The first
+     * list goes on.
+     */
+    void pollAgain();
+
     /** Returns the revision up to which the items are known; 0 before the first list. */
     [[nodiscard]] std::int64_t asOf() const { return m_asOf; }
 
@@ -74,6 +81,8 @@
     std::int64_t m_listedAsOf = 0;
     std::int64_t m_asOf = 0;
     TimePoint m_lastResponseAt{};
+    bool m_failed = false; ///< The last call failed.
+    std::uint64_t m_call = 0; ///< Number of the last call; responses to earlier ones are ignored.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -66,6 +66,8 @@
 constexpr Duration loadReportInterval = 1000ms;
 /** A node that does not own the schedule logs its load only if its event loop was this late. */
 constexpr Duration notableLoopDelay = 100ms;
+/** Minimum interval between two times that watches are sent again; enough for a slow link. */
+constexpr Duration minPollAgainInterval = 2000ms;
 /**
  * A check that comes later than this after the previous one means that the process was paused, so
  * that unserved calls say nothing about the store.
@@ -202,9 +204,26 @@
         else
             logWarning("store-lost");
     }
+    if (!reachable)
+        probeStore();
     m_loop.after(internal::storeCheckInterval, [this] { checkStore(); });
 }
 
+void Node::probeStore()
+{
+    if (m_probing || EventLoop::now() - m_polledAgainAt < internal::minPollAgainInterval)
+        return;
+    m_probing = true;
+    m_store.get(std::string(nodekeys::owner), [this](const Result<KeyValue> &owner) {
+        m_probing = false;
+        if (m_storeReachable || (!owner && !owner.error().is(ErrorKind::NotFound)))
+            return;
+        m_polledAgainAt = EventLoop::now();
+        m_ownerWatcher.pollAgain();
+        m_operatorWatcher.pollAgain();
+    });
+}
+
 void Node::checkLoad()
 {
     const auto now = EventLoop::now();
--- a/src/node/prefixwatcher.cpp
+++ b/src/node/prefixwatcher.cpp
@@ -47,10 +47,18 @@
     waitForChanges();
 }
 
+void PrefixWatcher::pollAgain()
+{
+    if (m_asOf == 0)
+        return;
+    m_failed = true;
+    waitForChanges();
+}
+
 void PrefixWatcher::list(const std::string &after)
 {
-    m_store.list(m_prefix, after, [this, alive = m_alive](Result<StorePage> page) {
-        if (*alive)
+    m_store.list(m_prefix, after, [this, alive = m_alive, call = ++m_call](Result<StorePage> page) {
+        if (*alive && call == m_call)
             pageReceived(std::move(page));
     });
 }
@@ -80,9 +88,11 @@
 
 void PrefixWatcher::waitForChanges()
 {
-    m_store.watch(m_prefix, m_asOf, m_timing.wait,
-                  [this, alive = m_alive](const Result<StoreChanges> &changes) {
-                      if (*alive)
+    // After a failure, an answer tells at once that the store is back.
+    const auto wait = m_failed ? std::chrono::milliseconds{0} : m_timing.wait;
+    m_store.watch(m_prefix, m_asOf, wait,
+                  [this, alive = m_alive, call = ++m_call](const Result<StoreChanges> &changes) {
+                      if (*alive && call == m_call)
                           changesReceived(changes);
                   });
 }
@@ -97,6 +107,7 @@
         return;
     }
     m_backoff.reset();
+    m_failed = false;
     m_lastResponseAt = EventLoop::now();
     m_asOf = std::max(m_asOf, changes->asOf);
     m_handlers.changed(changes->updates, m_asOf);
@@ -104,18 +115,20 @@
         waitForChanges();
         return;
     }
-    m_loop.after(m_timing.pause, [this, alive = m_alive] {
-        if (*alive)
+    m_loop.after(m_timing.pause, [this, alive = m_alive, call = m_call] {
+        if (*alive && call == m_call)
             waitForChanges();
     });
 }
 
 void PrefixWatcher::retry(std::function<void()> action)
 {
-    m_loop.after(m_backoff.next(), [alive = m_alive, action = std::move(action)] {
-        if (*alive)
-            action();
-    });
+    m_failed = true;
+    m_loop.after(m_backoff.next(),
+                 [this, alive = m_alive, call = m_call, action = std::move(action)] {
+                     if (*alive && call == m_call)
+                         action();
+                 });
 }
 
 } // namespace dragonflysill
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace dragonflysill::test {
 
@@ -58,12 +59,17 @@
         answer(std::move(callback), Result<StorePage>(std::move(page)));
     }
 
-    void watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds,
+    void watch(const std::string &prefix, std::int64_t after, std::chrono::milliseconds wait,
                Callback<StoreChanges> callback) override
     {
         ++watches;
+        watchWaits.push_back(wait);
         if (watches > watchLimit)
             return;
+        if (!reachable) {
+            answer(std::move(callback), Result<StoreChanges>(Error(ErrorKind::StoreUnavailable)));
+            return;
+        }
         if (after < compactedUpTo) {
             answer(std::move(callback), Result<StoreChanges>(Error(ErrorKind::Compacted)));
             return;
@@ -139,6 +145,7 @@
     int reads = 0;
     int lists = 0;
     int watches = 0;
+    std::vector<std::chrono::milliseconds> watchWaits; ///< Wait of each watch.
     int watchLimit
             = 1; ///< Number of watches that are answered; later ones are not, to end the loop.
     int renewals = 0;
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -537,6 +537,47 @@
     BOOST_TEST(watcher.asOf() == store.revision);
 }
 
+// A poll without changes is answered after its wait. Guards against a node that rejects jobs for
+// that time although the store is back.
+BOOST_AUTO_TEST_CASE(FirstPollAfterAnOutageIsAnsweredAtOnce)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.reachable = false;
+    store.watchLimit = 2;
+    PrefixWatcher watcher(loop, store, "p/", {0ms, 2000ms},
+                          {[](std::span<const KeyValue>, std::int64_t) {},
+                           [](std::span<const KeyUpdate>, std::int64_t) {}});
+    watcher.startFrom(store.revision);
+    loop.post([&] { store.reachable = true; });
+    loop.run();
+    const std::vector<std::chrono::milliseconds> expected{2000ms, 0ms, 2000ms};
+    BOOST_TEST((store.watchWaits == expected));
+}
+
+// A poll that was sent before an outage may hang until its timeout, which is long on a slow link.
+BOOST_AUTO_TEST_CASE(HangingPollIsReplacedOnRequest)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.watchLimit = 0;
+    std::vector<std::string> changed;
+    PrefixWatcher watcher(loop, store, "p/", {0ms, 2000ms},
+                          {[](std::span<const KeyValue>, std::int64_t) {},
+                           [&](std::span<const KeyUpdate> updates, std::int64_t) {
+                               for (const auto &it : updates)
+                                   changed.push_back(it.key);
+                           }});
+    watcher.startFrom(store.revision);
+    store.put("p/1", "v");
+    store.watchLimit = 2;
+    watcher.pollAgain();
+    loop.run();
+    BOOST_REQUIRE(changed.size() == 1U);
+    BOOST_TEST(changed[0] == "p/1");
+    BOOST_TEST((store.watchWaits[1] == 0ms));
+}
+
 // The store may compact its history at any time.
 BOOST_AUTO_TEST_CASE(CompactedHistoryLeadsToANewList)
 {
