Let an unexpected error fail one request or one turn of the schedule, not the process

Change: EventLoop passes exceptions to an error handler and goes on. A request whose handler throws is answered with 500; a watch goes on with a full list; periodic checks are armed before they run. The node logs `unexpected-error`, and an owner leaves the schedule to another node for 5 s, since its state may be incomplete. Tests: HandlerThatThrowsFailsOnlyItsRequest, Loop/ActionsRunAfterOneThatThrows, ExceptionsLeaveALoopWithoutAnErrorHandler, WatchGoesOnWithAListAfterItsHandlerThrew, OwnerWithAnUnexpectedErrorLeavesTheScheduleToOthers (none could pass before).

--- a/include/dragonflysill/net/eventloop.h
+++ b/include/dragonflysill/net/eventloop.h
@@ -7,6 +7,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 
 namespace dragonflysill {
 
@@ -26,8 +28,17 @@
     /** Runs @p action after the current handler has returned. */
     void post(std::function<void()> action);
 
-    /** Handles events until stop() is called. */
-    void run() { m_context.run(); }
+    /**
+     * Handles events until stop() is called. An exception of an action is passed to the error
+     * handler, and the loop goes on; without an error handler it leaves run().
+     */
+    void run();
+
+    /** Sets a function that receives the text of exceptions that no action handles. */
+    void setErrorHandler(std::function<void(const std::string &error)> handler)
+    {
+        m_errorHandler = std::move(handler);
+    }
 
     /** Makes run() return. */
     void stop() { m_context.stop(); }
@@ -37,6 +48,7 @@
 
 private:
     boost::asio::io_context m_context{1};
+    std::function<void(const std::string &error)> m_errorHandler;
 };
 
 } // namespace dragonflysill
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -63,6 +63,12 @@
     /** Opens the ports and starts to follow the store; SettingsInvalid if a port is in use. */
     Result<Done> start();
 
+    /**
+     * Logs an unexpected error of an action and leaves the schedule to another node, since the
+     * state of this one may be incomplete. The node goes on serving callers.
+     */
+    void handleError(const std::string &error);
+
     /**
      * Stops gracefully: reports not ready, so that the load balancer removes the node, gives up the
      * schedule, serves the open connections and then stops the event loop.
--- a/include/dragonflysill/node/ownership.h
+++ b/include/dragonflysill/node/ownership.h
@@ -59,6 +59,12 @@
     /** Releases the ownership because a worker or machine reported a newer owner. */
     void newerOwnerSeen() { lose("a worker has seen a newer owner"); }
 
+    /**
+     * Releases the ownership after an unexpected error and does not claim it for some seconds, so
+     * that another node can take over.
+     */
+    void stepAside(const std::string &reason);
+
     /** Returns true if this node owns the schedule and may give orders. */
     [[nodiscard]] bool valid() const { return m_fence != 0 && EventLoop::now() < m_validUntil; }
 
@@ -100,6 +106,7 @@
     TimePoint m_renewedAt{};
     std::optional<TimePoint> m_claimableSince; ///< Since when this node could claim.
     std::optional<TimePoint> m_registeredSince; ///< Since when the replica has its registration.
+    TimePoint m_notBefore{}; ///< Before it, the ownership is left to other nodes.
     bool m_renewing = false;
     bool m_campaigning = false;
     bool m_resigned = false;
--- a/include/dragonflysill/node/prefixwatcher.h
+++ b/include/dragonflysill/node/prefixwatcher.h
@@ -69,6 +69,8 @@
     void pageReceived(Result<StorePage> page);
     void waitForChanges();
     void changesReceived(const Result<StoreChanges> &changes);
+    /** Calls a handler; the watch goes on if it throws. */
+    void handle(const std::function<void()> &handler);
     void retry(std::function<void()> action);
 
     EventLoop &m_loop;
--- a/programs/dragonflysill-node/main.cpp
+++ b/programs/dragonflysill-node/main.cpp
@@ -66,6 +66,7 @@
         logWarning("start-failed", {{"error", started.error().text()}});
         return exitStartupError;
     }
+    loop.setErrorHandler([&node](const std::string &error) { node.handleError(error); });
     logInfo("started", {{"zone", settings->zone}, {"front", settings->frontAddress}});
     std::function<void()> awaitSignal = [&] {
         signals.async_wait([&](const boost::system::error_code &ec, int signal) {
--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <ctime>
+#include <exception>
 
 namespace dragonflysill {
 
@@ -20,6 +21,20 @@
     return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
+void EventLoop::run()
+{
+    while (true) {
+        try {
+            m_context.run();
+            return;
+        } catch (const std::exception &e) {
+            if (!m_errorHandler)
+                throw;
+            m_errorHandler(e.what());
+        }
+    }
+}
+
 void EventLoop::after(Duration delay, std::function<void()> action)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -102,13 +102,19 @@
             request.headers.emplace_back(it.name_string(), it.value());
         request.body = std::move(message.body());
         auto answered = std::make_shared<bool>(false);
-        m_server->handler(std::move(request),
-                          [self = shared_from_this(), answered](HttpResponse response) {
-                              if (*answered)
-                                  return;
-                              *answered = true;
-                              self->write(std::move(response));
-                          });
+        const auto respond = [self = shared_from_this(), answered](HttpResponse response) {
+            if (*answered)
+                return;
+            *answered = true;
+            self->write(std::move(response));
+        };
+        try {
+            m_server->handler(std::move(request), respond);
+        } catch (const std::exception &) {
+            // Only this request fails; the event loop reports the error.
+            respond({500, {}, {}});
+            throw;
+        }
     }
 
     /** Responds to a malformed request with an error; closes the connection without a response
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -190,6 +190,7 @@
 
 void Node::checkStore()
 {
+    m_loop.after(internal::storeCheckInterval, [this] { checkStore(); });
     const auto lastWatchResponse
             = std::max(m_ownerWatcher.lastResponseAt(), m_operatorWatcher.lastResponseAt());
     const auto now = EventLoop::now();
@@ -206,7 +207,6 @@
     }
     if (!reachable)
         probeStore();
-    m_loop.after(internal::storeCheckInterval, [this] { checkStore(); });
 }
 
 void Node::probeStore()
@@ -226,6 +226,7 @@
 
 void Node::checkLoad()
 {
+    m_loop.after(internal::loadCheckInterval, [this] { checkLoad(); });
     const auto now = EventLoop::now();
     if (const auto load = m_load.timerRan(now, EventLoop::processorTime()))
         logLoad(*load);
@@ -234,7 +235,6 @@
     if (m_owner)
         m_stateFollower.setPause(
                 m_governor.stretched(internal::ownerWatchPause, internal::standbyWatchPause));
-    m_loop.after(internal::loadCheckInterval, [this] { checkLoad(); });
 }
 
 void Node::recordTraffic(TimePoint now)
@@ -516,6 +516,12 @@
                  owner = std::shared_ptr<ScheduleOwner>(std::move(m_owner))] {});
 }
 
+void Node::handleError(const std::string &error)
+{
+    logWarning("unexpected-error", {{"error", error}, {"owner", m_owner ? "yes" : "no"}});
+    m_ownership.stepAside("an unexpected error: " + error);
+}
+
 void Node::stop()
 {
     if (std::exchange(m_stopping, true))
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -22,6 +22,9 @@
 /** Time that a node gives more capable ones to claim the ownership; they notice it within 0.3 s. */
 constexpr Duration deferTime = 500ms;
 
+/** Time for which a node leaves the ownership to others after an unexpected error. */
+constexpr Duration stepAsideTime = 5000ms;
+
 std::int64_t parseCount(const std::string &text)
 {
     std::int64_t number = 0;
@@ -49,8 +52,8 @@
 
 void Ownership::tick()
 {
-    check();
     m_loop.after(internal::checkInterval, [this] { tick(); });
+    check();
 }
 
 void Ownership::check()
@@ -90,7 +93,7 @@
     // A key with this node's name was written by an earlier process of the node, because only one
     // process of a node runs at a time.
     const bool free = m_replica.owner().revision == 0 || isOwnKey();
-    return free && m_replica.loaded() && !m_resigned;
+    return free && m_replica.loaded() && !m_resigned && EventLoop::now() >= m_notBefore;
 }
 
 bool Ownership::isOwnKey() const
@@ -197,6 +200,12 @@
         lose("the node is stopping");
 }
 
+void Ownership::stepAside(const std::string &reason)
+{
+    m_notBefore = EventLoop::now() + internal::stepAsideTime;
+    lose(reason);
+}
+
 void Ownership::lose(const std::string &reason)
 {
     if (m_fence == 0)
--- a/src/node/prefixwatcher.cpp
+++ b/src/node/prefixwatcher.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/base/hash.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace dragonflysill {
@@ -81,8 +82,8 @@
         return;
     }
     m_asOf = m_listedAsOf;
-    m_handlers.reset(m_listedItems, m_asOf);
-    m_listedItems.clear();
+    const auto items = std::exchange(m_listedItems, {});
+    handle([&] { m_handlers.reset(items, m_asOf); });
     waitForChanges();
 }
 
@@ -110,7 +111,7 @@
     m_failed = false;
     m_lastResponseAt = EventLoop::now();
     m_asOf = std::max(m_asOf, changes->asOf);
-    m_handlers.changed(changes->updates, m_asOf);
+    handle([&] { m_handlers.changed(changes->updates, m_asOf); });
     if (changes->updates.empty() || m_timing.pause == Duration{0}) {
         waitForChanges();
         return;
@@ -121,6 +122,17 @@
     });
 }
 
+void PrefixWatcher::handle(const std::function<void()> &handler)
+{
+    try {
+        handler();
+    } catch (const std::exception &) {
+        // The event loop reports the error; the watch goes on with a full list.
+        retry([this] { start(); });
+        throw;
+    }
+}
+
 void PrefixWatcher::retry(std::function<void()> action)
 {
     m_failed = true;
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -165,11 +165,11 @@
 
 void ScheduleOwner::tick()
 {
-    decide();
     m_context.loop.after(internal::tickInterval, [this, alive = m_alive] {
         if (*alive)
             tick();
     });
+    decide();
 }
 
 void ScheduleOwner::requestDecision()
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,9 +33,12 @@
     EventLoop loop;
     std::string address = freeAddress();
     int handled = 0;
+    std::string throwsOn; ///< Target whose requests meet an unexpected error.
     HttpServer server{
             loop, [this](const HttpRequest &request, const HttpServer::Respond &respond) {
                 ++handled;
+                if (request.target == throwsOn)
+                    throw std::runtime_error("bad request");
                 respond({200, request.method + " " + request.target + " " + request.body, {}});
             }};
 
@@ -264,4 +268,44 @@
     BOOST_TEST(percentEncode("a/b c&d=\xc3") == "a/b%20c%26d%3D%C3");
 }
 
+// One request that meets an unexpected error must not end the process nor affect other requests.
+BOOST_AUTO_TEST_CASE(HandlerThatThrowsFailsOnlyItsRequest)
+{
+    EchoServer echo;
+    std::vector<std::string> errors;
+    echo.loop.setErrorHandler([&](const std::string &it) { errors.push_back(it); });
+    echo.throwsOn = "/bad";
+    BOOST_TEST(echo.sendRaw("GET /bad HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                       .starts_with("HTTP/1.1 500"));
+    BOOST_TEST(echo.sendRaw("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                       .starts_with("HTTP/1.1 200"));
+    BOOST_REQUIRE(errors.size() == 1U);
+    BOOST_TEST(errors[0] == "bad request");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Loop)
+
+BOOST_AUTO_TEST_CASE(ActionsRunAfterOneThatThrows)
+{
+    EventLoop loop;
+    std::vector<std::string> errors;
+    loop.setErrorHandler([&](const std::string &it) { errors.push_back(it); });
+    bool ran = false;
+    loop.post([] { throw std::runtime_error("unexpected"); });
+    loop.post([&] { ran = true; });
+    loop.run();
+    BOOST_TEST(ran);
+    BOOST_REQUIRE(errors.size() == 1U);
+    BOOST_TEST(errors[0] == "unexpected");
+}
+
+BOOST_AUTO_TEST_CASE(ExceptionsLeaveALoopWithoutAnErrorHandler)
+{
+    EventLoop loop;
+    loop.post([] { throw std::runtime_error("unexpected"); });
+    BOOST_CHECK_THROW(loop.run(), std::runtime_error);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -16,6 +16,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -578,6 +579,27 @@
     BOOST_TEST((store.watchWaits[1] == 0ms));
 }
 
+// An unexpected error must not leave a node that follows nothing any more.
+BOOST_AUTO_TEST_CASE(WatchGoesOnWithAListAfterItsHandlerThrew)
+{
+    EventLoop loop;
+    FakeStore store(loop);
+    store.put("p/1", "v");
+    store.watchLimit = 1;
+    int lists = 0;
+    int errors = 0;
+    loop.setErrorHandler([&](const std::string &) { ++errors; });
+    PrefixWatcher watcher(loop, store, "p/", {},
+                          {[&](std::span<const KeyValue>, std::int64_t) { ++lists; },
+                           [](std::span<const KeyUpdate>, std::int64_t) {
+                               throw std::runtime_error("unexpected");
+                           }});
+    watcher.start();
+    loop.run();
+    BOOST_TEST(lists == 2);
+    BOOST_TEST(errors == 1);
+}
+
 // The store may compact its history at any time.
 BOOST_AUTO_TEST_CASE(CompactedHistoryLeadsToANewList)
 {
@@ -647,6 +669,21 @@
 
 // The node that takes over must know the jobs at once, but not every node can afford to follow
 // them.
+// The state of a node that met an unexpected error may be incomplete.
+BOOST_AUTO_TEST_CASE(OwnerWithAnUnexpectedErrorLeavesTheScheduleToOthers)
+{
+    Candidate node(1500ms);
+    node.check();
+    BOOST_REQUIRE(node.gained.size() == 1U);
+    node.ownership.stepAside("unexpected");
+    BOOST_TEST(node.lost == 1);
+    BOOST_TEST(!node.ownership.valid());
+    node.store.items.erase(std::string(nodekeys::owner));
+    node.updateReplica();
+    node.check();
+    BOOST_TEST(node.gained.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(FewMostCapableNodesStandBy)
 {
     StateReplica replica;
