--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -88,11 +88,8 @@
     {
         return m_workerController.orderCounts();
     }
-    /** Returns the nodes that call workers for this one. */
-    [[nodiscard]] const std::vector<DelegateCandidate> &delegates() const
-    {
-        return m_routes.plan().delegates();
-    }
+    /** Returns which nodes call the workers for this one. */
+    [[nodiscard]] const DelegatePlan &delegatePlan() const { return m_routes.plan(); }
     /** Returns the longest delay of a hold since the last call. */
     Duration takeMaxHoldDelay() { return m_workerController.takeMaxHoldDelay(); }
     [[nodiscard]] const DecisionCounts &decisionCounts() const { return m_decisionCounts; }
--- a/programs/dragonflysill/main.cpp
+++ b/programs/dragonflysill/main.cpp
@@ -122,6 +122,7 @@
             = {{"status", "Show a node's state and which node schedules"},
                {"jobs", "Show the jobs that have not ended"},
                {"pools", "Show the load and the instances of each pool"},
+               {"delegates", "Show which nodes call the workers for the node that schedules"},
                {"maintenance", "Show the progress of maintenance waves"}};
     for (const auto &it : views) {
         const std::string view = it.first;
--- a/scripts/fleetday.sh
+++ b/scripts/fleetday.sh
@@ -31,7 +31,7 @@
 done
 owner=$(grep -l ownership-gained "$run_dir"/node-*.log | head -1 | xargs -r basename -s .log)
 result=0
-for question in status jobs pools maintenance "explain job 0000000000000000"; do
+for question in status jobs pools delegates maintenance "explain job 0000000000000000"; do
     # shellcheck disable=SC2086
     "$bin/dragonflysill" --nodes "$nodes" node $question >"$run_dir/answer.txt" 2>&1 || {
         echo "FAILED: node $question"
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -141,6 +141,28 @@
                          {"orders_unanswered", counts.ordersUnanswered}});
 }
 
+HttpResponse delegates(const NodeViewSource &source)
+{
+    if (source.owner == nullptr)
+        return notOwnerResponse(source);
+    const auto &plan = source.owner->delegatePlan();
+    std::map<std::string, int, std::less<>> workers; // By address; empty if called directly.
+    for (const auto &[id, worker] : source.owner->scheduler().workers()) {
+        if (!worker.retired)
+            ++workers[std::string(plan.delegateFor(id, worker.description.zone, source.now))];
+    }
+    Json rows = Json::array();
+    for (const auto &it : plan.delegates())
+        rows.push_back({{"node", it.node},
+                        {"zone", it.zone},
+                        {"address", it.address},
+                        {"cores", static_cast<double>(it.milliCores) / 1000},
+                        {"workers", workers[it.address]}});
+    return jsonResponse({{"owner", source.node},
+                         {"workers_called_by_the_owner", workers[std::string()]},
+                         {"delegates", std::move(rows)}});
+}
+
 HttpResponse maintenance(const NodeViewSource &source)
 {
     if (source.owner == nullptr)
@@ -271,6 +293,8 @@
         return internal::jobs(source);
     if (target == "/v1/pools")
         return internal::pools(source);
+    if (target == "/v1/delegates")
+        return internal::delegates(source);
     if (target == "/v1/maintenance")
         return internal::maintenance(source);
     if (target.starts_with(jobPrefix))
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -278,7 +278,8 @@
 {
     JobServiceFixture service;
     service.replica.applyOwn(std::string(nodekeys::owner), "node-2", 9);
-    for (const std::string target : {"/v1/pools", "/v1/maintenance", "/v1/explain/instance/m-1"}) {
+    for (const std::string target :
+         {"/v1/pools", "/v1/delegates", "/v1/maintenance", "/v1/explain/instance/m-1"}) {
         const auto text = view(service, target);
         BOOST_TEST(text.starts_with("409 "));
         BOOST_TEST(text.find("node-2") != std::string::npos);
