Do not probe the store during the start; the linter's findings in PoolBalancer

Cause: a node that starts counts the store as unreachable until its first watch is answered, and asked it for a key every 100 ms meanwhile.

--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -137,6 +137,7 @@
     std::map<std::int64_t, MaintenanceWave> m_waves; ///< All waves that the operators requested.
     bool m_stopping = false;
     bool m_storeReachable = false;
+    bool m_wasStoreReachable = false; ///< The store has been reachable before.
     bool m_probing = false; ///< A call of probeStore() is in flight.
     TimePoint m_polledAgainAt{}; ///< When the watches were last sent again.
     TimePoint m_storeCheckedAt{};
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -56,6 +56,7 @@
 int limitToShares(std::vector<int> &demands, int available)
 {
     std::vector<int *> byDemand;
+    byDemand.reserve(demands.size());
     for (auto &it : demands)
         byDemand.push_back(&it);
     std::ranges::sort(byDemand, {}, [](const int *it) { return *it; });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -199,13 +199,15 @@
                            && !(m_store.reachability().unreachable(now) && !paused);
     if (reachable != m_storeReachable) {
         m_storeReachable = reachable;
+        m_wasStoreReachable = true;
         m_service.setStoreReachable(reachable);
         if (reachable)
             logInfo("store-reached");
         else
             logWarning("store-lost");
     }
-    if (!reachable)
+    // During the start there is no watch yet that could hang.
+    if (!reachable && m_wasStoreReachable)
         probeStore();
 }
 
