--- a/programs/fleet-standin/faultseries.cpp
+++ b/programs/fleet-standin/faultseries.cpp
@@ -18,6 +18,7 @@
 constexpr double limitedBytesPerSecond = 20000;
 /** Of this many faults, one hits the store and one the fleet; the others hit links. */
 constexpr std::size_t faultGroups = 4;
+/** Numbers of kinds of faults and changes. */
 constexpr std::size_t storeFaults = 4;
 constexpr std::size_t linkFaults = 6;
 constexpr std::size_t fleetFaults = 4;
--- a/tests/jobs/decisionstest.cpp
+++ b/tests/jobs/decisionstest.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::int64_t instanceCores = 64;
+/** Milli-cores of an instance that tasks of different sizes use. */
+constexpr std::int64_t usableCores = 54000;
 
 /** A fleet view whose instances change their pool as soon as a move is applied. */
 struct Fleet
@@ -185,7 +187,6 @@
 // be in time, wait for its instances and become late as well.
 BOOST_AUTO_TEST_CASE(PoolWithLateJobsYieldsInstancesToJobsInTime)
 {
-    constexpr std::int64_t usableCores = 54000;
     Fleet fleet({{"a", 30}, {"b", 2}}, 0);
     for (auto &it : fleet.view.instances)
         it.empty = false;
@@ -215,7 +216,6 @@
 // instances from pools whose small demand is known.
 BOOST_AUTO_TEST_CASE(SmallDemandsAreMetWhenThatOfAnotherPoolExceedsTheFleet)
 {
-    constexpr std::int64_t usableCores = 54000;
     Fleet fleet({{"a", 30}, {"b", 15}, {"c", 5}}, 0);
     fleet.view.load["a"].waitingMilliCores = 80 * usableCores;
     fleet.view.load["b"].waitingMilliCores = 20 * usableCores;
@@ -230,7 +230,6 @@
 
 BOOST_AUTO_TEST_CASE(PoolsThatBothExceedTheFleetShareItEqually)
 {
-    constexpr std::int64_t usableCores = 54000;
     Fleet fleet({{"a", 30}, {"b", 15}}, 0);
     fleet.view.load["a"].waitingMilliCores = 80 * usableCores;
     fleet.view.load["b"].waitingMilliCores = 40 * usableCores;
@@ -242,7 +241,6 @@
 
 BOOST_AUTO_TEST_CASE(LateJobsGetTheInstancesThatJobsInTimeLeave)
 {
-    constexpr std::int64_t usableCores = 54000;
     Fleet fleet({{"a", 30}, {"b", 10}}, 0);
     fleet.view.load["a"].waitingMilliCores = 60 * usableCores;
     fleet.view.load["a"].lateMilliCores = 60 * usableCores;
@@ -256,7 +254,6 @@
 // Persistent tasks would have to be moved away first, which interrupts them.
 BOOST_AUTO_TEST_CASE(InstancesWithPersistentTasksDoNotYield)
 {
-    constexpr std::int64_t usableCores = 54000;
     Fleet fleet({{"a", 10}, {"b", 2}}, 0);
     for (auto &it : fleet.view.instances) {
         it.empty = false;
