Remove state that nothing reads or that another tally has

Callers kept which cancels were acknowledged without reading it, and counted lost jobs beside FleetTally; PoolBalancer visited all instances each 100 ms for candidates to yield, also when no pool is above its share or none is short. Change: the stand-in's tally alone counts lost jobs; chooseYielding ends early with the same outcome.

--- a/programs/fleet-standin/callers.cpp
+++ b/programs/fleet-standin/callers.cpp
@@ -46,7 +46,6 @@
     , m_client(loop)
     , m_settings(std::move(settings))
     , m_submittedAt(static_cast<std::size_t>(m_settings.jobs))
-    , m_cancelled(static_cast<std::size_t>(m_settings.jobs))
 {
 }
 
@@ -113,7 +112,6 @@
 {
     call("DELETE", n, node, {}, [this, n, node](const Result<HttpResponse> &response) {
         if (response && response->status / 100 == 2) {
-            m_cancelled[static_cast<std::size_t>(n)] = true;
             m_fleet.jobCancelled(internal::jobId(n));
             return;
         }
@@ -138,7 +136,6 @@
         if (cancelled || unknown || internal::reports(response, "failed")) {
             const char *report = unknown ? "unknown" : cancelled ? "cancelled" : "failed";
             m_fleet.jobReportedLost(internal::jobId(n), report);
-            ++m_tally.lost;
             ++m_ended;
             return;
         }
--- a/programs/fleet-standin/callers.h
+++ b/programs/fleet-standin/callers.h
@@ -26,7 +26,6 @@
     int completed = 0;
     int cancelled = 0; ///< Jobs whose cancel was acknowledged and that ended as cancelled.
     int late = 0; ///< Completed jobs that took longer than the objective.
-    int lost = 0; ///< Accepted jobs that a node reported as unknown or failed.
     int notAccepted = 0; ///< "Not accepted" responses; most callers submit again.
     int abandoned = 0; ///< Jobs whose callers got only "not accepted" and stopped submitting.
 };
@@ -71,7 +70,6 @@
     CallerTally m_tally;
     std::vector<TimePoint> m_submittedAt;
     std::vector<std::string> m_queue; ///< Pool of each job.
-    std::vector<bool> m_cancelled; ///< Jobs whose cancel was acknowledged.
     TimePoint m_startedAt{};
     int m_ended = 0;
 };
--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -112,8 +112,9 @@
     const auto &tally = fleet.tally();
     std::cout << "accepted " << callers.accepted << "\ncompleted " << callers.completed
               << "\ncancelled " << callers.cancelled << "\nlate " << callers.late << "\nlost "
-              << callers.lost << "\nnot finished "
-              << jobs - callers.abandoned - callers.completed - callers.cancelled - callers.lost
+              << tally.lost << "\nnot finished "
+              << jobs - callers.abandoned - callers.completed - callers.cancelled
+                         - static_cast<int>(tally.lost)
               << "\ntold \"not accepted\" " << callers.notAccepted << "\nfalse \"not accepted\" "
               << tally.startedAfterRejection << "\nfalse \"completed\" " << tally.falselyCompleted
               << "\nstarted after their cancel " << tally.startedAfterCancel << "\ndoubled "
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -153,6 +153,10 @@
         if (now - demand.aboveShareSince >= internal::yieldDelay)
             excess[pool] = demand.present - demand.needed;
     }
+    if (shortage == 0 || excess.empty()) {
+        m_yielding.clear();
+        return;
+    }
     std::vector<const InstanceView *> candidates;
     for (const auto &it : fleet.instances) {
         if (it.usable && !it.leaving && !it.draining && !it.orderPending && !it.possiblyOrdered
