Log why a task waits although its pool has free capacity

Change: Scheduler::startObstacle names what keeps a worker from a task; chooseWorker decides with it and longWaitingTasks reports with it, so that both cannot differ. The owner logs task-waiting, at most three lines a second, once a job has waited 2 s without a run and at most half of its pool's cores are reserved. Which worker is chosen stays as it was.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -6,6 +6,7 @@
 #include "dragonflysill/jobs/fleetview.h"
 #include "dragonflysill/jobs/jobrun.h"
 #include "dragonflysill/jobs/runtimemodel.h"
+#include "dragonflysill/jobs/startobstacle.h"
 #include "dragonflysill/jobs/waitingqueue.h"
 #include "dragonflysill/jobs/workerstate.h"
 
@@ -224,6 +225,14 @@
     /** Returns the load of each pool from waiting and running tasks, including persistent ones. */
     [[nodiscard]] std::map<std::string, PoolLoad, std::less<>> loads(TimePoint now) const;
 
+    /**
+     * Returns up to @p limit jobs that have no run although a task has waited for @p waited or
+     * longer and at most half of the pool's cores are reserved, with what keeps the pool's workers
+     * from taking that task.
+     */
+    [[nodiscard]] std::vector<WaitingTaskReport>
+    longWaitingTasks(Duration waited, std::size_t limit, TimePoint now) const;
+
     /** Returns the number of jobs that have not ended. */
     [[nodiscard]] std::size_t openJobs() const { return m_open.size(); }
 
@@ -288,6 +297,13 @@
     void startGang(JobRun &job, int occurrence, int step, TimePoint now);
     void startCopies(TimePoint now);
     void startStepCopies(JobRun &job, int occurrence, int step, TimePoint now);
+    /** Returns why a worker cannot take a task now; nothing if it can. */
+    [[nodiscard]] std::optional<StartObstacle> startObstacle(const WorkerState &worker,
+                                                             const JobRun &job, const TaskId &id,
+                                                             const Task &task, TimePoint now) const;
+    [[nodiscard]] static bool isLastAttempt(const JobRun &job, const Task &task);
+    [[nodiscard]] WaitingTaskReport describeWaiting(const JobRun &job, const TaskId &id,
+                                                    const Task &task, TimePoint now) const;
     [[nodiscard]] WorkerState *chooseWorker(const JobRun &job, const TaskId &id, const Task &task,
                                             TimePoint now);
     void startRun(JobRun &job, const TaskId &id, Task &task, WorkerState &worker, TimePoint now);
--- /dev/null
+++ b/include/dragonflysill/jobs/startobstacle.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "dragonflysill/jobs/job.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace dragonflysill {
+
+/** Why a worker cannot take a task at present. Logs print the names. */
+enum class StartObstacle {
+    Unlisted, ///< The store does not list it, or it has not answered this owner.
+    Leaving, ///< It is draining or being emptied.
+    Paused, ///< It refused a start shortly before.
+    Quarantined, ///< It failed the runs of several jobs.
+    TooSmall, ///< The task exceeds its capacity, even without other runs.
+    MissingLabel, ///< It lacks the label that the step requires.
+    StepLimit, ///< It has as many tasks of the step as it may have.
+    NoTicket, ///< The queue's policy has not admitted it for the step.
+    NoFreeCapacity, ///< The task exceeds what other runs leave free.
+    HasRun, ///< It has a run of the task already.
+    AwaitsSuccess, ///< The task's last attempt waits for a worker with a recent success.
+};
+
+constexpr std::size_t startObstacleCount
+        = static_cast<std::size_t>(StartObstacle::AwaitsSuccess) + 1;
+
+/** Returns the name of an obstacle in the log. */
+std::string_view obstacleName(StartObstacle obstacle);
+
+/** A task that has waited for long while its job has no run and its pool has free capacity. */
+struct WaitingTaskReport
+{
+    std::string job;
+    std::string position; ///< See TaskId::position().
+    std::string pool;
+    Milliseconds waited{0};
+    std::int64_t poolMilliCores = 0; ///< Capacity of the pool's reachable workers.
+    std::int64_t reservedMilliCores = 0; ///< What their runs reserve of it.
+    bool awaitsInheritedRuns = false; ///< Workers that may run it have not answered this owner.
+    bool awaitsUnwantedRun = false; ///< A run that this owner is stopping has not ended.
+    int suitableWorkers = 0; ///< Workers without an obstacle.
+    int slowWorkers = 0; ///< Those of them that are slow.
+    std::array<int, startObstacleCount> obstacles{}; ///< Workers by obstacle.
+};
+
+} // namespace dragonflysill
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -113,6 +113,8 @@
     void decide();
     void decideAfterEvent();
     /** Bounds the starts of the next decision to what the machine's link carries. */
+    /** Logs why tasks wait although their pool has free capacity. */
+    void logWaitingTasks(TimePoint now);
     void limitStarts();
     void carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt);
     void saveProgress();
@@ -135,6 +137,7 @@
     int m_savesInFlight = 0;
     TimePoint m_savedAt{};
     TimePoint m_nextSaveAt{}; ///< After a write that was not applied.
+    TimePoint m_waitsLoggedAt{};
     TimePoint m_fleetDecidedAt{};
     /** Waves received before the replica was complete. */
     std::vector<MaintenanceWave> m_wavesBeforeStart;
--- /dev/null
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -0,0 +1,128 @@
+// Obstacles between waiting tasks and workers, for decisions and for the log.
+
+#include "dragonflysill/jobs/scheduler.h"
+
+#include "schedulerconstants.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace dragonflysill {
+
+std::string_view obstacleName(StartObstacle obstacle)
+{
+    static constexpr std::array<std::string_view, startObstacleCount> names{
+            "unlisted",   "leaving",   "paused",           "quarantined", "too-small",     "label",
+            "step-limit", "no-ticket", "no-free-capacity", "has-run",     "awaits-success"};
+    return names.at(static_cast<std::size_t>(obstacle));
+}
+
+std::optional<StartObstacle> Scheduler::startObstacle(const WorkerState &worker, const JobRun &job,
+                                                      const TaskId &id, const Task &task,
+                                                      TimePoint now) const
+{
+    if (!worker.listed || !worker.reachable || !worker.fenced)
+        return StartObstacle::Unlisted;
+    if (worker.description.draining || worker.leaving)
+        return StartObstacle::Leaving;
+    if (now < worker.pausedUntil)
+        return StartObstacle::Paused;
+    if (worker.health.quarantined(now))
+        return StartObstacle::Quarantined;
+    const auto &step = job.step(id);
+    if (!worker.description.capacity.covers(step.reserved()))
+        return StartObstacle::TooSmall;
+    if (!worker.description.hasLabel(step.requiredLabel))
+        return StartObstacle::MissingLabel;
+    if (step.maxPerWorker > 0) {
+        const auto first = worker.runs.lower_bound(TaskId{id.job, id.occurrence, id.step, 0});
+        const auto last = worker.runs.lower_bound(TaskId{id.job, id.occurrence, id.step + 1, 0});
+        if (std::distance(first, last) >= step.maxPerWorker)
+            return StartObstacle::StepLimit;
+    }
+    if (!worker.free().covers(step.reserved()))
+        return StartObstacle::NoFreeCapacity;
+    if (worker.runs.contains(id))
+        return StartObstacle::HasRun;
+    if (admissionSettings(job) != nullptr
+        && m_admissions
+                   .ticket({id.job, id.occurrence, id.step}, worker.description.id,
+                           worker.startedMs, now)
+                   .empty())
+        return StartObstacle::NoTicket;
+    if (isLastAttempt(job, task) && !worker.health.succeededSince(task.failedAt)
+        && now - task.failedAt < internal::lastAttemptWait)
+        return StartObstacle::AwaitsSuccess;
+    return std::nullopt;
+}
+
+bool Scheduler::isLastAttempt(const JobRun &job, const Task &task)
+{
+    return !task.failedOn.empty()
+           && static_cast<int>(task.failedOn.size()) >= job.job().policy.attempts - 1;
+}
+
+WaitingTaskReport Scheduler::describeWaiting(const JobRun &job, const TaskId &id, const Task &task,
+                                             TimePoint now) const
+{
+    WaitingTaskReport report;
+    report.job = id.job;
+    report.position = id.position();
+    report.pool = job.job().pool;
+    report.waited = std::chrono::duration_cast<Milliseconds>(now - task.waitingSince);
+    report.awaitsInheritedRuns = blockedByUnknownRuns(job);
+    report.awaitsUnwantedRun = m_unwantedRuns.contains(id);
+    const auto pool = m_pools.find(report.pool);
+    if (pool == m_pools.end())
+        return report;
+    for (const auto *it : pool->second) {
+        if (it->reachable) {
+            report.poolMilliCores += it->description.capacity.milliCores;
+            report.reservedMilliCores += it->reserved.milliCores;
+        }
+        if (const auto obstacle = startObstacle(*it, job, id, task, now)) {
+            ++report.obstacles.at(static_cast<std::size_t>(*obstacle));
+            continue;
+        }
+        ++report.suitableWorkers;
+        report.slowWorkers += static_cast<int>(it->health.slow(now));
+    }
+    return report;
+}
+
+std::vector<WaitingTaskReport> Scheduler::longWaitingTasks(Duration waited, std::size_t limit,
+                                                           TimePoint now) const
+{
+    std::vector<WaitingTaskReport> reports;
+    for (const auto &[jobId, job] : m_open) {
+        if (reports.size() >= limit)
+            break;
+        const Task *longest = nullptr;
+        TaskId id;
+        bool anyActive = false;
+        for (const auto &[occurrence, run] : job->occurrences()) {
+            for (std::size_t n = 0; n < run.steps.size(); ++n) {
+                const auto &step = run.steps[n];
+                for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+                    const auto &task = step.tasks[index];
+                    anyActive = anyActive || task.phase == Task::Phase::Active;
+                    if (task.phase != Task::Phase::Waiting
+                        || (longest != nullptr && longest->waitingSince <= task.waitingSince))
+                        continue;
+                    longest = &task;
+                    id = {jobId, occurrence, static_cast<int>(n), static_cast<int>(index)};
+                }
+            }
+        }
+        if (anyActive || longest == nullptr || now - longest->waitingSince < waited)
+            continue;
+        auto report = describeWaiting(*job, id, *longest, now);
+        if (2 * report.reservedMilliCores <= report.poolMilliCores)
+            reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+} // namespace dragonflysill
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -168,37 +168,19 @@
                                      TimePoint now)
 {
     const auto &step = job.step(id);
-    const auto need = step.reserved();
     const auto pool = m_pools.find(job.job().pool);
-    const bool needsTicket = admissionSettings(job) != nullptr;
-    const AdmissionTable::StepKey key{id.job, id.occurrence, id.step};
-    const bool lastAttempt
-            = !task.failedOn.empty()
-              && static_cast<int>(task.failedOn.size()) >= job.job().policy.attempts - 1;
+    const bool lastAttempt = isLastAttempt(job, task);
     bool anyNotSlow = false;
     WorkerState *best = nullptr;
     std::tuple<bool, bool, bool, bool, bool, bool, double> bestScore;
     for (auto *it : pool->second) {
-        if (!it->usable(now))
-            continue;
         const bool slow = it->health.slow(now);
-        anyNotSlow = anyNotSlow || !slow;
-        if (!it->free().covers(need) || it->runs.contains(id)
-            || !it->description.hasLabel(step.requiredLabel))
+        anyNotSlow = anyNotSlow || (!slow && it->usable(now));
+        if (startObstacle(*it, job, id, task, now))
             continue;
-        if (needsTicket && m_admissions.ticket(key, it->description.id, it->startedMs, now).empty())
-            continue;
-        if (step.maxPerWorker > 0) {
-            const auto first = it->runs.lower_bound(TaskId{id.job, id.occurrence, id.step, 0});
-            const auto last = it->runs.lower_bound(TaskId{id.job, id.occurrence, id.step + 1, 0});
-            if (std::distance(first, last) >= step.maxPerWorker)
-                continue;
-        }
         const bool failedHere = task.failedOn.contains(it->description.id);
         const bool suspect = !task.failedOn.empty() && it->health.suspect(now);
         const bool noRecentSuccess = lastAttempt && !it->health.succeededSince(task.failedAt);
-        if (noRecentSuccess && now - task.failedAt < internal::lastAttemptWait)
-            continue;
         const bool remote = !step.dataRack.empty() && !it->description.hasLabel(step.dataRack);
         const double load = static_cast<double>(it->reserved.milliCores)
                             / static_cast<double>(
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -40,6 +40,11 @@
 constexpr std::size_t removalsPerWrite = 9;
 /** Number of run numbers per task that are reserved for each owner. */
 constexpr int runsPerOwner = 1000;
+/** Time that a task waits, with free capacity in its pool, before the log says why. */
+constexpr Duration longWait = 2000ms;
+/** Interval between two log entries about such tasks, and their maximum number at a time. */
+constexpr Duration waitLogInterval = 1000ms;
+constexpr std::size_t maxWaitLogEntries = 3;
 /** Minimum interval between two removals of ended jobs. */
 constexpr Duration removalInterval = 2000ms;
 /** Time for which ended jobs are kept beyond the time that callers may request their status. */
@@ -219,10 +224,41 @@
         m_routes.update(now);
         removeOldJobs();
     }
+    logWaitingTasks(now);
     limitStarts();
     carryOut(m_scheduler.decide(now, unixMilliseconds()), now);
 }
 
+void ScheduleOwner::logWaitingTasks(TimePoint now)
+{
+    if (now - m_waitsLoggedAt < internal::waitLogInterval)
+        return;
+    m_waitsLoggedAt = now;
+    for (const auto &it :
+         m_scheduler.longWaitingTasks(internal::longWait, internal::maxWaitLogEntries, now)) {
+        std::string obstacles;
+        for (std::size_t n = 0; n < it.obstacles.size(); ++n) {
+            if (it.obstacles.at(n) == 0)
+                continue;
+            obstacles += obstacles.empty() ? "" : " ";
+            obstacles += std::string(obstacleName(static_cast<StartObstacle>(n))) + '='
+                         + std::to_string(it.obstacles.at(n));
+        }
+        logWarning("task-waiting",
+                   {{"job", it.job},
+                    {"task", it.position},
+                    {"pool", it.pool},
+                    {"waited_ms", std::to_string(it.waited.count())},
+                    {"reserved_cores", std::to_string(it.reservedMilliCores / 1000)},
+                    {"pool_cores", std::to_string(it.poolMilliCores / 1000)},
+                    {"suitable_workers", std::to_string(it.suitableWorkers)},
+                    {"slow_workers", std::to_string(it.slowWorkers)},
+                    {"other_workers", obstacles},
+                    {"awaits_inherited_runs", it.awaitsInheritedRuns ? "yes" : "no"},
+                    {"awaits_unwanted_run", it.awaitsUnwantedRun ? "yes" : "no"}});
+    }
+}
+
 void ScheduleOwner::decideAfterEvent()
 {
     if (!mayDecide())
