Show with failing tests that runnable tasks are passed over

Its rule: a job has no run for 3 s although a task could run and under half of the pool is in use. Six ways to get there are in the scheduler and in the sizing of pools; none needs a network.

--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -1,5 +1,7 @@
 #include "schedulerharness.h"
 
+#include "dragonflysill/jobs/poolbalancer.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace dragonflysill;
@@ -12,6 +14,88 @@
     return report.obstacles.at(static_cast<std::size_t>(obstacle));
 }
 
+/** Time within which a task that could run must run, from the users' pages. */
+constexpr Duration runnableBound = 3s;
+
+/** Delivers the end of a failed run of a job's first task on a worker. */
+void failOn(SchedulerHarness &harness, const std::string &worker, const std::string &job, int run)
+{
+    auto &it = harness.workers[worker];
+    it.ended.push_back({it.nextEnd++, {job, 0, 0, 0}, run, RunEnd::Failed, {}});
+    harness.reportFrom(worker);
+}
+
+/**
+ * Lets time pass, with reports and decisions, until a task runs or @p bound is over.
+ * @param eachTime called before each report
+ * @return whether the task runs
+ */
+template <typename Action>
+bool runsWithin(SchedulerHarness &harness, const TaskId &task, Duration bound, Action eachTime)
+{
+    for (const auto end = harness.now + bound; harness.now < end; harness.advanceTime(100ms)) {
+        eachTime();
+        harness.reportAll();
+        harness.decide();
+        if (!harness.workerOf(task).empty())
+            return true;
+    }
+    return false;
+}
+
+/** Makes "slow" several times slower than "fast", from the progress of equal tasks on both. */
+void makeSlow(SchedulerHarness &harness)
+{
+    harness.advanceTime(500ms);
+    for (const auto &[id, percent] : {std::pair{"fast", 60}, std::pair{"slow", 10}}) {
+        for (auto &[task, row] : harness.workers[id].running)
+            row.percent = percent;
+        harness.reportFrom(id);
+    }
+    BOOST_REQUIRE(harness.scheduler.worker("slow")->health.slow(harness.now));
+}
+
+/** Shows the harness's workers and one more instance in standby to a balancer for some time. */
+std::vector<MoveInstance> movesOf(SchedulerHarness &harness, Duration time)
+{
+    FleetView fleet;
+    fleet.standbyPool = "standby";
+    for (const auto &[id, worker] : harness.scheduler.workers()) {
+        InstanceView row;
+        row.name = id;
+        row.pool = "pool";
+        row.usable = true;
+        row.empty = worker.empty();
+        row.milliCores = worker.description.capacity.milliCores;
+        row.memoryMb = worker.description.capacity.memoryMb;
+        fleet.instances.push_back(row);
+    }
+    // A busy instance of another pool, so that there are no spare instances to share out.
+    InstanceView busy;
+    busy.name = "busy";
+    busy.pool = "other";
+    busy.usable = true;
+    busy.milliCores = 64000;
+    busy.memoryMb = 65536;
+    fleet.instances.push_back(busy);
+    fleet.load["other"].runningMilliCores = 50000;
+    InstanceView spare;
+    spare.name = "spare";
+    spare.pool = fleet.standbyPool;
+    spare.standby = true;
+    spare.milliCores = 64000;
+    spare.memoryMb = 65536;
+    fleet.instances.push_back(spare);
+    PoolBalancer balancer;
+    std::vector<MoveInstance> moves;
+    for (const auto end = harness.now + time; harness.now < end && moves.empty();) {
+        fleet.load["pool"] = harness.scheduler.loads(harness.now)["pool"];
+        moves = balancer.decide(fleet, harness.now);
+        harness.advanceTime(100ms);
+    }
+    return moves;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WaitingTasks)
@@ -56,4 +140,131 @@
     BOOST_TEST(harness.scheduler.longWaitingTasks(2s, 10, harness.now).empty());
 }
 
+// Two jobs whose tasks always fail put every worker of a small pool in quarantine. Guards against
+// other jobs that wait for its end while all workers are sound and free.
+BOOST_AUTO_TEST_CASE(QuarantineOfAWholePoolDoesNotKeepTasksWaiting)
+{
+    SchedulerHarness harness;
+    for (const auto *id : {"w1", "w2"})
+        harness.addWorker(id);
+    for (const auto *id : {"faulty-1", "faulty-2"})
+        harness.addJob(job(id, {step(1)}, 20));
+    int run = 100;
+    for (int round = 0; round < 2; ++round) {
+        for (const auto *worker : {"w1", "w2"}) {
+            failOn(harness, worker, "faulty-1", ++run);
+            failOn(harness, worker, "faulty-2", ++run);
+        }
+    }
+    for (const auto *id : {"w1", "w2"})
+        BOOST_REQUIRE(harness.scheduler.worker(id)->health.quarantined(harness.now + 5s));
+    harness.addJob(job("sound", {step(1)}));
+    const bool runs = runsWithin(harness, {"sound", 0, 0, 0}, runnableBound, [&harness] {
+        for (const auto *id : {"faulty-1", "faulty-2"})
+            harness.end({id, 0, 0, 0}, RunEnd::Failed);
+    });
+    BOOST_TEST(runs);
+}
+
+// Guards against a task that waits for faster workers of which none has the capacity for it.
+BOOST_AUTO_TEST_CASE(SlowWorkerTakesATaskThatNoFasterOneCanHold)
+{
+    SchedulerHarness harness;
+    harness.addWorker("fast", 2);
+    harness.addJob(job("a", {step(2)}));
+    harness.decide();
+    harness.addWorker("slow", 8);
+    harness.addJob(job("b", {step(4)}));
+    harness.decide();
+    harness.end({"a", 0, 0, 0}, RunEnd::Done);
+    harness.addJob(job("c", {step(2)}));
+    harness.decide();
+    makeSlow(harness);
+    auto large = step(1);
+    large.need.milliCores = 3000;
+    harness.addJob(job("large", {large}));
+    harness.decide();
+    BOOST_TEST(harness.workerOf({"large", 0, 0, 0}) == "slow");
+}
+
+// Guards against a job without any run while slow workers are free, because the faster ones are
+// occupied for long.
+BOOST_AUTO_TEST_CASE(SlowWorkersTakeTasksThatFasterOnesLeaveWaiting)
+{
+    SchedulerHarness harness;
+    harness.addWorker("fast", 1);
+    harness.addWorker("slow", 8);
+    harness.addJob(job("a", {step(4)}));
+    harness.decide();
+    makeSlow(harness);
+    harness.addJob(job("waiting", {step(1)}));
+    const TaskId task{"waiting", 0, 0, 0};
+    harness.decide();
+    BOOST_TEST(harness.workerOf(task).empty());
+    const bool runs = runsWithin(harness, task, runnableBound, [&harness] {
+        // The runs go on, and those of the slow worker still show that it is slow.
+        for (const auto *id : {"fast", "slow"}) {
+            for (auto &[run, row] : harness.workers[id].running)
+                ++row.percent;
+        }
+    });
+    BOOST_TEST(runs);
+}
+
+// A small step that waits for a worker with a recent success says nothing about free capacity.
+// Guards against a search that skips all steps whose tasks are as large or larger.
+BOOST_AUTO_TEST_CASE(StepThatWaitsForAnotherReasonThanRoomDoesNotHideLargerOnes)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 8);
+    harness.addWorker("w2", 8);
+    harness.addJob(job("a", {step(1)}, 2));
+    harness.decide();
+    harness.end({"a", 0, 0, 0}, RunEnd::Failed);
+    auto large = step(1);
+    large.need.milliCores = 4000;
+    harness.addJob(job("b", {large}));
+    harness.decide();
+    BOOST_TEST(harness.workerOf({"a", 0, 0, 0}).empty());
+    BOOST_TEST(!harness.workerOf({"b", 0, 0, 0}).empty());
+}
+
+// Guards against a task that waits for ever because the pool counts as large enough: the capacity
+// of its instance shrank, and the task does not fit any more.
+BOOST_AUTO_TEST_CASE(PoolGetsAnInstanceForATaskThatExceedsTheCapacityOfItsOwn)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w", 64);
+    worker.description.capacity.milliCores = 16000;
+    harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
+    auto large = step(1);
+    large.need.milliCores = 32000;
+    harness.addJob(job("large", {large}));
+    harness.decide();
+    const auto moves = movesOf(harness, runnableBound);
+    BOOST_REQUIRE(moves.size() == 1U);
+    BOOST_TEST(moves[0].instance == "spare");
+    BOOST_TEST(moves[0].pool == "pool");
+}
+
+// The same for persistent tasks that need an instance each, of which one became too small.
+BOOST_AUTO_TEST_CASE(PoolGetsAnInstanceForAPersistentTaskThatFitsNoneWithoutItsSiblings)
+{
+    SchedulerHarness harness;
+    for (const auto *id : {"w1", "w2", "w3"})
+        harness.addWorker(id, 64);
+    auto &shrunk = harness.workers["w2"].description;
+    shrunk.capacity.memoryMb = 1000;
+    harness.scheduler.addOrUpdateWorker(shrunk, harness.now);
+    auto exclusive = step(3);
+    exclusive.persistent = true;
+    exclusive.maxPerWorker = 1;
+    exclusive.need = {8000, 30000, 0};
+    harness.addJob(job("service", {exclusive}));
+    harness.decide();
+    const auto moves = movesOf(harness, runnableBound);
+    BOOST_REQUIRE(moves.size() == 1U);
+    BOOST_TEST(moves[0].instance == "spare");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
