Bound the time for which tasks wait for a faster worker

Callers saw (suspected): an accepted job without any run for seconds although workers were free.

Cause: a slow worker got no task while any other usable worker was not slow, whether or not that one could hold the task, and for as long as it was occupied. A pool with slow workers that were free and faster ones that were full or too small kept a task waiting without end.

Change: only workers that can hold the task, now or when their runs have ended, are waited for; after 2.5 s a task takes a slow worker if at most half of its pool is in use (the users ask for a run within 3 s).

--- a/include/dragonflysill/jobs/startobstacle.h
+++ b/include/dragonflysill/jobs/startobstacle.h
@@ -28,6 +28,13 @@
 constexpr std::size_t startObstacleCount
         = static_cast<std::size_t>(StartObstacle::AwaitsSuccess) + 1;
 
+/** Returns true if an obstacle ends without a change of the worker or its instance. */
+constexpr bool passesSoon(StartObstacle obstacle)
+{
+    return obstacle == StartObstacle::NoFreeCapacity || obstacle == StartObstacle::Paused
+           || obstacle == StartObstacle::NoTicket || obstacle == StartObstacle::AwaitsSuccess;
+}
+
 /** Returns the name of an obstacle in the log. */
 std::string_view obstacleName(StartObstacle obstacle);
 
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -170,13 +170,18 @@
     const auto &step = job.step(id);
     const auto pool = m_pools.find(job.job().pool);
     const bool lastAttempt = isLastAttempt(job, task);
-    bool anyNotSlow = false;
+    bool fasterOneMayTakeIt = false;
+    std::int64_t poolMilliCores = 0;
+    std::int64_t reservedMilliCores = 0;
     WorkerState *best = nullptr;
     std::tuple<bool, bool, bool, bool, bool, bool, double> bestScore;
     for (auto *it : pool->second) {
         const bool slow = it->health.slow(now);
-        anyNotSlow = anyNotSlow || (!slow && it->usable(now));
-        if (startObstacle(*it, job, id, task, now))
+        const auto obstacle = startObstacle(*it, job, id, task, now);
+        fasterOneMayTakeIt = fasterOneMayTakeIt || (!slow && (!obstacle || passesSoon(*obstacle)));
+        poolMilliCores += it->description.capacity.milliCores;
+        reservedMilliCores += it->reserved.milliCores;
+        if (obstacle)
             continue;
         const bool failedHere = task.failedOn.contains(it->description.id);
         const bool suspect = !task.failedOn.empty() && it->health.suspect(now);
@@ -194,8 +199,11 @@
             bestScore = score;
         }
     }
-    // Use a slow worker only if all usable ones are slow; otherwise wait for the others.
-    return best != nullptr && anyNotSlow && best->health.slow(now) ? nullptr : best;
+    const bool waitsTooLong = task.phase == Task::Phase::Waiting
+                              && now - task.waitingSince >= internal::slowWorkerDelay
+                              && 2 * reservedMilliCores <= poolMilliCores;
+    const bool awaitsFasterOne = fasterOneMayTakeIt && !waitsTooLong;
+    return best != nullptr && awaitsFasterOne && best->health.slow(now) ? nullptr : best;
 }
 
 void Scheduler::startRun(JobRun &job, const TaskId &id, Task &task, WorkerState &worker,
