Add a seeded model that finds runnable tasks that do not run

Users report jobs that have nothing running for 3 s although a task could start, sound workers have room for two such tasks and under half of the pool's cores is in use. The model drives the scheduler, with the hold schedule and the list of instances as the node uses them, through 20 s of seeded faults (crashes under a new or the same id, tasks that crash their workers, workers that shrink, fail, stand still, slow down, are cut off, lose answers or act late, lapsed entries, owners that end) and checks the rule once 7 s have passed without a fault. A second mode adds the balancer with several pools and a standby pool.

The clock, events and trace that it shares with ProtocolModel are now the base class Simulation; its seeds play as before.

--- /dev/null
+++ b/tests/jobs/progressmodel.h
@@ -0,0 +1,227 @@
+#pragma once
+
+#include "dragonflysill/jobs/holdschedule.h"
+#include "dragonflysill/jobs/poolbalancer.h"
+#include "dragonflysill/jobs/scheduler.h"
+#include "simulation.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dragonflysill::test {
+
+/**
+ * Simulation of an owner with its workers and seeded faults, which looks for tasks that could run
+ * and do not. Once there has been no fault for the contact time, a job may not be without any run
+ * for 3 s while it has a ready task, sound workers have room for two such tasks and less than half
+ * of the cores of its pool is in use.
+ */
+class ProgressModel : public Simulation
+{
+public:
+    enum class Mode {
+        OnePool,
+        Balanced, ///< Several pools and a standby pool, between which the balancer moves instances.
+    };
+
+    ProgressModel(std::uint64_t seed, Mode mode);
+    ~ProgressModel();
+
+    /**
+     * Runs the simulation; returns the first violation with the events of the job and the states
+     * of the workers, empty if there is none.
+     */
+    std::string run();
+
+    /** Returns the number of checks of jobs in which all conditions of the rule were met. */
+    [[nodiscard]] std::int64_t observedWaits() const { return m_observedWaits; }
+
+private:
+    /** Kinds of faults; a seed uses some of them. */
+    enum class Fault {
+        OwnerEnds,
+        Crash,
+        RackCrash,
+        CutOff,
+        Fails,
+        StandsStill,
+        Slow,
+        LosesAnswers,
+        LateOrders,
+        EntryLapses,
+        Shrinks,
+        Cancel,
+    };
+    static constexpr int faultKinds = 12;
+
+    struct ModelRun
+    {
+        RunningReport row;
+        Resources need;
+        Duration total{0}; ///< Time that the run takes on a sound worker.
+        Duration done{0};
+        bool fails = false;
+        bool persistent = false;
+    };
+
+    /** One life of a worker's process. */
+    struct Process
+    {
+        std::string id;
+        std::int64_t startedMs = 0;
+        TimePoint begin{};
+        std::int64_t fence = 0;
+        WorkerClock holdUntil = 0;
+        std::int64_t nextEnd = 1;
+        std::map<TaskId, ModelRun> runs;
+        std::map<TaskId, int> blockedRun;
+        std::vector<EndReport> ended;
+    };
+
+    struct Machine
+    {
+        std::string name;
+        std::string rack;
+        std::string pool;
+        std::shared_ptr<Process> process; ///< Not set while it is down, moving or in standby.
+        bool moving = false;
+        Resources capacity;
+        double failShare = 0;
+        double slowness = 1;
+        bool standsStill = false;
+        bool cutOff = false;
+        bool losesAnswers = false;
+        bool lateOrders = false;
+    };
+
+    struct ModelJob
+    {
+        SubmittedJob job;
+        TimePoint submitted{};
+        JobProgress saved;
+        bool cancelled = false;
+        bool hopeless = false; ///< Each of its runs fails.
+        bool deadly = false; ///< Each of its runs ends its worker's process in the fault period.
+        std::vector<Duration> runTimes; ///< By step.
+        std::string events;
+    };
+
+    /** Since when a job or a persistent task has been waiting under the conditions of the rule. */
+    using Waits = std::map<std::string, TimePoint>;
+
+    struct MoveOrder
+    {
+        std::string targetPool;
+        TimePoint sentAt{};
+        bool answered = false;
+        std::string workerBefore;
+    };
+
+    // Setup.
+    void addMachines();
+    void addJobs();
+    [[nodiscard]] JobStep randomStep(int poolSize, bool persistent);
+    [[nodiscard]] Duration randomDuration(int firstMs, int lastMs);
+
+    // Platform.
+    [[nodiscard]] std::int64_t unixMs() const;
+    [[nodiscard]] Machine *machineOf(std::string_view worker);
+    [[nodiscard]] WorkerClock clock(const Process &process) const;
+    void beginProcess(Machine &machine, const std::string &id);
+    void endProcess(Machine &machine);
+    void putEntry(const Machine &machine);
+    void notifyEntry(const std::string &id);
+    void advance(Machine &machine, Duration passed);
+    void endRun(Process &process, const TaskId &task, RunEnd how);
+    std::optional<StartRefusal> applyStart(Machine &machine, const StartTask &start,
+                                           std::int64_t fence);
+    void applyStop(Machine &machine, const StopTask &stop, std::int64_t fence);
+
+    // Faults.
+    void injectFaults();
+    void inject(Fault fault);
+    void faultUntil(TimePoint end);
+    template <typename T>
+    void setForSomeTime(Machine &machine, T Machine::*field, T value, Duration length,
+                        const char *name);
+    void crash(Machine &machine);
+    void shrink(Machine &machine);
+    void lapse(Machine &machine);
+
+    // Owner.
+    void beginOwner();
+    void ownerEnds();
+    void addJob(ModelJob &job, bool inherited);
+    void submit(ModelJob &job);
+    void decide();
+    void save();
+    void sendHolds();
+    void hold(const std::string &id);
+    void answerHold(const std::string &id, const std::shared_ptr<Process> &process,
+                    const WorkerReport &report, TimePoint sentAt);
+    void finishHold(const std::string &id, const std::optional<WorkerReport> &report,
+                    TimePoint sentAt);
+    void send(const StartTask &start);
+    void send(const StopTask &stop);
+    void send(const PaceTask &) { }
+    void send(const RequestAdmission &) { }
+    void listInstances();
+    void balance();
+    [[nodiscard]] FleetView buildView();
+    void orderMove(const MoveInstance &move);
+    void applyMove(Machine &machine, const std::string &pool);
+
+    // Checks.
+    void check();
+    void checkStep(const ModelJob &job, const JobRun &run, std::size_t step, bool jobRuns,
+                   Waits &waits);
+    [[nodiscard]] bool sound(const Machine &machine) const;
+    [[nodiscard]] int room(const std::string &job, std::size_t step, const JobStep &spec,
+                           const std::string &pool) const;
+    [[nodiscard]] int idleInstancesElsewhere(const std::string &pool) const;
+    [[nodiscard]] bool underHalfInUse(const std::string &pool) const;
+    [[nodiscard]] bool isRunnable(const TaskId &id, const Task &task) const;
+    [[nodiscard]] std::string describeWorkers() const;
+    [[nodiscard]] bool allEnded() const;
+    void appendJobEvent(const std::string &job, const std::string &text);
+
+    Mode m_mode;
+    TimePoint m_faultsUntil;
+    TimePoint m_lastFaultAt;
+    TimePoint m_endAt;
+    std::map<Fault, double> m_faultRates; ///< Probability of a fault in one step.
+    bool m_guarded = false; ///< Workers refuse tasks that exceed their capacity.
+    bool m_shortReports = false; ///< Most reports leave out the running tasks.
+    bool m_sameIds = false; ///< A restarted worker keeps its id.
+    std::vector<std::string> m_poolNames;
+    std::map<std::string, Machine> m_machines;
+    std::map<std::string, ModelJob> m_jobs;
+    std::map<std::string, WorkerDescription> m_entries; ///< The store's entries of workers.
+    std::set<std::string> m_lapsed; ///< Workers whose entries lapsed.
+    int m_lastWorker = 0;
+
+    std::unique_ptr<Scheduler> m_scheduler;
+    std::shared_ptr<bool> m_ownerAlive;
+    std::map<std::string, WorkerDescription> m_recorded; ///< Workers of the previous owner.
+    HoldSchedule m_holds;
+    std::unique_ptr<PoolBalancer> m_balancer;
+    std::map<std::string, MoveOrder> m_orders;
+    std::map<std::string, std::pair<std::string, TimePoint>> m_idleSince; ///< Worker and time.
+    TimePoint m_decidedAt{};
+    TimePoint m_balancedAt{};
+    TimePoint m_listedAt{};
+    TimePoint m_firstMoveAt{};
+    bool m_changed = false;
+    bool m_saving = false;
+    std::int64_t m_fence = 0;
+
+    Waits m_waits;
+    TimePoint m_checkedAt{};
+    std::int64_t m_observedWaits = 0;
+};
+
+} // namespace dragonflysill::test
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -22,8 +22,7 @@
 } // namespace
 
 ProtocolModel::ProtocolModel(std::uint64_t seed)
-    : m_random(seed)
-    , m_now(1000s)
+    : Simulation(seed)
     , m_faultsUntil(m_now + faultPeriod)
 {
     for (int n = 0; n < workerCount; ++n) {
@@ -53,28 +52,6 @@
 
 ProtocolModel::~ProtocolModel() = default;
 
-Duration ProtocolModel::delay()
-{
-    return Milliseconds(1 + static_cast<int>(m_random.below(chance(0.1) ? 400 : 20)));
-}
-
-void ProtocolModel::schedule(Duration delay, std::function<void()> action)
-{
-    m_events.emplace(m_now + delay, std::move(action));
-}
-
-void ProtocolModel::recordViolation(const std::string &text)
-{
-    if (m_violation.empty())
-        m_violation
-                = text + " at " + std::to_string((m_now.time_since_epoch() - 1000s) / 1ms) + " ms";
-}
-
-void ProtocolModel::appendTrace(const std::string &text)
-{
-    m_trace += std::to_string((m_now.time_since_epoch() - 1000s) / 1ms) + " ms: " + text + "\n";
-}
-
 namespace {
 
 std::string nameOf(const TaskId &task, int run)
@@ -111,12 +88,7 @@
 
 void ProtocolModel::step()
 {
-    m_now += tickLength;
-    while (!m_events.empty() && m_events.begin()->first <= m_now) {
-        auto action = std::move(m_events.begin()->second);
-        m_events.erase(m_events.begin());
-        action();
-    }
+    advanceClock(tickLength);
     for (auto &[id, worker] : m_workers)
         advance(worker);
     if (m_now < m_faultsUntil)
--- a/tests/jobs/protocolmodel.h
+++ b/tests/jobs/protocolmodel.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "dragonflysill/base/random.h"
 #include "dragonflysill/jobs/scheduler.h"
+#include "simulation.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -18,7 +17,7 @@
  * end at any time and the next owner starts from the saved progress; saves are lost before or after
  * they are applied.
  */
-class ProtocolModel
+class ProtocolModel : public Simulation
 {
 public:
     explicit ProtocolModel(std::uint64_t seed);
@@ -27,9 +26,6 @@
     /** Runs the simulation; returns the first violated guarantee, empty if there is none. */
     std::string run();
 
-    /** Returns a trace with one line per event, for the analysis of a failed seed. */
-    [[nodiscard]] const std::string &trace() const { return m_trace; }
-
 private:
     struct ModelWorker
     {
@@ -49,17 +45,6 @@
         std::int64_t expiredUpTo = 0; ///< The hold expired after the ends up to this number.
     };
 
-    struct Event
-    {
-        TimePoint at;
-        std::function<void()> action;
-    };
-
-    [[nodiscard]] bool chance(double probability) { return m_random.unit() < probability; }
-    [[nodiscard]] Duration delay();
-    void schedule(Duration delay, std::function<void()> action);
-    void recordViolation(const std::string &text);
-    void appendTrace(const std::string &text);
     [[nodiscard]] WorkerClock clock(const ModelWorker &worker) const;
 
     void step();
@@ -83,11 +68,8 @@
     void checkStart(const ModelWorker &worker, const StartTask &start);
     void checkProgress(const std::string &job, const JobProgress &progress);
 
-    Random m_random;
     TimePoint m_decidedAt{}; ///< Time of the last full decision.
-    TimePoint m_now;
     TimePoint m_faultsUntil;
-    std::multimap<TimePoint, std::function<void()>> m_events;
     std::map<std::string, ModelWorker> m_workers;
     std::map<std::string, SubmittedJob> m_jobs;
     std::map<std::string, JobProgress> m_saved;
@@ -102,8 +84,6 @@
     std::int64_t m_fence = 0;
     int m_generation = 0;
     bool m_saving = false;
-    std::string m_violation;
-    std::string m_trace;
 };
 
 } // namespace dragonflysill::test
--- a/tests/jobs/protocolmodeltest.cpp
+++ b/tests/jobs/protocolmodeltest.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <string>
 
 using namespace dragonflysill::test;
@@ -12,12 +11,6 @@
 /** Number of seeds in a test run; DRAGONFLYSILL_MODEL_SEEDS overrides it for manual runs. */
 constexpr std::uint64_t defaultSeedCount = 20000;
 
-std::uint64_t readEnvironment(const char *name, std::uint64_t defaultValue)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? defaultValue : std::stoull(text);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Protocol)
