Use a worker again that returns under its id

Callers saw (suspected): a job accepted, queued and without any run for up to 10 s while the workers of its pool were sound and empty.

Cause: while an instance is down, the platform's list of instances names no worker for it, so that its worker, which is silent, is retired and its runs are freed early. If the process is back under the same id, as the protocol allows, its entry and its reports were ignored because a retired worker is kept for 10 s, and the record of workers left it out.

Change: an entry with a later start time than the retired incarnation replaces it with a new worker, in the scheduler and in the record of workers. The entry that the ended process left does not.

Evidence: RunnableTasks/RetiredWorkerThatIsBackUnderItsIdGetsTasks failed before.

--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -6,6 +6,7 @@
 #include "dragonflysill/jobs/worker.h"
 #include "dragonflysill/jobs/workerhealth.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -86,6 +87,12 @@
         return it == runs.end() || it->second.run != number ? nullptr : &it->second;
     }
 
+    /** Returns true if an entry describes a later incarnation than the latest one known. */
+    [[nodiscard]] bool isLaterIncarnation(const WorkerDescription &entry) const
+    {
+        return entry.startedMs > std::max(startedMs, description.startedMs);
+    }
+
     /** Returns true if the worker has runs. */
     [[nodiscard]] bool busy() const { return !runs.empty() || !unadoptedRuns.empty(); }
 
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -121,6 +121,10 @@
 {
     auto &worker = m_workers[description.id];
     m_workersChanged = true;
+    if (worker.retired && worker.isLaterIncarnation(description)) {
+        std::erase(m_pools[worker.description.pool], &worker);
+        worker = {};
+    }
     const bool known = !worker.description.id.empty();
     if (worker.retired || (known && description.startedMs < worker.description.startedMs))
         return;
--- a/src/node/workerregistry.cpp
+++ b/src/node/workerregistry.cpp
@@ -135,7 +135,7 @@
     };
     for (const auto &[id, description] : m_listed) {
         const auto *worker = m_scheduler.worker(id);
-        if (worker != nullptr && worker->retired)
+        if (worker != nullptr && worker->retired && !worker->isLaterIncarnation(description))
             continue;
         keep(description);
         if (!m_recorded.contains(id))
