Size pools by what their instances can hold

Callers saw (suspected): an accepted job whose task waits without end although most of its pool is free.

Cause: PoolBalancer counted instances. One whose capacity shrank while it ran, or whose worker is in quarantine, counted like a whole one, so that a pool of such instances never got another although a waiting task exceeded each of them; persistent tasks that exclude each other had fewer usable instances than tasks.

Change: present instances count by the part of the largest capacity that they have, and not at all in quarantine. The scheduler tells how many workers a pool lacks for a waiting task that none of its own can hold; after 0.5 s the pool gets instances with that capacity. An instance is given away only if the rest covers the need.

--- a/include/dragonflysill/jobs/fleetview.h
+++ b/include/dragonflysill/jobs/fleetview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflysill/base/resources.h"
 #include "dragonflysill/base/time.h"
 #include "dragonflysill/jobs/instance.h"
 
@@ -20,6 +21,7 @@
     bool standby = false; ///< It is in the standby pool, whose instances are switched off.
     bool usable = false; ///< Its worker is up and takes tasks.
     bool draining = false; ///< Its worker has announced that it will stop.
+    bool quarantined = false; ///< Its worker gets no tasks because it failed those of several jobs.
     bool empty = false; ///< No task runs on it.
     bool hasPersistentTasks
             = false; ///< Persistent tasks, which must be moved away first, run on it.
@@ -32,6 +34,13 @@
     std::int64_t memoryMb = 0; ///< Its memory.
 };
 
+/** Workers that a pool lacks because none of its own can hold a waiting task. */
+struct LackingWorkers
+{
+    int count = 0;
+    Resources need; ///< What each must be able to hold.
+};
+
 /** The load of a pool. */
 struct PoolLoad
 {
@@ -44,6 +53,8 @@
     std::int64_t lateMemoryMb = 0; ///< Memory of these tasks.
     double arrivedWork = 0; ///< Expected core-seconds of all jobs accepted so far.
     std::int64_t arrivedJobs = 0; ///< Jobs accepted so far.
+    /** For the waiting tasks of the step that lacks the most workers. */
+    LackingWorkers lacking;
     int spread = 0; ///< Workers needed for the limit of persistent tasks per worker.
 };
 
--- a/include/dragonflysill/jobs/poolbalancer.h
+++ b/include/dragonflysill/jobs/poolbalancer.h
@@ -62,12 +62,25 @@
         int inTime = 0; ///< Instances needed without the tasks of late jobs.
         int target = 0; ///< Instances needed plus spare ones for the start of a burst.
         int present = 0; ///< Instances that serve the pool or are being moved to it.
+        /**
+         * The present instances by what they can hold: one with half of the usual capacity counts
+         * as a half, one in quarantine as nothing.
+         */
+        double capable = 0;
+        int arriving = 0; ///< Instances that are being moved to the pool.
+        int lacking = 0; ///< Instances to bring for tasks that none of the present ones can hold.
+        TimePoint lackingSince{}; ///< Since when such instances are lacking.
         TimePoint shortSince{}; ///< Since when fewer instances than needed are present.
         TimePoint belowTargetSince{}; ///< Since when fewer instances than the target are present.
         TimePoint aboveShareSince{}; ///< Since when more than the share of the fleet is present.
     };
 
     void updateDemand(const FleetView &fleet, TimePoint now);
+    void countInstances(const FleetView &fleet);
+    /** Returns what an instance can hold, as a fraction of the largest one. */
+    [[nodiscard]] double share(const InstanceView &instance) const;
+    /** Returns how many whole instances a pool has less than it needs. */
+    [[nodiscard]] static int shortage(const Demand &demand);
     /** Limits the demand of the pools to their shares of the fleet; work in time comes first. */
     void shareInstances(int instances);
     /** Chooses the instances that pools with more than their share yield to others. */
@@ -78,13 +91,17 @@
     /** Instances that the current decision moves. */
     using Ordered = std::unordered_set<const InstanceView *>;
 
+    /** @param need what the instance must be able to hold */
     [[nodiscard]] const InstanceView *chooseInstance(const FleetView &fleet, const Ordered &ordered,
-                                                     const std::string &pool) const;
+                                                     const std::string &pool,
+                                                     const Resources &need) const;
     void updateActiveInstances(int total, TimePoint now);
     [[nodiscard]] bool needsInstance(const Demand &demand, TimePoint now) const;
     [[nodiscard]] bool canBeMoved(const InstanceView &instance) const;
 
     std::map<std::string, Demand> m_demand;
+    double m_coresPerInstance = 1; ///< Of the largest instance.
+    double m_memoryPerInstance = 1; ///< In MB, of the instance with the most memory.
     /** Decreasing maxima of the instances that all pools need, for a sliding-window maximum. */
     std::deque<std::pair<TimePoint, int>> m_totalNeeds;
     int m_activeInstances = 0; ///< Instances that are kept out of standby.
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -29,6 +29,13 @@
 constexpr double spareShare = 0.45;
 /** Time for which a pool must have fewer instances than needed before it gets more. */
 constexpr Duration shortageDelay = 100ms;
+/**
+ * Time for which a task must exceed all instances of its pool before the pool gets another one; the
+ * worker of an instance that has arrived is asked for its state in that time.
+ */
+constexpr Duration lackingDelay = 500ms;
+/** Tolerance for the rounding of sums of shares. */
+constexpr double shareRounding = 1e-6;
 /** Time for which a pool must have fewer instances than its target before it gets more. */
 constexpr Duration belowTargetDelay = 1000ms;
 /**
@@ -71,26 +78,55 @@
 
 } // namespace internal
 
-void PoolBalancer::updateDemand(const FleetView &fleet, TimePoint now)
+double PoolBalancer::share(const InstanceView &instance) const
+{
+    const double cores = static_cast<double>(instance.milliCores) / 1000 / m_coresPerInstance;
+    const double memory = static_cast<double>(instance.memoryMb) / m_memoryPerInstance;
+    return m_memoryPerInstance > 1 ? std::min(cores, memory) : cores;
+}
+
+int PoolBalancer::shortage(const Demand &demand)
 {
-    double coresPerInstance = 1;
-    double memoryPerInstance = 1;
+    return std::max(0, static_cast<int>(std::ceil(demand.needed - demand.capable
+                                                  - internal::shareRounding)));
+}
+
+void PoolBalancer::countInstances(const FleetView &fleet)
+{
+    m_coresPerInstance = 1;
+    m_memoryPerInstance = 1;
+    for (const auto &it : fleet.instances) {
+        m_coresPerInstance
+                = std::max(m_coresPerInstance, static_cast<double>(it.milliCores) / 1000);
+        m_memoryPerInstance = std::max(m_memoryPerInstance, static_cast<double>(it.memoryMb));
+    }
     std::erase_if(m_demand, [&](const auto &it) { return !fleet.load.contains(it.first); });
-    for (auto &[pool, demand] : m_demand)
+    for (auto &[pool, demand] : m_demand) {
         demand.present = 0;
+        demand.capable = 0;
+        demand.arriving = 0;
+    }
     for (const auto &it : fleet.instances) {
-        coresPerInstance = std::max(coresPerInstance, static_cast<double>(it.milliCores) / 1000);
-        memoryPerInstance = std::max(memoryPerInstance, static_cast<double>(it.memoryMb));
-        if (fleet.load.contains(it.pool) && !it.draining && !it.leaving
-            && (it.usable || it.orderPending))
-            ++m_demand[it.pool].present;
+        if (!fleet.load.contains(it.pool) || it.draining || it.leaving
+            || (!it.usable && !it.orderPending))
+            continue;
+        auto &demand = m_demand[it.pool];
+        ++demand.present;
+        demand.arriving += static_cast<int>(it.orderPending);
+        if (it.orderPending || !it.quarantined)
+            demand.capable += share(it);
     }
+}
+
+void PoolBalancer::updateDemand(const FleetView &fleet, TimePoint now)
+{
+    countInstances(fleet);
     int total = 0;
     const auto instancesFor = [&](double cores, std::int64_t memoryMb) {
-        const double byCores = cores / (coresPerInstance * internal::packing);
-        const double byMemory = memoryPerInstance > 1
+        const double byCores = cores / (m_coresPerInstance * internal::packing);
+        const double byMemory = m_memoryPerInstance > 1
                                         ? static_cast<double>(memoryMb)
-                                                  / (memoryPerInstance * internal::memoryPacking)
+                                                  / (m_memoryPerInstance * internal::memoryPacking)
                                         : 0;
         return static_cast<int>(std::ceil(std::max(byCores, byMemory)));
     };
@@ -120,8 +156,11 @@
         if (!m_overloaded || demand.present <= demand.needed)
             demand.aboveShareSince = now;
         demand.target = demand.needed + static_cast<int>(spare);
-        if (demand.present >= demand.needed)
+        if (shortage(demand) == 0)
             demand.shortSince = now;
+        demand.lacking = std::max(0, fleet.load.at(pool).lacking.count - demand.arriving);
+        if (demand.lacking == 0)
+            demand.lackingSince = now;
         if (demand.present >= demand.target)
             demand.belowTargetSince = now;
     }
@@ -149,7 +188,7 @@
     int shortage = 0;
     std::map<std::string, int> excess;
     for (const auto &[pool, demand] : m_demand) {
-        shortage += std::max(0, demand.needed - demand.present);
+        shortage += PoolBalancer::shortage(demand);
         if (now - demand.aboveShareSince >= internal::yieldDelay)
             excess[pool] = demand.present - demand.needed;
     }
@@ -190,7 +229,7 @@
 
 bool PoolBalancer::needsInstance(const Demand &demand, TimePoint now) const
 {
-    return (demand.present < demand.needed && now - demand.shortSince >= internal::shortageDelay)
+    return (shortage(demand) > 0 && now - demand.shortSince >= internal::shortageDelay)
            || (demand.present < demand.target
                && now - demand.belowTargetSince >= internal::belowTargetDelay);
 }
@@ -234,7 +273,7 @@
 bool PoolBalancer::hasShortage(const std::string &pool) const
 {
     const auto it = m_demand.find(pool);
-    return it != m_demand.end() && it->second.needed > it->second.present;
+    return it != m_demand.end() && shortage(it->second) > 0;
 }
 
 bool PoolBalancer::canBeMoved(const InstanceView &instance) const
@@ -246,15 +285,18 @@
         return true;
     const auto it = m_demand.find(instance.pool);
     return instance.usable && instance.empty && it != m_demand.end()
-           && it->second.present > it->second.target;
+           && it->second.present > it->second.target
+           && it->second.capable - share(instance) >= it->second.needed;
 }
 
 const InstanceView *PoolBalancer::chooseInstance(const FleetView &fleet, const Ordered &ordered,
-                                                 const std::string &pool) const
+                                                 const std::string &pool,
+                                                 const Resources &need) const
 {
     const InstanceView *best = nullptr;
     for (const auto &it : fleet.instances) {
-        if (it.pool == pool || !canBeMoved(it) || ordered.contains(&it))
+        if (it.pool == pool || !canBeMoved(it) || ordered.contains(&it)
+            || it.milliCores < need.milliCores || it.memoryMb < need.memoryMb)
             continue;
         // Prefer idle instances of other pools, which would be moved anyway, to those in standby.
         if (best == nullptr
@@ -271,15 +313,28 @@
     Ordered ordered;
     const auto order = [&](const InstanceView &instance, const std::string &pool) {
         moves.push_back({instance.name, pool});
-        if (!instance.standby)
-            --m_demand[instance.pool].present;
-        if (pool != fleet.standbyPool)
+        if (!instance.standby) {
+            auto &demand = m_demand[instance.pool];
+            --demand.present;
+            demand.capable -= instance.quarantined ? 0 : share(instance);
+        }
+        if (pool != fleet.standbyPool) {
             ++m_demand[pool].present;
+            m_demand[pool].capable += share(instance);
+        }
         ordered.insert(&instance);
     };
     for (auto &[pool, demand] : m_demand) {
+        const auto &lacking = fleet.load.at(pool).lacking;
+        for (; demand.lacking > 0 && now - demand.lackingSince >= internal::lackingDelay;
+             --demand.lacking) {
+            const auto *it = chooseInstance(fleet, ordered, pool, lacking.need);
+            if (it == nullptr)
+                break;
+            order(*it, pool);
+        }
         while (needsInstance(demand, now)) {
-            const auto *it = chooseInstance(fleet, ordered, pool);
+            const auto *it = chooseInstance(fleet, ordered, pool, {});
             if (it == nullptr)
                 break;
             order(*it, pool);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -345,6 +345,9 @@
                 if (step.persistent && step.maxPerWorker > 0)
                     load.spread = std::max(load.spread, (step.count + step.maxPerWorker - 1)
                                                                 / step.maxPerWorker);
+                const auto lacking = tasks.waiting > 0 ? lackingWorkers(*job, step, now) : 0;
+                if (lacking > load.lacking.count)
+                    load.lacking = {lacking, step.reserved()};
                 const auto cpu = step.reserved().milliCores;
                 const int running = tasks.ready ? static_cast<int>(tasks.tasks.size())
                                                           - tasks.waiting - tasks.done
--- a/src/jobs/schedulerdiagnosis.cpp
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -58,6 +58,25 @@
     return std::nullopt;
 }
 
+int Scheduler::lackingWorkers(const JobRun &job, const JobStep &step, TimePoint now) const
+{
+    int lacking = step.persistent && step.maxPerWorker > 0
+                          ? (step.count + step.maxPerWorker - 1) / step.maxPerWorker
+                          : 1;
+    const auto pool = m_pools.find(job.job().pool);
+    if (pool == m_pools.end())
+        return lacking;
+    for (const auto *it : pool->second) {
+        if (lacking == 0)
+            break;
+        lacking -= static_cast<int>(it->listed && it->reachable && !it->leaving
+                                    && !it->description.draining && !it->health.quarantined(now)
+                                    && it->description.capacity.covers(step.reserved())
+                                    && it->description.hasLabel(step.requiredLabel));
+    }
+    return lacking;
+}
+
 bool Scheduler::isLastAttempt(const JobRun &job, const Task &task)
 {
     return !task.failedOn.empty()
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -244,6 +244,7 @@
         }
         row.usable = worker->listed && worker->reachable && !worker->description.draining;
         row.draining = worker->description.draining;
+        row.quarantined = worker->health.quarantined(now);
         row.empty = worker->empty();
         row.milliCores = worker->description.capacity.milliCores;
         row.memoryMb = worker->description.capacity.memoryMb;
