Use workers in quarantine for tasks that would wait too long

Callers saw (suspected): a job without any run for up to 12 s although workers of its pool were sound and free.

Cause: a worker that failed the runs of two jobs gets no tasks for 3 s, doubled up to 12 s, whatever else the pool has. Two jobs whose tasks always fail put every worker of a small pool there; where the others had shrunk, one worker was enough to leave a large task without any.

Change: after 2.5 s a task that no other worker takes goes to a worker in quarantine if at most half of the pool is in use, unless a failure there would be its last one.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -301,6 +301,10 @@
     [[nodiscard]] std::optional<StartObstacle> startObstacle(const WorkerState &worker,
                                                              const JobRun &job, const TaskId &id,
                                                              const Task &task, TimePoint now) const;
+    /** The same, apart from quarantine. */
+    [[nodiscard]] std::optional<StartObstacle> otherObstacle(const WorkerState &worker,
+                                                             const JobRun &job, const TaskId &id,
+                                                             const Task &task, TimePoint now) const;
     /** Returns how many workers a job's pool lacks that can hold a task of the step. */
     [[nodiscard]] int lackingWorkers(const JobRun &job, const JobStep &step, TimePoint now) const;
     [[nodiscard]] static bool isLastAttempt(const JobRun &job, const Task &task);
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -102,11 +102,17 @@
     /** Returns the capacity that is not reserved by runs. */
     [[nodiscard]] Resources free() const { return description.capacity - reserved; }
 
+    /** Returns true if new tasks could be started on the worker, apart from quarantine. */
+    [[nodiscard]] bool available(TimePoint now) const
+    {
+        return listed && reachable && fenced && !description.draining && !leaving
+               && now >= pausedUntil;
+    }
+
     /** Returns true if new tasks may be started on the worker. */
     [[nodiscard]] bool usable(TimePoint now) const
     {
-        return listed && reachable && fenced && !description.draining && !leaving
-               && now >= pausedUntil && !health.quarantined(now);
+        return available(now) && !health.quarantined(now);
     }
 };
 
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -29,10 +29,10 @@
  */
 constexpr Duration lastAttemptWait = 1500ms;
 /**
- * Maximum time that a task waits for a worker that is not slow while at most half of its pool is in
- * use; a task that could run must run within 3 s.
+ * Maximum time that a task waits for a worker that is neither slow nor in quarantine while at most
+ * half of its pool is in use; a task that could run must run within 3 s.
  */
-constexpr Duration slowWorkerDelay = 2500ms;
+constexpr Duration betterWorkerDelay = 2500ms;
 /** Minimum progress, in percent, from which a run time can be projected. */
 constexpr int minProgressPercent = 10;
 /** Maximum start-up time of a persistent task; after that it is started on another worker. */
--- a/src/jobs/schedulerdiagnosis.cpp
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -22,6 +22,15 @@
 std::optional<StartObstacle> Scheduler::startObstacle(const WorkerState &worker, const JobRun &job,
                                                       const TaskId &id, const Task &task,
                                                       TimePoint now) const
+{
+    if (worker.available(now) && worker.health.quarantined(now))
+        return StartObstacle::Quarantined;
+    return otherObstacle(worker, job, id, task, now);
+}
+
+std::optional<StartObstacle> Scheduler::otherObstacle(const WorkerState &worker, const JobRun &job,
+                                                      const TaskId &id, const Task &task,
+                                                      TimePoint now) const
 {
     if (!worker.listed || !worker.reachable || !worker.fenced)
         return StartObstacle::Unlisted;
@@ -29,8 +38,6 @@
         return StartObstacle::Leaving;
     if (now < worker.pausedUntil)
         return StartObstacle::Paused;
-    if (worker.health.quarantined(now))
-        return StartObstacle::Quarantined;
     const auto &step = job.step(id);
     if (!worker.description.capacity.covers(step.reserved()))
         return StartObstacle::TooSmall;
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -76,7 +76,7 @@
 {
     std::optional<std::int64_t> largest;
     for (const auto *it : workers) {
-        if (it->usable(now))
+        if (it->available(now))
             largest = std::max(largest.value_or(0), it->free().milliCores);
     }
     return largest;
@@ -173,6 +173,9 @@
     bool fasterOneMayTakeIt = false;
     std::int64_t poolMilliCores = 0;
     std::int64_t reservedMilliCores = 0;
+    const bool waitedLong = task.phase == Task::Phase::Waiting
+                            && now - task.waitingSince >= internal::betterWorkerDelay;
+    WorkerState *quarantined = nullptr;
     WorkerState *best = nullptr;
     std::tuple<bool, bool, bool, bool, bool, bool, double> bestScore;
     for (auto *it : pool->second) {
@@ -181,6 +184,12 @@
         fasterOneMayTakeIt = fasterOneMayTakeIt || (!slow && (!obstacle || passesSoon(*obstacle)));
         poolMilliCores += it->description.capacity.milliCores;
         reservedMilliCores += it->reserved.milliCores;
+        // A failure there must not be the task's last one.
+        if (obstacle == StartObstacle::Quarantined && waitedLong && !lastAttempt
+            && !otherObstacle(*it, job, id, task, now)
+            && (quarantined == nullptr
+                || it->reserved.milliCores < quarantined->reserved.milliCores))
+            quarantined = it;
         if (obstacle)
             continue;
         const bool failedHere = task.failedOn.contains(it->description.id);
@@ -199,11 +208,11 @@
             bestScore = score;
         }
     }
-    const bool waitsTooLong = task.phase == Task::Phase::Waiting
-                              && now - task.waitingSince >= internal::slowWorkerDelay
-                              && 2 * reservedMilliCores <= poolMilliCores;
-    const bool awaitsFasterOne = fasterOneMayTakeIt && !waitsTooLong;
-    return best != nullptr && awaitsFasterOne && best->health.slow(now) ? nullptr : best;
+    const bool mostlyFree = 2 * reservedMilliCores <= poolMilliCores;
+    if (best == nullptr)
+        return mostlyFree ? quarantined : nullptr;
+    const bool awaitsFasterOne = fasterOneMayTakeIt && !(waitedLong && mostlyFree);
+    return awaitsFasterOne && best->health.slow(now) ? nullptr : best;
 }
 
 void Scheduler::startRun(JobRun &job, const TaskId &id, Task &task, WorkerState &worker,
--- a/tests/jobs/progresstest.cpp
+++ b/tests/jobs/progresstest.cpp
@@ -50,4 +50,28 @@
     BOOST_TEST(runWithin(harness, {"j", 0, 0, 0}, maxWait) == "w");
 }
 
+// A worker in quarantine is better than none. Guards against tasks that wait for the end of a long
+// quarantine because other workers of the pool, which are too small for them, are usable.
+BOOST_AUTO_TEST_CASE(QuarantinedWorkersAreUsedIfTheOthersAreTooSmall)
+{
+    SchedulerHarness harness;
+    harness.addWorker("large", 8);
+    harness.addWorker("small", 2);
+    auto large = step(1);
+    large.need.milliCores = 4000;
+    constexpr int attempts = 5;
+    harness.addJob(job("a", {large}, attempts));
+    harness.addJob(job("b", {large}, attempts));
+    harness.decide();
+    harness.end({"a", 0, 0, 0}, RunEnd::Failed);
+    harness.end({"b", 0, 0, 0}, RunEnd::Failed);
+    // Another failure after the first quarantine doubles the time of the next one.
+    harness.scheduler.cancelJob("b", harness.now);
+    BOOST_TEST(runWithin(harness, {"a", 0, 0, 0}, 6s) == "large");
+    harness.end({"a", 0, 0, 0}, RunEnd::Failed);
+    BOOST_REQUIRE(harness.scheduler.worker("large")->health.quarantined(harness.now + maxWait));
+    harness.addJob(job("c", {large}));
+    BOOST_TEST(runWithin(harness, {"c", 0, 0, 0}, maxWait) == "large");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
