Skip large steps only if there is no room for them

Callers saw (suspected): jobs with large tasks passed over for as long as a small step waited.

Cause: a decision skips steps that need as much as one for which it found no worker. It learnt that also from steps that waited for another reason than room: a last attempt that waits for a proven worker, a run being stopped, a worker that is slow.

Change: it learns it only if no worker has room for the step, or only slow and quarantined ones of a pool that is mostly in use.

Evidence: WaitingTasks/StepThatWaitsForAnotherReasonThanRoomDoesNotHideLargerOnes failed before; jobs-test passes, the tests of decision costs among them.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -293,6 +293,9 @@
     largestFreeCapacity(std::span<WorkerState *const> workers, TimePoint now);
     /** Returns false if the step could not be started because no worker has enough capacity. */
     bool startStep(const WaitingStep &waiting, std::vector<Resources> &tooLarge, TimePoint now);
+    /** Returns true if a task that reserves this amount may find a worker of the pool. */
+    [[nodiscard]] bool mayHaveRoom(const std::string &pool, const Resources &need,
+                                   TimePoint now) const;
     void startWaiting(JobRun &job, int occurrence, int step, TimePoint now);
     void startGang(JobRun &job, int occurrence, int step, TimePoint now);
     void startCopies(TimePoint now);
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -100,11 +100,28 @@
             = needsTicket || step.gang || step.maxPerWorker > 0 || !step.requiredLabel.empty();
     const auto &run = job.occurrences()[waiting.occurrence];
     const bool started = run.steps[static_cast<std::size_t>(waiting.step)].waiting == 0;
-    if (!started && !constrained && m_startsLeft > 0)
+    if (!started && !constrained && m_startsLeft > 0 && !mayHaveRoom(job.job().pool, need, now))
         tooLarge.push_back(need);
     return started;
 }
 
+bool Scheduler::mayHaveRoom(const std::string &pool, const Resources &need, TimePoint now) const
+{
+    std::int64_t poolMilliCores = 0;
+    std::int64_t reservedMilliCores = 0;
+    bool reluctantly = false;
+    for (const auto *it : m_pools.at(pool)) {
+        poolMilliCores += it->description.capacity.milliCores;
+        reservedMilliCores += it->reserved.milliCores;
+        if (!it->available(now) || !it->free().covers(need))
+            continue;
+        if (!it->health.quarantined(now) && !it->health.slow(now))
+            return true;
+        reluctantly = true;
+    }
+    return reluctantly && 2 * reservedMilliCores <= poolMilliCores;
+}
+
 void Scheduler::startWaiting(JobRun &job, int occurrence, int step, TimePoint now)
 {
     TaskId id{job.job().id, occurrence, step, 0};
