List instances at once while a worker with runs is silent

Callers saw: after a crash a job had no run for 3.0 to 3.2 s, next to the users' bound of 3 s.

Cause: the runs of a crashed worker are freed when a list of instances shows that it has ended, or else when their hold ends. The list came every 3 s while no order was open.

Change: while a worker with runs that may still be held does not answer, the instances are listed every 500 ms.

Evidence: WaitingTasks/SilentWorkerWithRunsAsksForTheListOfInstances; jobs-test passes.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -225,6 +225,12 @@
     /** Returns the load of each pool from waiting and running tasks, including persistent ones. */
     [[nodiscard]] std::map<std::string, PoolLoad, std::less<>> loads(TimePoint now) const;
 
+    /**
+     * Returns true if a worker with runs does not answer and its runs may still be held. If the
+     * list of instances shows that it has ended, its tasks need not wait for the end of their hold.
+     */
+    [[nodiscard]] bool hasSilentWorkers(TimePoint now) const;
+
     /**
      * Returns up to @p limit jobs that have no run although a task has waited for @p waited or
      * longer and at most half of the pool's cores are reserved, with what keeps the pool's workers
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -18,6 +18,14 @@
     }
 }
 
+bool Scheduler::hasSilentWorkers(TimePoint now) const
+{
+    return std::ranges::any_of(m_workers, [now](const auto &it) {
+        const auto &worker = it.second;
+        return !worker.reachable && !worker.retired && worker.busy() && now < worker.heldUntil;
+    });
+}
+
 void Scheduler::checkWorkers(TimePoint now)
 {
     countUnreachedWorkers(now);
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -22,6 +22,8 @@
 constexpr Duration machineCallTimeout = 1000ms;
 /** Interval between two lists of the instances while waves or orders are open. */
 constexpr Duration busyListInterval = 1000ms;
+/** Interval while a worker with runs does not answer; the list shows whether it has ended. */
+constexpr Duration silentWorkerListInterval = 500ms;
 /** Interval between two lists of the instances otherwise. */
 constexpr Duration idleListInterval = 3000ms;
 /** Maximum age of the data in a list of the instances. */
@@ -92,7 +94,10 @@
     if (m_context.settings.machinesAddress.empty())
         return;
     const bool busy = !m_orders.empty() || !m_maintenance.openWaves().empty();
-    if (now - m_listedAt >= (busy ? internal::busyListInterval : internal::idleListInterval))
+    const auto interval = m_scheduler.hasSilentWorkers(now) ? internal::silentWorkerListInterval
+                          : busy                            ? internal::busyListInterval
+                                                            : internal::idleListInterval;
+    if (now - m_listedAt >= interval)
         requestInstances(now);
     saveWaves();
     if (!m_listedOnce || !m_context.mayGiveOrders())
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -268,4 +268,22 @@
     BOOST_TEST(moves[0].pool == "pool");
 }
 
+// Guards against tasks of a crashed worker that wait for the end of their hold, over 3 s, although
+// the list of instances shows at once that the worker has ended.
+BOOST_AUTO_TEST_CASE(SilentWorkerWithRunsAsksForTheListOfInstances)
+{
+    SchedulerHarness harness;
+    harness.addWorker("idle");
+    harness.addWorker("busy");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    const auto worker = harness.workerOf({"j", 0, 0, 0});
+    harness.scheduler.holdUnanswered(worker == "idle" ? "busy" : "idle", harness.now);
+    BOOST_TEST(!harness.scheduler.hasSilentWorkers(harness.now));
+    harness.scheduler.holdUnanswered(worker, harness.now);
+    BOOST_TEST(harness.scheduler.hasSilentWorkers(harness.now));
+    harness.scheduler.retireWorker(worker, harness.now);
+    BOOST_TEST(!harness.scheduler.hasSilentWorkers(harness.now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
