Isolate tasks that crash their workers and give them up

Cause: a worker that ends reports nothing, and its end was taken for its own. Its runs were released like any others; nothing counted crashes under a task, and a copy was started as soon as the worker was silent.

Change: the runs on a worker that ends unplanned are recorded as crashes with their jobs' progress, so that they outlive the owner. A suspected task starts without tasks of other jobs beside it, for 1 s no other joins it, and its job is given up after the third crash. Not counted: runs older than 10 s, workers that announced their end, racks that fail as a whole, workers that were only cut off.

Evidence: suite CrashingTasks.

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -24,6 +24,12 @@
      */
     std::map<std::tuple<int, int, int>, std::set<int>> failures;
 
+    /**
+     * Run numbers of the runs whose worker crashed, by occurrence, step and index. They outlive the
+     * owner, so that its successor does not try a task again that crashes its workers.
+     */
+    std::map<std::tuple<int, int, int>, std::set<int>> crashes;
+
     bool operator==(const JobProgress &) const = default;
 };
 
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -118,6 +118,18 @@
      */
     bool fail(const TaskId &id, int run);
 
+    /** Number of workers that may crash under a task before its job is given up. */
+    static constexpr int maxCrashes = 3;
+
+    /**
+     * Records that the worker of a run crashed; has no effect if that was recorded before.
+     * @return true if the job has failed with this crash
+     */
+    bool recordCrash(const TaskId &id, int run);
+
+    /** Returns how many workers have crashed under a task. */
+    [[nodiscard]] int crashes(const TaskId &id) const;
+
     /** Records that a task was started. */
     void markStarted();
 
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -254,6 +254,18 @@
     void queueSave(JobRun &job);
     void endJob(JobRun &job, TimePoint now);
     void releaseRun(WorkerState &worker, std::map<TaskId, TaskRun>::iterator run, TimePoint now);
+    /** Returns the runs that may have crashed a worker, which has ended. */
+    [[nodiscard]] std::vector<SuspectedRun> suspectedRuns(const WorkerState &worker) const;
+    /** Returns true if several workers of a worker's rack fell silent at the same time. */
+    [[nodiscard]] bool rackFailed(const WorkerState &worker) const;
+    /** Records a crash under each of the runs, and ends jobs that have crashed too many workers. */
+    void recordCrashes(std::span<const SuspectedRun> runs, TimePoint now);
+    void forgetUnexplainedRuns(WorkerState &worker);
+    /**
+     * Returns how many workers have crashed under a task, or may have: those that run it and do not
+     * answer, and those whose runs were given up and that have not answered since.
+     */
+    [[nodiscard]] int suspicion(const JobRun &job, const TaskId &id, const Task &task) const;
     void loseRuns(WorkerState &worker, TimePoint now);
     void retire(WorkerState &worker, TimePoint now);
     void retirePreviousWorkers(const WorkerDescription &description, TimePoint now);
@@ -347,6 +359,8 @@
     std::deque<std::string> m_unsavedJobs; ///< Jobs with unsaved changes, oldest first.
     std::deque<std::string> m_unsavedEnds; ///< Those of them that have ended.
     std::map<TaskId, int> m_unwantedRuns; ///< Number of TaskRun::unwanted runs by task.
+    /** Number of WorkerState::unexplainedRuns by task. */
+    std::map<TaskId, int> m_unexplainedRuns;
     /** Number of workers by pool that have not answered this owner yet and may have runs. */
     StringMap<int> m_unreachedWorkers;
     bool m_workersChanged = false; ///< m_unreachedWorkers may be out of date.
--- a/include/dragonflysill/jobs/startobstacle.h
+++ b/include/dragonflysill/jobs/startobstacle.h
@@ -22,6 +22,8 @@
     NoTicket, ///< The queue's policy has not admitted it for the step.
     NoFreeCapacity, ///< The task exceeds what other runs leave free.
     HasRun, ///< It has a run of the task already.
+    Probation, ///< It runs a task of another job that may crash it.
+    NotAlone, ///< The task may crash it, and tasks of other jobs run on it.
     AwaitsSuccess, ///< The task's last attempt waits for a worker with a recent success.
 };
 
@@ -31,7 +33,8 @@
 /** Returns true if an obstacle ends without a change of the worker or its instance. */
 constexpr bool passesSoon(StartObstacle obstacle)
 {
-    return obstacle == StartObstacle::NoFreeCapacity || obstacle == StartObstacle::Paused
+    return obstacle == StartObstacle::NoFreeCapacity || obstacle == StartObstacle::Probation
+           || obstacle == StartObstacle::NotAlone || obstacle == StartObstacle::Paused
            || obstacle == StartObstacle::NoTicket || obstacle == StartObstacle::AwaitsSuccess;
 }
 
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -11,9 +11,17 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dragonflysill {
 
+/** A run that may have crashed its worker. */
+struct SuspectedRun
+{
+    TaskId task;
+    int run = 0;
+};
+
 /**
  * Converts between a worker's clock and the local clock. The worker's clock may be up to 2 % slow,
  * so a hold may last longer on the local clock than its nominal length.
@@ -67,6 +75,12 @@
     bool leaving = false; ///< It gets no new tasks, and its persistent tasks are moved away.
     bool retired = false; ///< It has ended permanently; its entry may still be in the store.
     TimePoint runsCheckedAt{}; ///< Time of the last check of its runs.
+    TimePoint silentSince{}; ///< Since when it has not answered; see reachable.
+    /** Runs that were given up when their hold ended, before it is known whether it has crashed. */
+    std::vector<SuspectedRun> unexplainedRuns;
+    /** Until this time it takes only tasks of probationJob, of which one may crash it. */
+    TimePoint probationUntil{};
+    std::string probationJob;
     TimePoint pausedUntil{}; ///< No starts before this time, after it refused one.
     std::map<TaskId, TaskRun> runs;
     /** Reported runs that this owner has neither started nor adopted. */
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -3,6 +3,9 @@
 #include "dragonflysill/jobs/json.h"
 
 #include <array>
+#include <map>
+#include <set>
+#include <tuple>
 
 namespace dragonflysill {
 
@@ -74,6 +77,24 @@
     return spec;
 }
 
+using RunsByTask = std::map<std::tuple<int, int, int>, std::set<int>>;
+
+Json encodeRuns(const RunsByTask &runs)
+{
+    Json rows = Json::array();
+    for (const auto &[key, numbers] : runs)
+        rows.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), numbers});
+    return rows;
+}
+
+RunsByTask decodeRuns(const Json &rows)
+{
+    RunsByTask runs;
+    for (const auto &it : rows)
+        runs[{it.at(0), it.at(1), it.at(2)}] = it.at(3).get<std::set<int>>();
+    return runs;
+}
+
 JobStatus parseState(const std::string &name)
 {
     for (std::size_t n = 0; n < stateNames.size(); ++n) {
@@ -141,16 +162,15 @@
     Json done = Json::array();
     for (const auto &[key, indexes] : progress.done)
         done.push_back({key.first, key.second, indexes});
-    Json failures = Json::array();
-    for (const auto &[key, runs] : progress.failures)
-        failures.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), runs});
     Json json{{"state", statusName(progress.state)}};
     if (!progress.stepsDone.empty())
         json["steps"] = progress.stepsDone;
     if (!done.empty())
         json["done"] = std::move(done);
-    if (!failures.empty())
-        json["failures"] = std::move(failures);
+    if (!progress.failures.empty())
+        json["failures"] = internal::encodeRuns(progress.failures);
+    if (!progress.crashes.empty())
+        json["crashes"] = internal::encodeRuns(progress.crashes);
     return json.dump();
 }
 
@@ -163,8 +183,8 @@
             progress.stepsDone = json.at("steps").get<std::set<JobProgress::StepKey>>();
         for (const auto &it : json.value("done", Json::array()))
             progress.done[{it.at(0), it.at(1)}] = it.at(2).get<std::set<int>>();
-        for (const auto &it : json.value("failures", Json::array()))
-            progress.failures[{it.at(0), it.at(1), it.at(2)}] = it.at(3).get<std::set<int>>();
+        progress.failures = internal::decodeRuns(json.value("failures", Json::array()));
+        progress.crashes = internal::decodeRuns(json.value("crashes", Json::array()));
         return progress;
     });
 }
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -234,6 +234,26 @@
     return true;
 }
 
+bool JobRun::recordCrash(const TaskId &id, int run)
+{
+    if (hasEnded() || !hasTask(id))
+        return false;
+    auto &runs = m_progress.crashes[{id.occurrence, id.step, id.index}];
+    if (!runs.insert(run).second)
+        return false;
+    ++m_changes;
+    if (static_cast<int>(runs.size()) < maxCrashes)
+        return false;
+    m_progress.state = JobStatus::Failed;
+    return true;
+}
+
+int JobRun::crashes(const TaskId &id) const
+{
+    const auto it = m_progress.crashes.find({id.occurrence, id.step, id.index});
+    return it == m_progress.crashes.end() ? 0 : static_cast<int>(it->second.size());
+}
+
 void JobRun::markStarted()
 {
     if (m_progress.state != JobStatus::Queued)
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -166,6 +166,8 @@
 
 void Scheduler::retire(WorkerState &worker, TimePoint now)
 {
+    const auto suspected = suspectedRuns(worker);
+    forgetUnexplainedRuns(worker);
     worker.listed = false;
     worker.reachable = false;
     worker.retired = true;
@@ -173,6 +175,7 @@
     worker.unadoptedRuns.clear();
     for (auto it = worker.runs.begin(); it != worker.runs.end();)
         releaseRun(worker, it++, now);
+    recordCrashes(suspected, now);
 }
 
 void Scheduler::addInheritedWorker(const WorkerDescription &description, TimePoint now)
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -54,6 +54,7 @@
         const bool remove = !worker.listed && worker.runs.empty() && now >= worker.heldUntil
                             && mayBeRemoved && (worker.pendingEnds.empty() || !worker.reachable);
         if (remove) {
+            forgetUnexplainedRuns(worker);
             std::erase(m_pools[worker.description.pool], &worker);
             it = m_workers.erase(it);
         } else {
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -3,6 +3,8 @@
 #include "dragonflysill/base/time.h"
 #include "dragonflysill/jobs/job.h"
 
+#include <cstddef>
+
 namespace dragonflysill::internal {
 
 using namespace std::chrono_literals;
@@ -33,6 +35,16 @@
  * half of its pool is in use; a task that could run must run within 3 s.
  */
 constexpr Duration betterWorkerDelay = 2500ms;
+/** Age of a run from which a crash of its worker is not put down to its task. */
+constexpr Duration crashSuspicionTime = 10s;
+/** Time for which a task that may crash its worker runs without tasks of other jobs beside it. */
+constexpr Duration probationTime = 1s;
+/** Maximum time that such a task waits for a worker without tasks of other jobs. */
+constexpr Duration emptyWorkerDelay = 1s;
+/** Number of a rack's workers that fall silent together if the rack has failed. */
+constexpr std::ptrdiff_t rackFailureWorkers = 3;
+/** Maximum time between the first and the last of them. */
+constexpr Duration rackFailureSpread = 500ms;
 /** Minimum progress, in percent, from which a run time can be projected. */
 constexpr int minProgressPercent = 10;
 /** Maximum start-up time of a persistent task; after that it is started on another worker. */
--- /dev/null
+++ b/src/jobs/schedulercrashes.cpp
@@ -0,0 +1,73 @@
+// Tasks that may crash the workers that run them.
+
+#include "dragonflysill/jobs/scheduler.h"
+
+#include "schedulerconstants.h"
+
+#include <algorithm>
+
+namespace dragonflysill {
+
+std::vector<SuspectedRun> Scheduler::suspectedRuns(const WorkerState &worker) const
+{
+    if (worker.description.draining || rackFailed(worker))
+        return {};
+    auto suspected = worker.unexplainedRuns;
+    for (const auto &[task, run] : worker.runs) {
+        if (worker.lastContact - run.startedAt <= internal::crashSuspicionTime)
+            suspected.push_back({task, run.run});
+    }
+    return suspected;
+}
+
+bool Scheduler::rackFailed(const WorkerState &worker) const
+{
+    const auto &rack = worker.description.rack;
+    if (rack.empty())
+        return false;
+    const auto silent = std::ranges::count_if(m_workers, [&](const auto &it) {
+        const auto &other = it.second;
+        return !other.reachable && other.description.rack == rack
+               && std::chrono::abs(other.silentSince - worker.silentSince)
+                          <= internal::rackFailureSpread;
+    });
+    return silent >= internal::rackFailureWorkers;
+}
+
+void Scheduler::recordCrashes(std::span<const SuspectedRun> runs, TimePoint now)
+{
+    for (const auto &it : runs) {
+        auto *job = find(it.task.job);
+        if (job == nullptr || job->hasEnded() || !job->hasTask(it.task))
+            continue;
+        if (job->recordCrash(it.task, it.run))
+            endJob(*job, now);
+        else
+            queueSave(*job);
+    }
+}
+
+void Scheduler::forgetUnexplainedRuns(WorkerState &worker)
+{
+    for (const auto &it : worker.unexplainedRuns) {
+        if (--m_unexplainedRuns[it.task] == 0)
+            m_unexplainedRuns.erase(it.task);
+        if (auto *job = find(it.task.job))
+            waitingChanged(*job);
+    }
+    worker.unexplainedRuns.clear();
+}
+
+int Scheduler::suspicion(const JobRun &job, const TaskId &id, const Task &task) const
+{
+    int count = job.crashes(id);
+    if (const auto it = m_unexplainedRuns.find(id); it != m_unexplainedRuns.end())
+        count += it->second;
+    for (const auto &it : task.workers) {
+        const auto *holder = worker(it);
+        count += static_cast<int>(holder != nullptr && !holder->reachable);
+    }
+    return count;
+}
+
+} // namespace dragonflysill
--- a/src/jobs/schedulerdiagnosis.cpp
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -14,8 +14,9 @@
 std::string_view obstacleName(StartObstacle obstacle)
 {
     static constexpr std::array<std::string_view, startObstacleCount> names{
-            "unlisted",   "leaving",   "paused",           "quarantined", "too-small",     "label",
-            "step-limit", "no-ticket", "no-free-capacity", "has-run",     "awaits-success"};
+            "unlisted",  "leaving",    "paused",        "quarantined",      "too-small",
+            "label",     "step-limit", "no-ticket",     "no-free-capacity", "has-run",
+            "probation", "not-alone",  "awaits-success"};
     return names.at(static_cast<std::size_t>(obstacle));
 }
 
@@ -51,6 +52,12 @@
     }
     if (!worker.free().covers(step.reserved()))
         return StartObstacle::NoFreeCapacity;
+    if (now < worker.probationUntil && worker.probationJob != id.job)
+        return StartObstacle::Probation;
+    if (suspicion(job, id, task) > 0 && now - task.waitingSince < internal::emptyWorkerDelay
+        && std::ranges::any_of(worker.runs,
+                               [&id](const auto &it) { return it.first.job != id.job; }))
+        return StartObstacle::NotAlone;
     if (worker.runs.contains(id))
         return StartObstacle::HasRun;
     if (admissionSettings(job) != nullptr
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -194,7 +194,11 @@
                             && now - task.waitingSince >= internal::betterWorkerDelay;
     WorkerState *quarantined = nullptr;
     WorkerState *best = nullptr;
-    std::tuple<bool, bool, bool, bool, bool, bool, double> bestScore;
+    std::tuple<std::size_t, bool, bool, bool, bool, bool, bool, double> bestScore;
+    const auto suspected = suspicion(job, id, task);
+    // The answers of the workers that do not answer now decide whether it is tried again.
+    if (suspected >= JobRun::maxCrashes)
+        return nullptr;
     for (auto *it : pool->second) {
         const bool slow = it->health.slow(now);
         const auto obstacle = startObstacle(*it, job, id, task, now);
@@ -218,8 +222,8 @@
                                     std::max<std::int64_t>(1, it->description.capacity.milliCores));
         // Prefer workers with persistent tasks, then fuller ones: the others become idle and can be
         // moved to another pool or maintained.
-        const std::tuple score(slow, failedHere, suspect, noRecentSuccess, remote,
-                               it->persistentRuns == 0, -load);
+        const std::tuple score(suspected > 0 ? it->runs.size() : 0, slow, failedHere, suspect,
+                               noRecentSuccess, remote, it->persistentRuns == 0, -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
@@ -253,6 +257,10 @@
     action.holdUntil = worker.time.clockAt(now, m_settings.hold);
     worker.heldUntil = std::max(worker.heldUntil,
                                 worker.time.latestTimeOf(action.holdUntil) + internal::holdMargin);
+    if (suspicion(job, id, task) > 0) {
+        worker.probationUntil = now + internal::probationTime;
+        worker.probationJob = id.job;
+    }
     run.persistent = job.step(id).persistent;
     worker.persistentRuns += static_cast<int>(run.persistent);
     worker.runs[id] = std::move(run);
@@ -297,7 +305,8 @@
         const bool needsCopy = !holder->reachable || holder->health.quarantined(now)
                                || known->second.phase == TaskRun::Phase::Stopping
                                || now - known->second.startedAt > limit;
-        if (!needsCopy)
+        // One more copy if the holder may have crashed, but none of a task that crashes workers.
+        if (!needsCopy || suspicion(job, id, task) > 1)
             continue;
         if (auto *other = chooseWorker(job, id, task, now))
             startRun(job, id, task, *other, now);
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -40,7 +40,9 @@
         m_changedPools.insert(it->description.pool);
     it->reachable = true;
     it->fenced = true;
-    if (it->startedMs != report.startedMs)
+    if (it->startedMs == report.startedMs)
+        forgetUnexplainedRuns(*it);
+    else
         beginIncarnation(*it, report, sentAt, now);
     it->time.observe(report.clock, now);
     for (const auto &end : report.ended) {
@@ -56,10 +58,14 @@
     acknowledgeSaved(*it);
 }
 
-void Scheduler::holdUnanswered(std::string_view id, TimePoint /*now*/)
+void Scheduler::holdUnanswered(std::string_view id, TimePoint now)
 {
-    if (auto *it = findWorker(id))
-        it->reachable = false;
+    auto *it = findWorker(id);
+    if (it == nullptr)
+        return;
+    if (it->reachable)
+        it->silentSince = now;
+    it->reachable = false;
 }
 
 void Scheduler::beginIncarnation(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
@@ -73,6 +79,13 @@
     worker.pendingEnds.clear();
     if (first)
         return;
+    auto suspected = suspectedRuns(worker);
+    // A start order on its way may have reached the new incarnation.
+    std::erase_if(suspected, [&worker](const SuspectedRun &it) {
+        const auto *run = worker.findRun(it.task, it.run);
+        return run != nullptr && run->phase == TaskRun::Phase::Starting;
+    });
+    forgetUnexplainedRuns(worker);
     worker.health = {};
     worker.heldUntil = now;
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
@@ -87,6 +100,7 @@
         if (!listed && !mayBeInNewIncarnation)
             releaseRun(worker, run, now);
     }
+    recordCrashes(suspected, now);
 }
 
 void Scheduler::releaseRun(WorkerState &worker, std::map<TaskId, TaskRun>::iterator run,
@@ -110,8 +124,11 @@
 {
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
-        if (run->second.phase != TaskRun::Phase::Starting)
-            releaseRun(worker, run, now);
+        if (run->second.phase == TaskRun::Phase::Starting)
+            continue;
+        worker.unexplainedRuns.push_back({run->first, run->second.run});
+        ++m_unexplainedRuns[run->first];
+        releaseRun(worker, run, now);
     }
 }
 
--- /dev/null
+++ b/tests/jobs/crashingtasktest.cpp
@@ -0,0 +1,205 @@
+#include "schedulerharness.h"
+
+#include "dragonflysill/jobs/jobcodec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+
+namespace {
+
+/** Number of starts after three crashes from which the users count a task as started too often. */
+constexpr int maxStartsAfterThreeCrashes = 2;
+
+/** Ends a worker's process; it is back at once as another worker on the same instance. */
+void crash(SchedulerHarness &harness, const std::string &id, int &lastWorker)
+{
+    const auto description = harness.workers[id].description;
+    harness.workers.erase(id);
+    harness.scheduler.holdUnanswered(id, harness.now);
+    auto &next = harness.workers["w" + std::to_string(++lastWorker)];
+    next.startedMs = lastWorker;
+    next.description = description;
+    next.description.id = "w" + std::to_string(lastWorker);
+    next.description.startedMs = lastWorker;
+    harness.scheduler.addOrUpdateWorker(next.description, harness.now);
+    harness.scheduler.unlistWorker(id, harness.now);
+    harness.reportFrom(next.description.id);
+}
+
+/** Workers of one instance each, numbered in the order of their start. */
+int addWorkers(SchedulerHarness &harness, int count)
+{
+    for (int n = 1; n <= count; ++n) {
+        harness.workers["w" + std::to_string(n)].startedMs = n;
+        harness.addWorker("w" + std::to_string(n), 8, "instance-" + std::to_string(n));
+    }
+    return count;
+}
+
+/** Result of a play with a task that crashes each worker that starts it. */
+struct CrashTally
+{
+    int starts = 0;
+    int crashes = 0;
+    std::set<std::string> jobsHit; ///< Other jobs that ran on a worker when it crashed.
+};
+
+/** Lets time pass, while the first task of a job crashes each worker that starts it. */
+CrashTally play(SchedulerHarness &harness, const std::string &deadly, int lastWorker, Duration time)
+{
+    CrashTally tally;
+    for (const auto end = harness.now + time; harness.now < end; harness.advanceTime(100ms)) {
+        harness.reportAll();
+        harness.decide();
+        const auto worker = harness.workerOf({deadly, 0, 0, 0});
+        if (!worker.empty()) {
+            ++tally.starts;
+            ++tally.crashes;
+            for (const auto &[task, row] : harness.workers[worker].running) {
+                if (task.job != deadly)
+                    tally.jobsHit.insert(task.job);
+            }
+            crash(harness, worker, lastWorker);
+        }
+        // Other tasks take half a second.
+        for (auto &[id, it] : harness.workers) {
+            std::vector<TaskId> done;
+            for (auto &[task, row] : it.running) {
+                row.percent += 20;
+                if (row.percent >= 100)
+                    done.push_back(task);
+            }
+            for (const auto &task : done)
+                it.end(task, RunEnd::Done);
+        }
+    }
+    return tally;
+}
+
+JobStatus statusOf(const SchedulerHarness &harness, const std::string &id)
+{
+    return harness.scheduler.job(id)->progress().state;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashingTasks)
+
+// Guards against a task that crashes one worker after the other until the day ends.
+BOOST_AUTO_TEST_CASE(JobIsGivenUpAfterThreeWorkersCrashedUnderItsTask)
+{
+    SchedulerHarness harness;
+    const int workers = addWorkers(harness, 6);
+    harness.addJob(job("deadly", {step(1)}));
+    const auto tally = play(harness, "deadly", workers, 20s);
+    BOOST_TEST((statusOf(harness, "deadly") == JobStatus::Failed));
+    BOOST_TEST(tally.crashes <= JobRun::maxCrashes);
+    BOOST_TEST(tally.starts <= 3 + maxStartsAfterThreeCrashes);
+}
+
+// Tasks that shared a worker with the one that crashed it are not known to be sound. Guards
+// against giving them up, and against more jobs that lose their runs in the next crash.
+BOOST_AUTO_TEST_CASE(TasksThatSharedACrashedWorkerComplete)
+{
+    SchedulerHarness harness;
+    const int workers = addWorkers(harness, 6);
+    for (int n = 0; n < 4; ++n)
+        harness.addJob(job("sound-" + std::to_string(n), {step(2)}));
+    harness.addJob(job("deadly", {step(1)}));
+    const auto first = play(harness, "deadly", workers, 100ms);
+    BOOST_TEST(!first.jobsHit.empty());
+    const auto later = play(harness, "deadly", workers + first.crashes, 20s);
+    BOOST_TEST(later.jobsHit.empty());
+    BOOST_TEST((statusOf(harness, "deadly") == JobStatus::Failed));
+    for (int n = 0; n < 4; ++n)
+        BOOST_TEST((statusOf(harness, "sound-" + std::to_string(n)) == JobStatus::Completed));
+}
+
+// Guards against successors of the owner that count from zero, each with three more crashes.
+BOOST_AUTO_TEST_CASE(CrashesOutliveTheOwner)
+{
+    SchedulerHarness first;
+    const int workers = addWorkers(first, 6);
+    first.addJob(job("deadly", {step(1)}));
+    while (first.scheduler.job("deadly")->crashes({"deadly", 0, 0, 0}) < 2)
+        play(first, "deadly", workers + first.scheduler.job("deadly")->crashes({"deadly", 0, 0, 0}),
+             100ms);
+    const auto stored = decodeProgress(encodeProgress(first.scheduler.job("deadly")->progress()));
+    BOOST_REQUIRE(static_cast<bool>(stored));
+    SchedulerHarness second(1000);
+    addWorkers(second, 6);
+    second.scheduler.addJob(job("deadly", {step(1)}), *stored, true, Duration{0}, second.now);
+    const auto tally = play(second, "deadly", 6, 20s);
+    BOOST_TEST(tally.crashes == 1);
+    BOOST_TEST((statusOf(second, "deadly") == JobStatus::Failed));
+}
+
+// A rack without power says nothing about the tasks that ran on its workers.
+BOOST_AUTO_TEST_CASE(FailureOfARackIsNotPutDownToItsTasks)
+{
+    SchedulerHarness harness;
+    addWorkers(harness, 3);
+    for (const auto *id : {"w1", "w2", "w3"}) {
+        harness.workers[id].description.rack = "rack";
+        harness.scheduler.addOrUpdateWorker(harness.workers[id].description, harness.now);
+    }
+    harness.addJob(job("j", {step(24)}));
+    harness.decide();
+    for (const auto *id : {"w1", "w2", "w3"})
+        harness.scheduler.holdUnanswered(id, harness.now);
+    for (const auto *id : {"w1", "w2", "w3"})
+        harness.scheduler.retireWorker(id, harness.now);
+    BOOST_TEST(harness.scheduler.job("j")->progress().crashes.empty());
+}
+
+// A worker that was cut off and answers again has not crashed.
+BOOST_AUTO_TEST_CASE(RunsThatEndedWithTheirHoldCountOnlyIfTheWorkerCrashed)
+{
+    for (const bool crashed : {false, true}) {
+        SchedulerHarness harness;
+        addWorkers(harness, 1);
+        harness.addJob(job("j", {step(1)}));
+        harness.decide();
+        harness.scheduler.holdUnanswered("w1", harness.now);
+        harness.advanceTime(4s);
+        harness.decide();
+        BOOST_TEST(harness.scheduler.job("j")->crashes({"j", 0, 0, 0}) == 0);
+        harness.workers["w1"].running.clear();
+        if (crashed)
+            ++harness.workers["w1"].startedMs;
+        harness.reportFrom("w1");
+        BOOST_TEST(harness.scheduler.job("j")->crashes({"j", 0, 0, 0}) == (crashed ? 1 : 0));
+    }
+}
+
+// A run that has lasted for long did not crash its worker by its start.
+BOOST_AUTO_TEST_CASE(PersistentTasksAreNotGivenUpForCrashesLongAfterTheirStart)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 2);
+    auto persistent = step(1);
+    persistent.persistent = true;
+    harness.addJob(job("service", {persistent}));
+    const TaskId task{"service", 0, 0, 0};
+    for (int n = 0; n < 5; ++n) {
+        for (int tick = 0; tick < 150; ++tick) {
+            harness.decide();
+            for (auto &[id, it] : harness.workers) {
+                for (auto &[running, row] : it.running)
+                    row.percent = 100;
+            }
+            harness.advanceTime(100ms);
+            harness.reportAll();
+        }
+        BOOST_REQUIRE(!harness.workerOf(task).empty());
+        crash(harness, harness.workerOf(task), lastWorker);
+    }
+    BOOST_TEST((statusOf(harness, "service") == JobStatus::Running));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
