Play tasks that crash their workers in the fault soak

Change: FaultSeries lets one in 30 of the jobs submitted during 0.2 to 2.5 s have a task that crashes its worker 0 to 10 ms after its start. CrashRecord counts crashes and starts of every task, also of those that ran beside the one that caused the crash. Two of its checks: a third start after the third crash; a job shown as failed before two workers have crashed under one task of it. Runs never end failed here. Instances that are taken away do not count as crashes. As before, a completed job needs the end of each task, which a task that crashes its worker never has.

--- a/programs/fleet-standin/callers.cpp
+++ b/programs/fleet-standin/callers.cpp
@@ -65,6 +65,7 @@
             = static_cast<std::size_t>((now - m_startedAt) / internal::busyQueuePeriod);
     const auto offset = n % internal::otherQueueInterval == 0 ? static_cast<std::size_t>(n) : 0;
     m_queue.push_back(m_settings.pools[(busyQueue + offset) % m_settings.pools.size()]);
+    m_fleet.jobSubmitted(internal::jobId(n));
     submit(n, n, true);
     m_loop.after(m_settings.spacing, [this, n] { submitNext(n + 1); });
 }
@@ -132,10 +133,14 @@
             ++m_ended;
             return;
         }
+        if (internal::reports(response, "failed")) {
+            m_fleet.jobReportedFailed(internal::jobId(n));
+            ++m_ended;
+            return;
+        }
         const bool unknown = response && response->status == 410;
-        if (cancelled || unknown || internal::reports(response, "failed")) {
-            const char *report = unknown ? "unknown" : cancelled ? "cancelled" : "failed";
-            m_fleet.jobReportedLost(internal::jobId(n), report);
+        if (cancelled || unknown) {
+            m_fleet.jobReportedLost(internal::jobId(n), unknown ? "unknown" : "cancelled");
             ++m_ended;
             return;
         }
--- a/programs/fleet-standin/faultseries.cpp
+++ b/programs/fleet-standin/faultseries.cpp
@@ -16,8 +16,11 @@
 constexpr Duration maxDelay = 250ms;
 /** Bandwidth of a limited link; a day of the soak needs about ten times as much at the owner. */
 constexpr double limitedBytesPerSecond = 20000;
-/** Of this many faults, one hits the store and one the fleet; the others hit links. */
-constexpr std::size_t faultGroups = 4;
+/** Of this many faults, one hits the store, one the fleet and one the work; the others hit links.
+ */
+constexpr std::size_t faultGroups = 5;
+/** One job in this many has a task that crashes its workers, while such jobs are submitted. */
+constexpr int jobsPerCrashingTask = 30;
 /** Numbers of kinds of faults and changes. */
 constexpr std::size_t storeFaults = 4;
 constexpr std::size_t linkFaults = 6;
@@ -66,6 +69,9 @@
     case 1:
         changeFleet();
         break;
+    case 2:
+        disturbWork();
+        break;
     default:
         failLink();
         break;
@@ -149,6 +155,13 @@
     }
 }
 
+void FaultSeries::disturbWork()
+{
+    const auto length = between(internal::minFault, internal::maxFault);
+    m_fleet.addCrashingTasks(length, internal::jobsPerCrashingTask);
+    m_log.note("fault", internal::lasting("tasks of new jobs crash their workers", length));
+}
+
 Duration FaultSeries::between(Duration shortest, Duration longest)
 {
     return shortest + scaled(longest - shortest, m_random.unit());
--- a/programs/fleet-standin/faultseries.h
+++ b/programs/fleet-standin/faultseries.h
@@ -13,8 +13,8 @@
 
 /**
  * A seeded series of faults of the simulated platform: its store is away, slow, loses answers or
- * drops its history, links are slow, cut, reset or silent, backend servers crash, instances come
- * and go, and the configuration changes. Faults overlap.
+ * drops its history, links are slow, cut, reset or silent, backend servers crash, tasks crash
+ * them, instances come and go, and the configuration changes. Faults overlap.
  */
 class FaultSeries
 {
@@ -25,12 +25,15 @@
     /** Starts the series; no fault begins after @p length, so that all jobs can end. */
     void start(Duration length);
 
+    /** Causes the next fault at once. */
+    void cause();
+
 private:
     void scheduleNext();
-    void cause();
     void failStore();
     void failLink();
     void changeFleet();
+    void disturbWork();
     /** Returns a random time between two bounds. */
     [[nodiscard]] Duration between(Duration shortest, Duration longest);
 
--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -111,18 +111,19 @@
 {
     const auto &tally = fleet.tally();
     std::cout << "accepted " << callers.accepted << "\ncompleted " << callers.completed
-              << "\ncancelled " << callers.cancelled << "\nlate " << callers.late << "\nlost "
-              << tally.lost << "\nnot finished "
+              << "\ncancelled " << callers.cancelled << "\nfailed " << tally.failed << "\nlate "
+              << callers.late << "\nlost " << tally.lost << "\nnot finished "
               << jobs - callers.abandoned - callers.completed - callers.cancelled
-                         - static_cast<int>(tally.lost)
+                         - static_cast<int>(tally.lost + tally.failed)
               << "\ntold \"not accepted\" " << callers.notAccepted << "\nfalse \"not accepted\" "
               << tally.startedAfterRejection << "\nfalse \"completed\" " << tally.falselyCompleted
               << "\nstarted after their cancel " << tally.startedAfterCancel << "\ndoubled "
               << tally.duplicateStarts << "\nout of order " << tally.outOfOrder
-              << "\nover the ceiling " << tally.overCeiling << "\norders of replaced owners "
-              << tally.olderOwners << "\nmoves " << tally.moves << "\nmaintained "
-              << tally.maintained << "\nwave completed " << (fleet.waveCompleted() ? "yes" : "no")
-              << '\n';
+              << "\nstarted again after crashes " << tally.overBudget << "\ncrashed by tasks "
+              << tally.crashes << "\nover the ceiling " << tally.overCeiling
+              << "\norders of replaced owners " << tally.olderOwners << "\nmoves " << tally.moves
+              << "\nmaintained " << tally.maintained << "\nwave completed "
+              << (fleet.waveCompleted() ? "yes" : "no") << '\n';
 }
 
 } // namespace
@@ -143,6 +144,7 @@
         };
     platform::FleetStandin fleet(loop, shape);
     fleet.setPromiseHandler([&log](const std::string &evidence) { log.note("broken", evidence); });
+    fleet.setCrashHandler([&log](const std::string &event) { log.note("crash", event); });
     if (const auto started = fleet.start(); !started) {
         std::cerr << started.error().text() << '\n';
         return 2;
--- /dev/null
+++ b/tests/platform-standin-fleet/fleetstandintest.cpp
@@ -0,0 +1,202 @@
+#include "fleetstandin.h"
+
+#include "dragonflysill/jobs/json.h"
+#include "dragonflysill/net/httpclient.h"
+#include "names.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <unistd.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+using namespace dragonflysill;
+using namespace dragonflysill::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A fleet of one pool, whose workers get their orders from the test instead of a node. */
+struct FleetFixture
+{
+    static constexpr int workers = 7;
+
+    EventLoop loop;
+    FleetShape shape = makeShape();
+    FleetStandin fleet{loop, shape};
+    HttpClient client{loop};
+    std::string evidence;
+
+    FleetFixture()
+    {
+        fleet.setPromiseHandler([this](const std::string &text) { evidence = text; });
+        BOOST_REQUIRE(fleet.start().ok());
+    }
+
+    static FleetShape makeShape()
+    {
+        FleetShape shape;
+        // An address of the loopback interface that no other process of the tests uses.
+        const auto id = static_cast<unsigned>(getpid());
+        shape.host = "127." + std::to_string(1 + id / 62500 % 250) + '.'
+                     + std::to_string(id / 250 % 250) + '.' + std::to_string(1 + id % 250);
+        shape.pools = {"pool"};
+        shape.workersPerPool = workers;
+        shape.standby = 0;
+        shape.longTaskEvery = 1;
+        return shape;
+    }
+
+    /** Returns the address of the worker of an instance, counted from 1. */
+    [[nodiscard]] std::string address(int instance) const
+    {
+        return shape.host + ':' + std::to_string(shape.firstPort + 1 + instance);
+    }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        while (!condition())
+            loop.context().run_one();
+    }
+
+    /** Calls a server and returns the status, or 0 without an answer. */
+    int call(const std::string &address, HttpRequest request, std::string *body = nullptr)
+    {
+        std::optional<int> status;
+        client.call(address, std::move(request), 10s,
+                    [&status, body](const Result<HttpResponse> &it) {
+                        status = it ? it->status : 0;
+                        if (it && body != nullptr)
+                            *body = it->body;
+                    });
+        runUntil([&status] { return status.has_value(); });
+        return *status;
+    }
+
+    /** Starts a run of a task on the given life of an instance's worker. */
+    int start(int instance, const std::string &task, int run, const std::string &worker,
+              std::string *body = nullptr)
+    {
+        return call(
+                address(instance),
+                {"POST",
+                 pathRunStart,
+                 dump(Json{
+                         {"task", task}, {"attempt", run}, {"deadlineMs", 1000000}, {"spec", ""}}),
+                 {{headerExpectInstance, worker}}},
+                body);
+    }
+
+    /** Starts a run on the first worker of an instance. */
+    int start(int instance, const std::string &task, int run)
+    {
+        return start(instance, task, run, "i-" + std::to_string(instance));
+    }
+
+    /** Submits jobs until one has a task of step 0 that crashes its workers; returns that task. */
+    std::string submitCrashingJob()
+    {
+        fleet.addCrashingTasks(1h, 1);
+        for (char digit = '0';; ++digit) {
+            const auto job = "0123456789abcde" + std::string(1, digit);
+            fleet.jobSubmitted(job);
+            for (const char *suffix : {".0.0.0", ".0.0.1"}) {
+                if (fleet.crashesWorkers(job + suffix))
+                    return job + suffix;
+            }
+        }
+    }
+
+    /** Returns the job of a task. */
+    static std::string jobOf(const std::string &task) { return task.substr(0, task.find('.')); }
+
+    /** Starts a task that crashes its worker on the first worker of an instance and awaits it. */
+    void crash(int instance, const std::string &task)
+    {
+        const auto crashes = fleet.tally().crashes;
+        // The worker may be gone before it has answered.
+        static_cast<void>(start(instance, task, instance));
+        runUntil([this, crashes] { return fleet.tally().crashes > crashes; });
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CrashingTasks, FleetFixture)
+
+BOOST_AUTO_TEST_CASE(OnlyJobsOfTheFaultHaveATaskThatCrashesItsWorkers)
+{
+    fleet.jobSubmitted("0000000000000001");
+    BOOST_TEST(!submitCrashingJob().empty());
+    BOOST_TEST(!fleet.crashesWorkers("0000000000000001.0.0.0"));
+    BOOST_TEST(!fleet.crashesWorkers("0000000000000001.0.0.1"));
+    BOOST_TEST(!fleet.crashesWorkers("0000000000000001.0.1.0"));
+}
+
+BOOST_AUTO_TEST_CASE(CrashedWorkerIsBackAsANewOneThatRunsNothing)
+{
+    const auto task = submitCrashingJob();
+    BOOST_TEST(start(1, "other.0.0.0", 1) == 200);
+    crash(1, task);
+    // The new worker has the next number, knows no earlier run and listens on the same address.
+    while (start(1, "other.0.0.0", 1, "i-" + std::to_string(workers + 1)) != 200)
+        loop.context().run_one();
+    BOOST_TEST(fleet.tally().broken() == 0U, evidence);
+}
+
+// Guards against a task that crashes its workers and is started for ever.
+BOOST_AUTO_TEST_CASE(ThirdStartAfterThreeCrashesIsABrokenPromise)
+{
+    const auto task = submitCrashingJob();
+    for (int n = 1; n <= 5; ++n)
+        crash(n, task);
+    BOOST_TEST(fleet.tally().broken() == 0U, evidence);
+    crash(6, task);
+    BOOST_TEST(fleet.tally().overBudget == 1U);
+    BOOST_TEST(evidence.find("5 workers have crashed under it") != std::string::npos, evidence);
+}
+
+// Guards against a job that is given up too early.
+BOOST_AUTO_TEST_CASE(FailedJobIsLostUnlessTwoWorkersCrashedUnderATask)
+{
+    const auto task = submitCrashingJob();
+    crash(1, task);
+    fleet.jobReportedFailed(jobOf(task));
+    BOOST_TEST(fleet.tally().lost == 1U);
+    crash(2, task);
+    fleet.jobReportedFailed(jobOf(task));
+    BOOST_TEST(fleet.tally().lost == 1U);
+    BOOST_TEST(fleet.tally().failed == 1U);
+    fleet.jobReportedFailed("0000000000000001");
+    BOOST_TEST(fleet.tally().lost == 2U);
+}
+
+// Guards against a job that is completed without its task that crashes its workers.
+BOOST_AUTO_TEST_CASE(JobWithACrashingTaskIsNeverCompleted)
+{
+    const auto task = submitCrashingJob();
+    crash(1, task);
+    crash(2, task);
+    fleet.jobReportedCompleted(jobOf(task));
+    BOOST_TEST(fleet.tally().falselyCompleted > 0U);
+}
+
+// Guards against excusing a failed job whose workers crashed under another job's task.
+BOOST_AUTO_TEST_CASE(CrashCountsForAllTasksOfTheWorker)
+{
+    const auto task = submitCrashingJob();
+    BOOST_TEST(start(1, "0000000000000001.0.0.0", 1) == 200);
+    BOOST_TEST(start(2, "0000000000000002.0.0.0", 1) == 200);
+    crash(1, task);
+    BOOST_TEST(start(3, "0000000000000001.0.0.0", 2) == 200);
+    crash(3, task);
+    fleet.jobReportedFailed("0000000000000001");
+    BOOST_TEST(fleet.tally().failed == 1U);
+    fleet.jobReportedFailed("0000000000000002");
+    BOOST_TEST(fleet.tally().lost == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
