Let the capacity of workers shrink and grow again in the fault soak

The next report of the worker shows it, a start beyond it is refused with room, and what runs goes on. This kind shares its group of faults with tasks that crash their workers, which are half as frequent as before. Evidence: StartsBeyondTheReducedCapacityAreRefusedAndWhatRunsGoesOn and CapacityGrowsAgain are new and pass.

--- a/programs/fleet-standin/faultseries.cpp
+++ b/programs/fleet-standin/faultseries.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t storeFaults = 4;
 constexpr std::size_t linkFaults = 6;
 constexpr std::size_t fleetFaults = 4;
+constexpr std::size_t workFaults = 2;
 
 std::string lasting(std::string_view fault, Duration length)
 {
@@ -158,8 +159,13 @@
 void FaultSeries::disturbWork()
 {
     const auto length = between(internal::minFault, internal::maxFault);
-    m_fleet.addCrashingTasks(length, internal::jobsPerCrashingTask);
-    m_log.note("fault", internal::lasting("tasks of new jobs crash their workers", length));
+    if (m_random.below(internal::workFaults) == 0) {
+        m_fleet.addCrashingTasks(length, internal::jobsPerCrashingTask);
+        m_log.note("fault", internal::lasting("tasks of new jobs crash their workers", length));
+    } else {
+        m_fleet.reduceCapacity(length);
+        m_log.note("fault", internal::lasting("less capacity of some backend servers", length));
+    }
 }
 
 Duration FaultSeries::between(Duration shortest, Duration longest)
--- a/tests/fleet-standin/faultseriestest.cpp
+++ b/tests/fleet-standin/faultseriestest.cpp
@@ -76,10 +76,13 @@
 }
 
 // Guards against a kind of fault that no seed plays.
-BOOST_AUTO_TEST_CASE(EachSeedPlaysTasksThatCrashTheirWorkers)
+BOOST_AUTO_TEST_CASE(EachSeedPlaysTasksThatCrashTheirWorkersAndLessCapacity)
 {
-    for (const std::uint64_t seed : {1, 2, 3})
-        BOOST_TEST(count(cause(seed, 25), "tasks of new jobs crash their workers") > 0);
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        const auto events = cause(seed, 25);
+        BOOST_TEST(count(events, "tasks of new jobs crash their workers") > 0);
+        BOOST_TEST(count(events, "less capacity of some backend servers") > 0);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(SomeJobsOfTheFaultHaveATaskThatCrashesItsWorkers)
--- a/tests/platform-standin-fleet/fleetstandintest.cpp
+++ b/tests/platform-standin-fleet/fleetstandintest.cpp
@@ -1,17 +1,22 @@
 #include "fleetstandin.h"
 
+#include "dragonflysill/base/base64.h"
 #include "dragonflysill/jobs/json.h"
 #include "dragonflysill/net/httpclient.h"
 #include "names.h"
+#include "workerformat.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
+#include <numeric>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace dragonflysill;
 using namespace dragonflysill::platform;
@@ -93,7 +98,45 @@
     /** Starts a run on the first worker of an instance. */
     int start(int instance, const std::string &task, int run)
     {
-        return start(instance, task, run, "i-" + std::to_string(instance));
+        return start(instance, task, run, workerOf(instance));
+    }
+
+    /** Returns the first worker of an instance. */
+    static std::string workerOf(int instance) { return "i-" + std::to_string(instance); }
+
+    /** Returns how many cores the store's entry of an instance's first worker shows. */
+    int coresShown(int instance)
+    {
+        std::string body;
+        BOOST_TEST(call(shape.host + ':' + std::to_string(shape.firstPort),
+                        {"GET",
+                         std::string(pathKvKey) + "?key=" + prefixWorkers + workerOf(instance),
+                         {},
+                         {}},
+                        &body)
+                   == 200);
+        const auto value = decodeBase64(Json::parse(body).at("value").get<std::string>());
+        BOOST_REQUIRE(value.ok());
+        const auto worker = decodeWorker(workerOf(instance), *value);
+        BOOST_REQUIRE(worker.ok());
+        return static_cast<int>(worker->capacity.milliCores / 1000);
+    }
+
+    /** Returns how many runs an instance's first worker lists as running and as ended `done`. */
+    std::pair<int, int> runsOn(int instance)
+    {
+        std::string body;
+        BOOST_TEST(call(address(instance),
+                        {"POST",
+                         pathHold,
+                         dump(Json{{"deadlineMs", 1000000}}),
+                         {{headerExpectInstance, workerOf(instance)}}},
+                        &body)
+                   == 200);
+        const auto report = decodeReport(body);
+        BOOST_REQUIRE(report.ok());
+        return {std::ssize(report->running),
+                std::ranges::count(report->ended, RunEnd::Done, &EndReport::end)};
     }
 
     /** Submits jobs until one has a task of step 0 that crashes its workers; returns that task. */
@@ -200,3 +243,52 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Capacity, FleetFixture)
+
+// Guards against a worker that accepts more than its entry shows while its capacity is lower.
+BOOST_AUTO_TEST_CASE(StartsBeyondTheReducedCapacityAreRefusedAndWhatRunsGoesOn)
+{
+    std::vector<int> instances(workers);
+    std::iota(instances.begin(), instances.end(), 1);
+    std::vector<int> accepted(workers + 1);
+    const auto startOne = [this, &accepted](int instance, std::string *body) {
+        const auto number = std::to_string(100 * instance + accepted[instance]);
+        const auto status
+                = start(instance, "job-" + number + ".0.0.0", 1, workerOf(instance), body);
+        accepted[instance] += static_cast<int>(status == 200);
+        return status;
+    };
+    for (const int n : instances)
+        BOOST_TEST(startOne(n, nullptr) == 200);
+    fleet.reduceCapacity(1h);
+    for (const int n : instances) {
+        std::string body;
+        while (startOne(n, &body) == 200)
+            continue;
+        BOOST_TEST(body.find(R"("reason":"room")") != std::string::npos, body);
+    }
+    const auto isReduced = [this](int n) { return coresShown(n) < 8; };
+    while (std::ranges::none_of(instances, isReduced))
+        loop.context().run_one();
+    for (const int n : instances) {
+        const auto [running, done] = runsOn(n);
+        BOOST_TEST(running + done == accepted[n]);
+        // Each worker ran one task before its capacity was reduced.
+        const int cores = std::max(1, coresShown(n));
+        BOOST_TEST(running <= cores);
+        BOOST_TEST(accepted[n] >= cores);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(CapacityGrowsAgain)
+{
+    fleet.reduceCapacity(50ms);
+    for (int n = 1; n <= workers; ++n) {
+        while (coresShown(n) != 8)
+            loop.context().run_one();
+    }
+    BOOST_TEST(fleet.tally().broken() == 0U, evidence);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
