--- a/tests/platform-standin-fleet/fleetstandintest.cpp
+++ b/tests/platform-standin-fleet/fleetstandintest.cpp
@@ -15,6 +15,7 @@
 #include <numeric>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -292,3 +293,53 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Runs, FleetFixture)
+
+// Guards against two runs of a task at the same time.
+BOOST_AUTO_TEST_CASE(StartOfATaskThatRunsElsewhereIsABrokenPromise)
+{
+    BOOST_TEST(start(1, "job.0.0.0", 1) == 200);
+    BOOST_TEST(start(2, "job.0.0.0", 2) == 200);
+    BOOST_TEST(fleet.tally().duplicateStarts == 1U);
+    BOOST_TEST(evidence == "run 2 of job.0.0.0 starts on i-2 and runs on i-1");
+}
+
+BOOST_AUTO_TEST_CASE(TaskMayStartElsewhereAfterItsRunIsStopped)
+{
+    BOOST_TEST(start(1, "job.0.0.0", 1) == 200);
+    BOOST_TEST(call(address(1), {"POST",
+                                 pathRunStop,
+                                 dump(Json{{"task", "job.0.0.0"}, {"attempt", 1}}),
+                                 {{headerExpectInstance, workerOf(1)}}})
+               == 200);
+    BOOST_TEST(start(2, "job.0.0.0", 2) == 200);
+    BOOST_TEST(fleet.tally().broken() == 0U, evidence);
+}
+
+// Guards against a worker that is taken to run a task until it notices that its lease has expired.
+BOOST_AUTO_TEST_CASE(TaskMayStartElsewhereOnceItsLeaseHasExpired)
+{
+    int run = 0;
+    const auto startShortly = [this, &run] {
+        std::string body;
+        BOOST_TEST(call(address(1), {"POST", pathHold, "{}", {{headerExpectInstance, workerOf(1)}}},
+                        &body)
+                   == 200);
+        const auto until = decodeReport(body)->clock + 20;
+        return call(address(1), {"POST",
+                                 pathRunStart,
+                                 dump(Json{{"task", "job.0.0.0"},
+                                           {"attempt", ++run},
+                                           {"deadlineMs", until},
+                                           {"spec", ""}}),
+                                 {{headerExpectInstance, workerOf(1)}}});
+    };
+    while (startShortly() != 200)
+        continue;
+    std::this_thread::sleep_for(30ms);
+    BOOST_TEST(start(2, "job.0.0.0", run + 1) == 200);
+    BOOST_TEST(fleet.tally().broken() == 0U, evidence);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
