Check in the soak that no job waits although it could run

Cause: the users' rule LOST also covers a job of which for 3 s nothing runs while a task's turn has come, its pool has capacity for it twice over and under half of that capacity is in use. The stand-in did not check it. Change: from 6 s after the last submission on (the users' 3 s after a fault, and the longest fault) the stand-in observes each accepted job that is not cancelled, every 40 ms (the shortest task); a start in between also ends a wait. After 3 s (the users' bound) the next answer that the job has not ended breaks the promise, so that a job that was given up in between does not. A task has ended if its end was acknowledged or its worker still lists it.

--- a/programs/fleet-standin/callers.cpp
+++ b/programs/fleet-standin/callers.cpp
@@ -92,6 +92,8 @@
                  ++m_tally.accepted;
                  if (m_settings.cancelEvery != 0 && n % m_settings.cancelEvery == 0)
                      cancel(n, node + 1);
+                 else
+                     m_fleet.jobAccepted(internal::jobId(n), m_queue[static_cast<std::size_t>(n)]);
                  poll(n, node + 1);
                  return;
              }
@@ -144,6 +146,8 @@
             ++m_ended;
             return;
         }
+        if (response && response->status == 200)
+            m_fleet.jobReportedOpen(internal::jobId(n));
         m_loop.after(internal::pollInterval, [this, n, node] { poll(n, node + 1); });
     });
 }
--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -32,6 +32,12 @@
 /** Ports between the first one and those of the nodes, unless a flag names these. */
 constexpr int defaultNodePortOffset = 100;
 
+/**
+ * Time after the last submission from which no job may wait although it could run: the users' 3 s
+ * after a fault, and the longest fault.
+ */
+constexpr Duration timeUntilCalm = 6s;
+
 /** Settings of a simulated day that do not shape the fleet. */
 struct DaySettings
 {
@@ -112,7 +118,8 @@
     const auto &tally = fleet.tally();
     std::cout << "accepted " << callers.accepted << "\ncompleted " << callers.completed
               << "\ncancelled " << callers.cancelled << "\nfailed " << tally.failed << "\nlate "
-              << callers.late << "\nlost " << tally.lost << "\nnot finished "
+              << callers.late << "\nlost " << tally.lost << "\nwaited needlessly " << tally.waited
+              << "\nnot finished "
               << jobs - callers.abandoned - callers.completed - callers.cancelled
                          - static_cast<int>(tally.lost + tally.failed)
               << "\ntold \"not accepted\" " << callers.notAccepted << "\nfalse \"not accepted\" "
@@ -164,6 +171,8 @@
     FaultSeries faults(loop, fleet, links, log, day.faultSeed);
     if (day.faultSeed != 0)
         faults.start(day.jobs * callerSettings.spacing);
+    loop.after(day.jobs * callerSettings.spacing + timeUntilCalm,
+               [&fleet] { fleet.checkWaitingJobs(); });
     std::function<void(int)> reportProgress = [&](int second) {
         std::cout << "second " << second << ": accepted " << callers.tally().accepted
                   << ", completed " << callers.tally().completed << ", maintained "
--- a/tests/platform-standin-fleet/fleetstandintest.cpp
+++ b/tests/platform-standin-fleet/fleetstandintest.cpp
@@ -343,3 +343,53 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Waiting, FleetFixture)
+
+// Guards against an accepted job that nothing starts.
+BOOST_AUTO_TEST_CASE(JobThatCouldRunAndIsReportedOpenAfterTheBoundIsABrokenPromise)
+{
+    fleet.jobAccepted("waiting", "pool");
+    fleet.jobAccepted("elsewhere", "pool without workers");
+    fleet.jobAccepted("completed", "pool");
+    fleet.checkWaitingJobs();
+    fleet.jobReportedCompleted("completed");
+    const auto falselyCompleted = fleet.tally().falselyCompleted;
+    runUntil([this] {
+        fleet.jobReportedOpen("waiting");
+        return fleet.tally().waited > 0;
+    });
+    BOOST_TEST(evidence.starts_with("waiting.0.0.0 has waited for "), evidence);
+    BOOST_TEST(evidence.find("0 of 56 cores of pool are in use") != std::string::npos, evidence);
+    fleet.jobReportedOpen("elsewhere");
+    fleet.jobReportedOpen("completed");
+    BOOST_TEST(fleet.tally().waited == 1U);
+    BOOST_TEST(fleet.tally().broken() == 1U + falselyCompleted);
+    // A job is reported once.
+    fleet.jobReportedOpen("waiting");
+    BOOST_TEST(fleet.tally().waited == 1U);
+}
+
+// Guards against an end that was lost with its worker and is taken for one that counts.
+BOOST_AUTO_TEST_CASE(TaskWhoseEndWasLostWithItsWorkerWaitsAgain)
+{
+    const auto crashing = submitCrashingJob();
+    for (int n = 1; n <= 3; ++n)
+        BOOST_TEST(start(n, "job.0.0." + std::to_string(n - 1), 1) == 200);
+    runUntil([this] { return fleet.tally().done == 3; });
+    BOOST_TEST(*fleet.taskToRun("job") == "job.0.1.0");
+    // Its end is acknowledged, which counts also after the worker has crashed.
+    BOOST_TEST(call(address(1), {"POST",
+                                 pathHold,
+                                 dump(Json{{"deadlineMs", 1000000}, {"ackedUpto", 1}}),
+                                 {{headerExpectInstance, workerOf(1)}}})
+               == 200);
+    crash(1, crashing);
+    BOOST_TEST(*fleet.taskToRun("job") == "job.0.1.0");
+    crash(2, crashing);
+    BOOST_TEST(*fleet.taskToRun("job") == "job.0.0.1");
+    BOOST_TEST(start(3, "job.0.0.1", 2) == 200);
+    BOOST_TEST(!fleet.taskToRun("job").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
