Refuse entries of workers whose numbers are out of range

Cause: decodeWorker took any JSON number. Json::get() converts 1e300 and 2^63 to other numbers (undefined behaviour for doubles), so that an entry of another writer was used: a start time far ahead made all real entries of the worker look outdated and retired the running workers of the same instance, whose tasks then ran twice; an absurd capacity was given to the scheduler and, as the largest of the fleet, to the sizes of all pools. A missing start time stays allowed.

--- a/include/dragonflysill/jobs/json.h
+++ b/include/dragonflysill/jobs/json.h
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+#include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
@@ -31,4 +34,20 @@
     }
 }
 
+/**
+ * Returns a whole number from @p min to @p max; both must be exact as a double. Json::get()
+ * converts numbers that don't fit, fractions too, to other numbers.
+ * @throws std::out_of_range for other values
+ */
+inline std::int64_t integerIn(const Json &json, std::int64_t min, std::int64_t max)
+{
+    // Numbers that only a double holds are compared before they are converted.
+    const auto number = json.is_number() ? json.get<double>() : std::nan("");
+    if (!(number >= static_cast<double>(min) && number <= static_cast<double>(max))
+        || std::trunc(number) != number)
+        throw std::out_of_range("not a whole number from " + std::to_string(min) + " to "
+                                + std::to_string(max));
+    return json.get<std::int64_t>();
+}
+
 } // namespace dragonflysill
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -21,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -61,6 +62,15 @@
 const std::string waveText = R"({"wave":1,"machines":["m-1","m-2"],"durationS":20,"ceiling":3})";
 const std::string adviceText = R"({"good":[["i-1","ticket"]],"validMs":3000})";
 
+/** Returns a worker's entry in which @p part is replaced. */
+std::string workerWith(std::string_view part, std::string_view replacement)
+{
+    auto text = workerText;
+    const auto at = text.find(part);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, part.size(), replacement);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Formats)
@@ -142,6 +152,46 @@
     BOOST_TEST(!decodeWorker("i-7", "\xff\xfe").ok());
 }
 
+// Guards against owners that lose a worker or misjudge the fleet because of one entry: a start time
+// far ahead makes the next entries look older and retires the other workers of the instance, and an
+// absurd capacity receives all tasks and distorts the needs of all pools.
+BOOST_AUTO_TEST_CASE(WorkersWithNumbersOutOfRangeAreRefused)
+{
+    const std::vector<std::string> numbers{"-1",
+                                           "1e300",
+                                           "-1e300",
+                                           "9223372036854775807",
+                                           "9223372036854775808",
+                                           "1e18",
+                                           "0.5",
+                                           "true",
+                                           "\"7\"",
+                                           "18446744073709551615",
+                                           "null",
+                                           "[]",
+                                           "1e400"};
+    for (const auto &it : numbers) {
+        BOOST_TEST(!decodeWorker("i-7", workerWith("17931", it)).ok(), "born " << it);
+        BOOST_TEST(!decodeWorker("i-7", workerWith("16000", it)).ok(), "cpu " << it);
+        BOOST_TEST(!decodeWorker("i-7", workerWith("32768", it)).ok(), "memMb " << it);
+        BOOST_TEST(!decodeWorker("i-7", workerWith(R"("gpu":1)", R"("gpu":)" + it)).ok(),
+                   "gpu " << it);
+    }
+    for (const auto *it : {"-1e300", "1e300", "1e18", "18446744073709551615", "0.5", "true"})
+        BOOST_TEST(!decodeWorker("i-7",
+                                 workerWith(R"("seq":4)",
+                                            R"("remainingMs":)" + std::string(it) + R"(,"seq":4)"))
+                            .ok(),
+                   "remainingMs " << it);
+    for (const auto *it : {"-1", "1e300", "18446744073709551615", "0.5", "true", "null"})
+        BOOST_TEST(
+                !decodeWorker("i-7", workerWith(R"("seq":4)", std::string(R"("seq":)") + it)).ok(),
+                "seq " << it);
+    BOOST_TEST(decodeWorker("i-7", workerWith("17931", "1790000000000")).ok());
+    BOOST_TEST(decodeWorker("i-7", workerWith("16000", "256000")).ok());
+    BOOST_TEST(decodeWorker("i-7", workerWith(R"("born":17931,)", "")).ok());
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAreDecoded)
 {
     const auto report = decodeReport(reportText);
