--- a/tests/node/workerregistrytest.cpp
+++ b/tests/node/workerregistrytest.cpp
@@ -116,7 +116,8 @@
             {"bytes", "\xff\xfe"},
             {"nesting", std::string(100000, '[')},
             {"start time", entryWith("1790000000000", "9e18")},
-            {"capacity", entryWith("16000", "9223372036854775807")}};
+            {"capacity", entryWith("16000", "9223372036854775807")},
+            {"port", entryWith(":80", ":99999")}};
     for (const auto &[what, odd] : oddEntries) {
         RegistryFixture it;
         it.addWorker("i-7");
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -192,6 +192,18 @@
     BOOST_TEST(decodeWorker("i-7", workerWith(R"("born":17931,)", "")).ok());
 }
 
+// Guards against a running worker that is lost because one of its entries names an address to which
+// nobody can connect: its runs would end with their hold.
+BOOST_AUTO_TEST_CASE(WorkersWithoutAUsableAddressAreRefused)
+{
+    for (const auto *it :
+         {"10.0.1.1:0", "10.0.1.1:65536", "10.0.1.1:99999", "10.0.1.1:-1", "10.0.1.1:80 ",
+          "10.0.1.1:", "10.0.1.1", ":80", "", "host.example:80", "10.0.1.256:80", "0.0.0.0:80",
+          "224.0.0.1:80", "[::1]:80", "http://a:80", "10.0.1.1:80\\r\\nX: 1"})
+        BOOST_TEST(!decodeWorker("i-7", workerWith("10.0.1.1:80", it)).ok(), it);
+    BOOST_TEST(decodeWorker("i-7", workerWith("10.0.1.1:80", "10.0.1.1:65535")).ok());
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAreDecoded)
 {
     const auto report = decodeReport(reportText);
