--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -24,6 +24,9 @@
         Silent, ///< The write is not applied and its callback never runs.
     };
 
+    /** Maximum length of a key; a write with a longer one is refused. */
+    static constexpr std::size_t maxKeyBytes = 200;
+
     explicit FakeStore(EventLoop &loop)
         : m_loop(loop)
     {
@@ -97,6 +100,13 @@
             answer(std::move(callback), Result<WriteOutcome>(Error(ErrorKind::StoreUnavailable)));
             return;
         }
+        if (std::ranges::any_of(change.writes, [](const auto &it) {
+                return it.key.empty() || it.key.size() > maxKeyBytes;
+            })) {
+            answer(std::move(callback),
+                   Result<WriteOutcome>(Error(ErrorKind::Corrupt, "status 400")));
+            return;
+        }
         Result<WriteOutcome> outcome = Error(ErrorKind::OutcomeUnknown);
         if (fault != Fault::LostBefore) {
             auto applied = apply(change);
--- a/tests/node/workerregistrytest.cpp
+++ b/tests/node/workerregistrytest.cpp
@@ -117,7 +117,9 @@
             {"nesting", std::string(100000, '[')},
             {"start time", entryWith("1790000000000", "9e18")},
             {"capacity", entryWith("16000", "9223372036854775807")},
-            {"port", entryWith(":80", ":99999")}};
+            {"port", entryWith(":80", ":99999")},
+            {"service", entryWith(R"("pool")", "\"\"")},
+            {"machine", entryWith("m-1", std::string(1000, 'm'))}};
     for (const auto &[what, odd] : oddEntries) {
         RegistryFixture it;
         it.addWorker("i-7");
@@ -146,4 +148,23 @@
     BOOST_TEST(usable("i-7"));
 }
 
+// Guards against owners that use no new worker: all records of one write are refused if the key of
+// one of them is too long.
+BOOST_FIXTURE_TEST_CASE(EntryWithALongPoolNameDoesNotBlockTheRecordsOfOthers, RegistryFixture)
+{
+    addWorker("i-7");
+    put("odd", entryWith(R"("pool")", '"' + std::string(190, 'p') + '"'));
+    putAndRead("i-8", entryWith("m-1", "m-2"));
+    BOOST_TEST(runUntil([&] { return scheduler.worker("i-8") != nullptr; }));
+}
+
+// Guards against use after free: the scheduler takes an empty id for a worker that it does not
+// know.
+BOOST_FIXTURE_TEST_CASE(EntryWithoutAnIdIsNoWorker, RegistryFixture)
+{
+    addWorker("i-7");
+    putAndRead("", entryWith("m-1", "m-2"));
+    BOOST_TEST(!runUntil([&] { return scheduler.worker("") != nullptr; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -204,6 +204,23 @@
     BOOST_TEST(decodeWorker("i-7", workerWith("10.0.1.1:80", "10.0.1.1:65535")).ok());
 }
 
+// Guards against a worker without an id, headers that the id of a worker adds to the orders, and
+// records of workers that the store refuses because their key is too long.
+BOOST_AUTO_TEST_CASE(WorkersWithUnusableNamesAreRefused)
+{
+    for (const auto &it : {std::string(), std::string("i\r\nHost: other"), std::string("i\0", 2),
+                           std::string(5000, 'i')})
+        BOOST_TEST(!decodeWorker(it, workerText).ok(), "id " << it.size());
+    for (const auto &it :
+         {std::string(), std::string("\\r\\n"), std::string("\\u0000"), std::string(190, 'p')}) {
+        BOOST_TEST(!decodeWorker("i-7", workerWith(R"("pool")", '"' + it + '"')).ok(),
+                   "service " << it.size());
+        if (!it.empty())
+            BOOST_TEST(!decodeWorker("i-7", workerWith("m-1", it)).ok(), "machine " << it.size());
+    }
+    BOOST_TEST(decodeWorker("i-7", workerWith("m-1", "")).ok());
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAreDecoded)
 {
     const auto report = decodeReport(reportText);
