--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -71,6 +71,12 @@
     return text.replace(at, part.size(), replacement);
 }
 
+/** Returns arrays nested in each other, as another writer left them in an entry. */
+std::string nestedArrays(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Formats)
@@ -221,6 +227,42 @@
     BOOST_TEST(decodeWorker("i-7", workerWith("m-1", "")).ok());
 }
 
+// Guards against processes that end because an entry exhausts their stack.
+BOOST_AUTO_TEST_CASE(DeeplyNestedMessagesDoNotCrashTheDecoders)
+{
+    const auto nested = nestedArrays(2000000);
+    BOOST_TEST(!decodeWorker("i-7", nested).ok());
+    BOOST_TEST(!decodeWorker("i-7", nested.substr(0, nested.size() / 2)).ok());
+    BOOST_TEST(!decodeWorker("i-7", workerWith(R"(["a","r1-3"])", nested)).ok());
+    BOOST_TEST(!decodeWorker("i-7", workerWith(R"("m-1")", nested)).ok());
+    BOOST_TEST(!decodeWorker("i-7", workerWith("16000", nested)).ok());
+    BOOST_TEST(decodeWorker("i-7", workerWith(R"("seq":4)", R"("more":)" + nested + R"(,"seq":4)"))
+                       .ok());
+    BOOST_TEST(!decodeReport(nested).ok());
+    BOOST_TEST(!decodeReport(R"({"clockMs":1,"running":[],"ended":)" + nested + '}').ok());
+    BOOST_TEST(!decodeSubmission(R"({"steps":)" + nested + '}').ok());
+    BOOST_TEST(decodeInstances(R"({"machines":)" + nested + '}')->instances.empty());
+    BOOST_TEST(decodeInstances(R"({"machines":[{"machine":"m","pool":"p","state":"up","labels":)"
+                               + nested + "}]}")
+                       ->instances.empty());
+    BOOST_TEST(!decodeWave(R"({"wave":1,"machines":)" + nested + '}').ok());
+    BOOST_TEST(!decodePage(R"({"asOf":1,"items":)" + nested + '}').ok());
+    BOOST_TEST(!decodeChanges(R"({"asOf":1,"events":)" + nested + '}').ok());
+    BOOST_TEST(!decodeAdmissionResponse(R"({"good":)" + nested + '}').ok());
+}
+
+// Guards against processes that end because an answer of the store or a configuration exhausts
+// their stack: copies of JSON values are recursive, unlike reading and destroying them.
+BOOST_AUTO_TEST_CASE(DeeplyNestedPartsAreNotCopied)
+{
+    const auto nested = nestedArrays(2000000);
+    BOOST_TEST(decodeConflict(R"({"items":)" + nested + '}')->current.empty());
+    auto text = configurationText;
+    const auto limits = text.find(R"("limits":)");
+    BOOST_REQUIRE(limits != std::string::npos);
+    BOOST_TEST(!decodeConfiguration(text.substr(0, limits) + R"("limits":)" + nested + '}').ok());
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAreDecoded)
 {
     const auto report = decodeReport(reportText);
