--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -263,6 +263,26 @@
     BOOST_TEST(!decodeConfiguration(text.substr(0, limits) + R"("limits":)" + nested + '}').ok());
 }
 
+// Guards against waves that never end or whose instances are never maintained.
+BOOST_AUTO_TEST_CASE(WavesWithNumbersOutOfRangeAreRefused)
+{
+    const auto waveWith = [](std::string_view part, std::string_view replacement) {
+        auto text = waveText;
+        const auto at = text.find(part);
+        BOOST_REQUIRE(at != std::string::npos);
+        return text.replace(at, part.size(), replacement);
+    };
+    for (const auto *it : {"-1", "1e300", "-1e300", "9223372036854775808", "true", "null"}) {
+        BOOST_TEST(!decodeWave(waveWith(":20,", ':' + std::string(it) + ',')).ok(),
+                   "durationS " << it);
+        BOOST_TEST(!decodeWave(waveWith(":3}", ':' + std::string(it) + '}')).ok(),
+                   "ceiling " << it);
+        BOOST_TEST(!decodeWave(waveWith(":1,", ':' + std::string(it) + ',')).ok(), "wave " << it);
+    }
+    BOOST_TEST(decodeWave(waveWith(":20,", ":20.5,"))->duration.count() == 20500);
+    BOOST_TEST(decodeWave(waveWith(":3}", ":4294967297}"))->maxInstancesDown == 1000000);
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAreDecoded)
 {
     const auto report = decodeReport(reportText);
