Use workers only of pools that are configured

Cause: the registry took entries of any service, although an entry with a service that isn't configured names no worker to use. For one heartbeat, a running worker left its pool, which then counted an instance less; a new id with such an entry was recorded, held and, with a later start time, retired the running worker of its instance. Change: entries of unknown pools count as removed; they are kept and used once their pool is configured, since the entry may be read before the configuration. Pools that were configured, or that have a record of workers, stay known, so that jobs of a pool that leaves the configuration go on, also with the next owner.

--- a/include/dragonflysill/node/workerregistry.h
+++ b/include/dragonflysill/node/workerregistry.h
@@ -36,6 +36,13 @@
     /** Adds the recorded workers to the scheduler and starts to watch the entries. */
     void start();
 
+    /**
+     * Adds configured pools. Only workers of pools that are or were configured, or have a record,
+     * are used, since the jobs of a pool run on after it has left the configuration. Before any
+     * pool is configured, the workers of all pools are used.
+     */
+    void addPools(const std::set<std::string> &pools);
+
     /** Writes the record if it is out of date; called periodically. */
     void updateRecord();
 
@@ -44,6 +51,8 @@
     void reset(std::span<const KeyValue> items);
     void change(std::span<const KeyUpdate> updates);
     void entryChanged(const std::string &id, const std::string &bytes);
+    [[nodiscard]] bool isKnownPool(const std::string &pool) const;
+    void list(const WorkerDescription &description);
     void entryRemoved(const std::string &id);
     void recordWritten(const ConditionalWrite &write, const std::map<std::string, std::string> &ids,
                        const std::set<std::string> &pools, const Result<WriteOutcome> &outcome);
@@ -54,6 +63,9 @@
     std::function<void()> m_onChange;
     PrefixWatcher m_watcher;
     std::unordered_map<std::string, WorkerDescription> m_listed; ///< Workers with an entry.
+    std::set<std::string> m_pools; ///< Pools that are or were configured.
+    /** Workers whose entry names a pool that is not known yet, by id. */
+    std::map<std::string, WorkerDescription> m_otherWorkers;
     std::map<std::string, std::string> m_recorded; ///< Pool of each recorded worker.
     TimePoint m_recordedAt{};
     std::map<std::string, std::int64_t> m_recordRevisions; ///< Revision of each pool's record.
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -152,6 +152,10 @@
 void ScheduleOwner::setConfiguration(const FleetConfiguration &configuration)
 {
     m_fleet.setConfiguration(configuration);
+    std::set<std::string> pools;
+    for (const auto &it : configuration.pools)
+        pools.insert(it.name);
+    m_workers.addPools(pools);
     std::map<std::string, WorkerAdmissionSettings> admissionSettings;
     for (const auto &it : configuration.queues) {
         if (it.workerAdmission)
--- a/src/node/workerregistry.cpp
+++ b/src/node/workerregistry.cpp
@@ -83,6 +83,7 @@
         if (!present.contains(id))
             gone.push_back(id);
     }
+    std::erase_if(m_otherWorkers, [&](const auto &it) { return !present.contains(it.first); });
     for (const auto &id : gone)
         entryRemoved(id);
     updateRecord();
@@ -110,13 +111,45 @@
         entryRemoved(id);
         return;
     }
-    m_listed[id] = *description;
-    if (m_recorded.contains(id))
-        m_scheduler.addOrUpdateWorker(*description, EventLoop::now());
+    if (!isKnownPool(description->pool)) {
+        entryRemoved(id);
+        m_otherWorkers[id] = *description;
+        return;
+    }
+    m_otherWorkers.erase(id);
+    list(*description);
+}
+
+bool WorkerRegistry::isKnownPool(const std::string &pool) const
+{
+    return m_pools.empty() || m_pools.contains(pool) || m_recordRevisions.contains(pool);
+}
+
+void WorkerRegistry::list(const WorkerDescription &description)
+{
+    m_listed[description.id] = description;
+    if (m_recorded.contains(description.id))
+        m_scheduler.addOrUpdateWorker(description, EventLoop::now());
+}
+
+void WorkerRegistry::addPools(const std::set<std::string> &pools)
+{
+    m_pools.insert(pools.begin(), pools.end());
+    const auto added = std::erase_if(m_otherWorkers, [this](const auto &it) {
+        if (!isKnownPool(it.second.pool))
+            return false;
+        list(it.second);
+        return true;
+    });
+    if (added == 0)
+        return;
+    updateRecord();
+    m_onChange();
 }
 
 void WorkerRegistry::entryRemoved(const std::string &id)
 {
+    m_otherWorkers.erase(id);
     if (m_listed.erase(id) > 0)
         m_scheduler.unlistWorker(id, EventLoop::now());
 }
--- a/tests/node/workerregistrytest.cpp
+++ b/tests/node/workerregistrytest.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/jobs/scheduler.h"
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/scheduleowner.h"
+#include "dragonflysill/node/workerrecord.h"
 #include "dragonflysill/node/workerregistry.h"
 #include "names.h"
 #include "nodesettings.h"
@@ -119,9 +120,11 @@
             {"capacity", entryWith("16000", "9223372036854775807")},
             {"port", entryWith(":80", ":99999")},
             {"service", entryWith(R"("pool")", "\"\"")},
+            {"unknown service", entryWith(R"("pool")", R"("unknown")")},
             {"machine", entryWith("m-1", std::string(1000, 'm'))}};
     for (const auto &[what, odd] : oddEntries) {
         RegistryFixture it;
+        it.registry.addPools({"pool"});
         it.addWorker("i-7");
         it.putAndRead("i-7", odd);
         const auto *worker = it.scheduler.worker("i-7");
@@ -167,4 +170,50 @@
     BOOST_TEST(!runUntil([&] { return scheduler.worker("") != nullptr; }));
 }
 
+// The entry of a new pool's worker may be read before the configuration that adds the pool.
+BOOST_FIXTURE_TEST_CASE(WorkerOfAPoolThatIsConfiguredLaterIsUsed, RegistryFixture)
+{
+    registry.addPools({"pool"});
+    addWorker("i-7");
+    const auto other = entryWith(R"("pool")", R"("other")");
+    putAndRead("i-8", other);
+    put("i-9", other);
+    BOOST_TEST(!runUntil([&] { return scheduler.worker("i-8") != nullptr; }));
+    store.items.erase(platform::prefixWorkers + std::string("i-9"));
+    store.changes.push_back(
+            {platform::prefixWorkers + std::string("i-9"), "", ++store.revision, true});
+    BOOST_REQUIRE(runUntil([&, before = changes] { return changes > before + 1; }));
+    registry.addPools({"other"});
+    BOOST_TEST(runUntil([&] { return scheduler.worker("i-8") != nullptr; }));
+    BOOST_TEST(scheduler.worker("i-9") == nullptr);
+    BOOST_TEST(scheduler.worker("i-7")->listed);
+}
+
+// Guards against accepted jobs that no worker runs after a configuration without their pool.
+BOOST_FIXTURE_TEST_CASE(WorkerOfAPoolThatLeftTheConfigurationIsKept, RegistryFixture)
+{
+    registry.addPools({"pool"});
+    addWorker("i-7");
+    registry.addPools({"other"});
+    putAndRead("i-7", entryWith(R"("seq":4)", R"("seq":5)"));
+    BOOST_TEST(usable("i-7"));
+}
+
+// Guards against the same after a change of the owner, who knows the newest configuration alone.
+BOOST_FIXTURE_TEST_CASE(RecordedWorkerOfAPoolThatLeftTheConfigurationIsKept, RegistryFixture)
+{
+    WorkerDescription recorded;
+    recorded.id = "i-7";
+    recorded.address = "10.0.1.1:80";
+    const std::vector<WorkerDescription> workers{recorded};
+    replica.applyOwn(nodekeys::key(nodekeys::workers, "pool"), encodeWorkerRecord(workers),
+                     store.revision);
+    put("i-7", entry);
+    registry.addPools({"other"});
+    registry.start();
+    BOOST_REQUIRE(runUntil([&] { return changes > 0; }));
+    BOOST_REQUIRE(scheduler.worker("i-7") != nullptr);
+    BOOST_TEST(scheduler.worker("i-7")->listed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
