Count short runs in the progress model

Cause: the model looks for running tasks every 100 ms, so that a run that begins and ends between two checks was not seen, and a job whose attempts fail after a few milliseconds seemed not to run for 3 s.

Change: the end of a run of the job restarts its wait. Persistent tasks, each of which is checked by itself, are judged as before. The bound stays 3 s without any run.

--- a/tests/jobs/progressmodel.cpp
+++ b/tests/jobs/progressmodel.cpp
@@ -323,6 +323,7 @@
     blocked = std::max(blocked, run);
     process.ended.push_back({process.nextEnd++, task, run, how, it->second.row.checkpoint});
     process.runs.erase(it);
+    m_jobs[task.job].lastRunAt = m_now;
     appendJobEvent(task.job, nameOf(task, run) + " on " + process.id + " ended, how "
                                      + std::to_string(static_cast<int>(how)));
 }
@@ -1069,7 +1070,10 @@
     const auto observe = [&](const std::string &key, Duration limit, const char *what) {
         ++m_observedWaits;
         const auto known = m_waits.find(key);
-        const auto since = known == m_waits.end() ? m_now : known->second;
+        auto since = known == m_waits.end() ? m_now : known->second;
+        // A run may have begun and ended between two checks.
+        if (job.lastRunAt && !spec.persistent)
+            since = std::max(since, *job.lastRunAt);
         waits[key] = since;
         if (m_now - since < limit || !m_violation.empty())
             return;
--- a/tests/jobs/progressmodel.h
+++ b/tests/jobs/progressmodel.h
@@ -107,6 +107,7 @@
         bool hopeless = false; ///< Each of its runs fails.
         bool deadly = false; ///< Each of its runs ends its worker's process in the fault period.
         std::vector<Duration> runTimes; ///< By step.
+        std::optional<TimePoint> lastRunAt; ///< Time of the last end of a run.
         std::string events;
     };
 
