Test that stalled runs do not count as attempts

Callers see (suspected): a job none of whose runs has failed is without any run for up to 12 s although the workers of its pool are sound and free.

Cause: Scheduler::isLastAttempt() counts the workers in Task::failedOn, to which checkRun() adds those on which a run stalled. JobRun::fail() counts only failed runs. A task with as many stalled runs as attempts less one is taken for one whose next failure ends its job, so that chooseWorker() withholds the workers in quarantine from it for as long as the whole pool is there.

Change: a test only, which fails; the code is not changed here.

--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -166,6 +166,45 @@
     BOOST_TEST(runs);
 }
 
+// Guards against counting stalled runs, which use up no attempt, as attempts: the task is taken for
+// one whose next failure ends its job and waits for the end of the quarantine of the whole pool.
+BOOST_AUTO_TEST_CASE(StalledRunsDoNotKeepTasksFromWorkersInQuarantine)
+{
+    SchedulerHarness harness;
+    for (const auto *id : {"w1", "w2"})
+        harness.addWorker(id);
+    harness.addJob(job("sound", {step(1)}, 2));
+    harness.decide();
+    const auto stalledOn = harness.workerOf({"sound", 0, 0, 0});
+    // The run makes no progress and is stopped.
+    for (int n = 0; n < 100 && harness.workerOf({"sound", 0, 0, 0}) == stalledOn; ++n) {
+        harness.advanceTime(100ms);
+        harness.reportAll();
+        harness.decide();
+        if (harness.workerOf({"sound", 0, 0, 0}) != stalledOn)
+            break;
+    }
+    // The next run is lost with its worker's process.
+    harness.end({"sound", 0, 0, 0}, RunEnd::HoldExpired);
+    for (const auto *id : {"faulty-1", "faulty-2"})
+        harness.addJob(job(id, {step(1)}, 20));
+    int run = 100;
+    for (int round = 0; round < 2; ++round) {
+        for (const auto *worker : {"w1", "w2"}) {
+            failOn(harness, worker, "faulty-1", ++run);
+            failOn(harness, worker, "faulty-2", ++run);
+        }
+    }
+    for (const auto *id : {"w1", "w2"})
+        BOOST_REQUIRE(harness.scheduler.worker(id)->health.quarantined(harness.now + 5s));
+    BOOST_REQUIRE(harness.scheduler.job("sound")->progress().failures.empty());
+    const bool runs = runsWithin(harness, {"sound", 0, 0, 0}, runnableBound, [&harness] {
+        for (const auto *id : {"faulty-1", "faulty-2"})
+            harness.end({id, 0, 0, 0}, RunEnd::Failed);
+    });
+    BOOST_TEST(runs);
+}
+
 // Guards against a task that waits for faster workers of which none has the capacity for it.
 BOOST_AUTO_TEST_CASE(SlowWorkerTakesATaskThatNoFasterOneCanHold)
 {
