Test that an instance that cannot be given away does not yield

Callers see (suspected): an accepted job whose task waits without end although an instance of its pool is sound and empty.

Cause: with more need than instances, PoolBalancer::chooseYielding() chooses instances of pools that have more than their share by present - needed, while canBeMoved() refuses one if the capacity of the rest of its pool (capable) is below the need. With a shrunk instance beside a whole one the whole one yields, gets no tasks and is never moved.

Change: a test only, which fails; the code is not changed here.

Evidence: WaitingTasks/InstancesThatCannotBeGivenAwayDoNotYield fails.

--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace dragonflysill;
 using namespace dragonflysill::test;
 
@@ -205,6 +207,35 @@
     BOOST_TEST(runs);
 }
 
+// Guards against an instance that gets no more tasks, to be given to another pool, and is then not
+// given away because the rest of its pool is too small.
+BOOST_AUTO_TEST_CASE(InstancesThatCannotBeGivenAwayDoNotYield)
+{
+    const auto instance = [](const char *name, const char *pool, std::int64_t milliCores) {
+        InstanceView row;
+        row.name = name;
+        row.pool = pool;
+        row.usable = true;
+        row.empty = std::string(name) == "whole";
+        row.milliCores = milliCores;
+        row.memoryMb = 65536;
+        return row;
+    };
+    FleetView fleet;
+    fleet.instances = {instance("whole", "small", 64000), instance("shrunk", "small", 8000),
+                       instance("busy", "large", 64000)};
+    fleet.load["small"].waitingMilliCores = 20000;
+    fleet.load["large"].waitingMilliCores = 400000;
+    PoolBalancer balancer;
+    TimePoint now{1000s};
+    std::vector<MoveInstance> moves;
+    for (const auto end = now + runnableBound; now < end && moves.empty(); now += 100ms)
+        moves = balancer.decide(fleet, now);
+    const bool whole = std::ranges::any_of(
+            moves, [](const MoveInstance &it) { return it.instance == "whole"; });
+    BOOST_TEST((whole || !balancer.yielding().contains("whole")));
+}
+
 // Guards against a task that waits for faster workers of which none has the capacity for it.
 BOOST_AUTO_TEST_CASE(SlowWorkerTakesATaskThatNoFasterOneCanHold)
 {
