Count only failed runs towards a task's last attempt

Callers saw (suspected): a job without any run while the whole pool is in quarantine, although none of its runs had failed.

Cause: a run that stands still is stopped and its worker avoided, which is not a failed attempt; isLastAttempt counted it as one, so that the task was kept off workers in quarantine.

Change: the recorded failures count.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -127,6 +127,9 @@
      */
     bool recordCrash(const TaskId &id, int run);
 
+    /** Returns how many runs of a task, or of its gang, have failed. */
+    [[nodiscard]] int failures(const TaskId &id) const;
+
     /** Returns how many workers have crashed under a task. */
     [[nodiscard]] int crashes(const TaskId &id) const;
 
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -248,6 +248,13 @@
     return true;
 }
 
+int JobRun::failures(const TaskId &id) const
+{
+    const auto it
+            = m_progress.failures.find({id.occurrence, id.step, step(id).gang ? 0 : id.index});
+    return it == m_progress.failures.end() ? 0 : static_cast<int>(it->second.size());
+}
+
 int JobRun::crashes(const TaskId &id) const
 {
     const auto it = m_progress.crashes.find({id.occurrence, id.step, id.index});
--- a/src/jobs/schedulerdiagnosis.cpp
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -66,7 +66,7 @@
                            worker.startedMs, now)
                    .empty())
         return StartObstacle::NoTicket;
-    if (isLastAttempt(job, task) && !worker.health.succeededSince(task.failedAt)
+    if (isLastAttempt(job, id) && !worker.health.succeededSince(task.failedAt)
         && now - task.failedAt < internal::lastAttemptWait)
         return StartObstacle::AwaitsSuccess;
     return std::nullopt;
@@ -91,10 +91,10 @@
     return lacking;
 }
 
-bool Scheduler::isLastAttempt(const JobRun &job, const Task &task)
+bool Scheduler::isLastAttempt(const JobRun &job, const TaskId &id)
 {
-    return !task.failedOn.empty()
-           && static_cast<int>(task.failedOn.size()) >= job.job().policy.attempts - 1;
+    const auto failures = job.failures(id);
+    return failures > 0 && failures >= job.job().policy.attempts - 1;
 }
 
 WaitingTaskReport Scheduler::describeWaiting(const JobRun &job, const TaskId &id, const Task &task,
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -186,7 +186,7 @@
 {
     const auto &step = job.step(id);
     const auto pool = m_pools.find(job.job().pool);
-    const bool lastAttempt = isLastAttempt(job, task);
+    const bool lastAttempt = isLastAttempt(job, id);
     bool fasterOneMayTakeIt = false;
     std::int64_t poolMilliCores = 0;
     std::int64_t reservedMilliCores = 0;
