Bound the wait of persistent tasks in pools that are in use

Callers saw (suspected): a persistent task without a run for over 6 s; the users' rule holds for these however full the pool is.

Cause: slow and quarantined workers were used only if at most half of the pool was in use, for persistent tasks too, and a persistent step that waited made the search skip larger ones.

Change: persistent tasks take such a worker after 2.5 s in any pool, and are not learnt from.

--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -100,7 +100,8 @@
             = needsTicket || step.gang || step.maxPerWorker > 0 || !step.requiredLabel.empty();
     const auto &run = job.occurrences()[waiting.occurrence];
     const bool started = run.steps[static_cast<std::size_t>(waiting.step)].waiting == 0;
-    if (!started && !constrained && m_startsLeft > 0 && !mayHaveRoom(job.job().pool, need, now))
+    if (!started && !constrained && !step.persistent && m_startsLeft > 0
+        && !mayHaveRoom(job.job().pool, need, now))
         tooLarge.push_back(need);
     return started;
 }
@@ -229,7 +230,8 @@
             bestScore = score;
         }
     }
-    const bool mostlyFree = 2 * reservedMilliCores <= poolMilliCores;
+    // Persistent tasks must run however full the pool is.
+    const bool mostlyFree = step.persistent || 2 * reservedMilliCores <= poolMilliCores;
     if (best == nullptr)
         return mostlyFree ? quarantined : nullptr;
     const bool awaitsFasterOne = fasterOneMayTakeIt && !(waitedLong && mostlyFree);
