Let pools yield and lack instances by what these can hold

One lack a pool hid others: a task too large for any instance, first by id, hid one that a standby instance could hold. A missing label brought instances without end, 305 moves in 30 s, since the choice of instances does not know labels.

Change: yielding and overload go by capacity; the load names up to eight different lacks; labels are left out of them.

Evidence: WaitingTasks/InstancesThatCannotBeGivenAwayDoNotYield failed before; jobs-test passes.

--- a/include/dragonflysill/jobs/fleetview.h
+++ b/include/dragonflysill/jobs/fleetview.h
@@ -53,8 +53,7 @@
     std::int64_t lateMemoryMb = 0; ///< Memory of these tasks.
     double arrivedWork = 0; ///< Expected core-seconds of all jobs accepted so far.
     std::int64_t arrivedJobs = 0; ///< Jobs accepted so far.
-    /** For the waiting tasks of the step that lacks the most workers. */
-    LackingWorkers lacking;
+    std::vector<LackingWorkers> lacking; ///< A few steps with different needs.
     int spread = 0; ///< Workers needed for the limit of persistent tasks per worker.
 };
 
--- a/include/dragonflysill/jobs/poolbalancer.h
+++ b/include/dragonflysill/jobs/poolbalancer.h
@@ -68,8 +68,7 @@
          */
         double capable = 0;
         int arriving = 0; ///< Instances that are being moved to the pool.
-        int lacking = 0; ///< Instances to bring for tasks that none of the present ones can hold.
-        TimePoint lackingSince{}; ///< Since when such instances are lacking.
+        TimePoint lackingSince{}; ///< Since when a task has exceeded all present instances.
         TimePoint shortSince{}; ///< Since when fewer instances than needed are present.
         TimePoint belowTargetSince{}; ///< Since when fewer instances than the target are present.
         TimePoint aboveShareSince{}; ///< Since when more than the share of the fleet is present.
@@ -101,6 +100,7 @@
 
     std::map<std::string, Demand> m_demand;
     double m_coresPerInstance = 1; ///< Of the largest instance.
+    int m_capableInstances = 0; ///< The fleet's instances by what they can hold.
     double m_memoryPerInstance = 1; ///< In MB, of the instance with the most memory.
     /** Decreasing maxima of the instances that all pools need, for a sliding-window maximum. */
     std::deque<std::pair<TimePoint, int>> m_totalNeeds;
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -328,6 +328,7 @@
                                                              const Task &task, TimePoint now) const;
     /** Returns how many workers a job's pool lacks that can hold a task of the step. */
     [[nodiscard]] int lackingWorkers(const JobRun &job, const JobStep &step, TimePoint now) const;
+    static void addLackingWorkers(std::vector<LackingWorkers> &known, const LackingWorkers &added);
     [[nodiscard]] static bool isLastAttempt(const JobRun &job, const TaskId &id);
     [[nodiscard]] WaitingTaskReport describeWaiting(const JobRun &job, const TaskId &id,
                                                     const Task &task, TimePoint now) const;
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -106,6 +106,10 @@
         demand.capable = 0;
         demand.arriving = 0;
     }
+    double capable = 0;
+    for (const auto &it : fleet.instances)
+        capable += it.quarantined ? 0 : share(it);
+    m_capableInstances = static_cast<int>(std::ceil(capable - internal::shareRounding));
     for (const auto &it : fleet.instances) {
         if (!fleet.load.contains(it.pool) || it.draining || it.leaving
             || (!it.usable && !it.orderPending))
@@ -149,17 +153,18 @@
                                     internal::spareShare * instances / pools);
     updateActiveInstances(total + static_cast<int>(spare) * static_cast<int>(fleet.load.size()),
                           now);
-    m_overloaded = total > static_cast<int>(fleet.instances.size());
+    m_overloaded = total > m_capableInstances;
     if (m_overloaded)
-        shareInstances(static_cast<int>(fleet.instances.size()));
+        shareInstances(m_capableInstances);
     for (auto &[pool, demand] : m_demand) {
         if (!m_overloaded || demand.present <= demand.needed)
             demand.aboveShareSince = now;
         demand.target = demand.needed + static_cast<int>(spare);
         if (shortage(demand) == 0)
             demand.shortSince = now;
-        demand.lacking = std::max(0, fleet.load.at(pool).lacking.count - demand.arriving);
-        if (demand.lacking == 0)
+        if (std::ranges::none_of(fleet.load.at(pool).lacking, [&demand](const LackingWorkers &it) {
+                return it.count > demand.arriving;
+            }))
             demand.lackingSince = now;
         if (demand.present >= demand.target)
             demand.belowTargetSince = now;
@@ -190,7 +195,8 @@
     for (const auto &[pool, demand] : m_demand) {
         shortage += PoolBalancer::shortage(demand);
         if (now - demand.aboveShareSince >= internal::yieldDelay)
-            excess[pool] = demand.present - demand.needed;
+            excess[pool]
+                    = static_cast<int>(demand.capable + internal::shareRounding) - demand.needed;
     }
     if (shortage == 0 || excess.empty()) {
         m_yielding.clear();
@@ -325,13 +331,15 @@
         ordered.insert(&instance);
     };
     for (auto &[pool, demand] : m_demand) {
-        const auto &lacking = fleet.load.at(pool).lacking;
-        for (; demand.lacking > 0 && now - demand.lackingSince >= internal::lackingDelay;
-             --demand.lacking) {
-            const auto *it = chooseInstance(fleet, ordered, pool, lacking.need);
-            if (it == nullptr)
+        for (const auto &lacking : fleet.load.at(pool).lacking) {
+            if (now - demand.lackingSince < internal::lackingDelay)
                 break;
-            order(*it, pool);
+            for (; demand.arriving < lacking.count; ++demand.arriving) {
+                const auto *it = chooseInstance(fleet, ordered, pool, lacking.need);
+                if (it == nullptr)
+                    break;
+                order(*it, pool);
+            }
         }
         while (needsInstance(demand, now)) {
             const auto *it = chooseInstance(fleet, ordered, pool, {});
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -336,6 +336,22 @@
     }
 }
 
+namespace internal {
+
+/** Maximum number of different needs that a pool's load names. */
+constexpr std::size_t maxLackingNeeds = 8;
+
+} // namespace internal
+
+void Scheduler::addLackingWorkers(std::vector<LackingWorkers> &known, const LackingWorkers &added)
+{
+    const auto it = std::ranges::find(known, added.need, &LackingWorkers::need);
+    if (it != known.end())
+        it->count = std::max(it->count, added.count);
+    else if (known.size() < internal::maxLackingNeeds)
+        known.push_back(added);
+}
+
 std::map<std::string, PoolLoad, std::less<>> Scheduler::loads(TimePoint now) const
 {
     auto loads = m_acceptedLoad;
@@ -349,8 +365,8 @@
                     load.spread = std::max(load.spread, (step.count + step.maxPerWorker - 1)
                                                                 / step.maxPerWorker);
                 const auto lacking = tasks.waiting > 0 ? lackingWorkers(*job, step, now) : 0;
-                if (lacking > load.lacking.count)
-                    load.lacking = {lacking, step.reserved()};
+                if (lacking > 0)
+                    addLackingWorkers(load.lacking, {lacking, step.reserved()});
                 const auto cpu = step.reserved().milliCores;
                 const int running = tasks.ready ? static_cast<int>(tasks.tasks.size())
                                                           - tasks.waiting - tasks.done
--- a/src/jobs/schedulerdiagnosis.cpp
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -85,8 +85,7 @@
             break;
         lacking -= static_cast<int>(it->listed && it->reachable && !it->leaving
                                     && !it->description.draining && !it->health.quarantined(now)
-                                    && it->description.capacity.covers(step.reserved())
-                                    && it->description.hasLabel(step.requiredLabel));
+                                    && it->description.capacity.covers(step.reserved()));
     }
     return lacking;
 }
