Count crashes of workers that do not return, and spare older runs

Cause: the evidence of a crash was dropped with the worker when its entry expired before its hold ended (8 starts on 8 workers), and a rack was taken for failed because of workers that had never fallen silent. Innocent tasks suffered from the rest: runs lost with their hold counted whatever their age, adopted runs counted as young, ends by order as crashes, probation had no bound (jobs of a small pool ran one at a time), one suspected task held back the others of its step, and a task could wait without bound for workers that never answer.

Change: a worker that is removed without having come back has crashed; only runs that were at most 3 s old when it was last heard of count, adopted ones and those on a worker that is being emptied never; a rack has failed if three of its workers fell silent together, answering again or not; probation and the wait for answers are bounded by 1 s and 5 s.

Evidence: suite CrashEvidence, of which both cases failed before; suites CrashingTasks and Progress pass.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -256,6 +256,8 @@
     void releaseRun(WorkerState &worker, std::map<TaskId, TaskRun>::iterator run, TimePoint now);
     /** Returns the runs that may have crashed a worker, which has ended. */
     [[nodiscard]] std::vector<SuspectedRun> suspectedRuns(const WorkerState &worker) const;
+    /** Returns true if a run was young enough when its worker was last heard of. */
+    [[nodiscard]] static bool mayHaveCrashed(const WorkerState &worker, const TaskRun &run);
     /** Returns true if several workers of a worker's rack fell silent at the same time. */
     [[nodiscard]] bool rackFailed(const WorkerState &worker) const;
     /** Records a crash under each of the runs, and ends jobs that have crashed too many workers. */
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -54,6 +54,9 @@
         const bool remove = !worker.listed && worker.runs.empty() && now >= worker.heldUntil
                             && mayBeRemoved && (worker.pendingEnds.empty() || !worker.reachable);
         if (remove) {
+            // It has not come back, so that nothing else tells that it crashed.
+            if (!worker.retired)
+                recordCrashes(suspectedRuns(worker), now);
             forgetUnexplainedRuns(worker);
             std::erase(m_pools[worker.description.pool], &worker);
             it = m_workers.erase(it);
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -36,11 +36,16 @@
  */
 constexpr Duration betterWorkerDelay = 2500ms;
 /** Age of a run from which a crash of its worker is not put down to its task. */
-constexpr Duration crashSuspicionTime = 10s;
+constexpr Duration crashSuspicionTime = 3s;
 /** Time for which a task that may crash its worker runs without tasks of other jobs beside it. */
 constexpr Duration probationTime = 1s;
 /** Maximum time that such a task waits for a worker without tasks of other jobs. */
 constexpr Duration emptyWorkerDelay = 1s;
+/**
+ * Maximum time that a task waits for the answers of workers that may have crashed under it, once
+ * they would be too many.
+ */
+constexpr Duration crashAnswerDelay = 5s;
 /** Number of a rack's workers that fall silent together if the rack has failed. */
 constexpr std::ptrdiff_t rackFailureWorkers = 3;
 /** Maximum time between the first and the last of them. */
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -10,24 +10,30 @@
 
 std::vector<SuspectedRun> Scheduler::suspectedRuns(const WorkerState &worker) const
 {
-    if (worker.description.draining || rackFailed(worker))
+    if (worker.description.draining || worker.leaving || rackFailed(worker))
         return {};
     auto suspected = worker.unexplainedRuns;
     for (const auto &[task, run] : worker.runs) {
-        if (worker.lastContact - run.startedAt <= internal::crashSuspicionTime)
+        if (mayHaveCrashed(worker, run))
             suspected.push_back({task, run.run});
     }
     return suspected;
 }
 
+bool Scheduler::mayHaveCrashed(const WorkerState &worker, const TaskRun &run)
+{
+    // The age of an inherited run is not known; a run that was adopted has survived its start.
+    return !run.inherited && worker.lastContact - run.startedAt <= internal::crashSuspicionTime;
+}
+
 bool Scheduler::rackFailed(const WorkerState &worker) const
 {
     const auto &rack = worker.description.rack;
-    if (rack.empty())
+    if (rack.empty() || worker.silentSince == TimePoint{})
         return false;
     const auto silent = std::ranges::count_if(m_workers, [&](const auto &it) {
         const auto &other = it.second;
-        return !other.reachable && other.description.rack == rack
+        return other.silentSince != TimePoint{} && other.description.rack == rack
                && std::chrono::abs(other.silentSince - worker.silentSince)
                           <= internal::rackFailureSpread;
     });
--- a/src/jobs/schedulerdiagnosis.cpp
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -52,9 +52,10 @@
     }
     if (!worker.free().covers(step.reserved()))
         return StartObstacle::NoFreeCapacity;
-    if (now < worker.probationUntil && worker.probationJob != id.job)
+    const bool mayWait = now - task.waitingSince < internal::emptyWorkerDelay;
+    if (mayWait && now < worker.probationUntil && worker.probationJob != id.job)
         return StartObstacle::Probation;
-    if (suspicion(job, id, task) > 0 && now - task.waitingSince < internal::emptyWorkerDelay
+    if (mayWait && suspicion(job, id, task) > 0
         && std::ranges::any_of(worker.runs,
                                [&id](const auto &it) { return it.first.job != id.job; }))
         return StartObstacle::NotAlone;
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -134,7 +134,7 @@
         if (task == nullptr || task->phase != Task::Phase::Waiting || m_unwantedRuns.contains(id))
             continue;
         auto *worker = chooseWorker(job, id, *task, now);
-        if (worker == nullptr && task->failedOn.empty())
+        if (worker == nullptr && task->failedOn.empty() && suspicion(job, id, *task) == 0)
             return;
         if (worker != nullptr)
             startRun(job, id, *task, *worker, now);
@@ -198,7 +198,7 @@
     std::tuple<std::size_t, bool, bool, bool, bool, bool, bool, double> bestScore;
     const auto suspected = suspicion(job, id, task);
     // The answers of the workers that do not answer now decide whether it is tried again.
-    if (suspected >= JobRun::maxCrashes)
+    if (suspected >= JobRun::maxCrashes && now - task.waitingSince < internal::crashAnswerDelay)
         return nullptr;
     for (auto *it : pool->second) {
         const bool slow = it->health.slow(now);
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -126,8 +126,10 @@
         const auto run = it++;
         if (run->second.phase == TaskRun::Phase::Starting)
             continue;
-        worker.unexplainedRuns.push_back({run->first, run->second.run});
-        ++m_unexplainedRuns[run->first];
+        if (mayHaveCrashed(worker, run->second)) {
+            worker.unexplainedRuns.push_back({run->first, run->second.run});
+            ++m_unexplainedRuns[run->first];
+        }
         releaseRun(worker, run, now);
     }
 }
--- /dev/null
+++ b/tests/jobs/crashevidencetest.cpp
@@ -0,0 +1,65 @@
+#include "schedulerharness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+
+namespace {
+
+const TaskId firstTask{"j", 0, 0, 0};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashEvidence)
+
+// Guards against a crash that is forgotten because the ended worker's entry expires before its hold
+// ends, so that its task crashes one worker after the other.
+BOOST_AUTO_TEST_CASE(CrashCountsIfTheEntryExpiresBeforeTheHold)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 4, "instance-1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(firstTask) == "w1");
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    harness.workers.erase("w1");
+    harness.advanceTime(2500ms);
+    harness.scheduler.unlistWorker("w1", harness.now);
+    for (int n = 0; n < 10; ++n) {
+        harness.advanceTime(100ms);
+        harness.decide();
+    }
+    // The instance is back with another worker.
+    harness.workers["w2"].startedMs = 2;
+    harness.addWorker("w2", 4, "instance-1");
+    BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 1);
+}
+
+// Guards against workers that were retired while they answered, or that have not answered yet, and
+// are taken for a failed rack.
+BOOST_AUTO_TEST_CASE(RetiredWorkersDoNotMakeACrashARackFailure)
+{
+    SchedulerHarness harness;
+    const auto add = [&harness](const std::string &id, std::int64_t startedMs,
+                                const std::string &instance) {
+        harness.workers[id].startedMs = startedMs;
+        harness.workers[id].description.rack = "r1";
+        harness.addWorker(id, 4, instance);
+    };
+    for (const auto *id : {"a", "b", "c"}) {
+        add(id, 1, std::string("instance-") + id);
+        harness.scheduler.retireWorker(id, harness.now);
+    }
+    harness.advanceTime(5s);
+    add("w1", 1, "instance-1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(firstTask) == "w1");
+    // The process has crashed, and its successor is back before a hold was unanswered.
+    harness.workers.erase("w1");
+    add("w2", 2, "instance-1");
+    BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
