--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -366,6 +366,9 @@
     std::size_t failures = 0;
     for (const auto &[task, runs] : update.progress.failures)
         failures += runs.size();
+    std::size_t crashes = 0;
+    for (const auto &[task, runs] : update.progress.crashes)
+        crashes += runs.size();
     const auto now = EventLoop::now();
     logInfo("job-ended", {{"job", update.job},
                           {"state", std::string(statusName(update.progress.state))},
@@ -373,6 +376,7 @@
                           {"age_ms", std::to_string((now - job->accepted) / 1ms)},
                           {"over_objective_ms", std::to_string((now - job->objective) / 1ms)},
                           {"failed_runs", std::to_string(failures)},
+                          {"worker_crashes", std::to_string(crashes)},
                           {"fence", std::to_string(m_fence)}});
 }
 
