Bound the wait for answers about crashes below the users' bound

Callers saw: nothing yet. Cause: a task under which three workers may have crashed waited up to 5 s for their answers, over the 3 s within which a task that could run must run. Change: 2.5 s, as for other reluctance.

--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -45,7 +45,7 @@
  * Maximum time that a task waits for the answers of workers that may have crashed under it, once
  * they would be too many.
  */
-constexpr Duration crashAnswerDelay = 5s;
+constexpr Duration crashAnswerDelay = 2500ms;
 /** Number of a rack's workers that fall silent together if the rack has failed. */
 constexpr std::ptrdiff_t rackFailureWorkers = 3;
 /** Maximum time between the first and the last of them. */
