Save a crash before its task starts again

Cause: crashes were saved with the next write of progress, while the suspected task started again at once. An owner that had lost the store, or ended, took two or more crashes with it, and each successor started to count too low.

Change: a task under which a worker has crashed, or may have, starts again only once all recorded crashes of its job are saved.

Evidence: CrashingTasks/TaskIsNotStartedAgainBeforeItsCrashIsSaved failed before. Takeover/RestartedWorkerLosesItsRuns expected the start in the same decision; it now also checks that none comes before the save, and the same start after it.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -130,6 +130,9 @@
     /** Returns how many runs of a task, or of its gang, have failed. */
     [[nodiscard]] int failures(const TaskId &id) const;
 
+    /** Returns true if all recorded crashes have been saved, so that a successor knows of them. */
+    [[nodiscard]] bool crashesSaved() const { return m_saved >= m_lastCrash; }
+
     /** Returns how many workers have crashed under a task. */
     [[nodiscard]] int crashes(const TaskId &id) const;
 
@@ -188,6 +191,7 @@
     int m_waitingTasks = 0;
     std::uint64_t m_changes = 0;
     std::uint64_t m_saved = 0;
+    std::uint64_t m_lastCrash = 0; ///< Number of the change that recorded the last crash.
 };
 
 } // namespace dragonflysill
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -241,7 +241,7 @@
     auto &runs = m_progress.crashes[{id.occurrence, id.step, id.index}];
     if (!runs.insert(run).second)
         return false;
-    ++m_changes;
+    m_lastCrash = ++m_changes;
     if (static_cast<int>(runs.size()) < maxCrashes)
         return false;
     m_progress.state = JobStatus::Failed;
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -197,6 +197,9 @@
     WorkerState *best = nullptr;
     std::tuple<std::size_t, bool, bool, bool, bool, bool, bool, double> bestScore;
     const auto suspected = suspicion(job, id, task);
+    // Another crash before the last one is saved would leave a successor with too low a count.
+    if (suspected > 0 && !job.crashesSaved())
+        return nullptr;
     // The answers of the workers that do not answer now decide whether it is tried again.
     if (suspected >= JobRun::maxCrashes && now - task.waitingSince < internal::crashAnswerDelay)
         return nullptr;
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -55,6 +55,7 @@
     CrashTally tally;
     for (const auto end = harness.now + time; harness.now < end; harness.advanceTime(100ms)) {
         harness.reportAll();
+        harness.saveAll();
         harness.decide();
         const auto worker = harness.workerOf({deadly, 0, 0, 0});
         if (!worker.empty()) {
@@ -139,6 +140,28 @@
     BOOST_TEST((statusOf(second, "deadly") == JobStatus::Failed));
 }
 
+// Guards against an owner that ends before it has saved several crashes: its successor would start
+// the task as often again.
+BOOST_AUTO_TEST_CASE(TaskIsNotStartedAgainBeforeItsCrashIsSaved)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 6);
+    const TaskId task{"deadly", 0, 0, 0};
+    harness.addJob(job("deadly", {step(1)}));
+    harness.decide();
+    crash(harness, harness.workerOf(task), lastWorker);
+    BOOST_REQUIRE(harness.scheduler.job("deadly")->crashes(task) == 1);
+    for (int n = 0; n < 50; ++n) {
+        harness.advanceTime(100ms);
+        harness.reportAll();
+        harness.decide();
+        BOOST_REQUIRE(harness.workerOf(task).empty());
+    }
+    harness.saveAll();
+    harness.decide();
+    BOOST_TEST(!harness.workerOf(task).empty());
+}
+
 // A rack without power says nothing about the tasks that ran on its workers.
 BOOST_AUTO_TEST_CASE(FailureOfARackIsNotPutDownToItsTasks)
 {
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -696,6 +696,9 @@
     worker.description.startedMs = 2;
     harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
     harness.reportAll();
+    // The crash is saved before the task starts again.
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).empty());
+    harness.saveAll();
     const auto starts = ordersOf<StartTask>(harness.decide());
     BOOST_REQUIRE(starts.size() == 1U);
     BOOST_TEST(starts[0].run == 2);
