Give up persistent tasks only after five crashes

Cause: the end of a job stops all of its tasks. A persistent task is started often in its long life, and three crashes soon after a start, each for another reason, ended its whole job.

Other tasks keep three.

Evidence: CrashingTasks/PersistentTaskIsGivenUpAfterMoreCrashesThanOthers; jobs-test passes.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -120,6 +120,8 @@
 
     /** Number of workers that may crash under a task before its job is given up. */
     static constexpr int maxCrashes = 3;
+    /** The same for a persistent task, whose job serves for long and has many starts. */
+    static constexpr int maxPersistentCrashes = 5;
 
     /**
      * Records that the worker of a run crashed; has no effect if that was recorded before.
@@ -133,6 +135,12 @@
     /** Returns true if all recorded crashes have been saved, so that a successor knows of them. */
     [[nodiscard]] bool crashesSaved() const { return m_saved >= m_lastCrash; }
 
+    /** Returns how many workers may crash under a task before its job is given up. */
+    [[nodiscard]] int crashLimit(const TaskId &id) const
+    {
+        return step(id).persistent ? maxPersistentCrashes : maxCrashes;
+    }
+
     /** Returns how many workers have crashed under a task. */
     [[nodiscard]] int crashes(const TaskId &id) const;
 
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -242,7 +242,7 @@
     if (!runs.insert(run).second)
         return false;
     m_lastCrash = ++m_changes;
-    if (static_cast<int>(runs.size()) < maxCrashes)
+    if (static_cast<int>(runs.size()) < crashLimit(id))
         return false;
     m_progress.state = JobStatus::Failed;
     return true;
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -201,7 +201,7 @@
     if (suspected > 0 && !job.crashesSaved())
         return nullptr;
     // The answers of the workers that do not answer now decide whether it is tried again.
-    if (suspected >= JobRun::maxCrashes && now - task.waitingSince < internal::crashAnswerDelay)
+    if (suspected >= job.crashLimit(id) && now - task.waitingSince < internal::crashAnswerDelay)
         return nullptr;
     for (auto *it : pool->second) {
         const bool slow = it->health.slow(now);
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -162,6 +162,21 @@
     BOOST_TEST(!harness.workerOf(task).empty());
 }
 
+// Guards against a service that ends because one of its tasks met as many crashes as would end a
+// job of short tasks.
+BOOST_AUTO_TEST_CASE(PersistentTaskIsGivenUpAfterMoreCrashesThanOthers)
+{
+    SchedulerHarness harness;
+    const int workers = addWorkers(harness, 8);
+    auto persistent = step(1);
+    persistent.persistent = true;
+    harness.addJob(job("deadly", {persistent}));
+    const auto tally = play(harness, "deadly", workers, 20s);
+    BOOST_TEST((statusOf(harness, "deadly") == JobStatus::Failed));
+    BOOST_TEST(tally.crashes == JobRun::maxPersistentCrashes);
+    BOOST_TEST(tally.starts <= 3 + maxStartsAfterThreeCrashes);
+}
+
 // A rack without power says nothing about the tasks that ran on its workers.
 BOOST_AUTO_TEST_CASE(FailureOfARackIsNotPutDownToItsTasks)
 {
