--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -162,9 +162,9 @@
         demand.target = demand.needed + static_cast<int>(spare);
         if (shortage(demand) == 0)
             demand.shortSince = now;
-        if (std::ranges::none_of(fleet.load.at(pool).lacking, [&demand](const LackingWorkers &it) {
-                return it.count > demand.arriving;
-            }))
+        const int arriving = demand.arriving;
+        if (std::ranges::none_of(fleet.load.at(pool).lacking,
+                                 [arriving](const auto &it) { return it.count > arriving; }))
             demand.lackingSince = now;
         if (demand.present >= demand.target)
             demand.belowTargetSince = now;
