Log why an order got no answer

The log named the workers whose starts and stops stayed without an answer, but not why, so that a worker that is gone, a lost connection and a response that cannot be decoded looked the same.

start-unanswered has a reason now, and so have the debug lines of starts and stops.

--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -85,7 +85,9 @@
 {
     if (const auto *it = std::get_if<StartRefusal>(&outcome))
         return "refused-" + std::to_string(static_cast<int>(*it));
-    return std::holds_alternative<OrderConfirmed>(outcome) ? "confirmed" : "unanswered";
+    if (const auto *it = std::get_if<OrderUnanswered>(&outcome))
+        return "unanswered: " + it->reason;
+    return "confirmed";
 }
 
 } // namespace internal
@@ -178,10 +180,12 @@
                     m_scheduler.startRefused(start, *it, now);
                 } else {
                     ++m_counts.startsUnanswered;
-                    logInfo("start-unanswered", {{"job", start.task.job},
-                                                 {"task", start.task.position()},
-                                                 {"run", std::to_string(start.run)},
-                                                 {"worker", start.worker}});
+                    logInfo("start-unanswered",
+                            {{"job", start.task.job},
+                             {"task", start.task.position()},
+                             {"run", std::to_string(start.run)},
+                             {"worker", start.worker},
+                             {"reason", std::get<OrderUnanswered>(outcome).reason}});
                     m_scheduler.startUnanswered(start, now);
                 }
                 m_onChange();
