Close the idle connections to an address after a lost one

Cause: a worker that ends without closing its connections (a crash with its machine, power loss) is replaced by another one at the same address. The node's idle connections to the old one look open; each fails only when it is used, with an order. The client dropped the one that failed and took the next, so that as many orders in a row failed as it had connections: a start on a fresh worker without an answer, then its stop, sent again each 600 ms, seven times (i-68 from 40.951 to 44.549 s). All the time the task counted as possibly running. If the worker ended before, its end was put down to tasks that had never reached it.

Evidence: with the reason in the log all of these orders ended with "end of stream" within 1 ms, while holds, which use other connections, were answered. Http/LostConnectionClosesTheIdleOnesToItsAddress failed before: the second call to the new server failed as well.

Change: any failed call closes the idle connections to its address, as a timeout already did. The stop of the unanswered start, sent right after it, reaches the worker on a new connection.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -154,12 +154,12 @@
     void fail(ErrorKind kind, const beast::error_code &ec)
     {
         close();
-        if (*m_alive && ec == beast::error::timeout) {
-            ++m_client.m_traffic.timeouts;
+        if (*m_alive) {
+            m_client.m_traffic.timeouts += static_cast<std::uint64_t>(ec == beast::error::timeout);
+            // The peer may have ended without closing the other connections either.
             m_client.closeIdle(m_address);
-        }
-        if (*m_alive)
             m_client.callEnded(m_address, nullptr);
+        }
         auto callback = std::move(m_callback);
         callback(Error(kind, m_address + ": " + ec.message()));
     }
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -206,6 +206,35 @@
     BOOST_TEST(handled == 1);
 }
 
+// Guards against calls to a new server that fail one after the other, each on another idle
+// connection to its predecessor at the same address, which ended without closing them.
+BOOST_AUTO_TEST_CASE(LostConnectionClosesTheIdleOnesToItsAddress)
+{
+    constexpr int connections = 4;
+    EchoServer echo;
+    HttpClient client(echo.loop);
+    const auto address = freeAddress();
+    const auto respond = [](const HttpRequest &, const HttpServer::Respond &it) {
+        it({200, {}, {}});
+    };
+    auto server = std::make_unique<HttpServer>(echo.loop, respond);
+    BOOST_REQUIRE(server->listen(address).ok());
+    int answers = 0;
+    for (int n = 0; n < connections; ++n)
+        client.call(address, {"GET", "/", "", {}}, 5s, [&](const auto &answer) {
+            BOOST_TEST(answer.ok());
+            if (++answers == connections)
+                echo.loop.stop();
+        });
+    echo.loop.run();
+    BOOST_REQUIRE(client.traffic().connectionsOpened == std::uint64_t{connections});
+    server.reset();
+    server = std::make_unique<HttpServer>(echo.loop, respond);
+    BOOST_REQUIRE(server->listen(address).ok());
+    BOOST_TEST(!echo.call(client, {"GET", "/", "", {}}, address)->ok());
+    BOOST_TEST(echo.call(client, {"GET", "/", "", {}}, address)->ok());
+}
+
 // The server may have processed a request that was sent, so the outcome of a timeout is unknown.
 BOOST_AUTO_TEST_CASE(MissingResponseIsOutcomeUnknown)
 {
