Give a job up after three crashes only if two runs are confirmed

The users allow to give a task up under which two workers have crashed.

Cause: a run whose start got no answer counts as a crash if its worker ends, since the order may have reached it. Three such runs ended the job, although the task may never have run.

Change: a run that the worker neither confirmed nor reported is recorded as an unconfirmed crash, saved apart, so that a successor knows as much. As long as fewer than two crashes are confirmed, five end the job instead of three; five is what the limit of further starts after three crashes leaves for tasks that crash every worker before it can answer.

CrashingTasks/TaskIsNotGivenUpAfterThreeCrashesWithUnansweredStarts failed before (the job had failed). JobIsGivenUpAfterFiveCrashesWithUnansweredStarts shows that such tasks still come to an end.

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -30,6 +30,9 @@
      */
     std::map<std::tuple<int, int, int>, std::set<int>> crashes;
 
+    /** Those of the crashes whose run may never have reached its worker. */
+    std::map<std::tuple<int, int, int>, std::set<int>> unconfirmedCrashes;
+
     bool operator==(const JobProgress &) const = default;
 };
 
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -122,12 +122,17 @@
     static constexpr int maxCrashes = 3;
     /** The same for a persistent task, whose job serves for long and has many starts. */
     static constexpr int maxPersistentCrashes = 5;
+    /** The same if most of the runs may not have reached their workers. */
+    static constexpr int maxUnconfirmedCrashes = 5;
+    /** Number of confirmed crashes without which maxUnconfirmedCrashes applies. */
+    static constexpr int minConfirmedCrashes = 2;
 
     /**
      * Records that the worker of a run crashed; has no effect if that was recorded before.
+     * @param confirmed the worker had confirmed or reported the run
      * @return true if the job has failed with this crash
      */
-    bool recordCrash(const TaskId &id, int run);
+    bool recordCrash(const TaskId &id, int run, bool confirmed);
 
     /** Returns how many runs of a task, or of its gang, have failed. */
     [[nodiscard]] int failures(const TaskId &id) const;
@@ -136,10 +141,7 @@
     [[nodiscard]] bool crashesSaved() const { return m_saved >= m_lastCrash; }
 
     /** Returns how many workers may crash under a task before its job is given up. */
-    [[nodiscard]] int crashLimit(const TaskId &id) const
-    {
-        return step(id).persistent ? maxPersistentCrashes : maxCrashes;
-    }
+    [[nodiscard]] int crashLimit(const TaskId &id) const;
 
     /** Returns how many workers have crashed under a task. */
     [[nodiscard]] int crashes(const TaskId &id) const;
--- a/include/dragonflysill/jobs/taskrun.h
+++ b/include/dragonflysill/jobs/taskrun.h
@@ -27,6 +27,7 @@
     TimePoint orderSettledAt{}; ///< When the last start or stop order was answered or timed out.
     TimePoint progressAt{}; ///< When a report first listed the run or its percentage last changed.
     TimePoint stopSentAt{}; ///< When the last stop order was sent.
+    bool confirmed = false; ///< The worker has confirmed or reported the run.
     bool stopAnswered = false;
     bool persistent = false; ///< Its step's tasks run until the job is cancelled.
     bool inherited = false; ///< Started by an earlier owner at an unknown time.
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -20,6 +20,7 @@
 {
     TaskId task;
     int run = 0;
+    bool confirmed = false; ///< The worker had confirmed or reported the run.
 };
 
 /**
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -171,6 +171,8 @@
         json["failures"] = internal::encodeRuns(progress.failures);
     if (!progress.crashes.empty())
         json["crashes"] = internal::encodeRuns(progress.crashes);
+    if (!progress.unconfirmedCrashes.empty())
+        json["unconfirmedCrashes"] = internal::encodeRuns(progress.unconfirmedCrashes);
     return json.dump();
 }
 
@@ -185,6 +187,8 @@
             progress.done[{it.at(0), it.at(1)}] = it.at(2).get<std::set<int>>();
         progress.failures = internal::decodeRuns(json.value("failures", Json::array()));
         progress.crashes = internal::decodeRuns(json.value("crashes", Json::array()));
+        progress.unconfirmedCrashes
+                = internal::decodeRuns(json.value("unconfirmedCrashes", Json::array()));
         return progress;
     });
 }
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -234,13 +234,16 @@
     return true;
 }
 
-bool JobRun::recordCrash(const TaskId &id, int run)
+bool JobRun::recordCrash(const TaskId &id, int run, bool confirmed)
 {
     if (hasEnded() || !hasTask(id))
         return false;
-    auto &runs = m_progress.crashes[{id.occurrence, id.step, id.index}];
+    const std::tuple key{id.occurrence, id.step, id.index};
+    auto &runs = m_progress.crashes[key];
     if (!runs.insert(run).second)
         return false;
+    if (!confirmed)
+        m_progress.unconfirmedCrashes[key].insert(run);
     m_lastCrash = ++m_changes;
     if (static_cast<int>(runs.size()) < crashLimit(id))
         return false;
@@ -248,6 +251,17 @@
     return true;
 }
 
+int JobRun::crashLimit(const TaskId &id) const
+{
+    if (step(id).persistent)
+        return maxPersistentCrashes;
+    const auto it = m_progress.unconfirmedCrashes.find({id.occurrence, id.step, id.index});
+    if (it == m_progress.unconfirmedCrashes.end())
+        return maxCrashes;
+    const int confirmed = crashes(id) - static_cast<int>(it->second.size());
+    return confirmed < minConfirmedCrashes ? maxUnconfirmedCrashes : maxCrashes;
+}
+
 int JobRun::failures(const TaskId &id) const
 {
     const auto it
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -15,7 +15,7 @@
     auto suspected = worker.unexplainedRuns;
     for (const auto &[task, run] : worker.runs) {
         if (mayHaveCrashed(worker, run))
-            suspected.push_back({task, run.run});
+            suspected.push_back({task, run.run, run.confirmed});
     }
     return suspected;
 }
@@ -46,7 +46,7 @@
         auto *job = find(it.task.job);
         if (job == nullptr || job->hasEnded() || !job->hasTask(it.task))
             continue;
-        if (job->recordCrash(it.task, it.run))
+        if (job->recordCrash(it.task, it.run, it.confirmed))
             endJob(*job, now);
         else
             queueSave(*job);
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -127,7 +127,7 @@
         if (run->second.phase == TaskRun::Phase::Starting)
             continue;
         if (mayHaveCrashed(worker, run->second)) {
-            worker.unexplainedRuns.push_back({run->first, run->second.run});
+            worker.unexplainedRuns.push_back({run->first, run->second.run, run->second.confirmed});
             ++m_unexplainedRuns[run->first];
         }
         releaseRun(worker, run, now);
@@ -246,6 +246,7 @@
         auto &known = run->second;
         if (known.run != row.run)
             continue;
+        known.confirmed = true;
         if (known.phase == TaskRun::Phase::Starting || known.phase == TaskRun::Phase::Unconfirmed) {
             known.phase = TaskRun::Phase::Running;
             known.orderSettledAt = now;
@@ -360,6 +361,7 @@
     if (run == nullptr)
         return;
     run->orderSettledAt = now;
+    run->confirmed = true;
     if (run->phase == TaskRun::Phase::Starting)
         run->phase = TaskRun::Phase::Running;
 }
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -121,6 +121,44 @@
         BOOST_TEST((statusOf(harness, "sound-" + std::to_string(n)) == JobStatus::Completed));
 }
 
+// Guards against giving up a task that may never have reached the workers that crashed.
+BOOST_AUTO_TEST_CASE(TaskIsNotGivenUpAfterThreeCrashesWithUnansweredStarts)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 1);
+    harness.addJob(job("sound", {step(1)}));
+    for (int n = 1; n <= 3; ++n) {
+        harness.saveAll();
+        const auto starts = ordersOf<StartTask>(harness.decide(true));
+        BOOST_REQUIRE(!starts.empty());
+        harness.scheduler.startUnanswered(starts.front(), harness.now);
+        crash(harness, std::string(harness.workers.begin()->first), lastWorker);
+        BOOST_TEST(harness.scheduler.job("sound")->crashes({"sound", 0, 0, 0}) == n);
+    }
+    BOOST_TEST((statusOf(harness, "sound") == JobStatus::Running));
+    // A successor knows as much.
+    const auto &progress = harness.scheduler.job("sound")->progress();
+    const auto stored = decodeProgress(encodeProgress(progress));
+    BOOST_REQUIRE(static_cast<bool>(stored));
+    BOOST_TEST((*stored == progress));
+    JobRun inherited(job("sound", {step(1)}), *stored, 1000);
+    BOOST_TEST(inherited.crashLimit({"sound", 0, 0, 0}) == JobRun::maxUnconfirmedCrashes);
+}
+
+// Guards against a task that crashes its workers before they can answer, without end.
+BOOST_AUTO_TEST_CASE(JobIsGivenUpAfterFiveCrashesWithUnansweredStarts)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 1);
+    harness.addJob(job("deadly", {step(1)}));
+    for (int n = 0; n < JobRun::maxUnconfirmedCrashes; ++n) {
+        harness.saveAll();
+        BOOST_REQUIRE(!ordersOf<StartTask>(harness.decide(true)).empty());
+        crash(harness, std::string(harness.workers.begin()->first), lastWorker);
+    }
+    BOOST_TEST((statusOf(harness, "deadly") == JobStatus::Failed));
+}
+
 // Guards against successors of the owner that count from zero, each with three more crashes.
 BOOST_AUTO_TEST_CASE(CrashesOutliveTheOwner)
 {
