Compute what is the same for all workers once per task

Cause: the owner's processor.

Change: the lookups are made once for each task (Candidate), and jobs of busy pools are left out before any worker is looked at. Decisions and reports are the same as before.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -320,18 +320,30 @@
     void startGang(JobRun &job, int occurrence, int step, TimePoint now);
     void startCopies(TimePoint now);
     void startStepCopies(JobRun &job, int occurrence, int step, TimePoint now);
+    /** A task that a worker is chosen for, with what is the same for all workers. */
+    struct Candidate
+    {
+        const JobRun &job;
+        const TaskId &id;
+        const Task &task;
+        const JobStep &step;
+        int suspicion = 0; ///< See suspicion().
+        bool lastAttempt = false;
+        bool needsTicket = false;
+    };
+    [[nodiscard]] Candidate candidate(const JobRun &job, const TaskId &id, const Task &task) const;
     /** Returns why a worker cannot take a task now; nothing if it can. */
-    [[nodiscard]] std::optional<StartObstacle> startObstacle(const WorkerState &worker,
-                                                             const JobRun &job, const TaskId &id,
-                                                             const Task &task, TimePoint now) const;
+    [[nodiscard]] std::optional<StartObstacle>
+    startObstacle(const WorkerState &worker, const Candidate &candidate, TimePoint now) const;
     /** The same, apart from quarantine. */
-    [[nodiscard]] std::optional<StartObstacle> otherObstacle(const WorkerState &worker,
-                                                             const JobRun &job, const TaskId &id,
-                                                             const Task &task, TimePoint now) const;
+    [[nodiscard]] std::optional<StartObstacle>
+    otherObstacle(const WorkerState &worker, const Candidate &candidate, TimePoint now) const;
     /** Returns how many workers a job's pool lacks that can hold a task of the step. */
     [[nodiscard]] int lackingWorkers(const JobRun &job, const JobStep &step, TimePoint now) const;
     static void addLackingWorkers(std::vector<LackingWorkers> &known, const LackingWorkers &added);
     [[nodiscard]] static bool isLastAttempt(const JobRun &job, const TaskId &id);
+    /** Returns the pools of which more than half of the reachable workers' cores are reserved. */
+    [[nodiscard]] std::set<std::string_view> busyPools() const;
     [[nodiscard]] WaitingTaskReport describeWaiting(const JobRun &job, const TaskId &id,
                                                     const Task &task, TimePoint now) const;
     [[nodiscard]] WorkerState *chooseWorker(const JobRun &job, const TaskId &id, const Task &task,
--- a/src/jobs/schedulerdiagnosis.cpp
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -20,26 +20,36 @@
     return names.at(static_cast<std::size_t>(obstacle));
 }
 
-std::optional<StartObstacle> Scheduler::startObstacle(const WorkerState &worker, const JobRun &job,
-                                                      const TaskId &id, const Task &task,
-                                                      TimePoint now) const
+Scheduler::Candidate Scheduler::candidate(const JobRun &job, const TaskId &id,
+                                          const Task &task) const
+{
+    return {job,
+            id,
+            task,
+            job.step(id),
+            suspicion(job, id, task),
+            isLastAttempt(job, id),
+            admissionSettings(job) != nullptr};
+}
+
+std::optional<StartObstacle>
+Scheduler::startObstacle(const WorkerState &worker, const Candidate &candidate, TimePoint now) const
 {
     if (worker.available(now) && worker.health.quarantined(now))
         return StartObstacle::Quarantined;
-    return otherObstacle(worker, job, id, task, now);
+    return otherObstacle(worker, candidate, now);
 }
 
-std::optional<StartObstacle> Scheduler::otherObstacle(const WorkerState &worker, const JobRun &job,
-                                                      const TaskId &id, const Task &task,
-                                                      TimePoint now) const
+std::optional<StartObstacle>
+Scheduler::otherObstacle(const WorkerState &worker, const Candidate &candidate, TimePoint now) const
 {
+    const auto &[job, id, task, step, suspected, lastAttempt, needsTicket] = candidate;
     if (!worker.listed || !worker.reachable || !worker.fenced)
         return StartObstacle::Unlisted;
     if (worker.description.draining || worker.leaving)
         return StartObstacle::Leaving;
     if (now < worker.pausedUntil)
         return StartObstacle::Paused;
-    const auto &step = job.step(id);
     if (!worker.description.capacity.covers(step.reserved()))
         return StartObstacle::TooSmall;
     if (!worker.description.hasLabel(step.requiredLabel))
@@ -55,19 +65,19 @@
     const bool mayWait = now - task.waitingSince < internal::emptyWorkerDelay;
     if (mayWait && now < worker.probationUntil && worker.probationJob != id.job)
         return StartObstacle::Probation;
-    if (mayWait && suspicion(job, id, task) > 0
-        && std::ranges::any_of(worker.runs,
-                               [&id](const auto &it) { return it.first.job != id.job; }))
+    if (mayWait && suspected > 0 && std::ranges::any_of(worker.runs, [&candidate](const auto &it) {
+            return it.first.job != candidate.id.job;
+        }))
         return StartObstacle::NotAlone;
     if (worker.runs.contains(id))
         return StartObstacle::HasRun;
-    if (admissionSettings(job) != nullptr
+    if (needsTicket
         && m_admissions
                    .ticket({id.job, id.occurrence, id.step}, worker.description.id,
                            worker.startedMs, now)
                    .empty())
         return StartObstacle::NoTicket;
-    if (isLastAttempt(job, id) && !worker.health.succeededSince(task.failedAt)
+    if (lastAttempt && !worker.health.succeededSince(task.failedAt)
         && now - task.failedAt < internal::lastAttemptWait)
         return StartObstacle::AwaitsSuccess;
     return std::nullopt;
@@ -110,12 +120,13 @@
     const auto pool = m_pools.find(report.pool);
     if (pool == m_pools.end())
         return report;
+    const auto waiting = candidate(job, id, task);
     for (const auto *it : pool->second) {
         if (it->reachable) {
             report.poolMilliCores += it->description.capacity.milliCores;
             report.reservedMilliCores += it->reserved.milliCores;
         }
-        if (const auto obstacle = startObstacle(*it, job, id, task, now)) {
+        if (const auto obstacle = startObstacle(*it, waiting, now)) {
             ++report.obstacles.at(static_cast<std::size_t>(*obstacle));
             continue;
         }
@@ -125,13 +136,34 @@
     return report;
 }
 
+std::set<std::string_view> Scheduler::busyPools() const
+{
+    std::set<std::string_view> busy;
+    for (const auto &[pool, workers] : m_pools) {
+        std::int64_t milliCores = 0;
+        std::int64_t reserved = 0;
+        for (const auto *it : workers) {
+            if (!it->reachable)
+                continue;
+            milliCores += it->description.capacity.milliCores;
+            reserved += it->reserved.milliCores;
+        }
+        if (2 * reserved > milliCores)
+            busy.insert(pool);
+    }
+    return busy;
+}
+
 std::vector<WaitingTaskReport> Scheduler::longWaitingTasks(Duration waited, std::size_t limit,
                                                            TimePoint now) const
 {
     std::vector<WaitingTaskReport> reports;
+    const auto busy = busyPools();
     for (const auto &[jobId, job] : m_open) {
         if (reports.size() >= limit)
             break;
+        if (busy.contains(job->job().pool))
+            continue;
         const Task *longest = nullptr;
         TaskId id;
         bool anyActive = false;
@@ -151,9 +183,7 @@
         }
         if (anyActive || longest == nullptr || now - longest->waitingSince < waited)
             continue;
-        auto report = describeWaiting(*job, id, *longest, now);
-        if (2 * report.reservedMilliCores <= report.poolMilliCores)
-            reports.push_back(std::move(report));
+        reports.push_back(describeWaiting(*job, id, *longest, now));
     }
     return reports;
 }
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -187,7 +187,7 @@
 {
     const auto &step = job.step(id);
     const auto pool = m_pools.find(job.job().pool);
-    const bool lastAttempt = isLastAttempt(job, id);
+    const auto waiting = candidate(job, id, task);
     bool fasterOneMayTakeIt = false;
     std::int64_t poolMilliCores = 0;
     std::int64_t reservedMilliCores = 0;
@@ -196,22 +196,22 @@
     WorkerState *quarantined = nullptr;
     WorkerState *best = nullptr;
     std::tuple<std::size_t, bool, bool, bool, bool, bool, bool, double> bestScore;
-    const auto suspected = suspicion(job, id, task);
     // Another crash before the last one is saved would leave a successor with too low a count.
-    if (suspected > 0 && !job.crashesSaved())
+    if (waiting.suspicion > 0 && !job.crashesSaved())
         return nullptr;
     // The answers of the workers that do not answer now decide whether it is tried again.
-    if (suspected >= job.crashLimit(id) && now - task.waitingSince < internal::crashAnswerDelay)
+    if (waiting.suspicion >= job.crashLimit(id)
+        && now - task.waitingSince < internal::crashAnswerDelay)
         return nullptr;
     for (auto *it : pool->second) {
         const bool slow = it->health.slow(now);
-        const auto obstacle = startObstacle(*it, job, id, task, now);
+        const auto obstacle = startObstacle(*it, waiting, now);
         fasterOneMayTakeIt = fasterOneMayTakeIt || (!slow && (!obstacle || passesSoon(*obstacle)));
         poolMilliCores += it->description.capacity.milliCores;
         reservedMilliCores += it->reserved.milliCores;
         // A failure there must not be the task's last one.
-        if (obstacle == StartObstacle::Quarantined && waitedLong && !lastAttempt
-            && !otherObstacle(*it, job, id, task, now)
+        if (obstacle == StartObstacle::Quarantined && waitedLong && !waiting.lastAttempt
+            && !otherObstacle(*it, waiting, now)
             && (quarantined == nullptr
                 || it->reserved.milliCores < quarantined->reserved.milliCores))
             quarantined = it;
@@ -219,15 +219,16 @@
             continue;
         const bool failedHere = task.failedOn.contains(it->description.id);
         const bool suspect = !task.failedOn.empty() && it->health.suspect(now);
-        const bool noRecentSuccess = lastAttempt && !it->health.succeededSince(task.failedAt);
+        const bool noRecentSuccess
+                = waiting.lastAttempt && !it->health.succeededSince(task.failedAt);
         const bool remote = !step.dataRack.empty() && !it->description.hasLabel(step.dataRack);
         const double load = static_cast<double>(it->reserved.milliCores)
                             / static_cast<double>(
                                     std::max<std::int64_t>(1, it->description.capacity.milliCores));
         // Prefer workers with persistent tasks, then fuller ones: the others become idle and can be
         // moved to another pool or maintained.
-        const std::tuple score(suspected > 0 ? it->runs.size() : 0, slow, failedHere, suspect,
-                               noRecentSuccess, remote, it->persistentRuns == 0, -load);
+        const std::tuple score(waiting.suspicion > 0 ? it->runs.size() : 0, slow, failedHere,
+                               suspect, noRecentSuccess, remote, it->persistentRuns == 0, -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
