Give no instance an order while one of the previous owner may arrive

Seen: in soaks an order for an instance by an owner that had been told to stop arrived at the machine service after one of its successor, so that two owners' orders for one instance were mixed.

The successor waits for machineLease after its takeover, but made an exception for instances whose worker had been up for that long before the takeover. That shows only that no recent order has been carried out, not that none is on its way. The exception held for a killed owner's successor, too.

The successor now orders no instance before machineLease has passed. An owner, killed, paused or stopped, gives its last order before its lease ends, thus before the takeover, so that its orders arrive first if none is held up for longer than machineLease. Longer ones are not covered.

Price: moves and maintenance pause for machineLease (3 s) after each takeover; only instances up before the takeover did not wait until now.

--- a/include/dragonflysill/node/fleetcontroller.h
+++ b/include/dragonflysill/node/fleetcontroller.h
@@ -43,8 +43,8 @@
 {
 public:
     /**
-     * @param firstOrderAt time until which orders of the previous owner may still take effect;
-     * before it, only instances that were already up well before the takeover get orders
+     * @param firstOrderAt time until which orders of the previous owner may still arrive; before
+     * it, no instance gets an order
      */
     FleetController(const OwnerContext &context, Scheduler &scheduler, std::int64_t fence,
                     TimePoint firstOrderAt);
@@ -99,7 +99,6 @@
     Scheduler &m_scheduler;
     std::int64_t m_fence;
     TimePoint m_firstOrderAt;
-    std::int64_t m_startedMs; ///< Start of the ownership in Unix milliseconds.
     std::unique_ptr<platform::MachineCalls> m_calls;
     FleetConfiguration m_configuration;
     PoolBalancer m_balancer;
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -54,7 +54,6 @@
     , m_scheduler(scheduler)
     , m_fence(fence)
     , m_firstOrderAt(firstOrderAt)
-    , m_startedMs(unixMilliseconds())
     , m_calls(std::make_unique<platform::MachineCalls>(
               context.serviceClient, context.settings.machinesAddress,
               platform::OrderAuthority{context.settings.name, fence}))
@@ -260,12 +259,7 @@
             since = now;
         row.idleSince = since;
     }
-    // An instance that was up well before the takeover has no recent order of the previous owner.
-    const bool upBeforeTakeover
-            = worker != nullptr && worker->reachable && worker->description.startedMs != 0
-              && worker->description.startedMs
-                         <= m_startedMs - m_context.settings.machineLease.count();
-    row.possiblyOrdered = now < m_firstOrderAt && !upBeforeTakeover;
+    row.possiblyOrdered = now < m_firstOrderAt;
     if (const auto order = m_orders.find(row.name); order != m_orders.end()) {
         row.orderPending = true;
         row.pool = order->second.targetPool;
--- /dev/null
+++ b/tests/node/fleetcontrollertest.cpp
@@ -0,0 +1,151 @@
+#include "fakestore.h"
+
+#include "dragonflysill/net/httpserver.h"
+#include "dragonflysill/node/fleetcontroller.h"
+#include "dragonflysill/node/scheduleowner.h"
+#include "jobs/schedulerharness.h"
+#include "nodesettings.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Lists the instances that the test sets, and leaves orders unanswered until the test does. */
+struct FakeMachineService
+{
+    std::string address = freeAddress();
+    nlohmann::json instances = nlohmann::json::array();
+    std::vector<HttpServer::Respond> orders;
+    HttpServer server;
+
+    explicit FakeMachineService(EventLoop &loop)
+        : server(loop, [this](const HttpRequest &request, HttpServer::Respond respond) {
+            if (request.method == "POST")
+                orders.push_back(std::move(respond));
+            else
+                respond({200, nlohmann::json{{"machines", instances}}.dump(), {}});
+        })
+    {
+        BOOST_REQUIRE(server.listen(address).ok());
+    }
+
+    static std::string freeAddress()
+    {
+        boost::asio::io_context context;
+        boost::asio::ip::tcp::acceptor acceptor(context,
+                                                {boost::asio::ip::make_address("127.0.0.1"), 0});
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    void add(const std::string &name, const std::string &pool, const std::string &worker)
+    {
+        instances.push_back({{"machine", name}, {"pool", pool}, {"state", "up"}, {"id", worker}});
+    }
+};
+
+/** The controller of an owner that took over from another one. Times are moved by the test. */
+struct FleetControllerFixture
+{
+    static constexpr auto machineLease = 3000ms;
+
+    EventLoop loop;
+    FakeMachineService service{loop};
+    FakeStore store{loop};
+    HttpClient client{loop};
+    StateReplica replica;
+    platform::NodeSettings settings = settingsFor(service.address);
+    LoadGovernor governor;
+    LinkBudget linkBudget{0};
+    NodePeers peers{loop, [](const ReceivedRequest &, const PeerServer::Respond &) {}};
+    OwnerContext context{loop,
+                         store,
+                         client,
+                         client,
+                         client,
+                         replica,
+                         settings,
+                         governor,
+                         linkBudget,
+                         peers,
+                         [] { return true; },
+                         [] { return true; },
+                         [] {}};
+    SchedulerHarness harness;
+    TimePoint start = EventLoop::now();
+    FleetController controller{context, harness.scheduler, 2, start + machineLease};
+
+    FleetControllerFixture()
+    {
+        harness.now = start;
+        FleetConfiguration configuration;
+        configuration.pools = {{"pool", true, false}, {"busy", true, false}};
+        controller.setConfiguration(configuration);
+    }
+
+    static platform::NodeSettings settingsFor(const std::string &machinesAddress)
+    {
+        platform::NodeSettings result;
+        result.machinesAddress = machinesAddress;
+        result.machineLease = machineLease;
+        return result;
+    }
+
+    /** Adds an instance whose worker has been up for long. */
+    void addInstance(const std::string &name, const std::string &worker)
+    {
+        harness.addWorker(worker, 4, name);
+        service.add(name, "pool", worker);
+    }
+
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        loop.context().restart();
+        while (!condition() && loop.context().run_one() > 0) {
+        }
+        BOOST_REQUIRE(condition());
+    }
+
+    /** Lets the controller read the list of the instances. */
+    void list()
+    {
+        controller.tick(start);
+        const auto idle = client.traffic().bytesReceived;
+        runUntil([&] { return client.traffic().bytesReceived > idle; });
+    }
+
+    void addWave(std::vector<std::string> instances)
+    {
+        controller.addWave({1, std::move(instances), 20s, 1});
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FleetControllers, FleetControllerFixture)
+
+// Guards against an order of a previous owner that arrives after one of its successor. An order
+// that waits in a link that was cut has not taken its instance down yet: that the worker has been
+// up for long does not show that no order for its instance is open.
+BOOST_AUTO_TEST_CASE(NoInstanceIsOrderedWhileAnOrderOfThePreviousOwnerMayArrive)
+{
+    addInstance("m-1", "i-1");
+    addWave({"m-1"});
+    list();
+    controller.tick(start + machineLease - 1ms);
+    BOOST_TEST(controller.describeOrder("m-1") == "");
+    controller.tick(start + machineLease);
+    BOOST_TEST(controller.describeOrder("m-1") == "maintenance in wave 1, not answered yet");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
