Complete an order for an instance when its worker has restarted under its id

A worker that keeps its id over a move or maintenance, as the protocol allows, stayed "leaving" and got no tasks until the order was dropped after up to 6 s (orderEffectTimeout).

Cause: an order counted as complete only if the instance had a worker with another id.

Evidence: FleetControllers/ OrderIsCompleteWhenTheWorkerHasStartedAgainUnderItsId failed before: describeOrder() was "maintenance in wave 1, accepted" and the worker not usable.

An order now keeps the start of the worker that it found, and is complete when a worker with another id or a later start is in the target pool. OrderIsNotCompleteWhileTheWorkerHasNotStartedAgain checks that another report of the same incarnation does not complete it.

--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -102,10 +102,16 @@
         return it == runs.end() || it->second.run != number ? nullptr : &it->second;
     }
 
+    /** Returns the start time of the latest incarnation known in Unix milliseconds; 0 for none. */
+    [[nodiscard]] std::int64_t latestStart() const
+    {
+        return std::max(startedMs, description.startedMs);
+    }
+
     /** Returns true if an entry describes a later incarnation than the latest one known. */
     [[nodiscard]] bool isLaterIncarnation(const WorkerDescription &entry) const
     {
-        return entry.startedMs > std::max(startedMs, description.startedMs);
+        return entry.startedMs > latestStart();
     }
 
     /** Returns true if the worker has runs. */
--- a/include/dragonflysill/node/fleetcontroller.h
+++ b/include/dragonflysill/node/fleetcontroller.h
@@ -73,6 +73,7 @@
         std::string targetPool;
         /** Worker on the instance when the order was given; empty for none. */
         std::string workerBefore;
+        std::int64_t workerStartBefore = 0; ///< Start of that worker in Unix milliseconds.
         std::int64_t wave = 0; ///< Number of the maintenance wave; 0 for a move.
         TimePoint sentAt{};
         bool answered = false;
@@ -84,6 +85,8 @@
     void retireMissingWorkers();
     [[nodiscard]] FleetView buildView(TimePoint now);
     void fillInstanceView(InstanceView &instance, const WorkerState *worker, TimePoint now);
+    /** Returns whether a worker of the instance has started after the order was given. */
+    [[nodiscard]] static bool startedAfter(const WorkerState &worker, const Order &order);
     using WorkersByInstance = std::unordered_map<std::string_view, const WorkerState *>;
 
     void removeCompletedOrders(const WorkersByInstance &workers);
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -267,13 +267,18 @@
     row.standby = isStandby(row.pool);
 }
 
+bool FleetController::startedAfter(const WorkerState &worker, const Order &order)
+{
+    return worker.description.id != order.workerBefore
+           || worker.latestStart() > order.workerStartBefore;
+}
+
 void FleetController::removeCompletedOrders(const WorkersByInstance &workers)
 {
     std::erase_if(m_orders, [&](const auto &entry) {
         const auto &[name, order] = entry;
         const auto it = workers.find(name);
-        return it != workers.end() && it->second != nullptr
-               && it->second->description.id != order.workerBefore
+        return it != workers.end() && it->second != nullptr && startedAfter(*it->second, order)
                && it->second->description.pool == order.targetPool;
     });
     std::erase_if(m_idleSince,
@@ -301,8 +306,10 @@
         if (worker.description.instance != instance)
             continue;
         m_scheduler.setLeaving(id, true);
-        if (worker.listed)
-            order.workerBefore = id;
+        if (!worker.listed)
+            continue;
+        order.workerBefore = id;
+        order.workerStartBefore = worker.latestStart();
     }
     return m_orders[instance] = std::move(order);
 }
--- a/tests/node/fleetcontrollertest.cpp
+++ b/tests/node/fleetcontrollertest.cpp
@@ -128,6 +128,32 @@
     {
         controller.addWave({1, std::move(instances), 20s, 1});
     }
+
+    /** Lets the controller order maintenance of an instance with a worker. */
+    void orderMaintenance(const std::string &instance, const std::string &worker)
+    {
+        addInstance(instance, worker);
+        addWave({instance});
+        list();
+        harness.now = start + machineLease;
+        controller.tick(harness.now);
+        runUntil([this] { return service.orders.size() == 1U; });
+    }
+
+    void acceptOrder(const std::string &instance)
+    {
+        service.orders.at(0)({200, {}, {}});
+        runUntil([&] { return controller.describeOrder(instance).ends_with("accepted"); });
+    }
+
+    /** Registers a worker that started again under the id that it had. */
+    void restartWorker(const std::string &id)
+    {
+        auto &worker = harness.workers.at(id);
+        worker.description.startedMs = ++worker.startedMs;
+        harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
+        harness.reportFrom(id);
+    }
 };
 
 } // namespace
@@ -148,4 +174,28 @@
     BOOST_TEST(controller.describeOrder("m-1") == "maintenance in wave 1, not answered yet");
 }
 
+// Guards against a worker that gets no tasks for seconds after maintenance because it has kept its
+// id.
+BOOST_AUTO_TEST_CASE(OrderIsCompleteWhenTheWorkerHasStartedAgainUnderItsId)
+{
+    orderMaintenance("m-1", "i-1");
+    acceptOrder("m-1");
+    controller.tick(harness.now);
+    BOOST_TEST(controller.describeOrder("m-1") == "maintenance in wave 1, accepted");
+
+    restartWorker("i-1");
+    controller.tick(harness.now);
+    BOOST_TEST(controller.describeOrder("m-1") == "");
+    BOOST_TEST(harness.scheduler.worker("i-1")->usable(harness.now));
+}
+
+BOOST_AUTO_TEST_CASE(OrderIsNotCompleteWhileTheWorkerHasNotStartedAgain)
+{
+    orderMaintenance("m-1", "i-1");
+    harness.reportFrom("i-1");
+    controller.tick(harness.now);
+    BOOST_TEST(controller.describeOrder("m-1") == "maintenance in wave 1, not answered yet");
+    BOOST_TEST(harness.scheduler.worker("i-1")->leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
