Do not retire a worker that has started again when its order is accepted

The acceptance of an order, read late, retired the worker by its id alone. If the worker had started again under that id, its runs were given up, so that their tasks could be started a second time beside them, and it got no more tasks until its next start.

Cause: orderAnswered() did not compare the worker's start with the one when the order was given.

Evidence: FleetControllers/ LateAcceptanceDoesNotRetireAWorkerThatHasStartedAgain failed before: the worker was retired. AcceptanceRetiresTheWorkerThatTheOrderHasEnded holds the other case.

A worker with a later start than the order found is left as it is.

--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -352,8 +352,11 @@
     const auto wave = it->second.wave;
     switch (outcome) {
     case InstanceOrderOutcome::Accepted:
-        // All tasks on the instance have ended with the order.
-        m_scheduler.retireWorker(it->second.workerBefore, EventLoop::now());
+        // All tasks on the instance have ended with the order; a worker that has started since may
+        // run others.
+        if (const auto *worker = m_scheduler.worker(it->second.workerBefore);
+            worker != nullptr && !startedAfter(*worker, it->second))
+            m_scheduler.retireWorker(it->second.workerBefore, EventLoop::now());
         it->second.answered = true;
         it->second.sentAt = EventLoop::now();
         if (wave != 0) {
--- a/tests/node/fleetcontrollertest.cpp
+++ b/tests/node/fleetcontrollertest.cpp
@@ -198,4 +198,21 @@
     BOOST_TEST(harness.scheduler.worker("i-1")->leaving);
 }
 
+// Guards against tasks that are started twice: the acceptance of an order may be read after the
+// worker has started again under its id, and its tasks run on.
+BOOST_AUTO_TEST_CASE(LateAcceptanceDoesNotRetireAWorkerThatHasStartedAgain)
+{
+    orderMaintenance("m-1", "i-1");
+    restartWorker("i-1");
+    acceptOrder("m-1");
+    BOOST_TEST(!harness.scheduler.worker("i-1")->retired);
+}
+
+BOOST_AUTO_TEST_CASE(AcceptanceRetiresTheWorkerThatTheOrderHasEnded)
+{
+    orderMaintenance("m-1", "i-1");
+    acceptOrder("m-1");
+    BOOST_TEST(harness.scheduler.worker("i-1")->retired);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
