--- a/include/dragonflysill/node/fleetcontroller.h
+++ b/include/dragonflysill/node/fleetcontroller.h
@@ -43,8 +43,8 @@
 {
 public:
     /**
-     * @param firstOrderAt time until which orders of the previous owner may still take effect;
-     * before it, only instances that were already up well before the takeover get orders
+     * @param firstOrderAt time until which orders of the previous owner may still arrive; before
+     * it, no instance gets an order
      */
     FleetController(const OwnerContext &context, Scheduler &scheduler, std::int64_t fence,
                     TimePoint firstOrderAt);
@@ -73,6 +73,7 @@
         std::string targetPool;
         /** Worker on the instance when the order was given; empty for none. */
         std::string workerBefore;
+        std::int64_t workerStartBefore = 0; ///< Start of that worker in Unix milliseconds.
         std::int64_t wave = 0; ///< Number of the maintenance wave; 0 for a move.
         TimePoint sentAt{};
         bool answered = false;
@@ -84,6 +85,8 @@
     void retireMissingWorkers();
     [[nodiscard]] FleetView buildView(TimePoint now);
     void fillInstanceView(InstanceView &instance, const WorkerState *worker, TimePoint now);
+    /** Returns whether a worker of the instance has started after the order was given. */
+    [[nodiscard]] static bool startedAfter(const WorkerState &worker, const Order &order);
     using WorkersByInstance = std::unordered_map<std::string_view, const WorkerState *>;
 
     void removeCompletedOrders(const WorkersByInstance &workers);
@@ -99,7 +102,6 @@
     Scheduler &m_scheduler;
     std::int64_t m_fence;
     TimePoint m_firstOrderAt;
-    std::int64_t m_startedMs; ///< Start of the ownership in Unix milliseconds.
     std::unique_ptr<platform::MachineCalls> m_calls;
     FleetConfiguration m_configuration;
     PoolBalancer m_balancer;
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -54,7 +54,6 @@
     , m_scheduler(scheduler)
     , m_fence(fence)
     , m_firstOrderAt(firstOrderAt)
-    , m_startedMs(unixMilliseconds())
     , m_calls(std::make_unique<platform::MachineCalls>(
               context.serviceClient, context.settings.machinesAddress,
               platform::OrderAuthority{context.settings.name, fence}))
@@ -260,12 +259,7 @@
             since = now;
         row.idleSince = since;
     }
-    // An instance that was up well before the takeover has no recent order of the previous owner.
-    const bool upBeforeTakeover
-            = worker != nullptr && worker->reachable && worker->description.startedMs != 0
-              && worker->description.startedMs
-                         <= m_startedMs - m_context.settings.machineLease.count();
-    row.possiblyOrdered = now < m_firstOrderAt && !upBeforeTakeover;
+    row.possiblyOrdered = now < m_firstOrderAt;
     if (const auto order = m_orders.find(row.name); order != m_orders.end()) {
         row.orderPending = true;
         row.pool = order->second.targetPool;
@@ -273,13 +267,18 @@
     row.standby = isStandby(row.pool);
 }
 
+bool FleetController::startedAfter(const WorkerState &worker, const Order &order)
+{
+    return worker.description.id != order.workerBefore
+           || worker.latestStart() > order.workerStartBefore;
+}
+
 void FleetController::removeCompletedOrders(const WorkersByInstance &workers)
 {
     std::erase_if(m_orders, [&](const auto &entry) {
         const auto &[name, order] = entry;
         const auto it = workers.find(name);
-        return it != workers.end() && it->second != nullptr
-               && it->second->description.id != order.workerBefore
+        return it != workers.end() && it->second != nullptr && startedAfter(*it->second, order)
                && it->second->description.pool == order.targetPool;
     });
     std::erase_if(m_idleSince,
@@ -307,8 +306,10 @@
         if (worker.description.instance != instance)
             continue;
         m_scheduler.setLeaving(id, true);
-        if (worker.listed)
-            order.workerBefore = id;
+        if (!worker.listed)
+            continue;
+        order.workerBefore = id;
+        order.workerStartBefore = worker.latestStart();
     }
     return m_orders[instance] = std::move(order);
 }
@@ -351,8 +352,11 @@
     const auto wave = it->second.wave;
     switch (outcome) {
     case InstanceOrderOutcome::Accepted:
-        // All tasks on the instance have ended with the order.
-        m_scheduler.retireWorker(it->second.workerBefore, EventLoop::now());
+        // All tasks on the instance have ended with the order; a worker that has started since may
+        // run others.
+        if (const auto *worker = m_scheduler.worker(it->second.workerBefore);
+            worker != nullptr && !startedAfter(*worker, it->second))
+            m_scheduler.retireWorker(it->second.workerBefore, EventLoop::now());
         it->second.answered = true;
         it->second.sentAt = EventLoop::now();
         if (wave != 0) {
