Bound the occurrences of a job that are open at once

Cause: JobRun::openDueOccurrences created the tasks of all due occurrences at once, kept those that had completed, and the saved progress listed each completed step for ever, so that a job with many occurrences also outgrew a value of the store (1 MB).

Change: from the first incomplete occurrence on, at most 1,000 occurrences are open, and at most 50,000 tasks if there are several. The others open in order when earlier ones complete, at once and not at the next decision; none is dropped. Occurrences that have completed are forgotten. The progress of a job with more occurrences than that names the number of the first ones that have completed ("occurrences") in place of their steps, failures and crashes; that of other jobs is stored as before.

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -17,6 +17,11 @@
 
     JobStatus state = JobStatus::Queued;
     std::map<StepKey, std::set<int>> done; ///< Indexes of the tasks that completed.
+    /**
+     * Number of the first occurrences that have completed and are not listed in the other fields;
+     * 0 unless the job has many occurrences.
+     */
+    int occurrencesDone = 0;
     std::set<StepKey> stepsDone; ///< Steps of which all tasks completed.
     /**
      * Run numbers of the failed runs, by occurrence, step and index. A count would not suffice: a
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -69,8 +69,17 @@
     [[nodiscard]] std::map<int, OccurrenceRun> &occurrences() { return m_occurrences; }
     [[nodiscard]] const std::map<int, OccurrenceRun> &occurrences() const { return m_occurrences; }
 
+    /** Maximum number of occurrences from the first incomplete one that are open. */
+    static constexpr int maxOpenOccurrences = 1000;
+    /** Maximum number of tasks of the open occurrences, if there are several. */
+    static constexpr std::int64_t maxOpenTasks = 50000;
+
+    /** Returns how many occurrences of a job, from its first incomplete one, may be open. */
+    [[nodiscard]] static int occurrenceWindow(const JobSpec &spec);
+
     /**
-     * Creates the tasks of the occurrences that are due.
+     * Creates the tasks of the occurrences that are due, in order. Those beyond occurrenceWindow()
+     * are opened by complete() when earlier ones have completed.
      * @param unixMs current time in Unix milliseconds
      * @return true if there are new tasks
      */
@@ -104,6 +113,13 @@
     /** Records that a run is over; an unfinished task without other runs waits again. */
     void deactivate(const TaskId &id, const std::string &worker, TimePoint now);
 
+    /** Returns true if all tasks of a step have completed. */
+    [[nodiscard]] bool stepDone(int occurrence, int step) const
+    {
+        return occurrence < m_progress.occurrencesDone
+               || m_progress.stepsDone.contains({occurrence, step});
+    }
+
     /**
      * Records a completed task; a completed member of a gang completes its whole step. The step
      * need not be ready: after a takeover, a worker may report the end of a task before other
@@ -192,12 +208,20 @@
     void makeReady(int occurrence, int step, TimePoint now);
     void finishStep(int occurrence, int step, TimePoint now);
     [[nodiscard]] bool dependenciesDone(int occurrence, int step) const;
+    [[nodiscard]] bool occurrenceDone(int occurrence) const;
+    /** Updates the first incomplete occurrence and drops what is known of those before it. */
+    void completeOccurrences();
+    void dropCompletedOccurrences();
+    void compactProgress();
 
     SubmittedJob m_job;
     JobProgress m_progress;
     int m_runOffset;
     std::map<int, OccurrenceRun> m_occurrences;
     int m_nextOccurrence = 0;
+    int m_firstIncomplete = 0;
+    int m_window; ///< See occurrenceWindow().
+    std::int64_t m_openedAtMs = 0; ///< Time of the last openDueOccurrences(), in Unix milliseconds.
     int m_waitingTasks = 0;
     std::uint64_t m_changes = 0;
     std::uint64_t m_saved = 0;
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/jobs/json.h"
 
 #include <array>
+#include <limits>
 #include <map>
 #include <set>
 #include <tuple>
@@ -163,6 +164,7 @@
     for (const auto &[key, indexes] : progress.done)
         done.push_back({key.first, key.second, indexes});
     Json json{{"state", statusName(progress.state)}};
+    internal::put(json, "occurrences", progress.occurrencesDone);
     if (!progress.stepsDone.empty())
         json["steps"] = progress.stepsDone;
     if (!done.empty())
@@ -181,6 +183,9 @@
     return decodeJson<JobProgress>(bytes, [](const Json &json) {
         JobProgress progress;
         progress.state = internal::parseState(json.at("state"));
+        if (json.contains("occurrences"))
+            progress.occurrencesDone = static_cast<int>(
+                    integerIn(json["occurrences"], 0, std::numeric_limits<int>::max()));
         if (json.contains("steps"))
             progress.stepsDone = json.at("steps").get<std::set<JobProgress::StepKey>>();
         for (const auto &it : json.value("done", Json::array()))
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -9,13 +9,27 @@
     : m_job(std::move(job))
     , m_progress(std::move(progress))
     , m_runOffset(runOffset)
+    , m_window(occurrenceWindow(m_job.spec))
 {
+    completeOccurrences();
+    m_nextOccurrence = m_firstIncomplete;
+}
+
+int JobRun::occurrenceWindow(const JobSpec &spec)
+{
+    std::int64_t tasks = 0;
+    for (const auto &it : spec.steps)
+        tasks += it.count;
+    return static_cast<int>(std::clamp<std::int64_t>(
+            maxOpenTasks / std::max<std::int64_t>(tasks, 1), 1, maxOpenOccurrences));
 }
 
 bool JobRun::openDueOccurrences(std::int64_t unixMs, TimePoint now)
 {
+    m_openedAtMs = unixMs;
     bool opened = false;
     while (!hasEnded() && m_nextOccurrence < m_job.spec.occurrences
+           && m_nextOccurrence - m_firstIncomplete < m_window
            && m_job.spec.dueMs(m_nextOccurrence) <= unixMs) {
         open(m_nextOccurrence++, now);
         opened = true;
@@ -23,6 +37,48 @@
     return opened;
 }
 
+bool JobRun::occurrenceDone(int occurrence) const
+{
+    for (int n = 0; n < static_cast<int>(m_job.spec.steps.size()); ++n) {
+        if (!stepDone(occurrence, n))
+            return false;
+    }
+    return !m_job.spec.steps.empty();
+}
+
+void JobRun::completeOccurrences()
+{
+    m_firstIncomplete = std::max(m_firstIncomplete,
+                                 std::min(m_progress.occurrencesDone, m_job.spec.occurrences));
+    while (m_firstIncomplete < m_job.spec.occurrences && occurrenceDone(m_firstIncomplete))
+        ++m_firstIncomplete;
+    if (m_job.spec.occurrences > m_window)
+        compactProgress();
+}
+
+void JobRun::compactProgress()
+{
+    // All keys are ordered by their occurrence.
+    const int first = m_firstIncomplete;
+    m_progress.occurrencesDone = first;
+    m_progress.stepsDone.erase(m_progress.stepsDone.begin(),
+                               m_progress.stepsDone.lower_bound({first, 0}));
+    m_progress.done.erase(m_progress.done.begin(), m_progress.done.lower_bound({first, 0}));
+    for (auto *runs : {&m_progress.failures, &m_progress.crashes, &m_progress.unconfirmedCrashes})
+        runs->erase(runs->begin(), runs->lower_bound({first, 0, 0}));
+}
+
+void JobRun::dropCompletedOccurrences()
+{
+    // Copies of their tasks that still run are found through them until they have ended.
+    const auto idle = [](const StepRun &step) {
+        return std::ranges::all_of(step.tasks, [](const Task &it) { return it.workers.empty(); });
+    };
+    std::erase_if(m_occurrences, [&](const auto &it) {
+        return it.first < m_firstIncomplete && std::ranges::all_of(it.second.steps, idle);
+    });
+}
+
 std::int64_t JobRun::nextDueMs() const
 {
     return m_nextOccurrence < m_job.spec.occurrences ? m_job.spec.dueMs(m_nextOccurrence) : 0;
@@ -34,23 +90,21 @@
     OccurrenceRun opened;
     opened.steps.resize(m_job.spec.steps.size());
     for (int n = 0; n < stepCount; ++n)
-        opened.stepsDone += static_cast<int>(m_progress.stepsDone.contains({occurrence, n}));
+        opened.stepsDone += static_cast<int>(stepDone(occurrence, n));
     if (opened.stepsDone == stepCount)
         return;
     m_occurrences[occurrence] = std::move(opened);
     for (int n = 0; n < stepCount; ++n) {
         const auto &step = m_occurrences[occurrence].steps[static_cast<std::size_t>(n)];
-        if (!step.ready && !m_progress.stepsDone.contains({occurrence, n})
-            && dependenciesDone(occurrence, n))
+        if (!step.ready && !stepDone(occurrence, n) && dependenciesDone(occurrence, n))
             makeReady(occurrence, n, now);
     }
 }
 
 bool JobRun::dependenciesDone(int occurrence, int step) const
 {
-    return std::ranges::all_of(m_job.spec.steps[static_cast<std::size_t>(step)].after, [&](int n) {
-        return m_progress.stepsDone.contains({occurrence, n});
-    });
+    return std::ranges::all_of(m_job.spec.steps[static_cast<std::size_t>(step)].after,
+                               [&](int n) { return stepDone(occurrence, n); });
 }
 
 void JobRun::makeReady(int occurrence, int step, TimePoint now)
@@ -90,8 +144,7 @@
     return std::ranges::all_of(m_occurrences, [this](const auto &occurrence) {
         const auto &[number, run] = occurrence;
         for (std::size_t n = 0; n < run.steps.size(); ++n) {
-            if (!run.steps[n].ready
-                && !m_progress.stepsDone.contains({number, static_cast<int>(n)}))
+            if (!run.steps[n].ready && !stepDone(number, static_cast<int>(n)))
                 return false;
         }
         return true;
@@ -158,7 +211,7 @@
 bool JobRun::complete(const TaskId &id, TimePoint now)
 {
     const JobProgress::StepKey key{id.occurrence, id.step};
-    if (hasEnded() || !hasTask(id) || m_progress.stepsDone.contains(key))
+    if (hasEnded() || !hasTask(id) || stepDone(id.occurrence, id.step))
         return false;
     const int first = step(id).gang ? 0 : id.index;
     const int last = step(id).gang ? step(id).count - 1 : id.index;
@@ -184,8 +237,11 @@
         task.phase = Task::Phase::Done;
         ++run.done;
     }
-    if (run.done == static_cast<int>(run.tasks.size()))
+    if (run.done == static_cast<int>(run.tasks.size())) {
         finishStep(id.occurrence, id.step, now);
+        dropCompletedOccurrences();
+        openDueOccurrences(m_openedAtMs, now);
+    }
     return true;
 }
 
@@ -205,22 +261,22 @@
     ++run.stepsDone;
     if (run.stepsDone < stepCount) {
         for (int n = 0; n < stepCount; ++n) {
-            if (!run.steps[static_cast<std::size_t>(n)].ready
-                && !m_progress.stepsDone.contains({occurrence, n})
+            if (!run.steps[static_cast<std::size_t>(n)].ready && !stepDone(occurrence, n)
                 && dependenciesDone(occurrence, n))
                 makeReady(occurrence, n, now);
         }
         return;
     }
-    const auto expected = static_cast<std::size_t>(m_job.spec.occurrences)
-                          * static_cast<std::size_t>(stepCount);
-    if (m_progress.stepsDone.size() == expected)
+    if (occurrence == m_firstIncomplete)
+        completeOccurrences();
+    if (m_firstIncomplete == m_job.spec.occurrences)
         m_progress.state = JobStatus::Completed;
 }
 
 bool JobRun::fail(const TaskId &id, int run)
 {
-    if (hasEnded() || !hasTask(id) || step(id).persistent)
+    if (hasEnded() || !hasTask(id) || step(id).persistent
+        || id.occurrence < m_progress.occurrencesDone)
         return false;
     // The members of a gang fail together, which counts as one failure.
     const int index = step(id).gang ? 0 : id.index;
@@ -236,7 +292,7 @@
 
 bool JobRun::recordCrash(const TaskId &id, int run, bool confirmed)
 {
-    if (hasEnded() || !hasTask(id))
+    if (hasEnded() || !hasTask(id) || id.occurrence < m_progress.occurrencesDone)
         return false;
     const std::tuple key{id.occurrence, id.step, id.index};
     auto &runs = m_progress.crashes[key];
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -13,8 +13,7 @@
 {
     const auto open = job.occurrences().begin();
     return m_runTimes.longestChain(job.job(), [&job, open](int step) {
-        return open != job.occurrences().end()
-               && job.progress().stepsDone.contains({open->first, step});
+        return open != job.occurrences().end() && job.stepDone(open->first, step);
     });
 }
 
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -244,6 +244,7 @@
         std::size_t failures = 0;
         for (const auto &[task, runs] : progress->failures)
             failures += runs.size();
+        json["saved_occurrences_done"] = progress->occurrencesDone;
         json["saved_steps_done"] = progress->stepsDone.size();
         json["saved_tasks_done_in_open_steps"] = done;
         json["saved_failed_runs"] = failures;
