End a job whose last task is known to be done before it is open

What callers saw: after a change of the owner, a job stays "running" although all its tasks have ended as done, until the next change of the owner.

Cause: a worker's report that reaches the new owner before its first decision completes a task of an occurrence that is not open yet. When the decision opens the occurrence, the job completes; but nobody ended it there, and the completion was no change of the progress, so that it was not saved. The bound on open occurrences makes such reports more frequent.

Change: the completion counts as a change, and updating the queues ends jobs that completed when they were opened.

Evidence: JobWhoseLastEndIsReportedBeforeItsOccurrenceIsOpenEnds failed before: check harness.scheduler.openJobs() == 0U has failed [1 != 0] critical check harness.scheduler.hasUpdates() has failed

--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -269,8 +269,10 @@
     }
     if (occurrence == m_firstIncomplete)
         completeOccurrences();
-    if (m_firstIncomplete == m_job.spec.occurrences)
+    if (m_firstIncomplete == m_job.spec.occurrences) {
         m_progress.state = JobStatus::Completed;
+        ++m_changes;
+    }
 }
 
 bool JobRun::fail(const TaskId &id, int run)
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -324,10 +324,14 @@
 {
     for (auto *job : std::exchange(m_outdatedJobs, {})) {
         job->queueOutdated = false;
-        if (job->hasEnded())
-            continue;
-        if (job->occurrences().empty())
+        if (!job->hasEnded() && job->occurrences().empty())
             job->openDueOccurrences(unixMs, now);
+        if (job->hasEnded()) {
+            // Opening an occurrence completes it if workers reported its ends to this owner before.
+            if (m_open.contains(job->job().id))
+                endJob(*job, now);
+            continue;
+        }
         const auto remaining = remainingWork(*job);
         if (!job->job().spec.scheduled)
             job->latestStart = job->objective - remaining;
--- a/tests/jobs/occurrencestest.cpp
+++ b/tests/jobs/occurrencestest.cpp
@@ -152,6 +152,24 @@
     BOOST_TEST(std::ranges::all_of(starts, [](const auto &it) { return it.second == 1; }));
 }
 
+// Guards against a completed job that a successor never ends, since the last end was reported
+// before the occurrence was open.
+BOOST_AUTO_TEST_CASE(JobWhoseLastEndIsReportedBeforeItsOccurrenceIsOpenEnds)
+{
+    SchedulerHarness harness(1000);
+    auto &worker = harness.workers["w1"];
+    worker.running[{"j", 0, 0, 0}] = {{"j", 0, 0, 0}, 1, {}, 0, {}};
+    worker.end({"j", 0, 0, 0}, RunEnd::Done);
+    harness.addJob(repeatedJob(1), true);
+    harness.addWorker("w1");
+    harness.saveAll();
+    harness.decide();
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Completed));
+    BOOST_TEST(harness.scheduler.openJobs() == 0U);
+    BOOST_REQUIRE(harness.scheduler.hasUpdates());
+    BOOST_TEST((harness.scheduler.takeUpdates(1).at(0).progress.state == JobStatus::Completed));
+}
+
 BOOST_AUTO_TEST_CASE(CompletedOccurrencesAreStored)
 {
     JobProgress progress;
