Refuse submissions whose numbers are out of range

What callers saw: a job with a number that doesn't fit was accepted as another job ("count" and "repeats" of ran once), or with needs and times whose sums overflow in the owner: undefined behaviour, loads of pools and latest starts that are off for all other jobs. Two steps of 100,000 tasks made progress that doesn't fit into a value of the store.

Cause: decodeSubmission converted any JSON number; only count, cpu, memMb and gpu were checked, after the conversion.

Change: a job has at most 1,000 steps and 100,000 tasks (as a step had before); a task needs at most 4,096 cores, 64 TiB and 1,024 accelerators, more than any machine has; estimates, targets and intervals are at most a year and the first due time lies before 2100; counts are whole. Fractions of needs are rounded up (they were cut off, below the task's need) and those of times are cut off as before. A job with persistent tasks has at most as many occurrences as may be open, since the last ones would never start. The response 400 names the reason. For jobs that are stored already, due times, expected run times and chains of steps saturate instead of overflowing.

--- a/include/dragonflysill/base/time.h
+++ b/include/dragonflysill/base/time.h
@@ -27,10 +27,21 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-/** Multiplies a duration by a factor; the result is truncated to whole nanoseconds. */
+/** Longest result of scaled(), 36 years; some of them can be added without an overflow. */
+constexpr Duration maxScaled = Duration::max() / 8;
+
+/**
+ * Multiplies a duration by a factor; the result is truncated to whole nanoseconds and lies between
+ * -maxScaled and maxScaled.
+ */
 inline Duration scaled(Duration duration, double factor)
 {
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+    const double count = static_cast<double>(duration.count()) * factor;
+    if (!(count > -static_cast<double>(maxScaled.count())))
+        return -maxScaled;
+    if (count >= static_cast<double>(maxScaled.count()))
+        return maxScaled;
+    return Duration(static_cast<Duration::rep>(count));
 }
 
 /** Returns the time of the system's monotonic clock. Only adapters and programs may call it. */
--- a/include/dragonflysill/jobs/job.h
+++ b/include/dragonflysill/jobs/job.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -52,10 +53,19 @@
     std::int64_t firstDueMs = 0; ///< Due time of occurrence 0 in Unix milliseconds.
     Milliseconds interval{0}; ///< Time between the due times of consecutive occurrences.
 
-    /** Returns the due time of an occurrence in Unix milliseconds; 0 if it is due at once. */
+    /**
+     * Returns the due time of an occurrence in Unix milliseconds; 0 if it is due at once. Due times
+     * beyond the range of the type are at its end.
+     */
     [[nodiscard]] std::int64_t dueMs(int occurrence) const
     {
-        return scheduled ? firstDueMs + occurrence * interval.count() : 0;
+        std::int64_t due = 0;
+        if (!scheduled)
+            return due;
+        if (__builtin_mul_overflow(interval.count(), std::int64_t{occurrence}, &due)
+            || __builtin_add_overflow(firstDueMs, due, &due))
+            return std::numeric_limits<std::int64_t>::max();
+        return due;
     }
 };
 
--- a/include/dragonflysill/jobs/json.h
+++ b/include/dragonflysill/jobs/json.h
@@ -34,6 +34,20 @@
     }
 }
 
+/**
+ * Returns a number from @p min to @p max, which may have a fraction; both must be exact as a
+ * double.
+ * @throws std::out_of_range for other values
+ */
+inline double numberIn(const Json &json, std::int64_t min, std::int64_t max)
+{
+    const auto number = json.is_number() ? json.get<double>() : std::nan("");
+    if (!(number >= static_cast<double>(min) && number <= static_cast<double>(max)))
+        throw std::out_of_range("not a number from " + std::to_string(min) + " to "
+                                + std::to_string(max));
+    return number;
+}
+
 /**
  * Returns a whole number from @p min to @p max; both must be exact as a double. Json::get()
  * converts numbers that don't fit, fractions too, to other numbers.
--- a/src/jobs/runtimemodel.cpp
+++ b/src/jobs/runtimemodel.cpp
@@ -55,7 +55,7 @@
             if (before >= 0 && static_cast<std::size_t>(before) < n)
                 start = std::max(start, finish[static_cast<std::size_t>(before)]);
         }
-        finish[n] = start + expected(job.queue, steps[n]);
+        finish[n] = std::min(start + expected(job.queue, steps[n]), maxScaled);
         longest = std::max(longest, finish[n]);
     }
     return longest;
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -1,6 +1,7 @@
 #include "dragonflysill/node/jobservice.h"
 
 #include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/jobs/json.h"
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/storedstatus.h"
 #include "dragonflysill/telemetry/log.h"
@@ -126,8 +127,8 @@
     }
     auto spec = platform::decodeSubmission(request.body);
     if (!spec) {
-        respond(internal::status(400, "{\"error\":\"" + std::string(errorName(spec.error().code))
-                                              + "\"}"));
+        respond(internal::status(400, dump(Json{{"error", errorName(spec.error().code)},
+                                                {"detail", spec.error().detail}})));
         return;
     }
     if (!m_storeReachable) {
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -71,6 +71,20 @@
     return text.replace(at, part.size(), replacement);
 }
 
+/** Returns a submission of one step; of equal fields of an object, the last one counts. */
+std::string submissionWithStepField(std::string_view field, std::string_view value)
+{
+    std::string text = R"({"steps":[{"count":1,")";
+    return text.append(field).append("\":").append(value).append("}]}");
+}
+
+/** Returns a submission of a repeated job. */
+std::string submissionWithField(std::string_view field, std::string_view value)
+{
+    std::string text = R"({"steps":[{"count":1}],"repeats":3,")";
+    return text.append(field).append("\":").append(value).append("}");
+}
+
 /** Returns arrays nested in each other, as another writer left them in an entry. */
 std::string nestedArrays(std::size_t depth)
 {
@@ -143,6 +157,86 @@
     }
 }
 
+// Guards against jobs that are accepted as other jobs than were submitted, since their numbers were
+// converted, and against sums and products of needs and times that overflow in the owner.
+BOOST_AUTO_TEST_CASE(SubmissionsWithNumbersOutOfRangeAreRefused)
+{
+    const std::vector<std::string> numbers{"-1",
+                                           "1e300",
+                                           "-1e300",
+                                           "9223372036854775807",
+                                           "18446744073709551615",
+                                           "4e18",
+                                           "true",
+                                           "\"7\"",
+                                           "null",
+                                           "[]"};
+    for (const std::string field : {"count", "cpu", "memMb", "gpu", "estimateMs", "targetMs",
+                                    "antiAffinity", "maxUnavailable"}) {
+        for (const auto &it : numbers)
+            BOOST_TEST(!decodeSubmission(submissionWithStepField(field, it)).ok(),
+                       field << ' ' << it);
+    }
+    for (const std::string field : {"repeats", "startAtMs", "intervalMs"}) {
+        for (const auto &it : numbers)
+            BOOST_TEST(!decodeSubmission(submissionWithField(field, it)).ok(), field << ' ' << it);
+    }
+    for (const std::string field : {"antiAffinity", "maxUnavailable"})
+        BOOST_TEST(!decodeSubmission(submissionWithStepField(field, "0.5")).ok(), field << " 0.5");
+    BOOST_TEST(!decodeSubmission(submissionWithField("repeats", "0.5")).ok());
+    BOOST_TEST(!decodeSubmission(R"({"steps":[{"count":1.5}]})").ok());
+    // Converted to an int, they are 1 and 0.
+    BOOST_TEST(!decodeSubmission(R"({"steps":[{"count":4294967297}]})").ok());
+    BOOST_TEST(!decodeSubmission(R"({"steps":[{"count":1}],"repeats":4294967297})").ok());
+    BOOST_TEST(
+            !decodeSubmission(R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})").ok());
+    BOOST_TEST(!decodeSubmission(R"({"steps":[{"count":1},{"count":1,"after":[0.5]}]})").ok());
+    BOOST_TEST(decodeSubmission(R"({"steps":[{"count":3000,"cpu":256000,"memMb":1048576,"gpu":16,
+                                "estimateMs":86400000}],"repeats":100000,"intervalMs":86400000,
+                                "startAtMs":1800000000000})")
+                       .ok());
+    const auto fractions = decodeSubmission(
+            R"({"steps":[{"count":1,"cpu":0.5,"memMb":1.5,"gpu":1.0,"estimateMs":900.9}]})");
+    BOOST_REQUIRE(fractions.ok());
+    BOOST_TEST((fractions->steps[0].need == Resources{1, 2, 1}));
+    BOOST_TEST(fractions->steps[0].estimate.count() == 900);
+}
+
+// Guards against one submission that uses up an owner's memory or a value of the store.
+BOOST_AUTO_TEST_CASE(SubmissionsWithTooManyTasksOrStepsAreRefused)
+{
+    const auto withSteps = [](int steps, int tasks) {
+        const std::string step = R"({"count":)" + std::to_string(tasks) + '}';
+        std::string text = R"({"steps":[)" + step;
+        for (int n = 1; n < steps; ++n)
+            text += ',' + step;
+        return text + "]}";
+    };
+    BOOST_TEST(decodeSubmission(withSteps(1, 100000)).ok());
+    BOOST_TEST(!decodeSubmission(withSteps(2, 100000)).ok());
+    BOOST_TEST(decodeSubmission(withSteps(1000, 1)).ok());
+    BOOST_TEST(!decodeSubmission(withSteps(1001, 1)).ok());
+    // Occurrences of persistent tasks do not complete, so that the last ones would never start.
+    const std::string persistent = R"({"steps":[{"count":1,"persistent":true}],"repeats":)";
+    BOOST_TEST(decodeSubmission(persistent + "1000}").ok());
+    const auto refused = decodeSubmission(persistent + "1001}");
+    BOOST_REQUIRE(!refused.ok());
+    BOOST_TEST(refused.error().detail.find("persistent") != std::string::npos);
+}
+
+// The last due time would be far beyond the range of the clock.
+BOOST_AUTO_TEST_CASE(DueTimesDoNotOverflow)
+{
+    JobSpec spec;
+    spec.scheduled = true;
+    spec.occurrences = 2'000'000'000;
+    spec.firstDueMs = 1'800'000'000'000;
+    spec.interval = 31'536'000'000ms;
+    BOOST_TEST(spec.dueMs(1) == 1'831'536'000'000);
+    BOOST_TEST(spec.dueMs(400'000'000) > spec.dueMs(1));
+    BOOST_TEST(spec.dueMs(1'999'999'999) > spec.dueMs(1));
+}
+
 BOOST_AUTO_TEST_CASE(WorkersAreDecodedAndInvalidEntriesRefused)
 {
     const auto worker = decodeWorker("i-7", workerText);
