Refuse reports of workers whose numbers are out of range

One odd number in an answer of a worker was taken as another one: a clock far off makes the ends of all its holds meaningless, the number of a run near the maximum overflows with the task's next run, and the number of an end far ahead makes the owner ignore all later ends of the worker, so that completed tasks run again.

Cause: decodeReport and decodeClock converted any JSON number.

Change: start times, clocks, numbers of runs and ends must lie within bounds that no worker reaches; numbers of runs and ends must be whole. An odd usage, which is only a hint, is left out; shares of work above 100 % count as 100 %.

--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -377,6 +377,54 @@
     BOOST_TEST(decodeWave(waveWith(":3}", ":4294967297}"))->maxInstancesDown == 1000000);
 }
 
+// Guards against owners that take a converted number for the worker's clock, for the number of a
+// run or for that of an end: with a clock far off, nothing is held; with the number of a run near
+// the maximum, the next one overflows; and with that of an end, all later ends are ignored. A
+// report is refused as a whole: a run whose row was dropped would look as if it had ended.
+BOOST_AUTO_TEST_CASE(ReportsWithNumbersOutOfRangeAreRefused)
+{
+    const std::vector<std::string> numbers{"-1",
+                                           "1e300",
+                                           "-1e300",
+                                           "9223372036854775807",
+                                           "18446744073709551615",
+                                           "4e18",
+                                           "true",
+                                           "\"7\"",
+                                           "null",
+                                           "[]"};
+    const auto with = [](std::string_view part, const std::string &replacement) {
+        auto text = reportText;
+        const auto at = text.find(part);
+        BOOST_REQUIRE(at != std::string::npos);
+        return text.replace(at, part.size(), replacement);
+    };
+    for (const auto &it : numbers) {
+        BOOST_TEST(!decodeReport(with("482113", it)).ok(), "clockMs " << it);
+        BOOST_TEST(!decodeClock(R"({"clockMs":)" + it + '}').ok(), "clockMs of an order " << it);
+        BOOST_TEST(!decodeReport(with(R"("born":99)", R"("born":)" + it)).ok(), "born " << it);
+        BOOST_TEST(!decodeReport(with(R"(17",2,)", R"(17",)" + it + ',')).ok(), "run " << it);
+        BOOST_TEST(!decodeReport(with("41,", it + ',')).ok(), "percent " << it);
+        BOOST_TEST(!decodeReport(with("[58,", '[' + it + ',')).ok(), "number of an end " << it);
+        BOOST_TEST(!decodeReport(with(R"(9",1,)", R"(9",)" + it + ',')).ok(),
+                   "run of an end " << it);
+    }
+    for (const std::string it : {"0.5", "4294967297", "2147483647"}) {
+        BOOST_TEST(!decodeReport(with(R"(17",2,)", R"(17",)" + it + ',')).ok(), "run " << it);
+        BOOST_TEST(!decodeReport(with(R"(9",1,)", R"(9",)" + it + ',')).ok(),
+                   "run of an end " << it);
+    }
+    // The usage is only a hint.
+    for (const std::string it : {"1e300", "-1", "null", "\"7\""}) {
+        const auto report = decodeReport(with("88.5", it));
+        BOOST_REQUIRE(report.ok());
+        BOOST_TEST(!report->running.at(0).usage.has_value(), "usage " << it);
+    }
+    BOOST_TEST(decodeReport(with("41,", "100.5,"))->running.at(0).percent == 100);
+    BOOST_TEST(decodeReport(with("482113", "482113.9"))->clock == 482113);
+    BOOST_TEST(decodeReport(with(R"("born":99)", R"("born":1790000000000)")).ok());
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAreDecoded)
 {
     const auto report = decodeReport(reportText);
