--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -634,4 +634,34 @@
     BOOST_TEST(!called);
 }
 
+// Guards against an owner that reads pages for ever, until its memory is used up, and does not
+// notice the instances that are down.
+BOOST_AUTO_TEST_CASE(ListEndsIfItsPagesDoNot)
+{
+    // With the same token, with two in turn, and with a new one each time.
+    for (const int tokens : {1, 2, 1'000'000}) {
+        EventLoop loop;
+        HttpClient client(loop);
+        const std::string address = "127.0.0.1:" + std::to_string(20000 + ::getpid() % 10000);
+        MachineCalls calls(client, address, OrderAuthority{"node", 1});
+        int pages = 0;
+        HttpServer server(loop, [&](const HttpRequest &, const HttpServer::Respond &respond) {
+            const auto token = std::to_string(pages++ % tokens);
+            if (pages > 5000)
+                loop.stop();
+            respond({200, R"({"machines":[],"nextToken":")" + token + "\"}", {}});
+        });
+        BOOST_REQUIRE(server.listen(address).ok());
+        std::optional<Result<std::vector<FleetInstance>>> list;
+        calls.list(5s, [&](Result<std::vector<FleetInstance>> it) {
+            list = std::move(it);
+            loop.stop();
+        });
+        loop.run();
+        BOOST_REQUIRE(list.has_value());
+        BOOST_TEST(list->error().is(ErrorKind::Corrupt));
+        BOOST_TEST(pages <= 1000);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
