Begin a list of keys again if its pages do not go on

Cause: PrefixWatcher asked for the page after the last key as long as the store said that there were more. If the store answers with the same page, or with an empty one, the node asks again without a pause, takes the items twice and may collect them until its memory is used up.

Change: if the page after a key would be requested for a second time, the list begins again after a delay, which grows until a list is complete; it is logged ("list-without-end"). The keys are compared for equality only, so that nothing depends on the store's order. The same watcher lists the workers and all other keys.

Evidence: ListBeginsAgainIfAPageDoesNotGoOn failed before: Collections size mismatch: 11 != 5. Now node-test passes.

--- a/include/dragonflysill/node/prefixwatcher.h
+++ b/include/dragonflysill/node/prefixwatcher.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -80,6 +81,7 @@
     Handlers m_handlers;
     Backoff m_backoff;
     std::vector<KeyValue> m_listedItems;
+    std::set<std::string> m_listedPages; ///< Keys after which pages of the list were requested.
     std::int64_t m_listedAsOf = 0;
     std::int64_t m_asOf = 0;
     TimePoint m_lastResponseAt{};
--- a/src/node/prefixwatcher.cpp
+++ b/src/node/prefixwatcher.cpp
@@ -1,6 +1,7 @@
 #include "dragonflysill/node/prefixwatcher.h"
 
 #include "dragonflysill/base/hash.h"
+#include "dragonflysill/telemetry/log.h"
 
 #include <algorithm>
 #include <exception>
@@ -38,6 +39,7 @@
 void PrefixWatcher::start()
 {
     m_listedItems.clear();
+    m_listedPages.clear();
     m_listedAsOf = 0;
     list({});
 }
@@ -70,7 +72,6 @@
         retry([this] { start(); });
         return;
     }
-    m_backoff.reset();
     m_lastResponseAt = EventLoop::now();
     // The pages are not a consistent snapshot, so the watch starts at the revision of the first one
     // and applies later changes again.
@@ -78,9 +79,17 @@
         m_listedAsOf = page->asOf;
     std::ranges::move(page->items, std::back_inserter(m_listedItems));
     if (page->more && !m_listedItems.empty()) {
-        list(m_listedItems.back().key);
+        const auto &after = m_listedItems.back().key;
+        if (m_listedPages.insert(after).second) {
+            list(after);
+        } else {
+            logWarning("list-without-end", {{"prefix", m_prefix}, {"after", after}});
+            retry([this] { start(); });
+        }
         return;
     }
+    m_backoff.reset();
+    m_listedPages.clear();
     m_asOf = m_listedAsOf;
     const auto items = std::exchange(m_listedItems, {});
     handle([&] { m_handlers.reset(items, m_asOf); });
--- a/tests/node/statefollowertest.cpp
+++ b/tests/node/statefollowertest.cpp
@@ -3,12 +3,16 @@
 #include "dragonflysill/jobs/jobcodec.h"
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/ownerstore.h"
+#include "dragonflysill/node/prefixwatcher.h"
 #include "dragonflysill/node/statefollower.h"
 #include "dragonflysill/node/statereplica.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <span>
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace dragonflysill;
 using namespace dragonflysill::test;
@@ -30,6 +34,32 @@
     return encodeProgress(progress);
 }
 
+/** A store whose pages of a list do not go on after the key that they were asked for. */
+class StuckStore : public FakeStore
+{
+public:
+    using FakeStore::FakeStore;
+
+    void list(const std::string &prefix, const std::string &after,
+              Callback<StorePage> callback) override
+    {
+        FakeStore::list(prefix, "", [this, after, callback](Result<StorePage> page) {
+            if (!after.empty() && oddPages > 0) {
+                --oddPages;
+                page->more = true;
+                if (empty)
+                    page->items.clear();
+                callback(std::move(page));
+                return;
+            }
+            FakeStore::list(std::string(nodekeys::root), after, callback);
+        });
+    }
+
+    int oddPages = 3;
+    bool empty = false;
+};
+
 /** A node that follows a store with one job. */
 struct FollowerFixture
 {
@@ -104,6 +134,35 @@
     BOOST_TEST((*replica.status(jobId) == JobStatus::Completed));
 }
 
+// Guards against nodes that read the same items again and again, until their memory is used up, or
+// that take the same item twice.
+BOOST_AUTO_TEST_CASE(ListBeginsAgainIfAPageDoesNotGoOn)
+{
+    for (const bool empty : {false, true}) {
+        EventLoop loop;
+        StuckStore store(loop);
+        store.empty = empty;
+        store.pageSize = 2;
+        store.watchLimit = 0;
+        const std::string root(nodekeys::root);
+        for (const auto *name : {"a", "b", "c", "d", "e"})
+            store.put(root + name, "value");
+        std::vector<std::string> keys;
+        PrefixWatcher watcher(loop, store, root, {},
+                              {[&](std::span<const KeyValue> items, std::int64_t) {
+                                   for (const auto &it : items)
+                                       keys.push_back(it.key);
+                                   loop.stop();
+                               },
+                               [](std::span<const KeyUpdate>, std::int64_t) {}});
+        watcher.start();
+        loop.run();
+        const std::vector<std::string> expected{root + "a", root + "b", root + "c", root + "d",
+                                                root + "e"};
+        BOOST_TEST(keys == expected, boost::test_tools::per_element());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(WritesOfTheOwner, FollowerFixture)
