Replace a worker only when the next one of its instance has answered

Cause: Scheduler::addOrUpdateWorker retired the earlier workers of an instance when it read a new entry for it.

Change: they are retired when the new worker has answered its first call, with a later start time. A real replacement is noticed one call later. Not required: that the former worker no longer answers. Its last answer may be older than its end, and waiting for its next one would take up to the time limit of a call.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -270,7 +270,11 @@
     [[nodiscard]] int suspicion(const JobRun &job, const TaskId &id, const Task &task) const;
     void loseRuns(WorkerState &worker, TimePoint now);
     void retire(WorkerState &worker, TimePoint now);
-    void retirePreviousWorkers(const WorkerDescription &description, TimePoint now);
+    /**
+     * Retires the earlier workers of the instance of a worker that has answered. Its entry alone
+     * would not do: another writer may have written it.
+     */
+    void retirePreviousWorkers(const WorkerState &worker, TimePoint now);
     void beginIncarnation(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                           TimePoint now);
     void applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -141,19 +141,18 @@
     worker.description = description;
     worker.listed = true;
     worker.unlistAt.reset();
-    if (!known) {
+    if (!known)
         worker.lastContact = now;
-        retirePreviousWorkers(description, now);
-    }
 }
 
-void Scheduler::retirePreviousWorkers(const WorkerDescription &description, TimePoint now)
+void Scheduler::retirePreviousWorkers(const WorkerState &worker, TimePoint now)
 {
-    if (description.instance.empty() || description.startedMs == 0)
+    const auto &description = worker.description;
+    if (description.instance.empty() || worker.startedMs == 0)
         return;
     for (auto &[id, other] : m_workers) {
         if (id != description.id && other.description.instance == description.instance
-            && std::max(other.startedMs, other.description.startedMs) < description.startedMs)
+            && std::max(other.startedMs, other.description.startedMs) < worker.startedMs)
             retire(other, now);
     }
 }
