--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -141,19 +141,18 @@
     worker.description = description;
     worker.listed = true;
     worker.unlistAt.reset();
-    if (!known) {
+    if (!known)
         worker.lastContact = now;
-        retirePreviousWorkers(description, now);
-    }
 }
 
-void Scheduler::retirePreviousWorkers(const WorkerDescription &description, TimePoint now)
+void Scheduler::retirePreviousWorkers(const WorkerState &worker, TimePoint now)
 {
-    if (description.instance.empty() || description.startedMs == 0)
+    const auto &description = worker.description;
+    if (description.instance.empty() || worker.startedMs == 0)
         return;
     for (auto &[id, other] : m_workers) {
         if (id != description.id && other.description.instance == description.instance
-            && std::max(other.startedMs, other.description.startedMs) < description.startedMs)
+            && std::max(other.startedMs, other.description.startedMs) < worker.startedMs)
             retire(other, now);
     }
 }
@@ -324,10 +323,14 @@
 {
     for (auto *job : std::exchange(m_outdatedJobs, {})) {
         job->queueOutdated = false;
-        if (job->hasEnded())
-            continue;
-        if (job->occurrences().empty())
+        if (!job->hasEnded() && job->occurrences().empty())
             job->openDueOccurrences(unixMs, now);
+        if (job->hasEnded()) {
+            // Opening an occurrence completes it if workers reported its ends to this owner before.
+            if (m_open.contains(job->job().id))
+                endJob(*job, now);
+            continue;
+        }
         const auto remaining = remainingWork(*job);
         if (!job->job().spec.scheduled)
             job->latestStart = job->objective - remaining;
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -71,6 +71,20 @@
     return text.replace(at, part.size(), replacement);
 }
 
+/** Returns a submission of one step; of equal fields of an object, the last one counts. */
+std::string submissionWithStepField(std::string_view field, std::string_view value)
+{
+    std::string text = R"({"steps":[{"count":1,")";
+    return text.append(field).append("\":").append(value).append("}]}");
+}
+
+/** Returns a submission of a repeated job. */
+std::string submissionWithField(std::string_view field, std::string_view value)
+{
+    std::string text = R"({"steps":[{"count":1}],"repeats":3,")";
+    return text.append(field).append("\":").append(value).append("}");
+}
+
 /** Returns arrays nested in each other, as another writer left them in an entry. */
 std::string nestedArrays(std::size_t depth)
 {
@@ -143,6 +157,86 @@
     }
 }
 
+// Guards against jobs that are accepted as other jobs than were submitted, since their numbers were
+// converted, and against sums and products of needs and times that overflow in the owner.
+BOOST_AUTO_TEST_CASE(SubmissionsWithNumbersOutOfRangeAreRefused)
+{
+    const std::vector<std::string> numbers{"-1",
+                                           "1e300",
+                                           "-1e300",
+                                           "9223372036854775807",
+                                           "18446744073709551615",
+                                           "4e18",
+                                           "true",
+                                           "\"7\"",
+                                           "null",
+                                           "[]"};
+    for (const std::string field : {"count", "cpu", "memMb", "gpu", "estimateMs", "targetMs",
+                                    "antiAffinity", "maxUnavailable"}) {
+        for (const auto &it : numbers)
+            BOOST_TEST(!decodeSubmission(submissionWithStepField(field, it)).ok(),
+                       field << ' ' << it);
+    }
+    for (const std::string field : {"repeats", "startAtMs", "intervalMs"}) {
+        for (const auto &it : numbers)
+            BOOST_TEST(!decodeSubmission(submissionWithField(field, it)).ok(), field << ' ' << it);
+    }
+    for (const std::string field : {"antiAffinity", "maxUnavailable"})
+        BOOST_TEST(!decodeSubmission(submissionWithStepField(field, "0.5")).ok(), field << " 0.5");
+    BOOST_TEST(!decodeSubmission(submissionWithField("repeats", "0.5")).ok());
+    BOOST_TEST(!decodeSubmission(R"({"steps":[{"count":1.5}]})").ok());
+    // Converted to an int, they are 1 and 0.
+    BOOST_TEST(!decodeSubmission(R"({"steps":[{"count":4294967297}]})").ok());
+    BOOST_TEST(!decodeSubmission(R"({"steps":[{"count":1}],"repeats":4294967297})").ok());
+    BOOST_TEST(
+            !decodeSubmission(R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})").ok());
+    BOOST_TEST(!decodeSubmission(R"({"steps":[{"count":1},{"count":1,"after":[0.5]}]})").ok());
+    BOOST_TEST(decodeSubmission(R"({"steps":[{"count":3000,"cpu":256000,"memMb":1048576,"gpu":16,
+                                "estimateMs":86400000}],"repeats":100000,"intervalMs":86400000,
+                                "startAtMs":1800000000000})")
+                       .ok());
+    const auto fractions = decodeSubmission(
+            R"({"steps":[{"count":1,"cpu":0.5,"memMb":1.5,"gpu":1.0,"estimateMs":900.9}]})");
+    BOOST_REQUIRE(fractions.ok());
+    BOOST_TEST((fractions->steps[0].need == Resources{1, 2, 1}));
+    BOOST_TEST(fractions->steps[0].estimate.count() == 900);
+}
+
+// Guards against one submission that uses up an owner's memory or a value of the store.
+BOOST_AUTO_TEST_CASE(SubmissionsWithTooManyTasksOrStepsAreRefused)
+{
+    const auto withSteps = [](int steps, int tasks) {
+        const std::string step = R"({"count":)" + std::to_string(tasks) + '}';
+        std::string text = R"({"steps":[)" + step;
+        for (int n = 1; n < steps; ++n)
+            text += ',' + step;
+        return text + "]}";
+    };
+    BOOST_TEST(decodeSubmission(withSteps(1, 100000)).ok());
+    BOOST_TEST(!decodeSubmission(withSteps(2, 100000)).ok());
+    BOOST_TEST(decodeSubmission(withSteps(1000, 1)).ok());
+    BOOST_TEST(!decodeSubmission(withSteps(1001, 1)).ok());
+    // Occurrences of persistent tasks do not complete, so that the last ones would never start.
+    const std::string persistent = R"({"steps":[{"count":1,"persistent":true}],"repeats":)";
+    BOOST_TEST(decodeSubmission(persistent + "1000}").ok());
+    const auto refused = decodeSubmission(persistent + "1001}");
+    BOOST_REQUIRE(!refused.ok());
+    BOOST_TEST(refused.error().detail.find("persistent") != std::string::npos);
+}
+
+// The last due time would be far beyond the range of the clock.
+BOOST_AUTO_TEST_CASE(DueTimesDoNotOverflow)
+{
+    JobSpec spec;
+    spec.scheduled = true;
+    spec.occurrences = 2'000'000'000;
+    spec.firstDueMs = 1'800'000'000'000;
+    spec.interval = 31'536'000'000ms;
+    BOOST_TEST(spec.dueMs(1) == 1'831'536'000'000);
+    BOOST_TEST(spec.dueMs(400'000'000) > spec.dueMs(1));
+    BOOST_TEST(spec.dueMs(1'999'999'999) > spec.dueMs(1));
+}
+
 BOOST_AUTO_TEST_CASE(WorkersAreDecodedAndInvalidEntriesRefused)
 {
     const auto worker = decodeWorker("i-7", workerText);
@@ -283,6 +377,54 @@
     BOOST_TEST(decodeWave(waveWith(":3}", ":4294967297}"))->maxInstancesDown == 1000000);
 }
 
+// Guards against owners that take a converted number for the worker's clock, for the number of a
+// run or for that of an end: with a clock far off, nothing is held; with the number of a run near
+// the maximum, the next one overflows; and with that of an end, all later ends are ignored. A
+// report is refused as a whole: a run whose row was dropped would look as if it had ended.
+BOOST_AUTO_TEST_CASE(ReportsWithNumbersOutOfRangeAreRefused)
+{
+    const std::vector<std::string> numbers{"-1",
+                                           "1e300",
+                                           "-1e300",
+                                           "9223372036854775807",
+                                           "18446744073709551615",
+                                           "4e18",
+                                           "true",
+                                           "\"7\"",
+                                           "null",
+                                           "[]"};
+    const auto with = [](std::string_view part, const std::string &replacement) {
+        auto text = reportText;
+        const auto at = text.find(part);
+        BOOST_REQUIRE(at != std::string::npos);
+        return text.replace(at, part.size(), replacement);
+    };
+    for (const auto &it : numbers) {
+        BOOST_TEST(!decodeReport(with("482113", it)).ok(), "clockMs " << it);
+        BOOST_TEST(!decodeClock(R"({"clockMs":)" + it + '}').ok(), "clockMs of an order " << it);
+        BOOST_TEST(!decodeReport(with(R"("born":99)", R"("born":)" + it)).ok(), "born " << it);
+        BOOST_TEST(!decodeReport(with(R"(17",2,)", R"(17",)" + it + ',')).ok(), "run " << it);
+        BOOST_TEST(!decodeReport(with("41,", it + ',')).ok(), "percent " << it);
+        BOOST_TEST(!decodeReport(with("[58,", '[' + it + ',')).ok(), "number of an end " << it);
+        BOOST_TEST(!decodeReport(with(R"(9",1,)", R"(9",)" + it + ',')).ok(),
+                   "run of an end " << it);
+    }
+    for (const std::string it : {"0.5", "4294967297", "2147483647"}) {
+        BOOST_TEST(!decodeReport(with(R"(17",2,)", R"(17",)" + it + ',')).ok(), "run " << it);
+        BOOST_TEST(!decodeReport(with(R"(9",1,)", R"(9",)" + it + ',')).ok(),
+                   "run of an end " << it);
+    }
+    // The usage is only a hint.
+    for (const std::string it : {"1e300", "-1", "null", "\"7\""}) {
+        const auto report = decodeReport(with("88.5", it));
+        BOOST_REQUIRE(report.ok());
+        BOOST_TEST(!report->running.at(0).usage.has_value(), "usage " << it);
+    }
+    BOOST_TEST(decodeReport(with("41,", "100.5,"))->running.at(0).percent == 100);
+    BOOST_TEST(decodeReport(with("482113", "482113.9"))->clock == 482113);
+    BOOST_TEST(decodeReport(with(R"("born":99)", R"("born":1790000000000)")).ok());
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAreDecoded)
 {
     const auto report = decodeReport(reportText);
@@ -492,4 +634,34 @@
     BOOST_TEST(!called);
 }
 
+// Guards against an owner that reads pages for ever, until its memory is used up, and does not
+// notice the instances that are down.
+BOOST_AUTO_TEST_CASE(ListEndsIfItsPagesDoNot)
+{
+    // With the same token, with two in turn, and with a new one each time.
+    for (const int tokens : {1, 2, 1'000'000}) {
+        EventLoop loop;
+        HttpClient client(loop);
+        const std::string address = "127.0.0.1:" + std::to_string(20000 + ::getpid() % 10000);
+        MachineCalls calls(client, address, OrderAuthority{"node", 1});
+        int pages = 0;
+        HttpServer server(loop, [&](const HttpRequest &, const HttpServer::Respond &respond) {
+            const auto token = std::to_string(pages++ % tokens);
+            if (pages > 5000)
+                loop.stop();
+            respond({200, R"({"machines":[],"nextToken":")" + token + "\"}", {}});
+        });
+        BOOST_REQUIRE(server.listen(address).ok());
+        std::optional<Result<std::vector<FleetInstance>>> list;
+        calls.list(5s, [&](Result<std::vector<FleetInstance>> it) {
+            list = std::move(it);
+            loop.stop();
+        });
+        loop.run();
+        BOOST_REQUIRE(list.has_value());
+        BOOST_TEST(list->error().is(ErrorKind::Corrupt));
+        BOOST_TEST(pages <= 1000);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
