Send an order again if its connection fails at once

An order without an answer keeps its task from every other worker until a stop of it has been answered or the hold is over.

Cause: a start or stop is sent up to three times, 80 ms apart, but a copy whose connection failed at once decided the order before the next copy was due. So one lost connection made a start unanswered, and one more cost 600 ms for the next stop.

Change: an order counts as unanswered only when no further copy may be sent, or when another copy was refused. The copies are harmless: a worker knows the run by its number. An order for a pace still has one copy.

WorkersThatDoNotAnswer/StartIsSentAgainIfItsConnectionFails failed before (the start was unanswered, no copy was sent), and so did CopiesOfAnOrder/CopyThatFailsAtOnceLeavesTheOthers and RefusalAfterALostCopyDecides (decided by the first copy).

--- a/src/jobs/orderattempts.cpp
+++ b/src/jobs/orderattempts.cpp
@@ -27,7 +27,8 @@
     } else {
         m_refusal = outcome;
     }
-    if (m_outstanding > 0)
+    const bool refused = m_refusal || m_notSent;
+    if (m_outstanding > 0 || (m_unanswered && !refused && mayRepeat()))
         return std::nullopt;
     m_decided = true;
     if (m_unanswered)
--- a/src/node/workerorders.cpp
+++ b/src/node/workerorders.cpp
@@ -92,7 +92,6 @@
     OrderCallback callback;
     OrderAttempts attempts;
     int sent = 0;
-    bool repeats = true;
 };
 
 /** A hold and its copies. */
@@ -121,25 +120,23 @@
 void WorkerOrders::start(const std::string &address, const StartTask &order, Milliseconds timeout,
                          OrderCallback callback)
 {
-    sendCopy(std::make_shared<PendingOrder>(
-            PendingOrder{DelegatedStart{order, address, timeout}, std::move(callback), {}}));
+    sendCopy(std::make_shared<PendingOrder>(PendingOrder{DelegatedStart{order, address, timeout},
+                                                         std::move(callback), OrderAttempts()}));
 }
 
 void WorkerOrders::stop(const std::string &address, const StopTask &order, Milliseconds timeout,
                         OrderCallback callback)
 {
-    sendCopy(std::make_shared<PendingOrder>(
-            PendingOrder{DelegatedStop{order, address, timeout}, std::move(callback), {}}));
+    sendCopy(std::make_shared<PendingOrder>(PendingOrder{DelegatedStop{order, address, timeout},
+                                                         std::move(callback), OrderAttempts()}));
 }
 
 void WorkerOrders::pace(const std::string &address, const PaceTask &order, Milliseconds timeout,
                         OrderCallback callback)
 {
-    auto pending = std::make_shared<PendingOrder>(
-            PendingOrder{DelegatedPace{order, address, timeout}, std::move(callback), {}});
     // A copy that arrives late would undo a newer pace.
-    pending->repeats = false;
-    sendCopy(pending);
+    sendCopy(std::make_shared<PendingOrder>(PendingOrder{DelegatedPace{order, address, timeout},
+                                                         std::move(callback), OrderAttempts(1)}));
 }
 
 void WorkerOrders::hold(DelegatedHold hold, ReportCallback callback)
@@ -179,7 +176,7 @@
                                            return;
                                        if (!answer) {
                                            m_routing.failed(channel);
-                                           if (order->repeats && order->attempts.mayRepeat())
+                                           if (order->attempts.mayRepeat())
                                                sendCopy(order);
                                        }
                                        orderAnswered(order, internal::outcomeOf(answer));
@@ -193,7 +190,7 @@
         };
         std::visit(internal::DirectCall{*m_calls, callback}, order->order);
     }
-    if (!order->repeats || !order->attempts.mayRepeat())
+    if (!order->attempts.mayRepeat())
         return;
     after(repeatDelay(channel), [this, order, copy = order->sent] {
         if (order->sent == copy && order->attempts.mayRepeat())
--- a/tests/jobs/orderattemptstest.cpp
+++ b/tests/jobs/orderattemptstest.cpp
@@ -61,6 +61,39 @@
     BOOST_TEST(isUnanswered(order.copyAnswered(unanswered)));
 }
 
+// Guards against an order that is given up with the first connection that fails: each order to a
+// worker behind several such connections is lost, and its task waits for a stop to get through.
+BOOST_AUTO_TEST_CASE(CopyThatFailsAtOnceLeavesTheOthers)
+{
+    OrderAttempts order;
+    order.copySent();
+    BOOST_TEST(!order.copyAnswered(unanswered).has_value());
+    BOOST_REQUIRE(order.mayRepeat());
+    order.copySent();
+    BOOST_TEST(!order.copyAnswered(unanswered).has_value());
+    order.copySent();
+    BOOST_TEST(isUnanswered(order.copyAnswered(unanswered)));
+}
+
+// An order that must not be repeated is decided by its only copy.
+BOOST_AUTO_TEST_CASE(OnlyCopyThatIsAllowedDecides)
+{
+    OrderAttempts order(1);
+    order.copySent();
+    BOOST_TEST(!order.mayRepeat());
+    BOOST_TEST(isUnanswered(order.copyAnswered(unanswered)));
+}
+
+// A worker that cannot be reached any more is not tried again for the copy that was lost.
+BOOST_AUTO_TEST_CASE(RefusalAfterALostCopyDecides)
+{
+    OrderAttempts order;
+    order.copySent();
+    BOOST_TEST(!order.copyAnswered(unanswered).has_value());
+    order.copySent();
+    BOOST_TEST(isUnanswered(order.copyAnswered(notSent)));
+}
+
 BOOST_AUTO_TEST_CASE(OrderIsRefusedIfAllCopiesAre)
 {
     OrderAttempts order;
--- a/tests/node/workerorderstest.cpp
+++ b/tests/node/workerorderstest.cpp
@@ -3,9 +3,11 @@
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/net/httpserver.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -87,6 +89,34 @@
     BOOST_TEST(calls["/v1/run-start"] == OrderAttempts::maxCopies);
 }
 
+// A worker that ends without closing its connections is replaced by one at the same address. Guards
+// against an order to the new one that is lost with the first connection, which fails at once: its
+// task waits until a stop of the order has been answered.
+BOOST_AUTO_TEST_CASE(StartIsSentAgainIfItsConnectionFails)
+{
+    using Tcp = boost::asio::ip::tcp;
+    silentCalls = 0;
+    const auto failing = freeAddress();
+    const auto port = static_cast<std::uint16_t>(std::stoi(failing.substr(failing.find(':') + 1)));
+    Tcp::acceptor acceptor(loop.context(), {boost::asio::ip::make_address("127.0.0.1"), port});
+    Tcp::socket connection(loop.context());
+    std::string bytes(1000, ' ');
+    HttpServer successor{loop, [this](const HttpRequest &, const HttpServer::Respond &respond) {
+                             respond({200, body, {}});
+                         }};
+    acceptor.async_accept(connection, [&](boost::system::error_code) {
+        connection.async_read_some(boost::asio::buffer(bytes),
+                                   [&](boost::system::error_code, std::size_t) {
+                                       connection.close();
+                                       acceptor.close();
+                                       BOOST_REQUIRE(successor.listen(failing).ok());
+                                   });
+    });
+    address = failing;
+    BOOST_TEST(std::holds_alternative<OrderConfirmed>(start(10s)));
+    BOOST_TEST(orders.counts().repeated == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(StopIsSentAgain)
 {
     std::optional<OrderOutcome> result;
