Start tasks elsewhere after a start without an answer

Cause: fuller workers are preferred, and nothing told that the last start on a worker was lost. Its task was ordered there again, right after the stop of the first start, and lost in the same way.

Change: a worker that leaves a start unanswered counts for its task like one on which it failed: others are preferred.

WaitingTasks/TaskAvoidsTheWorkerThatLeftItsStartUnanswered failed before: [w1 == w1].

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -25,7 +25,8 @@
     int lastRun = 0; ///< Number of the latest run.
     std::string checkpoint; ///< Checkpoint from which the next run resumes; empty for none.
     std::vector<std::string> workers; ///< Workers with a run of the task.
-    std::set<std::string> failedOn; ///< Workers on which a run of the task failed or stalled.
+    /** Workers on which a run of the task failed or stalled, or that left its start unanswered. */
+    std::set<std::string> failedOn;
     TimePoint failedAt{}; ///< Time of the task's last failed run.
     TimePoint waitingSince{};
 };
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -409,6 +409,11 @@
     // The order may still take effect, so it must be blocked before the task starts elsewhere.
     run->phase = TaskRun::Phase::Unconfirmed;
     run->orderSettledAt = now;
+    // The next orders to this worker may be lost in the same way.
+    if (auto *job = find(start.task.job)) {
+        if (auto *task = job->task(start.task))
+            task->failedOn.insert(start.worker);
+    }
     stopRun(*worker, *run, now);
 }
 
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -207,6 +207,26 @@
     BOOST_TEST(runs);
 }
 
+// Guards against a task that goes to the same worker again and again, since fuller workers are
+// preferred, while each of its starts there is lost and takes a second to be given up.
+BOOST_AUTO_TEST_CASE(TaskAvoidsTheWorkerThatLeftItsStartUnanswered)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    harness.addJob(job("other", {step(1)}));
+    harness.decide();
+    const auto fuller = harness.workerOf({"other", 0, 0, 0});
+    harness.addJob(job("j", {step(1)}));
+    const auto starts = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_REQUIRE(starts[0].worker == fuller);
+    harness.scheduler.startUnanswered(starts[0], harness.now);
+    const TaskId task{"j", 0, 0, 0};
+    BOOST_REQUIRE(runsWithin(harness, task, runnableBound, [] {}));
+    BOOST_TEST(harness.workerOf(task) != fuller);
+}
+
 // Guards against an instance that gets no more tasks, to be given to another pool, and is then not
 // given away because the rest of its pool is too small.
 BOOST_AUTO_TEST_CASE(InstancesThatCannotBeGivenAwayDoNotYield)
