Lose orders and their answers in the progress model

In the period of faults a loss is followed by a crash, a cut or a new owner at times. Unlike other faults they do not end the rule's calm time: a start whose order is lost must run elsewhere within 3 s.

--- a/tests/jobs/progressmodel.cpp
+++ b/tests/jobs/progressmodel.cpp
@@ -35,6 +35,10 @@
 constexpr Duration entryLifetime = 2s;
 constexpr Duration checkInterval = 100ms;
 
+/** Maximum number of orders for a job that are lost in a span of time, besides the faults. */
+constexpr std::size_t maxLosses = 2;
+constexpr Duration lossWindow = 5s;
+
 /** The rule: how long a task may wait, and the time without a fault before that. */
 constexpr Duration maxWait = 3s;
 constexpr Duration contactTime = 4s;
@@ -67,7 +71,10 @@
     , m_faultsUntil(m_now + faultPeriod)
     , m_lastFaultAt(m_now)
     , m_endAt(m_faultsUntil + calmPeriod)
+    , m_lossRandom(~seed)
 {
+    constexpr std::array<double, 4> lostOrders{0, 0, 0.02, 0.15};
+    m_lostOrders = lostOrders.at(m_lossRandom.below(lostOrders.size()));
     constexpr std::array<double, 3> perSecond{0.1, 0.5, 2};
     for (int n = 0; n < faultKinds; ++n) {
         const auto fault = static_cast<Fault>(n);
@@ -610,6 +617,36 @@
     m_changed = m_scheduler->hasMoreStarts();
 }
 
+ProgressModel::OrderLoss ProgressModel::drawLoss(const std::string &job, Machine *machine)
+{
+    if (machine == nullptr || m_lossRandom.unit() >= m_lostOrders)
+        return OrderLoss::None;
+    // All copies of an order are seldom lost; more often, the rule could not be kept.
+    auto &losses = m_lossTimes[job];
+    std::erase_if(losses, [this](TimePoint it) { return m_now - it > lossWindow; });
+    if (losses.size() >= maxLosses)
+        return OrderLoss::None;
+    losses.push_back(m_now);
+    constexpr std::array<OrderLoss, 3> kinds{OrderLoss::Order, OrderLoss::OrderAtOnce,
+                                             OrderLoss::Answer};
+    const auto loss = kinds.at(m_lossRandom.below(kinds.size()));
+    constexpr double followedByFault = 0.3;
+    if (m_now >= m_faultsUntil || m_lossRandom.unit() >= followedByFault)
+        return loss;
+    schedule(Milliseconds(m_lossRandom.below(600)),
+             [this, machine, process = machine->process, fault = m_lossRandom.below(3)] {
+                 if (machine->process != process || m_now >= m_faultsUntil)
+                     return;
+                 if (fault == 0)
+                     crash(*machine);
+                 else if (fault == 1)
+                     setForSomeTime(*machine, &Machine::cutOff, true, 4s, "is cut off");
+                 else
+                     ownerEnds();
+             });
+    return loss;
+}
+
 void ProgressModel::send(const StartTask &start)
 {
     appendJobEvent(start.task.job, nameOf(start.task, start.run) + " ordered on " + start.worker);
@@ -617,6 +654,7 @@
         auto *machine = machineOf(start.worker);
         std::optional<StartRefusal> refusal;
         bool known = false;
+        const auto loss = drawLoss(start.task.job, machine);
         if (machine == nullptr) {
             // The connection is refused, or the machine does not answer.
             known = chance(0.5);
@@ -628,12 +666,15 @@
                 if (machine->process == process)
                     applyStart(*machine, start, fence);
             });
-        } else if (!machine->cutOff) {
+        } else if (!machine->cutOff && (loss == OrderLoss::None || loss == OrderLoss::Answer)) {
             refusal = applyStart(*machine, start, fence);
-            known = !machine->losesAnswers || chance(0.5);
+            known = (!machine->losesAnswers || chance(0.5)) && loss == OrderLoss::None;
         }
-        schedule(known ? delay() : answerTimeout, [this, start, alive, refusal, known,
-                                                   process = machine ? machine->process : nullptr] {
+        const auto answered = known                            ? delay()
+                              : loss == OrderLoss::OrderAtOnce ? tickLength
+                                                               : answerTimeout;
+        schedule(answered, [this, start, alive, refusal, known,
+                            process = machine ? machine->process : nullptr] {
             if (!*alive)
                 return;
             m_changed = true;
@@ -661,6 +702,7 @@
     schedule(delay(), [this, stop, fence = m_fence, alive = m_ownerAlive] {
         auto *machine = machineOf(stop.worker);
         bool known = false;
+        const auto loss = drawLoss(stop.task.job, machine);
         if (machine != nullptr && machine->lateOrders) {
             const auto late = randomDuration(2000, 12000);
             faultUntil(m_now + late);
@@ -668,11 +710,15 @@
                 if (machine->process == process)
                     applyStop(*machine, stop, fence);
             });
-        } else if (machine != nullptr && !machine->cutOff) {
+        } else if (machine != nullptr && !machine->cutOff
+                   && (loss == OrderLoss::None || loss == OrderLoss::Answer)) {
             applyStop(*machine, stop, fence);
-            known = !machine->losesAnswers || chance(0.5);
+            known = (!machine->losesAnswers || chance(0.5)) && loss == OrderLoss::None;
         }
-        schedule(known ? delay() : answerTimeout, [this, stop, alive, known] {
+        const auto answered = known                            ? delay()
+                              : loss == OrderLoss::OrderAtOnce ? tickLength
+                                                               : answerTimeout;
+        schedule(answered, [this, stop, alive, known] {
             if (!*alive)
                 return;
             m_changed = true;
--- a/tests/jobs/progressmodel.h
+++ b/tests/jobs/progressmodel.h
@@ -114,6 +114,14 @@
     /** Since when a job or a persistent task has been waiting under the conditions of the rule. */
     using Waits = std::map<std::string, TimePoint>;
 
+    /** What becomes of the copies of an order. */
+    enum class OrderLoss {
+        None,
+        Order, ///< No copy arrives, and none is answered.
+        OrderAtOnce, ///< The same, and the owner learns at once that there is no answer.
+        Answer, ///< The order is carried out, and no copy is answered.
+    };
+
     struct MoveOrder
     {
         std::string targetPool;
@@ -168,6 +176,8 @@
                     TimePoint sentAt);
     void send(const StartTask &start);
     void send(const StopTask &stop);
+    /** Draws whether an order is lost; it is followed by another fault at times. */
+    [[nodiscard]] OrderLoss drawLoss(const std::string &job, Machine *machine);
     void send(const PaceTask &) { }
     void send(const RequestAdmission &) { }
     void listInstances();
@@ -198,6 +208,10 @@
     bool m_guarded = false; ///< Workers refuse tasks that exceed their capacity.
     bool m_shortReports = false; ///< Most reports leave out the running tasks.
     bool m_sameIds = false; ///< A restarted worker keeps its id.
+    /** Draws the losses of orders, which leave the other draws of a seed as they are. */
+    Random m_lossRandom;
+    double m_lostOrders = 0; ///< Share of the orders to sound workers that are lost, at any time.
+    std::map<std::string, std::vector<TimePoint>> m_lossTimes; ///< By job.
     std::vector<std::string> m_poolNames;
     std::map<std::string, Machine> m_machines;
     std::map<std::string, ModelJob> m_jobs;
