Make last attempts in a pool that is wholly in quarantine

What callers saw: a task waits for up to 12 s in a free pool.

The users' rule, a run within 3 s while at most half of the pool is in use, has no exception for last attempts, and a job that ends after its allowed attempts is allowed.

Change: after 2.5 s a last attempt takes a worker in quarantine like other tasks do, but the one that completed a run most recently, and one on which the task has not failed before one on which it has.

WaitingTasks/LastAttemptDoesNotWaitForTheQuarantineOfAWholePool failed before (no run within 3 s).

--- a/include/dragonflysill/jobs/workerhealth.h
+++ b/include/dragonflysill/jobs/workerhealth.h
@@ -40,6 +40,9 @@
         return m_succeededAt > since && m_failures.empty();
     }
 
+    /** Returns the time of the last completed run; the epoch for none. */
+    [[nodiscard]] TimePoint succeededAt() const { return m_succeededAt; }
+
     /** Returns true if the worker must not get tasks at present. */
     [[nodiscard]] bool quarantined(TimePoint now) const { return now < m_quarantinedUntil; }
 
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -194,6 +194,7 @@
     const bool waitedLong = task.phase == Task::Phase::Waiting
                             && now - task.waitingSince >= internal::betterWorkerDelay;
     WorkerState *quarantined = nullptr;
+    std::tuple<bool, Duration, std::int64_t> quarantinedScore;
     WorkerState *best = nullptr;
     std::tuple<std::size_t, bool, bool, bool, bool, bool, bool, double> bestScore;
     const auto suspected = suspicion(job, id, task);
@@ -209,12 +210,17 @@
         fasterOneMayTakeIt = fasterOneMayTakeIt || (!slow && (!obstacle || passesSoon(*obstacle)));
         poolMilliCores += it->description.capacity.milliCores;
         reservedMilliCores += it->reserved.milliCores;
-        // A failure there must not be the task's last one.
-        if (obstacle == StartObstacle::Quarantined && waitedLong && !lastAttempt
-            && !otherObstacle(*it, job, id, task, now)
-            && (quarantined == nullptr
-                || it->reserved.milliCores < quarantined->reserved.milliCores))
-            quarantined = it;
+        if (obstacle == StartObstacle::Quarantined && waitedLong
+            && !otherObstacle(*it, job, id, task, now)) {
+            // A last attempt goes to the worker that has completed a run most recently.
+            const auto sinceSuccess = lastAttempt ? now - it->health.succeededAt() : Duration{0};
+            const std::tuple score(lastAttempt && task.failedOn.contains(it->description.id),
+                                   sinceSuccess, it->reserved.milliCores);
+            if (quarantined == nullptr || score < quarantinedScore) {
+                quarantined = it;
+                quarantinedScore = score;
+            }
+        }
         if (obstacle)
             continue;
         const bool failedHere = task.failedOn.contains(it->description.id);
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -168,6 +168,44 @@
     BOOST_TEST(runs);
 }
 
+// Guards against a last attempt that waits for the end of the quarantine of a whole pool, up to 12
+// s, while the pool is free. It is made where the last run has completed, and not where the task
+// failed.
+BOOST_AUTO_TEST_CASE(LastAttemptDoesNotWaitForTheQuarantineOfAWholePool)
+{
+    SchedulerHarness harness;
+    for (const auto *id : {"w1", "w2", "w3"})
+        harness.addWorker(id);
+    const TaskId task{"j", 0, 0, 0};
+    harness.addJob(job("j", {step(1)}, 2));
+    harness.decide();
+    const auto failedOn = harness.workerOf(task);
+    const std::string recent = failedOn == "w3" ? "w2" : "w3";
+    harness.end(task, RunEnd::Failed);
+    harness.addJob(job("done", {step(1)}));
+    auto &worker = harness.workers[recent];
+    worker.ended.push_back({worker.nextEnd++, {"done", 0, 0, 0}, 100, RunEnd::Done, {}});
+    harness.reportFrom(recent);
+    for (const auto *id : {"faulty-1", "faulty-2"})
+        harness.addJob(job(id, {step(1)}, 20));
+    int run = 100;
+    for (int round = 0; round < 2; ++round) {
+        for (const auto *id : {"w1", "w2", "w3"}) {
+            failOn(harness, id, "faulty-1", ++run);
+            failOn(harness, id, "faulty-2", ++run);
+        }
+    }
+    for (const auto *id : {"w1", "w2", "w3"})
+        BOOST_REQUIRE(harness.scheduler.worker(id)->health.quarantined(harness.now + 5s));
+    BOOST_REQUIRE(!harness.scheduler.job("j")->hasEnded());
+    const bool runs = runsWithin(harness, task, runnableBound, [&harness] {
+        for (const auto *id : {"faulty-1", "faulty-2"})
+            harness.end({id, 0, 0, 0}, RunEnd::Failed);
+    });
+    BOOST_TEST(runs);
+    BOOST_TEST(harness.workerOf(task) == recent);
+}
+
 // Guards against counting stalled runs, which use up no attempt, as attempts: the task is taken for
 // one whose next failure ends its job and waits for the end of the quarantine of the whole pool.
 BOOST_AUTO_TEST_CASE(StalledRunsDoNotKeepTasksFromWorkersInQuarantine)
