Restart a failed persistent task on another worker

A persistent task that fails, or does not begin to serve, on one worker was started there again and again while others were free: fuller workers are preferred, and only failures of tasks that end by themselves were remembered.

Change: its failures and failed start-ups are remembered like those of other tasks, so that other workers are preferred.

WaitingTasks/PersistentTaskAvoidsTheWorkerOnWhichItFailed and ...OnWhichItDidNotStartUp failed before: [w1 == w1].

--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -87,6 +87,7 @@
         if (run.percent < internal::fullPercent
             && now - run.orderSettledAt > internal::startupTimeout) {
             worker.health.failed(run.task.job, now);
+            job->task(run.task)->failedOn.insert(worker.description.id);
             stopRun(worker, run, now);
         }
         return;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -146,7 +146,7 @@
         recordCheckpoint(*job, end, current ? &run->second : nullptr);
         if (end.end == RunEnd::Done && !job->step(end.task).persistent)
             applyDone(worker, end, current ? &run->second : nullptr, now);
-        else if (end.end == RunEnd::Failed && !job->step(end.task).persistent)
+        else if (end.end == RunEnd::Failed)
             applyFailure(worker, end, now);
         queueSave(*job);
     }
@@ -218,11 +218,14 @@
 void Scheduler::applyFailure(WorkerState &worker, const EndReport &end, TimePoint now)
 {
     auto &job = *find(end.task.job);
-    worker.health.failed(end.task.job, now);
     if (auto *task = job.task(end.task)) {
         task->failedOn.insert(worker.description.id);
         task->failedAt = now;
     }
+    // Persistent tasks may fail at any time and have no limit of attempts.
+    if (job.step(end.task).persistent)
+        return;
+    worker.health.failed(end.task.job, now);
     if (!job.fail(end.task, end.run))
         return;
     for (auto &[id, other] : m_workers)
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -265,6 +265,58 @@
     BOOST_TEST(harness.workerOf(task) != fuller);
 }
 
+// Guards against a persistent task that is started again and again on the worker on which it fails,
+// since fuller workers are preferred.
+BOOST_AUTO_TEST_CASE(PersistentTaskAvoidsTheWorkerOnWhichItFailed)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    harness.addJob(job("other", {step(1)}));
+    harness.decide();
+    const auto fuller = harness.workerOf({"other", 0, 0, 0});
+    auto service = step(1);
+    service.persistent = true;
+    harness.addJob(job("service", {service}));
+    harness.decide();
+    const TaskId task{"service", 0, 0, 0};
+    BOOST_REQUIRE(harness.workerOf(task) == fuller);
+    harness.end(task, RunEnd::Failed);
+    BOOST_REQUIRE(runsWithin(harness, task, runnableBound, [] {}));
+    BOOST_TEST(harness.workerOf(task) != fuller);
+    BOOST_TEST(!harness.scheduler.worker(fuller)->health.suspect(harness.now));
+}
+
+// The same for one that does not begin to serve.
+BOOST_AUTO_TEST_CASE(PersistentTaskAvoidsTheWorkerOnWhichItDidNotStartUp)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    harness.addJob(job("other", {step(1)}));
+    harness.decide();
+    const auto fuller = harness.workerOf({"other", 0, 0, 0});
+    auto service = step(1);
+    service.persistent = true;
+    harness.addJob(job("service", {service}));
+    harness.decide();
+    const TaskId task{"service", 0, 0, 0};
+    BOOST_REQUIRE(harness.workerOf(task) == fuller);
+    constexpr int intervals = 100;
+    for (int n = 0; n < intervals && harness.workerOf(task) == fuller; ++n) {
+        harness.advanceTime(100ms);
+        for (auto &[run, row] : harness.workers[fuller].running)
+            row.percent = run == task ? 0 : row.percent + 1;
+        harness.reportAll();
+        harness.decide();
+    }
+    BOOST_REQUIRE(harness.workerOf(task).empty());
+    // A worker that completes runs is not suspect.
+    harness.end({"other", 0, 0, 0}, RunEnd::Done);
+    BOOST_REQUIRE(runsWithin(harness, task, runnableBound, [] {}));
+    BOOST_TEST(harness.workerOf(task) != fuller);
+}
+
 // Guards against an instance that gets no more tasks, to be given to another pool, and is then not
 // given away because the rest of its pool is too small.
 BOOST_AUTO_TEST_CASE(InstancesThatCannotBeGivenAwayDoNotYield)
