--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -168,6 +168,44 @@
     BOOST_TEST(runs);
 }
 
+// Guards against a last attempt that waits for the end of the quarantine of a whole pool, up to 12
+// s, while the pool is free. It is made where the last run has completed, and not where the task
+// failed.
+BOOST_AUTO_TEST_CASE(LastAttemptDoesNotWaitForTheQuarantineOfAWholePool)
+{
+    SchedulerHarness harness;
+    for (const auto *id : {"w1", "w2", "w3"})
+        harness.addWorker(id);
+    const TaskId task{"j", 0, 0, 0};
+    harness.addJob(job("j", {step(1)}, 2));
+    harness.decide();
+    const auto failedOn = harness.workerOf(task);
+    const std::string recent = failedOn == "w3" ? "w2" : "w3";
+    harness.end(task, RunEnd::Failed);
+    harness.addJob(job("done", {step(1)}));
+    auto &worker = harness.workers[recent];
+    worker.ended.push_back({worker.nextEnd++, {"done", 0, 0, 0}, 100, RunEnd::Done, {}});
+    harness.reportFrom(recent);
+    for (const auto *id : {"faulty-1", "faulty-2"})
+        harness.addJob(job(id, {step(1)}, 20));
+    int run = 100;
+    for (int round = 0; round < 2; ++round) {
+        for (const auto *id : {"w1", "w2", "w3"}) {
+            failOn(harness, id, "faulty-1", ++run);
+            failOn(harness, id, "faulty-2", ++run);
+        }
+    }
+    for (const auto *id : {"w1", "w2", "w3"})
+        BOOST_REQUIRE(harness.scheduler.worker(id)->health.quarantined(harness.now + 5s));
+    BOOST_REQUIRE(!harness.scheduler.job("j")->hasEnded());
+    const bool runs = runsWithin(harness, task, runnableBound, [&harness] {
+        for (const auto *id : {"faulty-1", "faulty-2"})
+            harness.end({id, 0, 0, 0}, RunEnd::Failed);
+    });
+    BOOST_TEST(runs);
+    BOOST_TEST(harness.workerOf(task) == recent);
+}
+
 // Guards against counting stalled runs, which use up no attempt, as attempts: the task is taken for
 // one whose next failure ends its job and waits for the end of the quarantine of the whole pool.
 BOOST_AUTO_TEST_CASE(StalledRunsDoNotKeepTasksFromWorkersInQuarantine)
@@ -207,6 +245,78 @@
     BOOST_TEST(runs);
 }
 
+// Guards against a task that goes to the same worker again and again, since fuller workers are
+// preferred, while each of its starts there is lost and takes a second to be given up.
+BOOST_AUTO_TEST_CASE(TaskAvoidsTheWorkerThatLeftItsStartUnanswered)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    harness.addJob(job("other", {step(1)}));
+    harness.decide();
+    const auto fuller = harness.workerOf({"other", 0, 0, 0});
+    harness.addJob(job("j", {step(1)}));
+    const auto starts = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_REQUIRE(starts[0].worker == fuller);
+    harness.scheduler.startUnanswered(starts[0], harness.now);
+    const TaskId task{"j", 0, 0, 0};
+    BOOST_REQUIRE(runsWithin(harness, task, runnableBound, [] {}));
+    BOOST_TEST(harness.workerOf(task) != fuller);
+}
+
+// Guards against a persistent task that is started again and again on the worker on which it fails,
+// since fuller workers are preferred.
+BOOST_AUTO_TEST_CASE(PersistentTaskAvoidsTheWorkerOnWhichItFailed)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    harness.addJob(job("other", {step(1)}));
+    harness.decide();
+    const auto fuller = harness.workerOf({"other", 0, 0, 0});
+    auto service = step(1);
+    service.persistent = true;
+    harness.addJob(job("service", {service}));
+    harness.decide();
+    const TaskId task{"service", 0, 0, 0};
+    BOOST_REQUIRE(harness.workerOf(task) == fuller);
+    harness.end(task, RunEnd::Failed);
+    BOOST_REQUIRE(runsWithin(harness, task, runnableBound, [] {}));
+    BOOST_TEST(harness.workerOf(task) != fuller);
+    BOOST_TEST(!harness.scheduler.worker(fuller)->health.suspect(harness.now));
+}
+
+// The same for one that does not begin to serve.
+BOOST_AUTO_TEST_CASE(PersistentTaskAvoidsTheWorkerOnWhichItDidNotStartUp)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addWorker("w2");
+    harness.addJob(job("other", {step(1)}));
+    harness.decide();
+    const auto fuller = harness.workerOf({"other", 0, 0, 0});
+    auto service = step(1);
+    service.persistent = true;
+    harness.addJob(job("service", {service}));
+    harness.decide();
+    const TaskId task{"service", 0, 0, 0};
+    BOOST_REQUIRE(harness.workerOf(task) == fuller);
+    constexpr int intervals = 100;
+    for (int n = 0; n < intervals && harness.workerOf(task) == fuller; ++n) {
+        harness.advanceTime(100ms);
+        for (auto &[run, row] : harness.workers[fuller].running)
+            row.percent = run == task ? 0 : row.percent + 1;
+        harness.reportAll();
+        harness.decide();
+    }
+    BOOST_REQUIRE(harness.workerOf(task).empty());
+    // A worker that completes runs is not suspect.
+    harness.end({"other", 0, 0, 0}, RunEnd::Done);
+    BOOST_REQUIRE(runsWithin(harness, task, runnableBound, [] {}));
+    BOOST_TEST(harness.workerOf(task) != fuller);
+}
+
 // Guards against an instance that gets no more tasks, to be given to another pool, and is then not
 // given away because the rest of its pool is too small.
 BOOST_AUTO_TEST_CASE(InstancesThatCannotBeGivenAwayDoNotYield)
