Count instances without a worker with the capacity that the list names

Instances in standby, and others without a worker, counted like the largest instance of the fleet, so that a pool that got small ones stayed short of capacity until their workers had registered, and a task too large for them could order them.

Cause: the list of instances names each one's capacity, which stays with the instance over a move and maintenance; it was not decoded.

Evidence: FleetControllers/ InstancesWithoutAWorkerCountWithTheirListedCapacity failed before: of two instances of half a core in standby, one was ordered for a pool that needs one of four cores, and describeOrder("m-3") was empty.

The capacity of the list is used as long as the instance has no worker. An instance whose capacity is missing or incomplete in the list counts like the largest one, as before. The stand-in lists capacities, as the platform does.

--- a/include/dragonflysill/jobs/instance.h
+++ b/include/dragonflysill/jobs/instance.h
@@ -3,6 +3,7 @@
 #include "dragonflysill/jobs/job.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
     std::string rack;
     std::string worker; ///< Id of the worker that runs on it; empty if there is none.
     State state = State::Up;
+    std::optional<Resources> capacity; ///< Not set if the list does not tell.
 };
 
 /** A request of the operators to maintain instances. */
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -224,6 +224,10 @@
         row.pool = instance.pool;
         row.rack = instance.rack;
         row.state = instance.state;
+        if (instance.capacity) {
+            row.milliCores = instance.capacity->milliCores;
+            row.memoryMb = instance.capacity->memoryMb;
+        }
         const auto worker = workers.find(name);
         fillInstanceView(row, worker == workers.end() ? nullptr : worker->second, now);
         milliCores = std::max(milliCores, row.milliCores);
--- a/tests/node/fleetcontrollertest.cpp
+++ b/tests/node/fleetcontrollertest.cpp
@@ -215,4 +215,33 @@
     BOOST_TEST(harness.scheduler.worker("i-1")->retired);
 }
 
+// Guards against a pool that stays short of capacity because a small instance in standby is counted
+// like the largest one of the fleet.
+BOOST_AUTO_TEST_CASE(InstancesWithoutAWorkerCountWithTheirListedCapacity)
+{
+    FleetConfiguration configuration;
+    configuration.pools = {{"pool", true, false}, {"busy", true, false}, {"standby", true, true}};
+    controller.setConfiguration(configuration);
+    addInstance("m-1", "i-1");
+    for (const auto *name : {"m-2", "m-3"}) {
+        service.instances.push_back({{"machine", name},
+                                     {"pool", "standby"},
+                                     {"state", "up"},
+                                     {"capacity", {{"cpu", 500}, {"memMb", 8192}, {"gpu", 0}}},
+                                     {"id", nullptr}});
+    }
+    list();
+    harness.now = start + machineLease;
+    auto submitted = job("j", {step(1)});
+    submitted.pool = "busy";
+    harness.addJob(std::move(submitted));
+    harness.addJob(job("k", {step(1)})); // It keeps m-1 in its pool.
+    harness.decide();
+    controller.tick(harness.now);
+    harness.advanceTime(200ms);
+    controller.tick(harness.now);
+    BOOST_TEST(controller.describeOrder("m-2") == "move to busy, not answered yet");
+    BOOST_TEST(controller.describeOrder("m-3") == "move to busy, not answered yet");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -58,7 +58,7 @@
 const std::string machinesText
         = R"({"machines":[{"machine":"m-1","pool":"p","state":"up","zone":"z",
  "labels":["a","r1-2"],"capacity":{"cpu":1},"id":"i-7"},{"odd":1},{"machine":"m-2","pool":"p",
- "state":"upkeep","id":null}],"nextToken":"t"})";
+ "state":"upkeep","capacity":{"cpu":8000,"memMb":65536,"gpu":1},"id":null}],"nextToken":"t"})";
 const std::string waveText = R"({"wave":1,"machines":["m-1","m-2"],"durationS":20,"ceiling":3})";
 const std::string adviceText = R"({"good":[["i-1","ticket"]],"validMs":3000})";
 
@@ -357,6 +357,11 @@
     BOOST_REQUIRE(page->instances.size() == 2U);
     BOOST_TEST(page->instances[0].worker == "i-7");
     BOOST_TEST((page->instances[1].state == FleetInstance::State::Maintenance));
+    // A capacity that is not complete is unknown.
+    BOOST_TEST(!page->instances[0].capacity.has_value());
+    BOOST_REQUIRE(page->instances[1].capacity.has_value());
+    BOOST_TEST(page->instances[1].capacity->milliCores == 8000);
+    BOOST_TEST(page->instances[1].capacity->memoryMb == 65536);
     BOOST_TEST(page->nextToken == "t");
     const auto wave = decodeWave(waveText);
     BOOST_REQUIRE(wave.ok());
