Do not project the run time of a resumed run

What callers saw: nothing yet (read in the code). A run that resumes from a checkpoint reports a percentage that includes what earlier runs have done. Its projected run time was far too short, became the step's shortest, and every other worker of the step counted as slow, so that tasks waited up to 2.5 s for a faster one. Completed runs with a checkpoint were already left out.

WaitingTasks/ResumedRunDoesNotMakeOtherWorkersLookSlow failed before.

--- a/include/dragonflysill/jobs/taskrun.h
+++ b/include/dragonflysill/jobs/taskrun.h
@@ -30,6 +30,7 @@
     bool confirmed = false; ///< The worker has confirmed or reported the run.
     bool stopAnswered = false;
     bool persistent = false; ///< Its step's tasks run until the job is cancelled.
+    bool resumed = false; ///< Started from a checkpoint.
     bool inherited = false; ///< Started by an earlier owner at an unknown time.
     bool unwanted = false; ///< Inherited and being stopped; its task must not start before it ends.
     bool moved = false; ///< Stopped by the owner while the persistent task was serving.
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -197,7 +197,8 @@
 
 void Scheduler::observeProgress(WorkerState &worker, const TaskRun &run, TimePoint now)
 {
-    if (run.percent >= internal::minProgressPercent)
+    // The percentage of a resumed run includes the progress of earlier runs.
+    if (run.percent >= internal::minProgressPercent && !run.resumed)
         observeSlowdown(worker, run, (now - run.startedAt) * internal::fullPercent / run.percent,
                         now);
 }
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -367,6 +367,35 @@
     BOOST_TEST(harness.workerOf({"large", 0, 0, 0}) == "slow");
 }
 
+// The percentage of a resumed run includes the progress of earlier runs. Guards against a run time
+// that is projected from it and far too short: all other workers of the step count as slow.
+BOOST_AUTO_TEST_CASE(ResumedRunDoesNotMakeOtherWorkersLookSlow)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 2);
+    harness.addWorker("w2", 2);
+    harness.addJob(job("j", {step(4)}));
+    harness.decide();
+    const TaskId resumed{"j", 0, 0, 0};
+    const auto resumedOn = harness.workerOf(resumed);
+    const std::string other = resumedOn == "w1" ? "w2" : "w1";
+    harness.workers[resumedOn].end(resumed, RunEnd::HoldExpired, "checkpoint at 60 %");
+    harness.reportFrom(resumedOn);
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(resumed) == resumedOn);
+    BOOST_REQUIRE(harness.workers[resumedOn].running[resumed].checkpoint == "checkpoint at 60 %");
+    constexpr int intervals = 5;
+    for (int n = 1; n <= intervals; ++n) {
+        harness.advanceTime(100ms);
+        for (auto &[id, worker] : harness.workers) {
+            for (auto &[task, row] : worker.running)
+                row.percent = 10 * n + (task == resumed ? 60 : 0);
+        }
+        harness.reportAll();
+    }
+    BOOST_TEST(!harness.scheduler.worker(other)->health.slow(harness.now));
+}
+
 // Guards against a job without any run while slow workers are free, because the faster ones are
 // occupied for long.
 BOOST_AUTO_TEST_CASE(SlowWorkersTakeTasksThatFasterOnesLeaveWaiting)
