Send a stop again as soon as it is known to have no answer

Cause: a stop was sent again 500 ms after it was sent, at the next check of the worker's runs (200 ms), although its outcome is known earlier if its connections fail: 600 ms or more for each one.

Change: the next check sends a stop again that got no answer.

WaitingTasks/StopWithoutAnAnswerIsSentAgainSoon failed before ([0 != 1] stops after 250 ms).

--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -18,7 +18,7 @@
 constexpr double maxClockDrift = 0.02;
 /** Maximum additional duration of a hold due to delays of the network and of the worker. */
 constexpr Duration holdMargin = 100ms;
-/** Time after which an unanswered stop or pace order is sent again. */
+/** Time after which a stop whose outcome is not known, or an unconfirmed pace, is sent again. */
 constexpr Duration orderRetryDelay = 500ms;
 /** Interval between two checks of a worker's runs for missing answers and progress. */
 constexpr Duration runCheckInterval = 200ms;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -440,8 +440,11 @@
     auto *worker = findWorker(stop.worker);
     if (worker == nullptr)
         return;
-    if (auto *run = worker->findRun(stop.task, stop.run))
+    if (auto *run = worker->findRun(stop.task, stop.run)) {
         run->orderSettledAt = now;
+        // The next check of the worker's runs sends it again.
+        run->stopSentAt = {};
+    }
 }
 
 void Scheduler::paceAnswered(const PaceTask &pace, bool confirmed)
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -265,6 +265,23 @@
     BOOST_TEST(harness.workerOf(task) != fuller);
 }
 
+// Guards against a task that waits for 600 ms or more after each stop of a lost start that is lost
+// as well, although the owner knows that the stop got no answer.
+BOOST_AUTO_TEST_CASE(StopWithoutAnAnswerIsSentAgainSoon)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w");
+    harness.addJob(job("j", {step(1)}));
+    const auto starts = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(starts.size() == 1U);
+    harness.scheduler.startUnanswered(starts[0], harness.now);
+    const auto stops = ordersOf<StopTask>(harness.decide(true));
+    BOOST_REQUIRE(stops.size() == 1U);
+    harness.scheduler.stopUnanswered(stops[0], harness.now);
+    harness.advanceTime(250ms);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide(true)).size() == 1U);
+}
+
 // Guards against a persistent task that is started again and again on the worker on which it fails,
 // since fuller workers are preferred.
 BOOST_AUTO_TEST_CASE(PersistentTaskAvoidsTheWorkerOnWhichItFailed)
