Prefer workers that have been up for longer for a suspected task

What callers saw: nothing yet (read in the code). A task under which a worker may have crashed prefers the emptiest worker. One that crashes by itself again and again is always empty, so that an innocent task met it again and could be given up after three crashes.

Change: among otherwise equal workers such a task takes the one that has been up for longest.

WaitingTasks/SuspectedTaskPrefersTheWorkerThatHasBeenUpForLongest failed before: [a != b].

--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -195,7 +195,7 @@
     WorkerState *quarantined = nullptr;
     std::tuple<bool, Duration, std::int64_t> quarantinedScore;
     WorkerState *best = nullptr;
-    std::tuple<std::size_t, bool, bool, bool, bool, bool, bool, double> bestScore;
+    std::tuple<std::size_t, bool, bool, bool, bool, bool, std::int64_t, bool, double> bestScore;
     // Another crash before the last one is saved would leave a successor with too low a count.
     if (waiting.suspicion > 0 && !job.crashesSaved())
         return nullptr;
@@ -232,10 +232,15 @@
         const double load = static_cast<double>(it->reserved.milliCores)
                             / static_cast<double>(
                                     std::max<std::int64_t>(1, it->description.capacity.milliCores));
+        // A worker that crashes by itself is always empty, but has never been up for long.
+        const auto startedMs = waiting.suspicion > 0
+                                       ? std::max(it->startedMs, it->description.startedMs)
+                                       : std::int64_t{0};
         // Prefer workers with persistent tasks, then fuller ones: the others become idle and can be
         // moved to another pool or maintained.
         const std::tuple score(waiting.suspicion > 0 ? it->runs.size() : 0, slow, failedHere,
-                               suspect, noRecentSuccess, remote, it->persistentRuns == 0, -load);
+                               suspect, noRecentSuccess, remote, startedMs, it->persistentRuns == 0,
+                               -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -282,6 +282,30 @@
     BOOST_TEST(ordersOf<StopTask>(harness.decide(true)).size() == 1U);
 }
 
+// A worker that crashes by itself again and again is always empty. Guards against preferring it for
+// an innocent task that was on a worker that crashed, and giving the task up after three crashes.
+BOOST_AUTO_TEST_CASE(SuspectedTaskPrefersTheWorkerThatHasBeenUpForLongest)
+{
+    SchedulerHarness harness;
+    harness.addWorker("crashing");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    const TaskId task{"j", 0, 0, 0};
+    BOOST_REQUIRE(harness.workerOf(task) == "crashing");
+    for (const auto &[id, startedMs] :
+         {std::pair{"a", 9000}, std::pair{"b", 3000}, std::pair{"c", 6000}}) {
+        harness.workers[id].startedMs = startedMs;
+        harness.addWorker(id);
+    }
+    harness.workers["crashing"].running.clear();
+    harness.scheduler.holdUnanswered("crashing", harness.now);
+    harness.scheduler.retireWorker("crashing", harness.now);
+    harness.saveAll();
+    BOOST_REQUIRE(harness.scheduler.job("j")->crashes(task) == 1);
+    harness.decide();
+    BOOST_TEST(harness.workerOf(task) == "b");
+}
+
 // Guards against a persistent task that is started again and again on the worker on which it fails,
 // since fuller workers are preferred.
 BOOST_AUTO_TEST_CASE(PersistentTaskAvoidsTheWorkerOnWhichItFailed)
