--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -197,7 +197,8 @@
 
 void Scheduler::observeProgress(WorkerState &worker, const TaskRun &run, TimePoint now)
 {
-    if (run.percent >= internal::minProgressPercent)
+    // The percentage of a resumed run includes the progress of earlier runs.
+    if (run.percent >= internal::minProgressPercent && !run.resumed)
         observeSlowdown(worker, run, (now - run.startedAt) * internal::fullPercent / run.percent,
                         now);
 }
@@ -439,8 +440,11 @@
     auto *worker = findWorker(stop.worker);
     if (worker == nullptr)
         return;
-    if (auto *run = worker->findRun(stop.task, stop.run))
+    if (auto *run = worker->findRun(stop.task, stop.run)) {
         run->orderSettledAt = now;
+        // The next check of the worker's runs sends it again.
+        run->stopSentAt = {};
+    }
 }
 
 void Scheduler::paceAnswered(const PaceTask &pace, bool confirmed)
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -265,6 +265,47 @@
     BOOST_TEST(harness.workerOf(task) != fuller);
 }
 
+// Guards against a task that waits for 600 ms or more after each stop of a lost start that is lost
+// as well, although the owner knows that the stop got no answer.
+BOOST_AUTO_TEST_CASE(StopWithoutAnAnswerIsSentAgainSoon)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w");
+    harness.addJob(job("j", {step(1)}));
+    const auto starts = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(starts.size() == 1U);
+    harness.scheduler.startUnanswered(starts[0], harness.now);
+    const auto stops = ordersOf<StopTask>(harness.decide(true));
+    BOOST_REQUIRE(stops.size() == 1U);
+    harness.scheduler.stopUnanswered(stops[0], harness.now);
+    harness.advanceTime(250ms);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide(true)).size() == 1U);
+}
+
+// A worker that crashes by itself again and again is always empty. Guards against preferring it for
+// an innocent task that was on a worker that crashed, and giving the task up after three crashes.
+BOOST_AUTO_TEST_CASE(SuspectedTaskPrefersTheWorkerThatHasBeenUpForLongest)
+{
+    SchedulerHarness harness;
+    harness.addWorker("crashing");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    const TaskId task{"j", 0, 0, 0};
+    BOOST_REQUIRE(harness.workerOf(task) == "crashing");
+    for (const auto &[id, startedMs] :
+         {std::pair{"a", 9000}, std::pair{"b", 3000}, std::pair{"c", 6000}}) {
+        harness.workers[id].startedMs = startedMs;
+        harness.addWorker(id);
+    }
+    harness.workers["crashing"].running.clear();
+    harness.scheduler.holdUnanswered("crashing", harness.now);
+    harness.scheduler.retireWorker("crashing", harness.now);
+    harness.saveAll();
+    BOOST_REQUIRE(harness.scheduler.job("j")->crashes(task) == 1);
+    harness.decide();
+    BOOST_TEST(harness.workerOf(task) == "b");
+}
+
 // Guards against a persistent task that is started again and again on the worker on which it fails,
 // since fuller workers are preferred.
 BOOST_AUTO_TEST_CASE(PersistentTaskAvoidsTheWorkerOnWhichItFailed)
@@ -367,6 +408,35 @@
     BOOST_TEST(harness.workerOf({"large", 0, 0, 0}) == "slow");
 }
 
+// The percentage of a resumed run includes the progress of earlier runs. Guards against a run time
+// that is projected from it and far too short: all other workers of the step count as slow.
+BOOST_AUTO_TEST_CASE(ResumedRunDoesNotMakeOtherWorkersLookSlow)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 2);
+    harness.addWorker("w2", 2);
+    harness.addJob(job("j", {step(4)}));
+    harness.decide();
+    const TaskId resumed{"j", 0, 0, 0};
+    const auto resumedOn = harness.workerOf(resumed);
+    const std::string other = resumedOn == "w1" ? "w2" : "w1";
+    harness.workers[resumedOn].end(resumed, RunEnd::HoldExpired, "checkpoint at 60 %");
+    harness.reportFrom(resumedOn);
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(resumed) == resumedOn);
+    BOOST_REQUIRE(harness.workers[resumedOn].running[resumed].checkpoint == "checkpoint at 60 %");
+    constexpr int intervals = 5;
+    for (int n = 1; n <= intervals; ++n) {
+        harness.advanceTime(100ms);
+        for (auto &[id, worker] : harness.workers) {
+            for (auto &[task, row] : worker.running)
+                row.percent = 10 * n + (task == resumed ? 60 : 0);
+        }
+        harness.reportAll();
+    }
+    BOOST_TEST(!harness.scheduler.worker(other)->health.slow(harness.now));
+}
+
 // Guards against a job without any run while slow workers are free, because the faster ones are
 // occupied for long.
 BOOST_AUTO_TEST_CASE(SlowWorkersTakeTasksThatFasterOnesLeaveWaiting)
