Save the start of a task that has crashed a worker before it

Cause: an owner that ends before it has noticed a crash takes it along. Its successor starts the task with too low a count; with four or five owners in ten seconds each start was the last of its owner. A crash is noticed only when the worker's machine is back, or with the end of the hold.

Change: once a worker has crashed under a task, each further start is recorded with the job's progress and saved before the order is sent, until its outcome is known: its end, a refusal, a crash, or 3 s without one. A successor counts a start that no worker knows of as an unconfirmed crash. One store write for each start of a suspected task; such a start waits for the store. Gangs are as before.

CrashingTasks/CrashThatNoOwnerNoticedIsCountedByTheNextOne is new (before, the successor had one crash instead of two).

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -38,6 +38,12 @@
     /** Those of the crashes whose run may never have reached its worker. */
     std::map<std::tuple<int, int, int>, std::set<int>> unconfirmedCrashes;
 
+    /**
+     * Run numbers of the starts of tasks under which a worker has crashed, until their outcome is
+     * known. They are saved before the start: a successor knows of a crash that nobody noticed.
+     */
+    std::map<std::tuple<int, int, int>, std::set<int>> trials;
+
     bool operator==(const JobProgress &) const = default;
 };
 
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -151,10 +151,19 @@
      */
     bool recordCrash(const TaskId &id, int run, bool confirmed);
 
+    /** Records that a task under which a worker has crashed is about to be started as a run. */
+    void beginTrial(const TaskId &id, int run);
+
+    /** Records that the outcome of a run is known, if it was a trial. */
+    void endTrial(const TaskId &id, int run);
+
+    /** Returns true if the outcome of a run that was a trial is not known. */
+    [[nodiscard]] bool hasTrial(const TaskId &id, int run) const;
+
     /** Returns how many runs of a task, or of its gang, have failed. */
     [[nodiscard]] int failures(const TaskId &id) const;
 
-    /** Returns true if all recorded crashes have been saved, so that a successor knows of them. */
+    /** Returns true if all recorded crashes and trials have been saved for a successor. */
     [[nodiscard]] bool crashesSaved() const { return m_saved >= m_lastCrash; }
 
     /** Returns how many workers may crash under a task before its job is given up. */
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -262,6 +262,13 @@
     [[nodiscard]] bool rackFailed(const WorkerState &worker) const;
     /** Records a crash under each of the runs, and ends jobs that have crashed too many workers. */
     void recordCrashes(std::span<const SuspectedRun> runs, TimePoint now);
+    /** Records the trials of earlier owners that nothing was heard of as crashes. */
+    void settleInheritedTrials(TimePoint now);
+    /**
+     * Returns true if a task may be started. A task under which a worker has crashed may be once
+     * the start is recorded for a successor; this begins to record it.
+     */
+    bool prepareStart(JobRun &job, const TaskId &id, const Task &task);
     void forgetUnexplainedRuns(WorkerState &worker);
     /**
      * Returns how many workers have crashed under a task, or may have: those that run it and do not
@@ -378,6 +385,8 @@
     std::deque<std::string> m_unsavedJobs; ///< Jobs with unsaved changes, oldest first.
     std::deque<std::string> m_unsavedEnds; ///< Those of them that have ended.
     std::map<TaskId, int> m_unwantedRuns; ///< Number of TaskRun::unwanted runs by task.
+    /** Jobs with trials of earlier owners whose outcome is not known. */
+    std::set<std::string> m_inheritedTrials;
     /** Number of WorkerState::unexplainedRuns by task. */
     std::map<TaskId, int> m_unexplainedRuns;
     /** Number of workers by pool that have not answered this owner yet and may have runs. */
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -175,6 +175,8 @@
         json["crashes"] = internal::encodeRuns(progress.crashes);
     if (!progress.unconfirmedCrashes.empty())
         json["unconfirmedCrashes"] = internal::encodeRuns(progress.unconfirmedCrashes);
+    if (!progress.trials.empty())
+        json["trials"] = internal::encodeRuns(progress.trials);
     return json.dump();
 }
 
@@ -194,6 +196,7 @@
         progress.crashes = internal::decodeRuns(json.value("crashes", Json::array()));
         progress.unconfirmedCrashes
                 = internal::decodeRuns(json.value("unconfirmedCrashes", Json::array()));
+        progress.trials = internal::decodeRuns(json.value("trials", Json::array()));
         return progress;
     });
 }
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -64,7 +64,8 @@
     m_progress.stepsDone.erase(m_progress.stepsDone.begin(),
                                m_progress.stepsDone.lower_bound({first, 0}));
     m_progress.done.erase(m_progress.done.begin(), m_progress.done.lower_bound({first, 0}));
-    for (auto *runs : {&m_progress.failures, &m_progress.crashes, &m_progress.unconfirmedCrashes})
+    for (auto *runs : {&m_progress.failures, &m_progress.crashes, &m_progress.unconfirmedCrashes,
+                       &m_progress.trials})
         runs->erase(runs->begin(), runs->lower_bound({first, 0, 0}));
 }
 
@@ -302,6 +303,7 @@
         return false;
     if (!confirmed)
         m_progress.unconfirmedCrashes[key].insert(run);
+    endTrial(id, run);
     m_lastCrash = ++m_changes;
     if (static_cast<int>(runs.size()) < crashLimit(id))
         return false;
@@ -309,6 +311,28 @@
     return true;
 }
 
+void JobRun::beginTrial(const TaskId &id, int run)
+{
+    if (m_progress.trials[{id.occurrence, id.step, id.index}].insert(run).second)
+        m_lastCrash = ++m_changes;
+}
+
+void JobRun::endTrial(const TaskId &id, int run)
+{
+    const auto it = m_progress.trials.find({id.occurrence, id.step, id.index});
+    if (it == m_progress.trials.end() || it->second.erase(run) == 0)
+        return;
+    ++m_changes;
+    if (it->second.empty())
+        m_progress.trials.erase(it);
+}
+
+bool JobRun::hasTrial(const TaskId &id, int run) const
+{
+    const auto it = m_progress.trials.find({id.occurrence, id.step, id.index});
+    return it != m_progress.trials.end() && it->second.contains(run);
+}
+
 int JobRun::crashLimit(const TaskId &id) const
 {
     if (step(id).persistent)
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -53,6 +53,8 @@
     run->objective = run->accepted + policy.targetRuntime + scaled(chain, policy.slackFactor);
     if (!run->hasEnded()) {
         m_open[id] = run.get();
+        if (inherited && !run->progress().trials.empty())
+            m_inheritedTrials.insert(id);
         auto &accepted = m_acceptedLoad[run->job().pool];
         accepted.arrivedWork += expectedWork(*run);
         ++accepted.arrivedJobs;
@@ -271,6 +273,7 @@
         m_firstDecisionAt = now;
     openOccurrences(unixMs, now);
     checkWorkers(now);
+    settleInheritedTrials(now);
     if (now - m_queuesRebuiltAt >= internal::queueRebuildInterval) {
         m_queuesRebuiltAt = now;
         for (const auto &[id, job] : m_open)
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -82,6 +82,11 @@
     auto *job = find(run.task.job);
     if (job == nullptr)
         return;
+    if (run.trial && now - run.startedAt > internal::crashSuspicionTime) {
+        run.trial = false;
+        job->endTrial(run.task, run.run);
+        queueSave(*job);
+    }
     const auto &step = job->step(run.task);
     if (step.persistent) {
         if (run.percent < internal::fullPercent
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -53,13 +53,49 @@
     }
 }
 
+void Scheduler::settleInheritedTrials(TimePoint now)
+{
+    for (auto it = m_inheritedTrials.begin(); it != m_inheritedTrials.end();) {
+        auto *job = find(*it);
+        if (job != nullptr && !job->hasEnded() && blockedByUnknownRuns(*job)) {
+            ++it;
+            continue;
+        }
+        std::vector<SuspectedRun> runs;
+        if (job != nullptr && !job->hasEnded()) {
+            for (const auto &[key, numbers] : job->progress().trials) {
+                const auto &[occurrence, step, index] = key;
+                for (const int run : numbers)
+                    runs.push_back({{*it, occurrence, step, index}, run});
+            }
+        }
+        it = m_inheritedTrials.erase(it);
+        recordCrashes(runs, now);
+    }
+}
+
+bool Scheduler::prepareStart(JobRun &job, const TaskId &id, const Task &task)
+{
+    if (!m_inheritedTrials.empty() && m_inheritedTrials.contains(id.job))
+        return false;
+    if (job.crashes(id) == 0)
+        return true;
+    if (!job.hasTrial(id, task.lastRun + 1)) {
+        job.beginTrial(id, task.lastRun + 1);
+        queueSave(job);
+    }
+    return job.crashesSaved();
+}
+
 void Scheduler::forgetUnexplainedRuns(WorkerState &worker)
 {
     for (const auto &it : worker.unexplainedRuns) {
         if (--m_unexplainedRuns[it.task] == 0)
             m_unexplainedRuns.erase(it.task);
-        if (auto *job = find(it.task.job))
+        if (auto *job = find(it.task.job)) {
+            job->endTrial(it.task, it.run);
             waitingChanged(*job);
+        }
     }
     worker.unexplainedRuns.clear();
 }
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -130,7 +130,8 @@
     const int count = job.job().spec.steps[static_cast<std::size_t>(step)].count;
     for (; id.index < count && m_startsLeft > 0; ++id.index) {
         auto *task = job.task(id);
-        if (task == nullptr || task->phase != Task::Phase::Waiting || m_unwantedRuns.contains(id))
+        if (task == nullptr || task->phase != Task::Phase::Waiting || m_unwantedRuns.contains(id)
+            || !prepareStart(job, id, *task))
             continue;
         auto *worker = chooseWorker(job, id, *task, now);
         if (worker == nullptr && task->failedOn.empty() && suspicion(job, id, *task) == 0)
@@ -280,6 +281,7 @@
         worker.probationUntil = now + internal::probationTime;
         worker.probationJob = id.job;
     }
+    run.trial = job.hasTrial(id, run.run);
     run.persistent = job.step(id).persistent;
     worker.persistentRuns += static_cast<int>(run.persistent);
     worker.runs[id] = std::move(run);
@@ -325,7 +327,7 @@
                                || known->second.phase == TaskRun::Phase::Stopping
                                || now - known->second.startedAt > limit;
         // One more copy if the holder may have crashed, but none of a task that crashes workers.
-        if (!needsCopy || suspicion(job, id, task) > 1)
+        if (!needsCopy || suspicion(job, id, task) > 1 || !prepareStart(job, id, task))
             continue;
         if (auto *other = chooseWorker(job, id, task, now))
             startRun(job, id, task, *other, now);
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -115,6 +115,9 @@
     if (auto *job = find(run->first.job)) {
         if (auto *task = job->task(run->first); task != nullptr && !run->second.checkpoint.empty())
             task->checkpoint = run->second.checkpoint;
+        // A run that may have crashed its worker stays a trial until that is known.
+        if (!m_unexplainedRuns.contains(run->first))
+            job->endTrial(run->first, run->second.run);
         job->deactivate(run->first, worker.description.id, now);
         waitingChanged(*job);
     }
@@ -145,6 +148,7 @@
     if (job != nullptr && !job->hasEnded() && job->hasTask(end.task)) {
         if (auto *task = job->task(end.task))
             task->lastRun = std::max(task->lastRun, end.run);
+        job->endTrial(end.task, end.run);
         recordCheckpoint(*job, end, current ? &run->second : nullptr);
         if (end.end == RunEnd::Done && !job->step(end.task).persistent)
             applyDone(worker, end, current ? &run->second : nullptr, now);
@@ -339,6 +343,7 @@
     known.persistent = job->step(report.task).persistent;
     worker.persistentRuns += static_cast<int>(known.persistent);
     job->activate(report.task, worker.description.id);
+    job->endTrial(report.task, report.run);
     waitingChanged(*job);
     job->markStarted();
     queueSave(*job);
--- a/tests/jobs/crashevidencetest.cpp
+++ b/tests/jobs/crashevidencetest.cpp
@@ -99,8 +99,7 @@
     harness.workers["w2"].startedMs = 2;
     harness.addWorker("w2", 4, "instance-1");
     BOOST_TEST(harness.scheduler.worker("w1")->retired);
-    harness.saveAll();
-    harness.decide();
+    harness.decideWithSaves();
     BOOST_TEST(harness.workerOf(firstTask) == "w2");
 }
 
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -128,8 +128,7 @@
     int lastWorker = addWorkers(harness, 1);
     harness.addJob(job("sound", {step(1)}));
     for (int n = 1; n <= 3; ++n) {
-        harness.saveAll();
-        const auto starts = ordersOf<StartTask>(harness.decide(true));
+        const auto starts = ordersOf<StartTask>(harness.decideWithSaves(true));
         BOOST_REQUIRE(!starts.empty());
         harness.scheduler.startUnanswered(starts.front(), harness.now);
         crash(harness, std::string(harness.workers.begin()->first), lastWorker);
@@ -152,8 +151,7 @@
     int lastWorker = addWorkers(harness, 1);
     harness.addJob(job("deadly", {step(1)}));
     for (int n = 0; n < JobRun::maxUnconfirmedCrashes; ++n) {
-        harness.saveAll();
-        BOOST_REQUIRE(!ordersOf<StartTask>(harness.decide(true)).empty());
+        BOOST_REQUIRE(!ordersOf<StartTask>(harness.decideWithSaves(true)).empty());
         crash(harness, std::string(harness.workers.begin()->first), lastWorker);
     }
     BOOST_TEST((statusOf(harness, "deadly") == JobStatus::Failed));
@@ -195,11 +193,81 @@
         harness.decide();
         BOOST_REQUIRE(harness.workerOf(task).empty());
     }
-    harness.saveAll();
-    harness.decide();
+    harness.decideWithSaves();
     BOOST_TEST(!harness.workerOf(task).empty());
 }
 
+// Guards against crashes that are lost with an owner that ends before it notices them, so that its
+// successors start the task again and again.
+BOOST_AUTO_TEST_CASE(CrashThatNoOwnerNoticedIsCountedByTheNextOne)
+{
+    for (const bool survived : {false, true}) {
+        SchedulerHarness first;
+        int lastWorker = addWorkers(first, 2);
+        const TaskId task{"deadly", 0, 0, 0};
+        first.addJob(job("deadly", {step(1)}));
+        first.decide();
+        crash(first, first.workerOf(task), lastWorker);
+        JobProgress stored;
+        for (int n = 0; n < 20 && first.workerOf(task).empty(); ++n) {
+            stored = first.scheduler.job("deadly")->progress();
+            first.saveAll();
+            first.advanceTime(100ms);
+            first.decide();
+        }
+        const auto holder = first.workerOf(task);
+        BOOST_REQUIRE(!holder.empty());
+        const auto decoded = decodeProgress(encodeProgress(stored));
+        BOOST_REQUIRE(static_cast<bool>(decoded));
+        SchedulerHarness second(1000);
+        second.now = first.now;
+        second.workers = first.workers;
+        if (!survived) {
+            second.workers[holder].running.clear();
+            ++second.workers[holder].startedMs;
+        }
+        for (const auto &[id, it] : second.workers) {
+            second.scheduler.addOrUpdateWorker(it.description, second.now);
+            second.reportFrom(id);
+        }
+        second.scheduler.addJob(job("deadly", {step(1)}), *decoded, true, Duration{0}, second.now);
+        second.decide();
+        BOOST_TEST(second.scheduler.job("deadly")->crashes(task) == (survived ? 1 : 2));
+        BOOST_TEST(second.scheduler.job("deadly")->progress().trials.empty() == survived);
+    }
+}
+
+// A start whose outcome is known must not count as a crash for a successor.
+BOOST_AUTO_TEST_CASE(TrialsEndWithTheirRunsAndOnceTheyHaveSurvivedTheirStart)
+{
+    for (const bool ends : {true, false}) {
+        SchedulerHarness harness;
+        int lastWorker = addWorkers(harness, 2);
+        const TaskId task{"j", 0, 0, 0};
+        auto persistent = step(1);
+        persistent.persistent = true;
+        harness.addJob(job("j", {persistent}));
+        harness.decide();
+        crash(harness, harness.workerOf(task), lastWorker);
+        for (int n = 0; n < 20 && harness.workerOf(task).empty(); ++n) {
+            harness.saveAll();
+            harness.advanceTime(100ms);
+            harness.decide();
+        }
+        BOOST_REQUIRE(!harness.workerOf(task).empty());
+        const auto &progress = harness.scheduler.job("j")->progress();
+        BOOST_TEST(!progress.trials.empty());
+        if (ends)
+            harness.end(task, RunEnd::Failed);
+        for (int n = 0; !ends && n < 35; ++n) {
+            harness.advanceTime(100ms);
+            harness.reportAll();
+            harness.decide();
+        }
+        BOOST_TEST(progress.trials.empty());
+    }
+}
+
 // Guards against a service that ends because one of its tasks met as many crashes as would end a
 // job of short tasks.
 BOOST_AUTO_TEST_CASE(PersistentTaskIsGivenUpAfterMoreCrashesThanOthers)
--- a/tests/jobs/schedulerharness.h
+++ b/tests/jobs/schedulerharness.h
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/jobs/scheduler.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <string>
@@ -151,6 +152,20 @@
         scheduler.updatesSaved(updates, true);
     }
 
+    /** Like decide(), once all that a start depends on is saved: a crash, then the start itself. */
+    std::vector<SchedulerAction> decideWithSaves(bool unanswered = false)
+    {
+        saveAll();
+        auto actions = decide(unanswered);
+        const bool started = std::ranges::any_of(actions, [](const SchedulerAction &it) {
+            return std::holds_alternative<StartTask>(it);
+        });
+        if (started)
+            return actions;
+        saveAll();
+        return decide(unanswered);
+    }
+
     void advanceTime(Duration duration) { now += duration; }
 
     /** Returns the worker that runs a task; empty if there is none. */
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -302,7 +302,7 @@
     harness.scheduler.retireWorker("crashing", harness.now);
     harness.saveAll();
     BOOST_REQUIRE(harness.scheduler.job("j")->crashes(task) == 1);
-    harness.decide();
+    harness.decideWithSaves();
     BOOST_TEST(harness.workerOf(task) == "b");
 }
 
