Give no job up for a crash that its owner did not see or that others explain

Change: a crash under a run that the worker had not confirmed, which a start of an earlier owner counts as, ends a job only as the fifth; one that tasks of other jobs may have caused ends it only as the fourth.

CrashingTasks/TaskIsNotGivenUpAfterThreeCrashesBesideOtherSuspects failed before (the job had failed after three).

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -137,19 +137,27 @@
 
     /** Number of workers that may crash under a task before its job is given up. */
     static constexpr int maxCrashes = 3;
+    /** The same if tasks of other jobs may have caused the last crash. */
+    static constexpr int maxSharedCrashes = 4;
     /** The same for a persistent task, whose job serves for long and has many starts. */
     static constexpr int maxPersistentCrashes = 5;
-    /** The same if most of the runs may not have reached their workers. */
+    /** The same if the last run, or most of them, may not have reached their workers. */
     static constexpr int maxUnconfirmedCrashes = 5;
     /** Number of confirmed crashes without which maxUnconfirmedCrashes applies. */
     static constexpr int minConfirmedCrashes = 2;
 
+    /** What is known of a run whose worker crashed. */
+    struct CrashEvidence
+    {
+        bool confirmed = false; ///< The worker had confirmed or reported the run.
+        bool shared = false; ///< Tasks of other jobs may have crashed the worker, too.
+    };
+
     /**
      * Records that the worker of a run crashed; has no effect if that was recorded before.
-     * @param confirmed the worker had confirmed or reported the run
      * @return true if the job has failed with this crash
      */
-    bool recordCrash(const TaskId &id, int run, bool confirmed);
+    bool recordCrash(const TaskId &id, int run, CrashEvidence evidence);
 
     /** Records that a task under which a worker has crashed is about to be started as a run. */
     void beginTrial(const TaskId &id, int run);
@@ -166,7 +174,7 @@
     /** Returns true if all recorded crashes and trials have been saved for a successor. */
     [[nodiscard]] bool crashesSaved() const { return m_saved >= m_lastCrash; }
 
-    /** Returns how many workers may crash under a task before its job is given up. */
+    /** Returns how many workers may crash under a task at least before its job is given up. */
     [[nodiscard]] int crashLimit(const TaskId &id) const;
 
     /** Returns how many workers have crashed under a task. */
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -260,7 +260,10 @@
     [[nodiscard]] static bool mayHaveCrashed(const WorkerState &worker, const TaskRun &run);
     /** Returns true if several workers of a worker's rack fell silent at the same time. */
     [[nodiscard]] bool rackFailed(const WorkerState &worker) const;
-    /** Records a crash under each of the runs, and ends jobs that have crashed too many workers. */
+    /**
+     * Records the crash of a worker under each of the runs, one of which caused it, and ends jobs
+     * that have crashed too many workers.
+     */
     void recordCrashes(std::span<const SuspectedRun> runs, TimePoint now);
     /** Records the trials of earlier owners that nothing was heard of as crashes. */
     void settleInheritedTrials(TimePoint now);
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -293,7 +293,7 @@
     return true;
 }
 
-bool JobRun::recordCrash(const TaskId &id, int run, bool confirmed)
+bool JobRun::recordCrash(const TaskId &id, int run, CrashEvidence evidence)
 {
     if (hasEnded() || !hasTask(id) || id.occurrence < m_progress.occurrencesDone)
         return false;
@@ -301,11 +301,16 @@
     auto &runs = m_progress.crashes[key];
     if (!runs.insert(run).second)
         return false;
-    if (!confirmed)
+    if (!evidence.confirmed)
         m_progress.unconfirmedCrashes[key].insert(run);
     endTrial(id, run);
     m_lastCrash = ++m_changes;
-    if (static_cast<int>(runs.size()) < crashLimit(id))
+    int limit = crashLimit(id);
+    if (!evidence.confirmed)
+        limit = std::max(limit, maxUnconfirmedCrashes);
+    else if (evidence.shared)
+        limit = std::max(limit, maxSharedCrashes);
+    if (static_cast<int>(runs.size()) < limit)
         return false;
     m_progress.state = JobStatus::Failed;
     return true;
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -42,11 +42,13 @@
 
 void Scheduler::recordCrashes(std::span<const SuspectedRun> runs, TimePoint now)
 {
+    const bool shared = std::ranges::any_of(
+            runs, [&runs](const auto &it) { return it.task.job != runs.front().task.job; });
     for (const auto &it : runs) {
         auto *job = find(it.task.job);
         if (job == nullptr || job->hasEnded() || !job->hasTask(it.task))
             continue;
-        if (job->recordCrash(it.task, it.run, it.confirmed))
+        if (job->recordCrash(it.task, it.run, {it.confirmed, shared}))
             endJob(*job, now);
         else
             queueSave(*job);
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -144,6 +144,29 @@
     BOOST_TEST(inherited.crashLimit({"sound", 0, 0, 0}) == JobRun::maxUnconfirmedCrashes);
 }
 
+// Guards against giving up a task because of those that crash the workers that it shares.
+BOOST_AUTO_TEST_CASE(TaskIsNotGivenUpAfterThreeCrashesBesideOtherSuspects)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 1);
+    const TaskId task{"sound", 0, 0, 0};
+    harness.addJob(job("sound", {step(1)}));
+    harness.addJob(job("deadly", {step(1)}));
+    for (int n = 1; n <= JobRun::maxSharedCrashes; ++n) {
+        BOOST_REQUIRE((statusOf(harness, "sound") != JobStatus::Failed));
+        for (int tick = 0; tick < 60 && harness.workers.begin()->second.running.size() < 2;
+             ++tick) {
+            harness.advanceTime(100ms);
+            harness.reportAll();
+            harness.saveAll();
+            harness.decide();
+        }
+        crash(harness, std::string(harness.workers.begin()->first), lastWorker);
+        BOOST_TEST(harness.scheduler.job("sound")->crashes(task) == n);
+    }
+    BOOST_TEST((statusOf(harness, "sound") == JobStatus::Failed));
+}
+
 // Guards against a task that crashes its workers before they can answer, without end.
 BOOST_AUTO_TEST_CASE(JobIsGivenUpAfterFiveCrashesWithUnansweredStarts)
 {
