Don't replace a worker that answers because of an entry alone

Cause: Scheduler::addOrUpdateWorker retired the earlier workers of an instance when it read a new entry for it.

Change: the entry alone retires only workers that answered this owner and then fell silent, as it did before. The others, also those inherited from the last owner, are retired when the new worker has answered its first call, with a later start time. A replacement that comes before the former worker was found silent is noticed one call later. Not mended: such an entry while the former worker is cut off from the owner for a moment.

Evidence: EntryAloneDoesNotReplaceARunningWorker and EntryAloneDoesNotReplaceAnInheritedWorker failed before: check !harness.scheduler.worker(holder)->retired has failed check harness.scheduler.job("j")->crashes(firstTask) == 0 has failed [1 != 0] check !harness.scheduler.worker("w1")->retired has failed EntryReplacesAWorkerThatFellSilent and FirstAnswerOfALaterWorkerReplacesTheFormerOne keep what the entry did for real replacements. Now jobs-test passes.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -270,7 +270,12 @@
     [[nodiscard]] int suspicion(const JobRun &job, const TaskId &id, const Task &task) const;
     void loseRuns(WorkerState &worker, TimePoint now);
     void retire(WorkerState &worker, TimePoint now);
-    void retirePreviousWorkers(const WorkerDescription &description, TimePoint now);
+    /**
+     * Retires the earlier workers of a worker's instance. If it has not answered yet, only those
+     * are retired that answered this owner and fell silent: another writer may have written its
+     * entry.
+     */
+    void retirePreviousWorkers(const WorkerState &worker, TimePoint now);
     void beginIncarnation(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                           TimePoint now);
     void applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -143,17 +143,23 @@
     worker.unlistAt.reset();
     if (!known) {
         worker.lastContact = now;
-        retirePreviousWorkers(description, now);
+        retirePreviousWorkers(worker, now);
     }
 }
 
-void Scheduler::retirePreviousWorkers(const WorkerDescription &description, TimePoint now)
+void Scheduler::retirePreviousWorkers(const WorkerState &worker, TimePoint now)
 {
-    if (description.instance.empty() || description.startedMs == 0)
+    const auto &description = worker.description;
+    const bool answered = worker.startedMs != 0;
+    const auto startedMs = answered ? worker.startedMs : description.startedMs;
+    if (description.instance.empty() || startedMs == 0)
         return;
     for (auto &[id, other] : m_workers) {
-        if (id != description.id && other.description.instance == description.instance
-            && std::max(other.startedMs, other.description.startedMs) < description.startedMs)
+        if (id == description.id || other.description.instance != description.instance
+            || std::max(other.startedMs, other.description.startedMs) >= startedMs)
+            continue;
+        const bool fellSilent = other.fenced && !other.reachable;
+        if (answered || fellSilent)
             retire(other, now);
     }
 }
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -40,10 +40,12 @@
         m_changedPools.insert(it->description.pool);
     it->reachable = true;
     it->fenced = true;
-    if (it->startedMs == report.startedMs)
+    if (it->startedMs == report.startedMs) {
         forgetUnexplainedRuns(*it);
-    else
+    } else {
         beginIncarnation(*it, report, sentAt, now);
+        retirePreviousWorkers(*it, now);
+    }
     it->time.observe(report.clock, now);
     for (const auto &end : report.ended) {
         if (end.number <= it->lastProcessedEnd)
--- a/tests/jobs/crashevidencetest.cpp
+++ b/tests/jobs/crashevidencetest.cpp
@@ -62,4 +62,79 @@
     BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 1);
 }
 
+// Guards against running tasks that are started twice, and crashes that did not happen: an entry of
+// another writer may name the instance of a running worker and a later start time.
+BOOST_AUTO_TEST_CASE(EntryAloneDoesNotReplaceARunningWorker)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 4, "instance-1");
+    harness.addWorker("other", 4, "instance-2");
+    harness.addJob(job("j", {step(4)}));
+    harness.decide();
+    const auto holder = harness.workerOf(firstTask);
+    auto entry = harness.workers[holder].description;
+    entry.id = "odd";
+    entry.startedMs = 2;
+    harness.scheduler.addOrUpdateWorker(entry, harness.now);
+    BOOST_TEST(!harness.scheduler.worker(holder)->retired);
+    // The worker at the entry's address, if any, does not answer for this id.
+    harness.scheduler.holdUnanswered("odd", harness.now);
+    harness.reportAll();
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).empty());
+    BOOST_TEST(!harness.scheduler.worker(holder)->retired);
+    BOOST_TEST(harness.scheduler.worker(holder)->usable(harness.now));
+    BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 0);
+}
+
+// Guards against the same after a take-over: an inherited worker has not answered yet.
+BOOST_AUTO_TEST_CASE(EntryAloneDoesNotReplaceAnInheritedWorker)
+{
+    SchedulerHarness harness(1000);
+    WorkerDescription inherited;
+    inherited.id = "w1";
+    inherited.pool = "pool";
+    inherited.instance = "instance-1";
+    inherited.startedMs = 1;
+    harness.scheduler.addInheritedWorker(inherited, harness.now);
+    auto entry = inherited;
+    entry.id = "odd";
+    entry.startedMs = 2;
+    harness.scheduler.addOrUpdateWorker(entry, harness.now);
+    harness.scheduler.holdUnanswered("odd", harness.now);
+    BOOST_TEST(!harness.scheduler.worker("w1")->retired);
+}
+
+// Guards against crashes that a successor does not know, since they are noticed late.
+BOOST_AUTO_TEST_CASE(EntryReplacesAWorkerThatFellSilent)
+{
+    SchedulerHarness harness;
+    auto entry = harness.addWorker("w1", 4, "instance-1").description;
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    entry.id = "w2";
+    entry.startedMs = 2;
+    harness.scheduler.addOrUpdateWorker(entry, harness.now);
+    BOOST_TEST(harness.scheduler.worker("w1")->retired);
+    BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 1);
+}
+
+// Guards against tasks that wait for the end of the hold of a worker whose instance is back.
+BOOST_AUTO_TEST_CASE(FirstAnswerOfALaterWorkerReplacesTheFormerOne)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 4, "instance-1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(firstTask) == "w1");
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    harness.workers.erase("w1");
+    harness.workers["w2"].startedMs = 2;
+    harness.addWorker("w2", 4, "instance-1");
+    BOOST_TEST(harness.scheduler.worker("w1")->retired);
+    harness.saveAll();
+    harness.decide();
+    BOOST_TEST(harness.workerOf(firstTask) == "w2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
