--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -281,8 +281,9 @@
     void loseRuns(WorkerState &worker, TimePoint now);
     void retire(WorkerState &worker, TimePoint now);
     /**
-     * Retires the earlier workers of the instance of a worker that has answered. Its entry alone
-     * would not do: another writer may have written it.
+     * Retires the earlier workers of a worker's instance. If it has not answered yet, only those
+     * are retired that answered this owner and fell silent: another writer may have written its
+     * entry.
      */
     void retirePreviousWorkers(const WorkerState &worker, TimePoint now);
     void beginIncarnation(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -143,18 +143,25 @@
     worker.description = description;
     worker.listed = true;
     worker.unlistAt.reset();
-    if (!known)
+    if (!known) {
         worker.lastContact = now;
+        retirePreviousWorkers(worker, now);
+    }
 }
 
 void Scheduler::retirePreviousWorkers(const WorkerState &worker, TimePoint now)
 {
     const auto &description = worker.description;
-    if (description.instance.empty() || worker.startedMs == 0)
+    const bool answered = worker.startedMs != 0;
+    const auto startedMs = answered ? worker.startedMs : description.startedMs;
+    if (description.instance.empty() || startedMs == 0)
         return;
     for (auto &[id, other] : m_workers) {
-        if (id != description.id && other.description.instance == description.instance
-            && std::max(other.startedMs, other.description.startedMs) < worker.startedMs)
+        if (id == description.id || other.description.instance != description.instance
+            || std::max(other.startedMs, other.description.startedMs) >= startedMs)
+            continue;
+        const bool fellSilent = other.fenced && !other.reachable;
+        if (answered || fellSilent)
             retire(other, now);
     }
 }
--- a/tests/jobs/crashevidencetest.cpp
+++ b/tests/jobs/crashevidencetest.cpp
@@ -86,6 +86,39 @@
     BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 0);
 }
 
+// Guards against the same after a take-over: an inherited worker has not answered yet.
+BOOST_AUTO_TEST_CASE(EntryAloneDoesNotReplaceAnInheritedWorker)
+{
+    SchedulerHarness harness(1000);
+    WorkerDescription inherited;
+    inherited.id = "w1";
+    inherited.pool = "pool";
+    inherited.instance = "instance-1";
+    inherited.startedMs = 1;
+    harness.scheduler.addInheritedWorker(inherited, harness.now);
+    auto entry = inherited;
+    entry.id = "odd";
+    entry.startedMs = 2;
+    harness.scheduler.addOrUpdateWorker(entry, harness.now);
+    harness.scheduler.holdUnanswered("odd", harness.now);
+    BOOST_TEST(!harness.scheduler.worker("w1")->retired);
+}
+
+// Guards against crashes that a successor does not know, since they are noticed late.
+BOOST_AUTO_TEST_CASE(EntryReplacesAWorkerThatFellSilent)
+{
+    SchedulerHarness harness;
+    auto entry = harness.addWorker("w1", 4, "instance-1").description;
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    entry.id = "w2";
+    entry.startedMs = 2;
+    harness.scheduler.addOrUpdateWorker(entry, harness.now);
+    BOOST_TEST(harness.scheduler.worker("w1")->retired);
+    BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 1);
+}
+
 // Guards against tasks that wait for the end of the hold of a worker whose instance is back.
 BOOST_AUTO_TEST_CASE(FirstAnswerOfALaterWorkerReplacesTheFormerOne)
 {
