Do not take the run time of a resumed run for a whole one

A resumed run that ends before a report has listed its checkpoint counted as a full run, so that all other workers of its step looked slow and tasks waited up to 2.5 s for a faster one.

WaitingTasks/ShortResumedRunDoesNotMakeOtherWorkersLookSlow failed before: w2, w3 and w4 were slow.

--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -181,7 +181,8 @@
 {
     auto &job = *find(end.task.job);
     worker.health.succeeded(now);
-    if (run != nullptr && run->checkpoint.empty() && run->orderSettledAt != TimePoint{})
+    if (run != nullptr && !run->resumed && run->checkpoint.empty()
+        && run->orderSettledAt != TimePoint{})
         observeCompletedRun(worker, *run, now);
     if (!job.complete(end.task, now))
         return;
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -282,6 +282,36 @@
     BOOST_TEST(ordersOf<StopTask>(harness.decide(true)).size() == 1U);
 }
 
+// Guards against the same if the resumed run ends before a report has listed its checkpoint.
+BOOST_AUTO_TEST_CASE(ShortResumedRunDoesNotMakeOtherWorkersLookSlow)
+{
+    SchedulerHarness harness;
+    for (const auto *id : {"w1", "w2", "w3", "w4"})
+        harness.addWorker(id, 1);
+    auto saving = step(4);
+    saving.savesProgress = true;
+    harness.addJob(job("j", {saving}, 10));
+    harness.decide();
+    const TaskId resumed{"j", 0, 0, 0};
+    const auto holder = harness.workerOf(resumed);
+    harness.advanceTime(900ms);
+    harness.reportAll();
+    harness.workers[holder].end(resumed, RunEnd::Stopped, "c");
+    harness.reportFrom(holder);
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_REQUIRE(starts[0].checkpoint == "c");
+    harness.advanceTime(50ms);
+    harness.end(resumed, RunEnd::Done);
+    harness.advanceTime(50ms);
+    for (int n = 1; n < 4; ++n) {
+        const TaskId task{"j", 0, 0, n};
+        const auto worker = harness.workerOf(task);
+        harness.end(task, RunEnd::Done);
+        BOOST_TEST(!harness.scheduler.worker(worker)->health.slow(harness.now), worker);
+    }
+}
+
 // A worker that crashes by itself again and again is always empty. Guards against preferring it for
 // an innocent task that was on a worker that crashed, and giving the task up after three crashes.
 BOOST_AUTO_TEST_CASE(SuspectedTaskPrefersTheWorkerThatHasBeenUpForLongest)
