Keep an order for an instance while its call is on its way

With a ceiling of one instance a wave had two of them ordered: the worker of the first crashed and started again before its order was answered, which counted as the effect of the order; the second one was ordered, and the late acceptance of the first found no order.

Change: an order counts as complete only after its call was answered or has timed out.

FleetControllers/RestartOfAWorkerDoesNotCompleteAnOrderThatIsOnItsWay failed before: m-2 was ordered as well. Open: after a time-out the order may still be carried out.

--- a/include/dragonflysill/node/fleetcontroller.h
+++ b/include/dragonflysill/node/fleetcontroller.h
@@ -76,6 +76,7 @@
         std::int64_t workerStartBefore = 0; ///< Start of that worker in Unix milliseconds.
         std::int64_t wave = 0; ///< Number of the maintenance wave; 0 for a move.
         TimePoint sentAt{};
+        bool inFlight = true; ///< The call has neither been answered nor timed out.
         bool answered = false;
     };
 
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -282,7 +282,9 @@
     std::erase_if(m_orders, [&](const auto &entry) {
         const auto &[name, order] = entry;
         const auto it = workers.find(name);
-        return it != workers.end() && it->second != nullptr && startedAfter(*it->second, order)
+        // A worker that started by itself does not show that the order was carried out.
+        return !order.inFlight && it != workers.end() && it->second != nullptr
+               && startedAfter(*it->second, order)
                && it->second->description.pool == order.targetPool;
     });
     std::erase_if(m_idleSince,
@@ -354,6 +356,7 @@
     if (it == m_orders.end())
         return;
     const auto wave = it->second.wave;
+    it->second.inFlight = false;
     switch (outcome) {
     case InstanceOrderOutcome::Accepted:
         // All tasks on the instance have ended with the order; a worker that has started since may
--- a/tests/node/fleetcontrollertest.cpp
+++ b/tests/node/fleetcontrollertest.cpp
@@ -154,6 +154,21 @@
         harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
         harness.reportFrom(id);
     }
+
+    /** Starts the worker of an instance again under another id. */
+    void replaceWorker(const std::string &id, const std::string &next)
+    {
+        auto description = harness.workers.at(id).description;
+        harness.workers.erase(id);
+        harness.scheduler.holdUnanswered(id, harness.now);
+        auto &worker = harness.workers[next];
+        worker.startedMs = 2;
+        description.id = next;
+        description.startedMs = 2;
+        worker.description = std::move(description);
+        harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
+        harness.reportFrom(next);
+    }
 };
 
 } // namespace
@@ -208,6 +223,30 @@
     BOOST_TEST(!harness.scheduler.worker("i-1")->retired);
 }
 
+// Guards against more instances of a wave in maintenance than its ceiling: a worker that crashes
+// and starts again while its instance's order is on its way says nothing about the order.
+BOOST_AUTO_TEST_CASE(RestartOfAWorkerDoesNotCompleteAnOrderThatIsOnItsWay)
+{
+    addInstance("m-2", "i-2");
+    addInstance("m-1", "i-1");
+    addWave({"m-1", "m-2"});
+    list();
+    harness.now = start + machineLease;
+    controller.tick(harness.now);
+    runUntil([this] { return service.orders.size() == 1U; });
+    BOOST_REQUIRE(!controller.describeOrder("m-1").empty());
+    replaceWorker("i-1", "i-9");
+    // An instance without tasks is maintained first.
+    auto only = step(1);
+    only.requiredLabel = "rack-i-1";
+    harness.addJob(job("j", {only}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf({"j", 0, 0, 0}) == "i-9");
+    controller.tick(harness.now);
+    BOOST_TEST(controller.describeOrder("m-1") == "maintenance in wave 1, not answered yet");
+    BOOST_TEST(controller.describeOrder("m-2") == "");
+}
+
 BOOST_AUTO_TEST_CASE(AcceptanceRetiresTheWorkerThatTheOrderHasEnded)
 {
     orderMaintenance("m-1", "i-1");
