--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -142,7 +142,7 @@
     /** The same for a persistent task, whose job serves for long and has many starts. */
     static constexpr int maxPersistentCrashes = 5;
     /** The same if the last run, or most of them, may not have reached their workers. */
-    static constexpr int maxUnconfirmedCrashes = 5;
+    static constexpr int maxUnconfirmedCrashes = 4;
     /** Number of confirmed crashes without which maxUnconfirmedCrashes applies. */
     static constexpr int minConfirmedCrashes = 2;
 
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -168,7 +168,7 @@
 }
 
 // Guards against a task that crashes its workers before they can answer, without end.
-BOOST_AUTO_TEST_CASE(JobIsGivenUpAfterFiveCrashesWithUnansweredStarts)
+BOOST_AUTO_TEST_CASE(JobIsGivenUpAfterFourCrashesWithUnansweredStarts)
 {
     SchedulerHarness harness;
     int lastWorker = addWorkers(harness, 1);
