--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -134,7 +134,8 @@
             || !prepareStart(job, id, *task))
             continue;
         auto *worker = chooseWorker(job, id, *task, now);
-        if (worker == nullptr && task->failedOn.empty() && suspicion(job, id, *task) == 0)
+        // Only last attempts and suspected tasks may find no worker where others of the step do.
+        if (worker == nullptr && !isLastAttempt(job, id) && suspicion(job, id, *task) == 0)
             return;
         if (worker != nullptr)
             startRun(job, id, *task, *worker, now);
