--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -134,7 +134,8 @@
             || !prepareStart(job, id, *task))
             continue;
         auto *worker = chooseWorker(job, id, *task, now);
-        if (worker == nullptr && task->failedOn.empty() && suspicion(job, id, *task) == 0)
+        // Only last attempts and suspected tasks may find no worker where others of the step do.
+        if (worker == nullptr && !isLastAttempt(job, id) && suspicion(job, id, *task) == 0)
             return;
         if (worker != nullptr)
             startRun(job, id, *task, *worker, now);
@@ -201,7 +202,7 @@
     if (waiting.suspicion > 0 && !job.crashesSaved())
         return nullptr;
     // The answers of the workers that do not answer now decide whether it is tried again.
-    if (waiting.suspicion >= job.crashLimit(id)
+    if (waiting.suspicion > job.crashes(id) && waiting.suspicion >= job.crashLimit(id)
         && now - task.waitingSince < internal::crashAnswerDelay)
         return nullptr;
     for (auto *it : pool->second) {
