Use latestStart() and one list of unusable numbers

Found in the last read of the change: two places computed the start of a worker's latest incarnation that WorkerState::latestStart() returns, and two tests of decoders had the same list of numbers. Behaviour and the checked values are the same; jobs-test and platform-test pass.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -158,7 +158,7 @@
         return;
     for (auto &[id, other] : m_workers) {
         if (id == description.id || other.description.instance != description.instance
-            || std::max(other.startedMs, other.description.startedMs) >= startedMs)
+            || other.latestStart() >= startedMs)
             continue;
         const bool fellSilent = other.fenced && !other.reachable;
         if (answered || fellSilent)
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -235,9 +235,7 @@
                             / static_cast<double>(
                                     std::max<std::int64_t>(1, it->description.capacity.milliCores));
         // A worker that crashes by itself is always empty, but has never been up for long.
-        const auto startedMs = waiting.suspicion > 0
-                                       ? std::max(it->startedMs, it->description.startedMs)
-                                       : std::int64_t{0};
+        const auto startedMs = waiting.suspicion > 0 ? it->latestStart() : std::int64_t{0};
         // Prefer workers with persistent tasks, then fuller ones: the others become idle and can be
         // moved to another pool or maintained.
         const std::tuple score(waiting.suspicion > 0 ? it->runs.size() : 0, slow, failedHere,
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -91,6 +91,11 @@
     return std::string(depth, '[') + std::string(depth, ']');
 }
 
+/** Values that no field for a count, an amount or a time may have. */
+const std::vector<std::string> unusableNumbers{
+        "-1",    "1e300", "-1e300", "9223372036854775807", "18446744073709551615", "4e18", "true",
+        "\"7\"", "null",  "[]"};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Formats)
@@ -161,24 +166,14 @@
 // converted, and against sums and products of needs and times that overflow in the owner.
 BOOST_AUTO_TEST_CASE(SubmissionsWithNumbersOutOfRangeAreRefused)
 {
-    const std::vector<std::string> numbers{"-1",
-                                           "1e300",
-                                           "-1e300",
-                                           "9223372036854775807",
-                                           "18446744073709551615",
-                                           "4e18",
-                                           "true",
-                                           "\"7\"",
-                                           "null",
-                                           "[]"};
     for (const std::string field : {"count", "cpu", "memMb", "gpu", "estimateMs", "targetMs",
                                     "antiAffinity", "maxUnavailable"}) {
-        for (const auto &it : numbers)
+        for (const auto &it : unusableNumbers)
             BOOST_TEST(!decodeSubmission(submissionWithStepField(field, it)).ok(),
                        field << ' ' << it);
     }
     for (const std::string field : {"repeats", "startAtMs", "intervalMs"}) {
-        for (const auto &it : numbers)
+        for (const auto &it : unusableNumbers)
             BOOST_TEST(!decodeSubmission(submissionWithField(field, it)).ok(), field << ' ' << it);
     }
     for (const std::string field : {"antiAffinity", "maxUnavailable"})
@@ -383,23 +378,13 @@
 // report is refused as a whole: a run whose row was dropped would look as if it had ended.
 BOOST_AUTO_TEST_CASE(ReportsWithNumbersOutOfRangeAreRefused)
 {
-    const std::vector<std::string> numbers{"-1",
-                                           "1e300",
-                                           "-1e300",
-                                           "9223372036854775807",
-                                           "18446744073709551615",
-                                           "4e18",
-                                           "true",
-                                           "\"7\"",
-                                           "null",
-                                           "[]"};
     const auto with = [](std::string_view part, const std::string &replacement) {
         auto text = reportText;
         const auto at = text.find(part);
         BOOST_REQUIRE(at != std::string::npos);
         return text.replace(at, part.size(), replacement);
     };
-    for (const auto &it : numbers) {
+    for (const auto &it : unusableNumbers) {
         BOOST_TEST(!decodeReport(with("482113", it)).ok(), "clockMs " << it);
         BOOST_TEST(!decodeClock(R"({"clockMs":)" + it + '}').ok(), "clockMs of an order " << it);
         BOOST_TEST(!decodeReport(with(R"("born":99)", R"("born":)" + it)).ok(), "born " << it);
