Count a saved start as a crash only if its worker has ended

Cause: a start of a task with a crash on record is saved before it is sent. A successor took each saved start that no worker knew of for a crash. An owner that ended between the save and the order left one although no worker had crashed; one crash and three such owners ended the job.

Change: the saved start names its worker and that worker's incarnation. The successor counts it only if that incarnation has ended; one that answers and lists neither the run nor its end has not received the order. The task starts on the worker it was saved for, which is kept free meanwhile (probation), or is saved again for another one.

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/jobs/job.h"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -9,6 +10,15 @@
 
 namespace dragonflysill {
 
+/** The incarnation of a worker that a start order is meant for. */
+struct StartTarget
+{
+    std::string worker;
+    std::int64_t startedMs = 0; ///< See WorkerState::startedMs.
+
+    bool operator==(const StartTarget &) const = default;
+};
+
 /** The saved part of a job's state, sufficient for a new owner to continue the job. */
 struct JobProgress
 {
@@ -39,10 +49,11 @@
     std::map<std::tuple<int, int, int>, std::set<int>> unconfirmedCrashes;
 
     /**
-     * Run numbers of the starts of tasks under which a worker has crashed, until their outcome is
-     * known. They are saved before the start: a successor knows of a crash that nobody noticed.
+     * Run numbers of the starts of tasks under which a worker has crashed, with their workers,
+     * until the outcome is known. They are saved before the start: a successor knows of a crash
+     * that nobody noticed if the worker is no longer the same incarnation.
      */
-    std::map<std::tuple<int, int, int>, std::set<int>> trials;
+    std::map<std::tuple<int, int, int>, std::map<int, StartTarget>> trials;
 
     bool operator==(const JobProgress &) const = default;
 };
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -159,14 +159,17 @@
      */
     bool recordCrash(const TaskId &id, int run, CrashEvidence evidence);
 
-    /** Records that a task under which a worker has crashed is about to be started as a run. */
-    void beginTrial(const TaskId &id, int run);
+    /**
+     * Records that a task under which a worker has crashed is about to be started as a run. A run
+     * that has not been started may be recorded again with another target.
+     */
+    void beginTrial(const TaskId &id, int run, const StartTarget &target);
 
     /** Records that the outcome of a run is known, if it was a trial. */
     void endTrial(const TaskId &id, int run);
 
-    /** Returns true if the outcome of a run that was a trial is not known. */
-    [[nodiscard]] bool hasTrial(const TaskId &id, int run) const;
+    /** Returns the target of a trial whose outcome is not known; nullptr if there is none. */
+    [[nodiscard]] const StartTarget *trialTarget(const TaskId &id, int run) const;
 
     /** Returns how many runs of a task, or of its gang, have failed. */
     [[nodiscard]] int failures(const TaskId &id) const;
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -265,13 +265,22 @@
      * that have crashed too many workers.
      */
     void recordCrashes(std::span<const SuspectedRun> runs, TimePoint now);
-    /** Records the trials of earlier owners that nothing was heard of as crashes. */
+    /**
+     * Records the trials of earlier owners as crashes whose workers have ended since, and drops
+     * the others, once all workers that may have runs of their jobs have answered.
+     */
     void settleInheritedTrials(TimePoint now);
+    /** Does so for the trials of one job. */
+    void settleTrials(JobRun &job, TimePoint now);
+    [[nodiscard]] static StartTarget startTarget(const WorkerState &worker);
+    /** Reserves a worker for the tasks of one job for probationTime. */
+    static void beginProbation(WorkerState &worker, const std::string &job, TimePoint now);
     /**
-     * Returns true if a task may be started. A task under which a worker has crashed may be once
-     * the start is recorded for a successor; this begins to record it.
+     * Returns true if a task may be started on a worker. A task under which a worker has crashed
+     * may be once the start is recorded for a successor; this begins to record it.
      */
-    bool prepareStart(JobRun &job, const TaskId &id, const Task &task);
+    bool prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
+                      TimePoint now);
     void forgetUnexplainedRuns(WorkerState &worker);
     /**
      * Returns how many workers have crashed under a task, or may have: those that run it and do not
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -96,6 +96,28 @@
     return runs;
 }
 
+using TrialsByTask = std::map<std::tuple<int, int, int>, std::map<int, StartTarget>>;
+
+Json encodeTrials(const TrialsByTask &trials)
+{
+    Json rows = Json::array();
+    for (const auto &[key, runs] : trials) {
+        for (const auto &[run, target] : runs)
+            rows.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), run,
+                            target.worker, target.startedMs});
+    }
+    return rows;
+}
+
+TrialsByTask decodeTrials(const Json &rows)
+{
+    TrialsByTask trials;
+    for (const auto &it : rows)
+        trials[{it.at(0), it.at(1), it.at(2)}][it.at(3).get<int>()]
+                = {it.at(4).get<std::string>(), it.at(5).get<std::int64_t>()};
+    return trials;
+}
+
 JobStatus parseState(const std::string &name)
 {
     for (std::size_t n = 0; n < stateNames.size(); ++n) {
@@ -176,7 +198,7 @@
     if (!progress.unconfirmedCrashes.empty())
         json["unconfirmedCrashes"] = internal::encodeRuns(progress.unconfirmedCrashes);
     if (!progress.trials.empty())
-        json["trials"] = internal::encodeRuns(progress.trials);
+        json["trials"] = internal::encodeTrials(progress.trials);
     return json.dump();
 }
 
@@ -196,7 +218,7 @@
         progress.crashes = internal::decodeRuns(json.value("crashes", Json::array()));
         progress.unconfirmedCrashes
                 = internal::decodeRuns(json.value("unconfirmedCrashes", Json::array()));
-        progress.trials = internal::decodeRuns(json.value("trials", Json::array()));
+        progress.trials = internal::decodeTrials(json.value("trials", Json::array()));
         return progress;
     });
 }
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -64,9 +64,13 @@
     m_progress.stepsDone.erase(m_progress.stepsDone.begin(),
                                m_progress.stepsDone.lower_bound({first, 0}));
     m_progress.done.erase(m_progress.done.begin(), m_progress.done.lower_bound({first, 0}));
-    for (auto *runs : {&m_progress.failures, &m_progress.crashes, &m_progress.unconfirmedCrashes,
-                       &m_progress.trials})
-        runs->erase(runs->begin(), runs->lower_bound({first, 0, 0}));
+    const auto eraseCompleted = [first](auto &runs) {
+        runs.erase(runs.begin(), runs.lower_bound({first, 0, 0}));
+    };
+    eraseCompleted(m_progress.failures);
+    eraseCompleted(m_progress.crashes);
+    eraseCompleted(m_progress.unconfirmedCrashes);
+    eraseCompleted(m_progress.trials);
 }
 
 void JobRun::dropCompletedOccurrences()
@@ -316,10 +320,13 @@
     return true;
 }
 
-void JobRun::beginTrial(const TaskId &id, int run)
+void JobRun::beginTrial(const TaskId &id, int run, const StartTarget &target)
 {
-    if (m_progress.trials[{id.occurrence, id.step, id.index}].insert(run).second)
-        m_lastCrash = ++m_changes;
+    auto &known = m_progress.trials[{id.occurrence, id.step, id.index}][run];
+    if (known == target)
+        return;
+    known = target;
+    m_lastCrash = ++m_changes;
 }
 
 void JobRun::endTrial(const TaskId &id, int run)
@@ -332,10 +339,13 @@
         m_progress.trials.erase(it);
 }
 
-bool JobRun::hasTrial(const TaskId &id, int run) const
+const StartTarget *JobRun::trialTarget(const TaskId &id, int run) const
 {
     const auto it = m_progress.trials.find({id.occurrence, id.step, id.index});
-    return it != m_progress.trials.end() && it->second.contains(run);
+    if (it == m_progress.trials.end())
+        return nullptr;
+    const auto target = it->second.find(run);
+    return target == it->second.end() ? nullptr : &target->second;
 }
 
 int JobRun::crashLimit(const TaskId &id) const
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -63,30 +63,61 @@
             ++it;
             continue;
         }
-        std::vector<SuspectedRun> runs;
-        if (job != nullptr && !job->hasEnded()) {
-            for (const auto &[key, numbers] : job->progress().trials) {
-                const auto &[occurrence, step, index] = key;
-                for (const int run : numbers)
-                    runs.push_back({{*it, occurrence, step, index}, run});
-            }
-        }
         it = m_inheritedTrials.erase(it);
-        recordCrashes(runs, now);
+        if (job != nullptr && !job->hasEnded())
+            settleTrials(*job, now);
     }
 }
 
-bool Scheduler::prepareStart(JobRun &job, const TaskId &id, const Task &task)
+void Scheduler::settleTrials(JobRun &job, TimePoint now)
+{
+    std::vector<SuspectedRun> crashed;
+    std::vector<SuspectedRun> others;
+    for (const auto &[key, runs] : job.progress().trials) {
+        const auto &[occurrence, step, index] = key;
+        const TaskId id{job.job().id, occurrence, step, index};
+        const auto *task = job.task(id);
+        const bool done = task != nullptr ? task->phase == Task::Phase::Done
+                                          : job.stepDone(occurrence, step);
+        for (const auto &[run, target] : runs) {
+            const auto *holder = worker(target.worker);
+            // A worker that lists neither the run nor its end has not received the order.
+            const bool sameIncarnation = holder != nullptr && !holder->retired && holder->fenced
+                                         && holder->startedMs == target.startedMs;
+            (done || sameIncarnation ? others : crashed).push_back({id, run});
+        }
+    }
+    for (const auto &it : others)
+        job.endTrial(it.task, it.run);
+    queueSave(job);
+    recordCrashes(crashed, now);
+}
+
+StartTarget Scheduler::startTarget(const WorkerState &worker)
+{
+    return {worker.description.id, worker.startedMs};
+}
+
+void Scheduler::beginProbation(WorkerState &worker, const std::string &job, TimePoint now)
+{
+    worker.probationUntil = now + internal::probationTime;
+    worker.probationJob = job;
+}
+
+bool Scheduler::prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
+                             TimePoint now)
 {
-    if (!m_inheritedTrials.empty() && m_inheritedTrials.contains(id.job))
-        return false;
     if (job.crashes(id) == 0)
         return true;
-    if (!job.hasTrial(id, task.lastRun + 1)) {
-        job.beginTrial(id, task.lastRun + 1);
-        queueSave(job);
-    }
-    return job.crashesSaved();
+    const int run = task.lastRun + 1;
+    const auto target = startTarget(worker);
+    const auto *known = job.trialTarget(id, run);
+    if (known != nullptr && *known == target)
+        return job.crashesSaved();
+    job.beginTrial(id, run, target);
+    beginProbation(worker, id.job, now);
+    queueSave(job);
+    return false;
 }
 
 void Scheduler::forgetUnexplainedRuns(WorkerState &worker)
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -131,13 +131,13 @@
     for (; id.index < count && m_startsLeft > 0; ++id.index) {
         auto *task = job.task(id);
         if (task == nullptr || task->phase != Task::Phase::Waiting || m_unwantedRuns.contains(id)
-            || !prepareStart(job, id, *task))
+            || m_inheritedTrials.contains(id.job))
             continue;
         auto *worker = chooseWorker(job, id, *task, now);
         // Only last attempts and suspected tasks may find no worker where others of the step do.
         if (worker == nullptr && !isLastAttempt(job, id) && suspicion(job, id, *task) == 0)
             return;
-        if (worker != nullptr)
+        if (worker != nullptr && prepareStart(job, id, *task, *worker, now))
             startRun(job, id, *task, *worker, now);
     }
 }
@@ -146,7 +146,8 @@
 {
     const auto &spec = job.job().spec.steps[static_cast<std::size_t>(step)];
     auto &run = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)];
-    if (run.waiting != static_cast<int>(run.tasks.size()))
+    // Another crash before the last one is saved would leave a successor with too low a count.
+    if (run.waiting != static_cast<int>(run.tasks.size()) || !job.crashesSaved())
         return;
     if (admissionSettings(job) != nullptr)
         requestAdmission(job, occurrence, step, now);
@@ -197,10 +198,9 @@
     WorkerState *quarantined = nullptr;
     std::tuple<bool, Duration, std::int64_t> quarantinedScore;
     WorkerState *best = nullptr;
-    std::tuple<std::size_t, bool, bool, bool, bool, bool, std::int64_t, bool, double> bestScore;
-    // Another crash before the last one is saved would leave a successor with too low a count.
-    if (waiting.suspicion > 0 && !job.crashesSaved())
-        return nullptr;
+    std::tuple<bool, std::size_t, bool, bool, bool, bool, bool, std::int64_t, bool, double>
+            bestScore;
+    const auto *target = job.trialTarget(id, task.lastRun + 1);
     // The answers of the workers that do not answer now decide whether it is tried again.
     if (waiting.suspicion > job.crashes(id) && waiting.suspicion >= job.crashLimit(id)
         && now - task.waitingSince < internal::crashAnswerDelay)
@@ -238,9 +238,10 @@
         const auto startedMs = waiting.suspicion > 0 ? it->latestStart() : std::int64_t{0};
         // Prefer workers with persistent tasks, then fuller ones: the others become idle and can be
         // moved to another pool or maintained.
-        const std::tuple score(waiting.suspicion > 0 ? it->runs.size() : 0, slow, failedHere,
-                               suspect, noRecentSuccess, remote, startedMs, it->persistentRuns == 0,
-                               -load);
+        const bool isTarget = target != nullptr && *target == startTarget(*it);
+        const std::tuple score(!isTarget, waiting.suspicion > 0 ? it->runs.size() : 0, slow,
+                               failedHere, suspect, noRecentSuccess, remote, startedMs,
+                               it->persistentRuns == 0, -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
@@ -276,11 +277,9 @@
     action.holdUntil = worker.time.clockAt(now, m_settings.hold);
     worker.heldUntil = std::max(worker.heldUntil,
                                 worker.time.latestTimeOf(action.holdUntil) + internal::holdMargin);
-    if (suspicion(job, id, task) > 0) {
-        worker.probationUntil = now + internal::probationTime;
-        worker.probationJob = id.job;
-    }
-    run.trial = job.hasTrial(id, run.run);
+    if (suspicion(job, id, task) > 0)
+        beginProbation(worker, id.job, now);
+    run.trial = job.trialTarget(id, run.run) != nullptr;
     run.persistent = job.step(id).persistent;
     worker.persistentRuns += static_cast<int>(run.persistent);
     worker.runs[id] = std::move(run);
@@ -326,9 +325,10 @@
                                || known->second.phase == TaskRun::Phase::Stopping
                                || now - known->second.startedAt > limit;
         // One more copy if the holder may have crashed, but none of a task that crashes workers.
-        if (!needsCopy || suspicion(job, id, task) > 1 || !prepareStart(job, id, task))
+        if (!needsCopy || suspicion(job, id, task) > 1 || m_inheritedTrials.contains(id.job))
             continue;
-        if (auto *other = chooseWorker(job, id, task, now))
+        auto *other = chooseWorker(job, id, task, now);
+        if (other != nullptr && prepareStart(job, id, task, *other, now))
             startRun(job, id, task, *other, now);
     }
 }
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -262,6 +262,57 @@
     }
 }
 
+// Guards against giving up a job because its owners ended between saving a start and sending it.
+BOOST_AUTO_TEST_CASE(StartThatWasNeverSentDoesNotCountAsACrash)
+{
+    const TaskId task{"sound", 0, 0, 0};
+    JobProgress progress;
+    progress.state = JobStatus::Running;
+    progress.crashes[{0, 0, 0}] = {1};
+    for (int owner = 1; owner <= 5; ++owner) {
+        SchedulerHarness harness(owner * 1000);
+        addWorkers(harness, 2);
+        harness.scheduler.addJob(job("sound", {step(1)}), progress, true, Duration{0}, harness.now);
+        harness.decide();
+        BOOST_TEST(harness.scheduler.job("sound")->crashes(task) == 1);
+        // The owner saves the start and ends before it sends it.
+        const auto decoded
+                = decodeProgress(encodeProgress(harness.scheduler.job("sound")->progress()));
+        BOOST_REQUIRE(static_cast<bool>(decoded));
+        progress = *decoded;
+        BOOST_TEST(progress.trials.size() == 1U);
+        BOOST_REQUIRE(harness.workerOf(task).empty());
+    }
+}
+
+// A start that was saved for one worker and sent to another would be unknown to a successor.
+BOOST_AUTO_TEST_CASE(TaskStartsOnTheWorkerThatItsStartWasSavedFor)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 3);
+    const TaskId task{"sound", 0, 0, 0};
+    harness.addJob(job("sound", {step(1)}));
+    harness.decide();
+    crash(harness, harness.workerOf(task), lastWorker);
+    harness.saveAll();
+    harness.decide();
+    const auto target = [&harness] {
+        return harness.scheduler.job("sound")->progress().trials.begin()->second.begin()->second;
+    };
+    const auto first = target();
+    harness.saveAll();
+    // Another one is chosen, and saved, once the first one has become unsuitable.
+    harness.workers[first.worker].description.draining = true;
+    harness.scheduler.addOrUpdateWorker(harness.workers[first.worker].description, harness.now);
+    harness.decide();
+    BOOST_TEST(harness.workerOf(task).empty());
+    BOOST_TEST(target().worker != first.worker);
+    harness.addJob(job("other", {step(4)}));
+    harness.saveAll();
+    harness.decide();
+    BOOST_TEST(harness.workerOf(task) == target().worker);
+}
+
 // A start whose outcome is known must not count as a crash for a successor.
 BOOST_AUTO_TEST_CASE(TrialsEndWithTheirRunsAndOnceTheyHaveSurvivedTheirStart)
 {
