Record first starts of tasks that an earlier owner may have started

Cause: only starts of tasks with a crash on record were recorded. Class: a fact that only the owner's memory holds.

Change: a successor records its starts of tasks in steps that were ready when it took over a job that had begun, together with the worker, beside the start and without waiting for the save. The next owner counts those whose worker has ended since.

FirstStartsOfSuccessorsCountAsCrashesIfTheirWorkersEnded fails without the change (8 starts by 8 owners, job not given up) and passes with it. The crash of the very first start may still be lost, and so is a start whose owner ends before the save; four on record and one lost make five.

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -49,8 +49,8 @@
     std::map<std::tuple<int, int, int>, std::set<int>> unconfirmedCrashes;
 
     /**
-     * Run numbers of the starts of tasks under which a worker has crashed, with their workers,
-     * until the outcome is known. They are saved before the start: a successor knows of a crash
+     * Run numbers of the starts of tasks under which a worker has crashed, or may have under an
+     * earlier owner, with their workers, until the outcome is known. A successor knows of a crash
      * that nobody noticed if the worker is no longer the same incarnation.
      */
     std::map<std::tuple<int, int, int>, std::map<int, StartTarget>> trials;
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -38,6 +38,7 @@
     int waiting = 0; ///< Tasks in phase Waiting.
     int done = 0;
     bool ready = false; ///< The steps it depends on have completed.
+    bool mayHaveStarted = false; ///< An earlier owner may have started its tasks.
     Duration shortestRunTime{0}; ///< Observed or projected, over its tasks; 0 for none.
     std::string shortestRunWorker; ///< Worker of that run.
 };
@@ -160,8 +161,9 @@
     bool recordCrash(const TaskId &id, int run, CrashEvidence evidence);
 
     /**
-     * Records that a task under which a worker has crashed is about to be started as a run. A run
-     * that has not been started may be recorded again with another target.
+     * Records that a task under which a worker has crashed, or may have under an earlier owner, is
+     * about to be started as a run. A run that has not been started may be recorded again with
+     * another target.
      */
     void beginTrial(const TaskId &id, int run, const StartTarget &target);
 
@@ -174,7 +176,13 @@
     /** Returns how many runs of a task, or of its gang, have failed. */
     [[nodiscard]] int failures(const TaskId &id) const;
 
-    /** Returns true if all recorded crashes and trials have been saved for a successor. */
+    /** Returns true if an earlier owner may have started a task. */
+    [[nodiscard]] bool mayHaveStarted(const TaskId &id) const;
+
+    /**
+     * Returns true if all recorded crashes, and trials of tasks that have a crash on record, have
+     * been saved for a successor.
+     */
     [[nodiscard]] bool crashesSaved() const { return m_saved >= m_lastCrash; }
 
     /** Returns how many workers may crash under a task at least before its job is given up. */
@@ -225,7 +233,8 @@
     TimePoint accepted{};
 
 private:
-    void open(int occurrence, TimePoint now);
+    /** @param first the job has been opened by no decision of this owner before */
+    void open(int occurrence, bool first, TimePoint now);
     void makeReady(int occurrence, int step, TimePoint now);
     void finishStep(int occurrence, int step, TimePoint now);
     [[nodiscard]] bool dependenciesDone(int occurrence, int step) const;
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -277,7 +277,8 @@
     static void beginProbation(WorkerState &worker, const std::string &job, TimePoint now);
     /**
      * Returns true if a task may be started on a worker. A task under which a worker has crashed
-     * may be once the start is recorded for a successor; this begins to record it.
+     * may be once the start is saved for a successor; this begins to save it. So it does with the
+     * first start of a task that an earlier owner may have started, without waiting.
      */
     bool prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
                       TimePoint now);
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -26,12 +26,13 @@
 
 bool JobRun::openDueOccurrences(std::int64_t unixMs, TimePoint now)
 {
+    const bool first = m_openedAtMs == 0;
     m_openedAtMs = unixMs;
     bool opened = false;
     while (!hasEnded() && m_nextOccurrence < m_job.spec.occurrences
            && m_nextOccurrence - m_firstIncomplete < m_window
            && m_job.spec.dueMs(m_nextOccurrence) <= unixMs) {
-        open(m_nextOccurrence++, now);
+        open(m_nextOccurrence++, first, now);
         opened = true;
     }
     return opened;
@@ -89,7 +90,7 @@
     return m_nextOccurrence < m_job.spec.occurrences ? m_job.spec.dueMs(m_nextOccurrence) : 0;
 }
 
-void JobRun::open(int occurrence, TimePoint now)
+void JobRun::open(int occurrence, bool first, TimePoint now)
 {
     const int stepCount = static_cast<int>(m_job.spec.steps.size());
     OccurrenceRun opened;
@@ -100,9 +101,11 @@
         return;
     m_occurrences[occurrence] = std::move(opened);
     for (int n = 0; n < stepCount; ++n) {
-        const auto &step = m_occurrences[occurrence].steps[static_cast<std::size_t>(n)];
-        if (!step.ready && !stepDone(occurrence, n) && dependenciesDone(occurrence, n))
-            makeReady(occurrence, n, now);
+        auto &step = m_occurrences[occurrence].steps[static_cast<std::size_t>(n)];
+        if (step.ready || stepDone(occurrence, n) || !dependenciesDone(occurrence, n))
+            continue;
+        step.mayHaveStarted = first && inherited && started();
+        makeReady(occurrence, n, now);
     }
 }
 
@@ -326,7 +329,9 @@
     if (known == target)
         return;
     known = target;
-    m_lastCrash = ++m_changes;
+    ++m_changes;
+    if (crashes(id) > 0)
+        m_lastCrash = m_changes;
 }
 
 void JobRun::endTrial(const TaskId &id, int run)
@@ -348,6 +353,13 @@
     return target == it->second.end() ? nullptr : &target->second;
 }
 
+bool JobRun::mayHaveStarted(const TaskId &id) const
+{
+    const auto it = m_occurrences.find(id.occurrence);
+    return it != m_occurrences.end()
+           && it->second.steps[static_cast<std::size_t>(id.step)].mayHaveStarted;
+}
+
 int JobRun::crashLimit(const TaskId &id) const
 {
     if (step(id).persistent)
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -107,10 +107,14 @@
 bool Scheduler::prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
                              TimePoint now)
 {
-    if (job.crashes(id) == 0)
-        return true;
     const int run = task.lastRun + 1;
     const auto target = startTarget(worker);
+    if (job.crashes(id) == 0) {
+        // Saved beside the start: most owners end later than that, and few tasks crash workers.
+        if (job.mayHaveStarted(id))
+            job.beginTrial(id, run, target);
+        return true;
+    }
     const auto *known = job.trialTarget(id, run);
     if (known != nullptr && *known == target)
         return job.crashesSaved();
