Save the starts of suspected tasks side by side and spread them

What callers would see: after a crash, the other tasks of a wide job start one after the other, each after a save of its own, or all on one worker; one whose start was saved for a worker that turns slow waits although a faster one is free.

Cause: saved starts did not count as load of their worker, all were chosen in one decision, and each new one held up the others, since one number told whether all of a job's were saved. The saved target came before slowness in the choice.

Change: each task knows the change that its own start was saved with; starts that are being saved count as neighbours on their worker; a slow target is not preferred; a saved start makes its pool due for a decision, so that it needn't wait for the next periodic one.

SuspectedTasksOfOneJobAreSavedTogetherAndSpread and FasterWorkerTakesATaskWhoseStartWasSavedForASlowOne fail on (eight tasks on one worker; no start) and pass.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -29,6 +29,7 @@
     std::set<std::string> failedOn;
     TimePoint failedAt{}; ///< Time of the task's last failed run.
     TimePoint waitingSince{};
+    std::uint64_t trialChange = 0; ///< JobRun::changes() after its last trial was recorded.
 };
 
 /** State of a step in one occurrence. */
@@ -100,6 +101,7 @@
 
     /** Returns the task; nullptr if its step is not ready or the id is out of range. */
     [[nodiscard]] Task *task(const TaskId &id);
+    [[nodiscard]] const Task *task(const TaskId &id) const;
 
     /**
      * Compares a run time with those of the step's other tasks, which are of the same size.
@@ -170,6 +172,12 @@
     /** Records that the outcome of a run is known, if it was a trial. */
     void endTrial(const TaskId &id, int run);
 
+    /** Returns true if the crashes of a task and its last trial have been saved. */
+    [[nodiscard]] bool trialSaved(const Task &task) const
+    {
+        return crashesSaved() && m_saved >= task.trialChange;
+    }
+
     /** Returns the target of a trial whose outcome is not known; nullptr if there is none. */
     [[nodiscard]] const StartTarget *trialTarget(const TaskId &id, int run) const;
 
@@ -179,10 +187,7 @@
     /** Returns true if an earlier owner may have started a task. */
     [[nodiscard]] bool mayHaveStarted(const TaskId &id) const;
 
-    /**
-     * Returns true if all recorded crashes, and trials of tasks that have a crash on record, have
-     * been saved for a successor.
-     */
+    /** Returns true if all recorded crashes have been saved for a successor. */
     [[nodiscard]] bool crashesSaved() const { return m_saved >= m_lastCrash; }
 
     /** Returns how many workers may crash under a task at least before its job is given up. */
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -273,6 +273,8 @@
     /** Does so for the trials of one job. */
     void settleTrials(JobRun &job, TimePoint now);
     [[nodiscard]] static StartTarget startTarget(const WorkerState &worker);
+    /** Returns the number of starts of a job that are being saved, by the workers they are for. */
+    [[nodiscard]] static StringMap<int> expectedTrials(const JobRun &job, const TaskId &except);
     /** Reserves a worker for the tasks of one job for probationTime. */
     static void beginProbation(WorkerState &worker, const std::string &job, TimePoint now);
     /**
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -160,14 +160,19 @@
 }
 
 Task *JobRun::task(const TaskId &id)
+{
+    return const_cast<Task *>(std::as_const(*this).task(id));
+}
+
+const Task *JobRun::task(const TaskId &id) const
 {
     const auto it = m_occurrences.find(id.occurrence);
     if (it == m_occurrences.end() || id.step < 0 || id.index < 0)
         return nullptr;
-    auto &steps = it->second.steps;
+    const auto &steps = it->second.steps;
     if (static_cast<std::size_t>(id.step) >= steps.size())
         return nullptr;
-    auto &tasks = steps[static_cast<std::size_t>(id.step)].tasks;
+    const auto &tasks = steps[static_cast<std::size_t>(id.step)].tasks;
     return static_cast<std::size_t>(id.index) < tasks.size()
                    ? &tasks[static_cast<std::size_t>(id.index)]
                    : nullptr;
@@ -330,8 +335,8 @@
         return;
     known = target;
     ++m_changes;
-    if (crashes(id) > 0)
-        m_lastCrash = m_changes;
+    if (auto *it = task(id))
+        it->trialChange = m_changes;
 }
 
 void JobRun::endTrial(const TaskId &id, int run)
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -264,8 +264,12 @@
         if (it == nullptr)
             continue;
         it->saveInFlight = false;
-        if (saved)
+        if (saved) {
             it->markSaved(update.change);
+            // Its trials may start now.
+            if (!update.progress.trials.empty())
+                m_changedPools.insert(it->job().pool);
+        }
         queueSave(*it);
     }
     if (!saved)
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -98,6 +98,21 @@
     return {worker.description.id, worker.startedMs};
 }
 
+StringMap<int> Scheduler::expectedTrials(const JobRun &job, const TaskId &except)
+{
+    StringMap<int> expected;
+    for (const auto &[key, runs] : job.progress().trials) {
+        const auto &[occurrence, step, index] = key;
+        const TaskId id{job.job().id, occurrence, step, index};
+        const auto *task = id == except ? nullptr : job.task(id);
+        if (task == nullptr || task->phase != Task::Phase::Waiting)
+            continue;
+        if (const auto it = runs.find(task->lastRun + 1); it != runs.end())
+            ++expected[it->second.worker];
+    }
+    return expected;
+}
+
 void Scheduler::beginProbation(WorkerState &worker, const std::string &job, TimePoint now)
 {
     worker.probationUntil = now + internal::probationTime;
@@ -117,7 +132,7 @@
     }
     const auto *known = job.trialTarget(id, run);
     if (known != nullptr && *known == target)
-        return job.crashesSaved();
+        return job.trialSaved(task);
     job.beginTrial(id, run, target);
     beginProbation(worker, id.job, now);
     queueSave(job);
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -196,11 +196,12 @@
     const bool waitedLong = task.phase == Task::Phase::Waiting
                             && now - task.waitingSince >= internal::betterWorkerDelay;
     WorkerState *quarantined = nullptr;
-    std::tuple<bool, Duration, std::int64_t> quarantinedScore;
+    std::tuple<bool, bool, Duration, std::int64_t> quarantinedScore;
     WorkerState *best = nullptr;
-    std::tuple<bool, std::size_t, bool, bool, bool, bool, bool, std::int64_t, bool, double>
+    std::tuple<bool, std::ptrdiff_t, bool, bool, bool, bool, bool, std::int64_t, bool, double>
             bestScore;
     const auto *target = job.trialTarget(id, task.lastRun + 1);
+    const auto expected = waiting.suspicion > 0 ? expectedTrials(job, id) : StringMap<int>{};
     // The answers of the workers that do not answer now decide whether it is tried again.
     if (waiting.suspicion > job.crashes(id) && waiting.suspicion >= job.crashLimit(id)
         && now - task.waitingSince < internal::crashAnswerDelay)
@@ -216,7 +217,9 @@
             // A last attempt goes to the worker that has completed a run most recently.
             const auto sinceSuccess
                     = waiting.lastAttempt ? now - it->health.succeededAt() : Duration{0};
-            const std::tuple score(waiting.lastAttempt
+            const bool isTarget = target != nullptr && *target == startTarget(*it);
+            const std::tuple score(!isTarget,
+                                   waiting.lastAttempt
                                            && task.failedOn.contains(it->description.id),
                                    sinceSuccess, it->reserved.milliCores);
             if (quarantined == nullptr || score < quarantinedScore) {
@@ -238,9 +241,13 @@
         const auto startedMs = waiting.suspicion > 0 ? it->latestStart() : std::int64_t{0};
         // Prefer workers with persistent tasks, then fuller ones: the others become idle and can be
         // moved to another pool or maintained.
-        const bool isTarget = target != nullptr && *target == startTarget(*it);
-        const std::tuple score(!isTarget, waiting.suspicion > 0 ? it->runs.size() : 0, slow,
-                               failedHere, suspect, noRecentSuccess, remote, startedMs,
+        const bool isTarget = target != nullptr && !slow && *target == startTarget(*it);
+        const auto others = expected.find(it->description.id);
+        const auto neighbours
+                = waiting.suspicion > 0
+                          ? std::ssize(it->runs) + (others == expected.end() ? 0 : others->second)
+                          : 0;
+        const std::tuple score(!isTarget, neighbours, slow, failedHere, suspect, noRecentSuccess, remote, startedMs,
                                it->persistentRuns == 0, -load);
         if (best == nullptr || score < bestScore) {
             best = it;
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -41,6 +41,14 @@
     return count;
 }
 
+/** Replaces the labels of a worker. */
+void setLabel(SchedulerHarness &harness, const std::string &id, const std::string &label)
+{
+    auto &description = harness.workers[id].description;
+    description.labels = {label};
+    harness.scheduler.addOrUpdateWorker(description, harness.now);
+}
+
 /** Result of a play with a task that crashes each worker that starts it. */
 struct CrashTally
 {
@@ -337,6 +345,71 @@
     BOOST_TEST(harness.workerOf(task) == target().worker);
 }
 
+// Guards against many suspected tasks of one job that start one after the other, each after a save
+// of its own, or all on the same worker.
+BOOST_AUTO_TEST_CASE(SuspectedTasksOfOneJobAreSavedTogetherAndSpread)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 1);
+    harness.addJob(job("wide", {step(8)}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workers["w1"].running.size() == 8U);
+    crash(harness, "w1", lastWorker);
+    for (int n = 2; n <= 8; ++n) {
+        const auto id = "w" + std::to_string(++lastWorker);
+        harness.workers[id].startedMs = lastWorker;
+        harness.addWorker(id, 8, "instance-" + std::to_string(n));
+    }
+    harness.decideWithSaves();
+    std::size_t most = 0;
+    std::size_t running = 0;
+    for (const auto &[id, worker] : harness.workers) {
+        most = std::max(most, worker.running.size());
+        running += worker.running.size();
+    }
+    BOOST_TEST(running == 8U);
+    BOOST_TEST(most == 1U);
+}
+
+// Guards against a task that waits for the slow worker that its start was saved for.
+BOOST_AUTO_TEST_CASE(FasterWorkerTakesATaskWhoseStartWasSavedForASlowOne)
+{
+    SchedulerHarness harness;
+    const TaskId task{"j", 0, 1, 0};
+    addWorkers(harness, 2);
+    auto spread = step(2);
+    spread.maxPerWorker = 1;
+    auto labelled = step(1);
+    labelled.requiredLabel = "late";
+    harness.addJob(job("j", {spread, labelled}));
+    harness.decide();
+    // The task starts once a worker has its label; after the crash, the others have it.
+    int lastWorker = 3;
+    harness.workers["w3"].startedMs = 3;
+    harness.addWorker("w3", 8, "instance-3");
+    setLabel(harness, "w3", "late");
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(task) == "w3");
+    crash(harness, "w3", lastWorker);
+    setLabel(harness, "w4", "none");
+    setLabel(harness, "w1", "late");
+    setLabel(harness, "w2", "late");
+    harness.decide();
+    const auto &trials = harness.scheduler.job("j")->progress().trials;
+    BOOST_REQUIRE(trials.size() == 1U);
+    const auto slow = trials.begin()->second.begin()->second.worker;
+    const std::string other = slow == "w1" ? "w2" : "w1";
+    harness.advanceTime(500ms);
+    for (const auto &[id, percent] : {std::pair{other, 60}, std::pair{slow, 10}}) {
+        for (auto &[running, row] : harness.workers[id].running)
+            row.percent = percent;
+        harness.reportFrom(id);
+    }
+    BOOST_REQUIRE(harness.scheduler.worker(slow)->health.slow(harness.now));
+    harness.decideWithSaves();
+    BOOST_TEST(harness.workerOf(task) == other);
+}
+
 // A start whose outcome is known must not count as a crash for a successor.
 BOOST_AUTO_TEST_CASE(TrialsEndWithTheirRunsAndOnceTheyHaveSurvivedTheirStart)
 {
