Let gangs without a suspected member start while crashes are unsaved

Cause: made every gang of a job wait until the crashes under other steps were saved, so that a store outage would stop sound gangs; and a persistent task with an unsaved crash on record could be moved away although it could not start again before the save. Found by review.

--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -170,7 +170,9 @@
             continue;
         const auto *task = job->task(id);
         const int budget = std::max(1, job->step(id).maxUnavailable);
-        if (task != nullptr && unavailableTasks(*job, id) < budget
+        const bool mayStartAgain
+                = task != nullptr && (job->crashesSaved() || suspicion(*job, id, *task) == 0);
+        if (mayStartAgain && unavailableTasks(*job, id) < budget
             && chooseWorker(*job, id, *task, now) != nullptr)
             stopRun(worker, run, now);
     }
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -146,8 +146,7 @@
 {
     const auto &spec = job.job().spec.steps[static_cast<std::size_t>(step)];
     auto &run = job.occurrences()[occurrence].steps[static_cast<std::size_t>(step)];
-    // Another crash before the last one is saved would leave a successor with too low a count.
-    if (run.waiting != static_cast<int>(run.tasks.size()) || !job.crashesSaved())
+    if (run.waiting != static_cast<int>(run.tasks.size()))
         return;
     if (admissionSettings(job) != nullptr)
         requestAdmission(job, occurrence, step, now);
@@ -162,6 +161,9 @@
         lastRun = std::max(lastRun, task.lastRun);
         if (!task.checkpoint.empty())
             checkpoint = task.checkpoint;
+        // Another crash before the last one is saved would leave a successor with too low a count.
+        if (!job.crashesSaved() && suspicion(job, id, task) > 0)
+            break;
         auto *worker = chooseWorker(job, id, task, now);
         if (worker == nullptr)
             break;
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -410,6 +410,24 @@
     BOOST_TEST(harness.workerOf(task) == other);
 }
 
+// Guards against a gang that waits for the store because of a task in another step.
+BOOST_AUTO_TEST_CASE(GangStartsWhileACrashOfAnotherStepIsNotSaved)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 4);
+    auto spec = job("gang", {step(1), step(1), step(2, {1})});
+    spec.spec.steps[2].gang = true;
+    harness.addJob(spec);
+    harness.decide();
+    harness.end({"gang", 0, 1, 0}, RunEnd::Done);
+    harness.saveAll();
+    crash(harness, harness.workerOf({"gang", 0, 0, 0}), lastWorker);
+    BOOST_REQUIRE(!harness.scheduler.job("gang")->crashesSaved());
+    harness.decide();
+    BOOST_TEST(!harness.workerOf({"gang", 0, 2, 0}).empty());
+    BOOST_TEST(!harness.workerOf({"gang", 0, 2, 1}).empty());
+}
+
 // A start whose outcome is known must not count as a crash for a successor.
 BOOST_AUTO_TEST_CASE(TrialsEndWithTheirRunsAndOnceTheyHaveSurvivedTheirStart)
 {
