Save that a refused start of a suspected task is over

What callers would see: a job shown as failed although too few workers crashed under it (LOST). Cause: the record of a start that was refused, or whose run vanished, was dropped by the owner only; the store kept it until the next change of the job, and a successor could count it if the worker had ended since. A second run of a task stayed on record because another run of it was unexplained. Found by review.

--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -146,6 +146,7 @@
             m_unexplainedRuns.erase(it.task);
         if (auto *job = find(it.task.job)) {
             job->endTrial(it.task, it.run);
+            queueSave(*job);
             waitingChanged(*job);
         }
     }
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -116,8 +116,14 @@
         if (auto *task = job->task(run->first); task != nullptr && !run->second.checkpoint.empty())
             task->checkpoint = run->second.checkpoint;
         // A run that may have crashed its worker stays a trial until that is known.
-        if (!m_unexplainedRuns.contains(run->first))
+        const bool unexplained
+                = std::ranges::any_of(worker.unexplainedRuns, [&run](const SuspectedRun &it) {
+                      return it.task == run->first && it.run == run->second.run;
+                  });
+        if (!unexplained) {
             job->endTrial(run->first, run->second.run);
+            queueSave(*job);
+        }
         job->deactivate(run->first, worker.description.id, now);
         waitingChanged(*job);
     }
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -410,6 +410,24 @@
     BOOST_TEST(harness.workerOf(task) == other);
 }
 
+// A start that was refused must not count as a crash for a successor, so its record must be removed
+// from the store, too.
+BOOST_AUTO_TEST_CASE(RefusedStartIsSavedAsNoTrial)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 2);
+    harness.addJob(job("sound", {step(1)}));
+    harness.decide();
+    crash(harness, harness.workerOf({"sound", 0, 0, 0}), lastWorker);
+    const auto starts = ordersOf<StartTask>(harness.decideWithSaves(true));
+    BOOST_REQUIRE(starts.size() == 1U);
+    harness.saveAll();
+    harness.scheduler.startRefused(starts.front(), StartRefusal::Unhealthy, harness.now);
+    const auto updates = harness.scheduler.takeUpdates(10);
+    BOOST_REQUIRE(updates.size() == 1U);
+    BOOST_TEST(updates.front().progress.trials.empty());
+}
+
 // Guards against a gang that waits for the store because of a task in another step.
 BOOST_AUTO_TEST_CASE(GangStartsWhileACrashOfAnotherStepIsNotSaved)
 {
