Start no copies of tasks that a worker has crashed under

The record of a copy's start that turned out not to be needed stayed as long as the task ran, and a successor could count it as a crash if that worker had ended since. Found by review; no test of its own.

--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -334,7 +334,7 @@
                                || known->second.phase == TaskRun::Phase::Stopping
                                || now - known->second.startedAt > limit;
         // One more copy if the holder may have crashed, but none of a task that crashes workers.
-        if (!needsCopy || suspicion(job, id, task) > 1 || m_inheritedTrials.contains(id.job))
+        if (!needsCopy || job.crashes(id) > 0 || suspicion(job, id, task) > 1 || m_inheritedTrials.contains(id.job))
             continue;
         auto *other = chooseWorker(job, id, task, now);
         if (other != nullptr && prepareStart(job, id, task, *other, now))
