Store the targets of starts under a key of their own

Nodes of store run numbers alone under "trials" and could not read a job's progress with the workers in it, nor could this one read theirs: the job would not be scheduled. The test of damaged records has crashes and starts, too.

--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -198,7 +198,7 @@
     if (!progress.unconfirmedCrashes.empty())
         json["unconfirmedCrashes"] = internal::encodeRuns(progress.unconfirmedCrashes);
     if (!progress.trials.empty())
-        json["trials"] = internal::encodeTrials(progress.trials);
+        json["startTargets"] = internal::encodeTrials(progress.trials);
     return json.dump();
 }
 
@@ -218,7 +218,7 @@
         progress.crashes = internal::decodeRuns(json.value("crashes", Json::array()));
         progress.unconfirmedCrashes
                 = internal::decodeRuns(json.value("unconfirmedCrashes", Json::array()));
-        progress.trials = internal::decodeTrials(json.value("trials", Json::array()));
+        progress.trials = internal::decodeTrials(json.value("startTargets", Json::array()));
         return progress;
     });
 }
--- a/tests/jobs/storedrecordstest.cpp
+++ b/tests/jobs/storedrecordstest.cpp
@@ -41,6 +41,9 @@
     progress.done[{0, 1}] = {2};
     progress.stepsDone = {{0, 0}};
     progress.failures[{0, 1, 2}] = {1, 1001};
+    progress.crashes[{0, 1, 1}] = {1, 2};
+    progress.unconfirmedCrashes[{0, 1, 1}] = {2};
+    progress.trials[{0, 1, 1}] = {{3, {"w", 1}}};
     return encodeProgress(progress);
 }
 
