Record first starts of inherited jobs that had not begun, too

An owner that ends before it has saved that a job runs leaves it as queued; its successor's first start was not recorded either, so that a task could start a sixth time (BUDGET). The new case of FirstStartsOfSuccessorsCountAsCrashesIfTheirWorkersEnded fails without the change.

--- a/include/dragonflysill/jobs/taskrun.h
+++ b/include/dragonflysill/jobs/taskrun.h
@@ -28,7 +28,7 @@
     TimePoint progressAt{}; ///< When a report first listed the run or its percentage last changed.
     TimePoint stopSentAt{}; ///< When the last stop order was sent.
     bool confirmed = false; ///< The worker has confirmed or reported the run.
-    bool trial = false; ///< A worker has crashed under its task before.
+    bool trial = false; ///< See JobProgress::trials.
     bool stopAnswered = false;
     bool persistent = false; ///< Its step's tasks run until the job is cancelled.
     bool resumed = false; ///< Started from a checkpoint.
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -104,7 +104,7 @@
         auto &step = m_occurrences[occurrence].steps[static_cast<std::size_t>(n)];
         if (step.ready || stepDone(occurrence, n) || !dependenciesDone(occurrence, n))
             continue;
-        step.mayHaveStarted = first && inherited && started();
+        step.mayHaveStarted = first && inherited;
         makeReady(occurrence, n, now);
     }
 }
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -275,23 +275,24 @@
 BOOST_AUTO_TEST_CASE(FirstStartsOfSuccessorsCountAsCrashesIfTheirWorkersEnded)
 {
     const TaskId task{"deadly", 0, 0, 0};
-    JobProgress progress;
-    bool inherited = false;
-    int starts = 0;
-    for (int owner = 1; owner <= 8 && progress.state != JobStatus::Failed; ++owner) {
-        SchedulerHarness harness(owner * 1000);
-        // The workers of the owner before have crashed; all have others on their instances.
-        harness.workers["w" + std::to_string(owner)].startedMs = owner;
-        harness.addWorker("w" + std::to_string(owner));
-        harness.scheduler.addJob(job("deadly", {step(1)}), progress, inherited, Duration{0},
-                                 harness.now);
-        inherited = true;
-        harness.decideWithSaves();
-        starts += static_cast<int>(!harness.workerOf(task).empty());
-        progress = harness.scheduler.job("deadly")->progress();
+    for (const bool firstOwnerSaved : {true, false}) {
+        JobProgress progress;
+        int starts = 0;
+        for (int owner = 1; owner <= 8 && progress.state != JobStatus::Failed; ++owner) {
+            SchedulerHarness harness(owner * 1000);
+            // The worker of the owner before has crashed.
+            harness.workers["w" + std::to_string(owner)].startedMs = owner;
+            harness.addWorker("w" + std::to_string(owner));
+            harness.scheduler.addJob(job("deadly", {step(1)}), progress, owner > 1, Duration{0},
+                                     harness.now);
+            harness.decideWithSaves();
+            starts += static_cast<int>(!harness.workerOf(task).empty());
+            if (owner > 1 || firstOwnerSaved)
+                progress = harness.scheduler.job("deadly")->progress();
+        }
+        BOOST_TEST((progress.state == JobStatus::Failed));
+        BOOST_TEST(starts <= 3 + maxStartsAfterThreeCrashes);
     }
-    BOOST_TEST((progress.state == JobStatus::Failed));
-    BOOST_TEST(starts <= 3 + maxStartsAfterThreeCrashes);
 }
 
 // Guards against giving up a job because its owners ended between saving a start and sending it.
