--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -210,6 +210,7 @@
         return nullptr;
     for (auto *it : pool->second) {
         const bool slow = it->health.slow(now);
+        const bool isTarget = target != nullptr && *target == startTarget(*it);
         const auto obstacle = startObstacle(*it, waiting, now);
         fasterOneMayTakeIt = fasterOneMayTakeIt || (!slow && (!obstacle || passesSoon(*obstacle)));
         poolMilliCores += it->description.capacity.milliCores;
@@ -219,11 +220,9 @@
             // A last attempt goes to the worker that has completed a run most recently.
             const auto sinceSuccess
                     = waiting.lastAttempt ? now - it->health.succeededAt() : Duration{0};
-            const bool isTarget = target != nullptr && *target == startTarget(*it);
-            const std::tuple score(!isTarget,
-                                   waiting.lastAttempt
-                                           && task.failedOn.contains(it->description.id),
-                                   sinceSuccess, it->reserved.milliCores);
+            const std::tuple score(
+                    !isTarget, waiting.lastAttempt && task.failedOn.contains(it->description.id),
+                    sinceSuccess, it->reserved.milliCores);
             if (quarantined == nullptr || score < quarantinedScore) {
                 quarantined = it;
                 quarantinedScore = score;
@@ -243,14 +242,13 @@
         const auto startedMs = waiting.suspicion > 0 ? it->latestStart() : std::int64_t{0};
         // Prefer workers with persistent tasks, then fuller ones: the others become idle and can be
         // moved to another pool or maintained.
-        const bool isTarget = target != nullptr && !slow && *target == startTarget(*it);
         const auto others = expected.find(it->description.id);
         const auto neighbours
                 = waiting.suspicion > 0
                           ? std::ssize(it->runs) + (others == expected.end() ? 0 : others->second)
                           : 0;
-        const std::tuple score(!isTarget, neighbours, slow, failedHere, suspect, noRecentSuccess, remote, startedMs,
-                               it->persistentRuns == 0, -load);
+        const std::tuple score(!isTarget || slow, neighbours, slow, failedHere, suspect,
+                               noRecentSuccess, remote, startedMs, it->persistentRuns == 0, -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
@@ -334,7 +332,8 @@
                                || known->second.phase == TaskRun::Phase::Stopping
                                || now - known->second.startedAt > limit;
         // One more copy if the holder may have crashed, but none of a task that crashes workers.
-        if (!needsCopy || job.crashes(id) > 0 || suspicion(job, id, task) > 1 || m_inheritedTrials.contains(id.job))
+        if (!needsCopy || job.crashes(id) > 0 || suspicion(job, id, task) > 1
+            || m_inheritedTrials.contains(id.job))
             continue;
         auto *other = chooseWorker(job, id, task, now);
         if (other != nullptr && prepareStart(job, id, task, *other, now))
