--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -49,9 +49,10 @@
     std::map<std::tuple<int, int, int>, std::set<int>> unconfirmedCrashes;
 
     /**
-     * Run numbers of the starts of tasks under which a worker has crashed, or may have under an
-     * earlier owner, with their workers, until the outcome is known. A successor knows of a crash
-     * that nobody noticed if the worker is no longer the same incarnation.
+     * Run numbers of starts with their workers, until their outcome is known; a successor knows of
+     * a crash that nobody noticed if the worker is no longer the same incarnation. Starts of tasks
+     * under which a worker has crashed are saved before the order is sent, those of tasks that an
+     * earlier owner may have started at the same time.
      */
     std::map<std::tuple<int, int, int>, std::map<int, StartTarget>> trials;
 
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -270,7 +270,7 @@
      * the others, once all workers that may have runs of their jobs have answered.
      */
     void settleInheritedTrials(TimePoint now);
-    /** Does so for the trials of one job. */
+    /** Settles the trials of one job, once its workers have answered. */
     void settleTrials(JobRun &job, TimePoint now);
     [[nodiscard]] static StartTarget startTarget(const WorkerState &worker);
     /** Returns the number of starts of a job that are being saved, by the workers they are for. */
@@ -279,8 +279,8 @@
     static void beginProbation(WorkerState &worker, const std::string &job, TimePoint now);
     /**
      * Returns true if a task may be started on a worker. A task under which a worker has crashed
-     * may be once the start is saved for a successor; this begins to save it. So it does with the
-     * first start of a task that an earlier owner may have started, without waiting.
+     * may be once the start is saved for a successor; this begins to save it. The start of a task
+     * that an earlier owner may have started is recorded, too, but not waited for.
      */
     bool prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
                       TimePoint now);
