Wait for the save of a successor's first start while the store is away

Two were on nobody's record: the first one's owner lost the ownership in a store outage, the second start went out 0.17 s after the next outage had begun, and its record, written beside it, was lost with that owner. Three more on record and the limit of four made six starts.

Change: while a save has waited for its answer for 100 ms, or the last one failed, the first start of a task that an earlier owner may have started waits until its record is saved. New jobs start as before.

FirstStartOfASuccessorWaitsForItsSaveWhileTheStoreDoesNotAnswer fails without the wait (the task starts at once).

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -52,7 +52,7 @@
      * Run numbers of starts with their workers, until their outcome is known; a successor knows of
      * a crash that nobody noticed if the worker is no longer the same incarnation. Starts of tasks
      * under which a worker has crashed are saved before the order is sent, those of tasks that an
-     * earlier owner may have started at the same time.
+     * earlier owner may have started at the same time while the store answers.
      */
     std::map<std::tuple<int, int, int>, std::map<int, StartTarget>> trials;
 
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -277,10 +277,13 @@
     [[nodiscard]] static StringMap<int> expectedTrials(const JobRun &job, const TaskId &except);
     /** Reserves a worker for the tasks of one job for probationTime. */
     static void beginProbation(WorkerState &worker, const std::string &job, TimePoint now);
+    /** Updates m_saveDelayed. */
+    void observeSaves(TimePoint now);
     /**
      * Returns true if a task may be started on a worker. A task under which a worker has crashed
      * may be once the start is saved for a successor; this begins to save it. The start of a task
-     * that an earlier owner may have started is recorded, too, but not waited for.
+     * that an earlier owner may have started is recorded, too, but waited for only while saves are
+     * delayed.
      */
     bool prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
                       TimePoint now);
@@ -400,6 +403,11 @@
     std::map<std::string, std::vector<WorkerState *>, std::less<>> m_pools;
     std::deque<std::string> m_unsavedJobs; ///< Jobs with unsaved changes, oldest first.
     std::deque<std::string> m_unsavedEnds; ///< Those of them that have ended.
+    int m_savesInFlight = 0; ///< Calls of takeUpdates() without updatesSaved() so far.
+    bool m_saveAnswered = false; ///< Since the last decision.
+    bool m_lastSaveFailed = false;
+    TimePoint m_saveWaitsSince{}; ///< Last decision at which no save had waited for its answer.
+    bool m_saveDelayed = false; ///< The store may not be available.
     std::map<TaskId, int> m_unwantedRuns; ///< Number of TaskRun::unwanted runs by task.
     /** Jobs with trials of earlier owners whose outcome is not known. */
     std::set<std::string> m_inheritedTrials;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -254,11 +254,17 @@
             updates.push_back({it->job().id, it->changes(), it->progress()});
         }
     }
+    m_savesInFlight += static_cast<int>(!updates.empty());
     return updates;
 }
 
 void Scheduler::updatesSaved(std::span<const ProgressUpdate> updates, bool saved)
 {
+    if (!updates.empty()) {
+        --m_savesInFlight;
+        m_saveAnswered = true;
+        m_lastSaveFailed = !saved;
+    }
     for (const auto &update : updates) {
         auto *it = find(update.job);
         if (it == nullptr)
@@ -282,6 +288,7 @@
 {
     if (!m_firstDecisionAt)
         m_firstDecisionAt = now;
+    observeSaves(now);
     openOccurrences(unixMs, now);
     checkWorkers(now);
     settleInheritedTrials(now);
@@ -303,6 +310,7 @@
 {
     if (!m_firstDecisionAt)
         return decide(now, unixMs);
+    observeSaves(now);
     if (std::exchange(m_workersChanged, false) || !m_unreachedWorkers.empty())
         countUnreachedWorkers(now);
     // A run that a worker reported must be known before its task may be started elsewhere.
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -119,16 +119,26 @@
     worker.probationJob = job;
 }
 
+void Scheduler::observeSaves(TimePoint now)
+{
+    if (m_savesInFlight == 0 || m_saveAnswered)
+        m_saveWaitsSince = now;
+    m_saveAnswered = false;
+    m_saveDelayed = m_lastSaveFailed || now - m_saveWaitsSince >= internal::delayedSaveTime;
+}
+
 bool Scheduler::prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
                              TimePoint now)
 {
     const int run = task.lastRun + 1;
     const auto target = startTarget(worker);
     if (job.crashes(id) == 0) {
-        // Saved beside the start: most owners end later than that, and few tasks crash workers.
-        if (job.mayHaveStarted(id))
-            job.beginTrial(id, run, target);
-        return true;
+        if (!job.mayHaveStarted(id))
+            return true;
+        // Few tasks crash workers, so that the save is only waited for if it may be lost.
+        job.beginTrial(id, run, target);
+        queueSave(job);
+        return !m_saveDelayed || job.trialSaved(task);
     }
     const auto *known = job.trialTarget(id, run);
     if (known != nullptr && *known == target)
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -295,6 +295,32 @@
     }
 }
 
+// Guards against an owner that starts a task during a store outage and ends with it, so that
+// nothing is known of the crash (BUDGET).
+BOOST_AUTO_TEST_CASE(FirstStartOfASuccessorWaitsForItsSaveWhileTheStoreDoesNotAnswer)
+{
+    SchedulerHarness harness(1000);
+    addWorkers(harness, 2);
+    const TaskId task{"inherited", 0, 0, 0};
+    harness.addJob(job("first", {step(1)}));
+    harness.decide();
+    const auto unanswered = harness.scheduler.takeUpdates(10);
+    BOOST_REQUIRE(!unanswered.empty());
+    harness.addJob(job("inherited", {step(1)}), true);
+    harness.addJob(job("new", {step(1)}));
+    harness.advanceTime(200ms);
+    harness.reportAll();
+    harness.decide();
+    BOOST_TEST(harness.workerOf(task).empty());
+    BOOST_TEST(!harness.workerOf({"new", 0, 0, 0}).empty());
+    harness.scheduler.updatesSaved(unanswered, false);
+    harness.decide();
+    BOOST_TEST(harness.workerOf(task).empty());
+    harness.saveAll();
+    harness.decide();
+    BOOST_TEST(!harness.workerOf(task).empty());
+}
+
 // Guards against giving up a job because its owners ended between saving a start and sending it.
 BOOST_AUTO_TEST_CASE(StartThatWasNeverSentDoesNotCountAsACrash)
 {
