Acknowledge ends that follow the end of their job

What callers saw: nothing yet (read in the code). A worker whose run of a failed job ended after another one of the job never got its ends acknowledged: it listed them, and all later ones, again and again.

Cause: a job's progress is saved once when it ends. If a run that is a trial ended afterwards, JobRun::endTrial() still counted a change, which nothing saves; acknowledgeSaved() waited for it.

Change: endTrial() leaves the progress of a job that has ended as it is.

Evidence: CrashingTasks/EndsOfAFailedServiceAreAcknowledged failed before ([harness.workers[worker].ended.empty()]); jobs-test passes.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -169,7 +169,7 @@
      */
     void beginTrial(const TaskId &id, int run, const StartTarget &target);
 
-    /** Records that the outcome of a run is known, if it was a trial. */
+    /** Records that the outcome of a run is known if it was a trial; not after the job's end. */
     void endTrial(const TaskId &id, int run);
 
     /** Returns true if the crashes of a task and its last trial have been saved. */
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -341,6 +341,9 @@
 
 void JobRun::endTrial(const TaskId &id, int run)
 {
+    // The end of a job is saved once; nothing would save a later change.
+    if (hasEnded())
+        return;
     const auto it = m_progress.trials.find({id.occurrence, id.step, id.index});
     if (it == m_progress.trials.end() || it->second.erase(run) == 0)
         return;
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -95,6 +95,50 @@
     return harness.scheduler.job(id)->progress().state;
 }
 
+/** A service of three tasks on a worker each, one of which may be unavailable. */
+SubmittedJob serviceOfThree()
+{
+    auto serving = step(3);
+    serving.persistent = true;
+    serving.maxUnavailable = 1;
+    serving.maxPerWorker = 1;
+    return job("service", {serving});
+}
+
+/**
+ * Lets the first task of the service crash its workers until the service has failed.
+ * @param othersCrashed whether the worker of the second task crashes once shortly before
+ */
+std::vector<StopTask> failService(SchedulerHarness &harness, bool othersCrashed = false)
+{
+    int lastWorker = addWorkers(harness, 8);
+    harness.addJob(serviceOfThree());
+    std::vector<StopTask> stops;
+    for (int n = 0; n < 200 && statusOf(harness, "service") != JobStatus::Failed; ++n) {
+        harness.saveAll();
+        const auto orders = ordersOf<StopTask>(harness.decide());
+        stops.insert(stops.end(), orders.begin(), orders.end());
+        for (auto &[id, it] : harness.workers) {
+            for (auto &[task, row] : it.running)
+                row.percent = task.index == 0 ? 0 : 100;
+        }
+        const auto *service = harness.scheduler.job("service");
+        const int others = service->crashes({"service", 0, 0, 1});
+        const bool almostFailed
+                = service->crashes({"service", 0, 0, 0}) == JobRun::maxPersistentCrashes - 1;
+        const auto other = harness.workerOf({"service", 0, 0, 1});
+        if (othersCrashed && almostFailed && others == 0)
+            crash(harness, other, lastWorker);
+        // The last crash comes once the second task is back.
+        const auto worker = harness.workerOf({"service", 0, 0, 0});
+        if (!worker.empty() && !(othersCrashed && almostFailed && other.empty()))
+            crash(harness, worker, lastWorker);
+        harness.advanceTime(100ms);
+        harness.reportAll();
+    }
+    return stops;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(CrashingTasks)
@@ -519,6 +563,27 @@
     BOOST_TEST(tally.starts <= 3 + maxStartsAfterThreeCrashes);
 }
 
+// Guards against a change after a job's end, which nothing saves: the ends after it would never be
+// acknowledged to their workers.
+BOOST_AUTO_TEST_CASE(EndsOfAFailedServiceAreAcknowledged)
+{
+    SchedulerHarness harness;
+    failService(harness, true);
+    harness.saveAll();
+    // The first one ends a trial.
+    BOOST_REQUIRE(!harness.scheduler.job("service")->progress().trials.empty());
+    for (const int index : {1, 2}) {
+        const TaskId task{"service", 0, 0, index};
+        const auto worker = harness.workerOf(task);
+        BOOST_REQUIRE(!worker.empty());
+        harness.end(task, RunEnd::Failed);
+        harness.reportFrom(worker);
+        harness.reportFrom(worker);
+        BOOST_TEST(harness.workers[worker].ended.empty());
+    }
+    BOOST_TEST(!harness.scheduler.hasUpdates());
+}
+
 // A rack without power says nothing about the tasks that ran on its workers.
 BOOST_AUTO_TEST_CASE(FailureOfARackIsNotPutDownToItsTasks)
 {
