Keep suspected tasks off the workers of others that they would be blamed with

The job was shown as failed: one of its tasks had run once, for 0.35 s, beside a task that crashed the worker. Three more starts got no answer because up to eight suspected tasks of other jobs were started on the same worker in the same moment, and one of them crashed it; each counted as a crash under all of them.

Cause: once a suspected task has waited for a second, it goes to the worker with the fewest runs, which is the one where another suspected task has just started.

Change: among the workers it may go to, one that another job's suspected task has on probation comes last.

SuspectedTaskPrefersAFullerWorkerToOneWithAnotherSuspect fails without the change.

--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -200,7 +200,7 @@
     WorkerState *quarantined = nullptr;
     std::tuple<bool, bool, Duration, std::int64_t> quarantinedScore;
     WorkerState *best = nullptr;
-    std::tuple<bool, std::ptrdiff_t, bool, bool, bool, bool, bool, std::int64_t, bool, double>
+    std::tuple<bool, bool, std::ptrdiff_t, bool, bool, bool, bool, bool, std::int64_t, bool, double>
             bestScore;
     const auto *target = job.trialTarget(id, task.lastRun + 1);
     const auto expected = waiting.suspicion > 0 ? expectedTrials(job, id) : StringMap<int>{};
@@ -247,8 +247,12 @@
                 = waiting.suspicion > 0
                           ? std::ssize(it->runs) + (others == expected.end() ? 0 : others->second)
                           : 0;
-        const std::tuple score(!isTarget || slow, neighbours, slow, failedHere, suspect,
-                               noRecentSuccess, remote, startedMs, it->persistentRuns == 0, -load);
+        // Of two suspected tasks on one worker, the crash would count for both.
+        const bool besideSuspect
+                = waiting.suspicion > 0 && now < it->probationUntil && it->probationJob != id.job;
+        const std::tuple score(!isTarget || slow, besideSuspect, neighbours, slow, failedHere,
+                               suspect, noRecentSuccess, remote, startedMs, it->persistentRuns == 0,
+                               -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -517,6 +517,36 @@
     BOOST_TEST(!harness.workerOf({"gang", 0, 2, 1}).empty());
 }
 
+// Guards against a task that meets one crash after the other because it starts beside another
+// suspected one whenever it has waited long enough for a worker of its own.
+BOOST_AUTO_TEST_CASE(SuspectedTaskPrefersAFullerWorkerToOneWithAnotherSuspect)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 1);
+    const TaskId first{"first", 0, 0, 0};
+    const TaskId second{"second", 0, 0, 0};
+    harness.addJob(job("first", {step(1)}));
+    harness.addJob(job("second", {step(1)}));
+    harness.decide();
+    auto filler = step(3);
+    filler.requiredLabel = "filler";
+    harness.addJob(job("filler", {filler}));
+    harness.workers["w9"].startedMs = 1;
+    harness.addWorker("w9", 8, "instance-9");
+    setLabel(harness, "w9", "filler");
+    harness.decide();
+    BOOST_REQUIRE(harness.workers["w9"].running.size() == 3U);
+    crash(harness, "w1", lastWorker);
+    harness.decide();
+    harness.advanceTime(500ms);
+    harness.decideWithSaves();
+    BOOST_REQUIRE(harness.workerOf(first) == "w2");
+    BOOST_REQUIRE(harness.workerOf(second).empty());
+    harness.advanceTime(600ms);
+    harness.decideWithSaves();
+    BOOST_TEST(harness.workerOf(second) == "w9");
+}
+
 // A start whose outcome is known must not count as a crash for a successor.
 BOOST_AUTO_TEST_CASE(TrialsEndWithTheirRunsAndOnceTheyHaveSurvivedTheirStart)
 {
