Take several crashes in a rack for its failure only if most of it is silent

Change: a rack has failed only if more of its workers fell silent together than answer.

CrashesOfAFewWorkersAreNotARackFailure fails without the change; the cases of racks that do fail pass as before.

--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -31,13 +31,18 @@
     const auto &rack = worker.description.rack;
     if (rack.empty() || worker.silentSince == TimePoint{})
         return false;
-    const auto silent = std::ranges::count_if(m_workers, [&](const auto &it) {
-        const auto &other = it.second;
-        return other.silentSince != TimePoint{} && other.description.rack == rack
-               && std::chrono::abs(other.silentSince - worker.silentSince)
-                          <= internal::rackFailureSpread;
-    });
-    return silent >= internal::rackFailureWorkers;
+    std::ptrdiff_t silent = 0;
+    std::ptrdiff_t answering = 0;
+    for (const auto &[id, other] : m_workers) {
+        if (other.description.rack != rack)
+            continue;
+        answering += static_cast<std::ptrdiff_t>(other.reachable);
+        silent += static_cast<std::ptrdiff_t>(
+                !other.reachable && other.silentSince != TimePoint{}
+                && std::chrono::abs(other.silentSince - worker.silentSince)
+                           <= internal::rackFailureSpread);
+    }
+    return silent >= internal::rackFailureWorkers && silent > answering;
 }
 
 void Scheduler::recordCrashes(std::span<const SuspectedRun> runs, TimePoint now)
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -632,6 +632,30 @@
     BOOST_TEST(harness.scheduler.job("j")->progress().crashes.empty());
 }
 
+// Guards against tasks whose crashes are not counted because they crash several workers of a rack
+// at about the same time, while the others go on (BUDGET).
+BOOST_AUTO_TEST_CASE(CrashesOfAFewWorkersAreNotARackFailure)
+{
+    SchedulerHarness harness;
+    int lastWorker = addWorkers(harness, 7);
+    for (auto &[id, worker] : harness.workers) {
+        worker.description.rack = "rack";
+        harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
+    }
+    auto spread = step(3);
+    spread.maxPerWorker = 1;
+    harness.addJob(job("j", {spread}));
+    harness.decide();
+    std::vector<std::string> holders;
+    for (int n = 0; n < 3; ++n)
+        holders.push_back(harness.workerOf({"j", 0, 0, n}));
+    for (const auto &id : holders)
+        harness.scheduler.holdUnanswered(id, harness.now);
+    for (const auto &id : holders)
+        crash(harness, id, lastWorker);
+    BOOST_TEST(harness.scheduler.job("j")->progress().crashes.size() == 3U);
+}
+
 // A worker that was cut off and answers again has not crashed.
 BOOST_AUTO_TEST_CASE(RunsThatEndedWithTheirHoldCountOnlyIfTheWorkerCrashed)
 {
