Give up a job under one confirmed crash only after five

Cause: while fewer than two crashes were confirmed, four ended the job, of which three need not have reached their workers. Starts whose answer is lost come in groups, since the crash takes the answers of all orders on their way to the worker.

A saved start whose worker has ended counts as confirmed, as one that other tasks may share, so that a task whose owners end one after the other still ends at four on record.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -144,9 +144,11 @@
     static constexpr int maxSharedCrashes = 4;
     /** The same for a persistent task, whose job serves for long and has many starts. */
     static constexpr int maxPersistentCrashes = 5;
-    /** The same if the last run, or most of them, may not have reached their workers. */
+    /** The same if the last run may not have reached its worker. */
     static constexpr int maxUnconfirmedCrashes = 4;
-    /** Number of confirmed crashes without which maxUnconfirmedCrashes applies. */
+    /** The same if all but one of the runs may not have reached their workers. */
+    static constexpr int maxDoubtfulCrashes = 5;
+    /** Number of confirmed crashes without which maxDoubtfulCrashes applies. */
     static constexpr int minConfirmedCrashes = 2;
 
     /** What is known of a run whose worker crashed. */
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -376,7 +376,7 @@
     if (it == m_progress.unconfirmedCrashes.end())
         return maxCrashes;
     const int confirmed = crashes(id) - static_cast<int>(it->second.size());
-    return confirmed < minConfirmedCrashes ? maxUnconfirmedCrashes : maxCrashes;
+    return confirmed < minConfirmedCrashes ? maxDoubtfulCrashes : maxCrashes;
 }
 
 int JobRun::failures(const TaskId &id) const
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -94,8 +94,14 @@
     }
     for (const auto &it : others)
         job.endTrial(it.task, it.run);
+    // What else ran on the worker is not known.
+    for (const auto &it : crashed) {
+        if (job.recordCrash(it.task, it.run, {.confirmed = true, .shared = true})) {
+            endJob(job, now);
+            return;
+        }
+    }
     queueSave(job);
-    recordCrashes(crashed, now);
 }
 
 StartTarget Scheduler::startTarget(const WorkerState &worker)
