--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -29,6 +29,7 @@
     std::set<std::string> failedOn;
     TimePoint failedAt{}; ///< Time of the task's last failed run.
     TimePoint waitingSince{};
+    std::uint64_t trialChange = 0; ///< JobRun::changes() after its last trial was recorded.
 };
 
 /** State of a step in one occurrence. */
@@ -38,6 +39,7 @@
     int waiting = 0; ///< Tasks in phase Waiting.
     int done = 0;
     bool ready = false; ///< The steps it depends on have completed.
+    bool mayHaveStarted = false; ///< An earlier owner may have started its tasks.
     Duration shortestRunTime{0}; ///< Observed or projected, over its tasks; 0 for none.
     std::string shortestRunWorker; ///< Worker of that run.
 };
@@ -99,6 +101,7 @@
 
     /** Returns the task; nullptr if its step is not ready or the id is out of range. */
     [[nodiscard]] Task *task(const TaskId &id);
+    [[nodiscard]] const Task *task(const TaskId &id) const;
 
     /**
      * Compares a run time with those of the step's other tasks, which are of the same size.
@@ -141,9 +144,11 @@
     static constexpr int maxSharedCrashes = 4;
     /** The same for a persistent task, whose job serves for long and has many starts. */
     static constexpr int maxPersistentCrashes = 5;
-    /** The same if the last run, or most of them, may not have reached their workers. */
+    /** The same if the last run may not have reached its worker. */
     static constexpr int maxUnconfirmedCrashes = 4;
-    /** Number of confirmed crashes without which maxUnconfirmedCrashes applies. */
+    /** The same if all but one of the runs may not have reached their workers. */
+    static constexpr int maxDoubtfulCrashes = 5;
+    /** Number of confirmed crashes without which maxDoubtfulCrashes applies. */
     static constexpr int minConfirmedCrashes = 2;
 
     /** What is known of a run whose worker crashed. */
@@ -159,19 +164,32 @@
      */
     bool recordCrash(const TaskId &id, int run, CrashEvidence evidence);
 
-    /** Records that a task under which a worker has crashed is about to be started as a run. */
-    void beginTrial(const TaskId &id, int run);
+    /**
+     * Records that a task under which a worker has crashed, or may have under an earlier owner, is
+     * about to be started as a run. A run that has not been started may be recorded again with
+     * another target.
+     */
+    void beginTrial(const TaskId &id, int run, const StartTarget &target);
 
-    /** Records that the outcome of a run is known, if it was a trial. */
+    /** Records that the outcome of a run is known if it was a trial; not after the job's end. */
     void endTrial(const TaskId &id, int run);
 
-    /** Returns true if the outcome of a run that was a trial is not known. */
-    [[nodiscard]] bool hasTrial(const TaskId &id, int run) const;
+    /** Returns true if the crashes of a task and its last trial have been saved. */
+    [[nodiscard]] bool trialSaved(const Task &task) const
+    {
+        return crashesSaved() && m_saved >= task.trialChange;
+    }
+
+    /** Returns the target of a trial whose outcome is not known; nullptr if there is none. */
+    [[nodiscard]] const StartTarget *trialTarget(const TaskId &id, int run) const;
 
     /** Returns how many runs of a task, or of its gang, have failed. */
     [[nodiscard]] int failures(const TaskId &id) const;
 
-    /** Returns true if all recorded crashes and trials have been saved for a successor. */
+    /** Returns true if an earlier owner may have started a task. */
+    [[nodiscard]] bool mayHaveStarted(const TaskId &id) const;
+
+    /** Returns true if all recorded crashes have been saved for a successor. */
     [[nodiscard]] bool crashesSaved() const { return m_saved >= m_lastCrash; }
 
     /** Returns how many workers may crash under a task at least before its job is given up. */
@@ -222,7 +240,8 @@
     TimePoint accepted{};
 
 private:
-    void open(int occurrence, TimePoint now);
+    /** @param first the job has been opened by no decision of this owner before */
+    void open(int occurrence, bool first, TimePoint now);
     void makeReady(int occurrence, int step, TimePoint now);
     void finishStep(int occurrence, int step, TimePoint now);
     [[nodiscard]] bool dependenciesDone(int occurrence, int step) const;
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -26,12 +26,13 @@
 
 bool JobRun::openDueOccurrences(std::int64_t unixMs, TimePoint now)
 {
+    const bool first = m_openedAtMs == 0;
     m_openedAtMs = unixMs;
     bool opened = false;
     while (!hasEnded() && m_nextOccurrence < m_job.spec.occurrences
            && m_nextOccurrence - m_firstIncomplete < m_window
            && m_job.spec.dueMs(m_nextOccurrence) <= unixMs) {
-        open(m_nextOccurrence++, now);
+        open(m_nextOccurrence++, first, now);
         opened = true;
     }
     return opened;
@@ -64,9 +65,13 @@
     m_progress.stepsDone.erase(m_progress.stepsDone.begin(),
                                m_progress.stepsDone.lower_bound({first, 0}));
     m_progress.done.erase(m_progress.done.begin(), m_progress.done.lower_bound({first, 0}));
-    for (auto *runs : {&m_progress.failures, &m_progress.crashes, &m_progress.unconfirmedCrashes,
-                       &m_progress.trials})
-        runs->erase(runs->begin(), runs->lower_bound({first, 0, 0}));
+    const auto eraseCompleted = [first](auto &runs) {
+        runs.erase(runs.begin(), runs.lower_bound({first, 0, 0}));
+    };
+    eraseCompleted(m_progress.failures);
+    eraseCompleted(m_progress.crashes);
+    eraseCompleted(m_progress.unconfirmedCrashes);
+    eraseCompleted(m_progress.trials);
 }
 
 void JobRun::dropCompletedOccurrences()
@@ -85,7 +90,7 @@
     return m_nextOccurrence < m_job.spec.occurrences ? m_job.spec.dueMs(m_nextOccurrence) : 0;
 }
 
-void JobRun::open(int occurrence, TimePoint now)
+void JobRun::open(int occurrence, bool first, TimePoint now)
 {
     const int stepCount = static_cast<int>(m_job.spec.steps.size());
     OccurrenceRun opened;
@@ -96,9 +101,11 @@
         return;
     m_occurrences[occurrence] = std::move(opened);
     for (int n = 0; n < stepCount; ++n) {
-        const auto &step = m_occurrences[occurrence].steps[static_cast<std::size_t>(n)];
-        if (!step.ready && !stepDone(occurrence, n) && dependenciesDone(occurrence, n))
-            makeReady(occurrence, n, now);
+        auto &step = m_occurrences[occurrence].steps[static_cast<std::size_t>(n)];
+        if (step.ready || stepDone(occurrence, n) || !dependenciesDone(occurrence, n))
+            continue;
+        step.mayHaveStarted = first && inherited;
+        makeReady(occurrence, n, now);
     }
 }
 
@@ -153,14 +160,19 @@
 }
 
 Task *JobRun::task(const TaskId &id)
+{
+    return const_cast<Task *>(std::as_const(*this).task(id));
+}
+
+const Task *JobRun::task(const TaskId &id) const
 {
     const auto it = m_occurrences.find(id.occurrence);
     if (it == m_occurrences.end() || id.step < 0 || id.index < 0)
         return nullptr;
-    auto &steps = it->second.steps;
+    const auto &steps = it->second.steps;
     if (static_cast<std::size_t>(id.step) >= steps.size())
         return nullptr;
-    auto &tasks = steps[static_cast<std::size_t>(id.step)].tasks;
+    const auto &tasks = steps[static_cast<std::size_t>(id.step)].tasks;
     return static_cast<std::size_t>(id.index) < tasks.size()
                    ? &tasks[static_cast<std::size_t>(id.index)]
                    : nullptr;
@@ -316,14 +328,22 @@
     return true;
 }
 
-void JobRun::beginTrial(const TaskId &id, int run)
+void JobRun::beginTrial(const TaskId &id, int run, const StartTarget &target)
 {
-    if (m_progress.trials[{id.occurrence, id.step, id.index}].insert(run).second)
-        m_lastCrash = ++m_changes;
+    auto &known = m_progress.trials[{id.occurrence, id.step, id.index}][run];
+    if (known == target)
+        return;
+    known = target;
+    ++m_changes;
+    if (auto *it = task(id))
+        it->trialChange = m_changes;
 }
 
 void JobRun::endTrial(const TaskId &id, int run)
 {
+    // The end of a job is saved once; nothing would save a later change.
+    if (hasEnded())
+        return;
     const auto it = m_progress.trials.find({id.occurrence, id.step, id.index});
     if (it == m_progress.trials.end() || it->second.erase(run) == 0)
         return;
@@ -332,10 +352,20 @@
         m_progress.trials.erase(it);
 }
 
-bool JobRun::hasTrial(const TaskId &id, int run) const
+const StartTarget *JobRun::trialTarget(const TaskId &id, int run) const
 {
     const auto it = m_progress.trials.find({id.occurrence, id.step, id.index});
-    return it != m_progress.trials.end() && it->second.contains(run);
+    if (it == m_progress.trials.end())
+        return nullptr;
+    const auto target = it->second.find(run);
+    return target == it->second.end() ? nullptr : &target->second;
+}
+
+bool JobRun::mayHaveStarted(const TaskId &id) const
+{
+    const auto it = m_occurrences.find(id.occurrence);
+    return it != m_occurrences.end()
+           && it->second.steps[static_cast<std::size_t>(id.step)].mayHaveStarted;
 }
 
 int JobRun::crashLimit(const TaskId &id) const
@@ -346,7 +376,7 @@
     if (it == m_progress.unconfirmedCrashes.end())
         return maxCrashes;
     const int confirmed = crashes(id) - static_cast<int>(it->second.size());
-    return confirmed < minConfirmedCrashes ? maxUnconfirmedCrashes : maxCrashes;
+    return confirmed < minConfirmedCrashes ? maxDoubtfulCrashes : maxCrashes;
 }
 
 int JobRun::failures(const TaskId &id) const
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -31,13 +31,18 @@
     const auto &rack = worker.description.rack;
     if (rack.empty() || worker.silentSince == TimePoint{})
         return false;
-    const auto silent = std::ranges::count_if(m_workers, [&](const auto &it) {
-        const auto &other = it.second;
-        return other.silentSince != TimePoint{} && other.description.rack == rack
-               && std::chrono::abs(other.silentSince - worker.silentSince)
-                          <= internal::rackFailureSpread;
-    });
-    return silent >= internal::rackFailureWorkers;
+    std::ptrdiff_t silent = 0;
+    std::ptrdiff_t answering = 0;
+    for (const auto &[id, other] : m_workers) {
+        if (other.description.rack != rack)
+            continue;
+        answering += static_cast<std::ptrdiff_t>(other.reachable);
+        silent += static_cast<std::ptrdiff_t>(
+                !other.reachable && other.silentSince != TimePoint{}
+                && std::chrono::abs(other.silentSince - worker.silentSince)
+                           <= internal::rackFailureSpread);
+    }
+    return silent >= internal::rackFailureWorkers && silent > answering;
 }
 
 void Scheduler::recordCrashes(std::span<const SuspectedRun> runs, TimePoint now)
@@ -63,30 +68,96 @@
             ++it;
             continue;
         }
-        std::vector<SuspectedRun> runs;
-        if (job != nullptr && !job->hasEnded()) {
-            for (const auto &[key, numbers] : job->progress().trials) {
-                const auto &[occurrence, step, index] = key;
-                for (const int run : numbers)
-                    runs.push_back({{*it, occurrence, step, index}, run});
-            }
-        }
         it = m_inheritedTrials.erase(it);
-        recordCrashes(runs, now);
+        if (job != nullptr && !job->hasEnded())
+            settleTrials(*job, now);
     }
 }
 
-bool Scheduler::prepareStart(JobRun &job, const TaskId &id, const Task &task)
+void Scheduler::settleTrials(JobRun &job, TimePoint now)
 {
-    if (!m_inheritedTrials.empty() && m_inheritedTrials.contains(id.job))
-        return false;
-    if (job.crashes(id) == 0)
-        return true;
-    if (!job.hasTrial(id, task.lastRun + 1)) {
-        job.beginTrial(id, task.lastRun + 1);
+    std::vector<SuspectedRun> crashed;
+    std::vector<SuspectedRun> others;
+    for (const auto &[key, runs] : job.progress().trials) {
+        const auto &[occurrence, step, index] = key;
+        const TaskId id{job.job().id, occurrence, step, index};
+        const auto *task = job.task(id);
+        const bool done = task != nullptr ? task->phase == Task::Phase::Done
+                                          : job.stepDone(occurrence, step);
+        for (const auto &[run, target] : runs) {
+            const auto *holder = worker(target.worker);
+            // A worker that lists neither the run nor its end has not received the order.
+            const bool sameIncarnation = holder != nullptr && !holder->retired && holder->fenced
+                                         && holder->startedMs == target.startedMs;
+            (done || sameIncarnation ? others : crashed).push_back({id, run});
+        }
+    }
+    for (const auto &it : others)
+        job.endTrial(it.task, it.run);
+    // What else ran on the worker is not known.
+    for (const auto &it : crashed) {
+        if (job.recordCrash(it.task, it.run, {.confirmed = true, .shared = true})) {
+            endJob(job, now);
+            return;
+        }
+    }
+    queueSave(job);
+}
+
+StartTarget Scheduler::startTarget(const WorkerState &worker)
+{
+    return {worker.description.id, worker.startedMs};
+}
+
+StringMap<int> Scheduler::expectedTrials(const JobRun &job, const TaskId &except)
+{
+    StringMap<int> expected;
+    for (const auto &[key, runs] : job.progress().trials) {
+        const auto &[occurrence, step, index] = key;
+        const TaskId id{job.job().id, occurrence, step, index};
+        const auto *task = id == except ? nullptr : job.task(id);
+        if (task == nullptr || task->phase != Task::Phase::Waiting)
+            continue;
+        if (const auto it = runs.find(task->lastRun + 1); it != runs.end())
+            ++expected[it->second.worker];
+    }
+    return expected;
+}
+
+void Scheduler::beginProbation(WorkerState &worker, const std::string &job, TimePoint now)
+{
+    worker.probationUntil = now + internal::probationTime;
+    worker.probationJob = job;
+}
+
+void Scheduler::observeSaves(TimePoint now)
+{
+    if (m_savesInFlight == 0 || m_saveAnswered)
+        m_saveWaitsSince = now;
+    m_saveAnswered = false;
+    m_saveDelayed = m_lastSaveFailed || now - m_saveWaitsSince >= internal::delayedSaveTime;
+}
+
+bool Scheduler::prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
+                             TimePoint now)
+{
+    const int run = task.lastRun + 1;
+    const auto target = startTarget(worker);
+    if (job.crashes(id) == 0) {
+        if (!job.mayHaveStarted(id))
+            return true;
+        // Few tasks crash workers, so that the save is only waited for if it may be lost.
+        job.beginTrial(id, run, target);
         queueSave(job);
+        return !m_saveDelayed || job.trialSaved(task);
     }
-    return job.crashesSaved();
+    const auto *known = job.trialTarget(id, run);
+    if (known != nullptr && *known == target)
+        return job.trialSaved(task);
+    job.beginTrial(id, run, target);
+    beginProbation(worker, id.job, now);
+    queueSave(job);
+    return false;
 }
 
 void Scheduler::forgetUnexplainedRuns(WorkerState &worker)
@@ -96,6 +167,7 @@
             m_unexplainedRuns.erase(it.task);
         if (auto *job = find(it.task.job)) {
             job->endTrial(it.task, it.run);
+            queueSave(*job);
             waitingChanged(*job);
         }
     }
