--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace dragonflysill;
 using namespace dragonflysill::test;
@@ -660,6 +662,7 @@
     harness.addJob(job("j", {spread}));
     harness.decide();
     std::vector<std::string> holders;
+    holders.reserve(3);
     for (int n = 0; n < 3; ++n)
         holders.push_back(harness.workerOf({"j", 0, 0, n}));
     for (const auto &id : holders)
