--- /dev/null
+++ b/review/case.sh
@@ -0,0 +1,44 @@
+# Runs a scenario of the stand-in beside nodes started with the command of the deploy file. Source
+# this file from a run.sh with the scenario's name in $scenario; it exits with the scenario's code.
+
+case_dir=$(cd "$(dirname "$0")" && pwd)
+cd "$case_dir/../.."
+standin=build/review/review-standin
+command=$(sed -n 's/^run = "\(.*\)"$/\1/p' deploy/system.toml)
+nodes=${nodes:-3}
+run_dir=$(mktemp -d)
+# Loopback addresses of this run, so that the ports of the deploy file are free.
+network=127.$((64 + $$ % 128)).$((1 + $$ / 128 % 250))
+pids=()
+stop_all() {
+    local pid
+    for pid in "${pids[@]}"; do
+        kill -KILL "$pid" 2>/dev/null || true
+        wait "$pid" 2>/dev/null || true
+    done
+    [ -n "${KEEP_LOGS:-}" ] && cp "$run_dir"/*.log "$KEEP_LOGS"/
+    rm -rf "$run_dir"
+}
+trap stop_all EXIT
+
+[ -x "$standin" ] && [ -x "${command%% *}" ] || {
+    echo "build the deploy file and review/build.sh first" >&2
+    exit 2
+}
+"$standin" "$scenario" "${TROUBLE:-1}" "$nodes" "$run_dir" "$case_dir/record.txt" "$network" \
+    >"$run_dir/standin.log" 2>&1 &
+standin_pid=$!
+pids+=("$standin_pid")
+for n in $(seq "$nodes"); do
+    for _ in $(seq 100); do
+        [ -s "$run_dir/node-$n.json" ] && break
+        sleep 0.05
+    done
+    # shellcheck disable=SC2086
+    DRAGONFLYSILL_SETTINGS="$run_dir/node-$n.json" $command >"$run_dir/node-$n.log" 2>&1 &
+    pids+=("$!")
+done
+result=0
+wait "$standin_pid" || result=$?
+grep -E "(LOST|TWICE|MIXED|UNASKED|REFUSED|CONFIG|AVAIL|exit code)" "$case_dir/record.txt" || true
+exit "$result"
--- /dev/null
+++ b/review/standin/scenarios.cpp
@@ -0,0 +1,304 @@
+// The sequences of events of the cases that are scripts, and the checks of the rules they name.
+
+#include "platform.h"
+
+#include <algorithm>
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace review {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int ruleHeld = 0;
+constexpr int ruleBroken = 1;
+constexpr int couldNotRun = 2;
+/** Longest time of a scenario, below the limit of 120 s for a script. */
+constexpr Duration longestScenario = 100s;
+constexpr Duration pollInterval = 200ms;
+
+/** Returns the body of a job with one work item of one core. */
+std::string oneTask(int runTimeMs)
+{
+    return dump(Json{
+            {"spec", std::to_string(runTimeMs)},
+            {"steps", {{{"count", 1}, {"cpu", 1000}, {"memMb", 512}, {"estimateMs", runTimeMs}}}}});
+}
+
+/** Asks for the state of a job until it has ended; the nodes are asked in turn. */
+void awaitEnd(Platform &platform, const std::string &job,
+              const std::function<void(const std::string &state)> &ended, int node = 1)
+{
+    platform.request(node, "GET", job, {}, [&platform, job, ended, node](const HttpResponse &it) {
+        std::string state;
+        if (it.status == 200)
+            state = Json::parse(it.body).value("state", "");
+        if (it.status == 410 || state == "completed" || state == "failed" || state == "cancelled") {
+            platform.note("GET " + job + " at node " + std::to_string(node) + ": "
+                          + std::to_string(it.status) + ' ' + state);
+            ended(state);
+            return;
+        }
+        platform.loop().after(pollInterval, [&platform, job, ended, node] {
+            awaitEnd(platform, job, ended, node % 3 + 1);
+        });
+    });
+}
+
+void limitTime(Platform &platform)
+{
+    platform.loop().after(longestScenario, [&platform] {
+        platform.note("the scenario did not end in time");
+        platform.finish(couldNotRun);
+    });
+}
+
+// Two waves that share machines.
+
+class OverlappingWaves
+{
+public:
+    explicit OverlappingWaves(Platform &platform)
+        : m_platform(platform)
+    {
+        for (int n = 1; n <= 8; ++n)
+            platform.addMachine("m-" + std::to_string(n), "pool", "r-" + std::to_string(n), 8);
+        m_machines[1] = {"m-1", "m-2", "m-3", "m-4", "m-5"};
+        m_machines[2] = {"m-1", "m-2", "m-6", "m-7", "m-8"};
+        platform.whenReady([this] { m_platform.loop().after(3s, [this] { begin(); }); });
+    }
+
+private:
+    void begin()
+    {
+        m_platform.requestWave(1, m_machines[1], 40, 2);
+        if (m_platform.trouble())
+            m_platform.requestWave(2, m_machines[2], 40, 2);
+        else
+            m_completed.insert(2);
+        poll();
+    }
+
+    void poll()
+    {
+        for (const auto &[number, machines] : m_machines) {
+            m_platform.readKey("status/wave/" + std::to_string(number),
+                               [this, number](const std::string &value) {
+                                   const auto status = Json::parse(value, nullptr, false);
+                                   if (status.is_object()
+                                       && status.value("state", "") == "completed")
+                                       completed(number);
+                               });
+        }
+        m_platform.loop().after(pollInterval, [this] { poll(); });
+    }
+
+    void completed(int number)
+    {
+        if (!m_completed.insert(number).second)
+            return;
+        m_platform.note("status/wave/" + std::to_string(number) + " is completed");
+        for (const auto &it : m_machines[number]) {
+            if (m_platform.upkeepBegun[number].contains(it))
+                continue;
+            m_platform.note("MIXED: wave " + std::to_string(number)
+                            + " is said to be completed, and " + it
+                            + " has not begun its upkeep for it");
+            m_broken = true;
+        }
+        if (m_completed.size() == m_machines.size())
+            m_platform.finish(m_broken ? ruleBroken : ruleHeld);
+    }
+
+    Platform &m_platform;
+    std::map<int, std::vector<std::string>> m_machines;
+    std::set<int> m_completed;
+    bool m_broken = false;
+};
+
+// An executor that runs a work item is partitioned, three times in a row.
+
+class RepeatedCuts
+{
+public:
+    explicit RepeatedCuts(Platform &platform)
+        : m_platform(platform)
+    {
+        // Two partitions overlap for a moment; 2 of 12 executors are a share of 0.17.
+        for (int n = 1; n <= 12; ++n)
+            platform.addMachine("m-" + std::to_string(n), "pool", "r-" + std::to_string(n), 8);
+        platform.onEvent = [this](const std::string &executor, const std::string &event,
+                                  const std::vector<std::string> &) {
+            if (event == "start")
+                started(executor);
+        };
+        platform.whenReady([this] { m_platform.loop().after(3s, [this] { begin(); }); });
+    }
+
+private:
+    static constexpr int cuts = 3;
+    static constexpr Duration runTimeBeforeCut = 1000ms;
+    static constexpr Duration cutLength = 5500ms;
+
+    void begin()
+    {
+        m_platform.submit(m_job, oneTask(9000), [this] {
+            awaitEnd(m_platform, m_job, [this](const std::string &state) {
+                if (state != "completed")
+                    m_platform.note("LOST: the job is shown as '" + state
+                                    + "', no run of it has failed and no executor has crashed");
+                m_platform.finish(state == "completed" ? ruleHeld : ruleBroken);
+            });
+        });
+    }
+
+    void started(const std::string &executor)
+    {
+        if (!m_platform.trouble() || m_cuts == cuts)
+            return;
+        ++m_cuts;
+        m_platform.loop().after(runTimeBeforeCut, [this, executor] {
+            auto *machine = m_platform.machineOfExecutor(executor);
+            m_platform.signalExecutor(*machine, SIGUSR1);
+            m_platform.loop().after(
+                    cutLength, [this, machine] { m_platform.signalExecutor(*machine, SIGUSR2); });
+        });
+    }
+
+    Platform &m_platform;
+    const std::string m_job = "00000000000000c1";
+    int m_cuts = 0;
+};
+
+// An idle executor restarts under its id between two looks at it; later, at work, it is
+// partitioned.
+
+class RestartUnderSameId
+{
+public:
+    explicit RestartUnderSameId(Platform &platform)
+        : m_platform(platform)
+    {
+        for (int n = 1; n <= machines; ++n) {
+            auto &machine = platform.addMachine("m-" + std::to_string(n), "pool",
+                                                "r-" + std::to_string(n), 8);
+            machine.executor.registerDelayMs = registerDelayMs;
+        }
+        platform.onEvent = [this](const std::string &executor, const std::string &event,
+                                  const std::vector<std::string> &words) {
+            if (event == "hold" && words.size() == 2)
+                held(executor);
+            else if (event == "start")
+                started(executor, words.at(2));
+        };
+        // The first job shows which executor an idle fleet gives work to.
+        platform.whenReady([this] {
+            m_platform.loop().after(10s, [this] {
+                m_platform.submit(m_firstJob, oneTask(100), [this] {
+                    awaitEnd(m_platform, m_firstJob, [this](const std::string &) {
+                        m_platform.loop().after(3s, [this] { m_mayRestart = true; });
+                        m_platform.loop().after(9500ms, [this] { begin(); });
+                    });
+                });
+            });
+        });
+    }
+
+private:
+    static constexpr int machines = 8;
+    /** A restarted executor serves first and reports its status this much later. */
+    static constexpr int registerDelayMs = 300;
+    /** An idle executor is looked at every 2 s; it is down between two looks. */
+    static constexpr Duration timeUntilKill = 300ms;
+    static constexpr Duration downTime = 1600ms;
+    static constexpr Duration runTimeBeforeCut = 500ms;
+    static constexpr Duration cutLength = 5500ms;
+
+    void held(const std::string &executor)
+    {
+        if (!m_mayRestart || !m_platform.trouble() || executor != m_executor)
+            return;
+        m_mayRestart = false;
+        m_platform.loop().after(timeUntilKill, [this, executor] {
+            auto *machine = m_platform.machineOfExecutor(executor);
+            m_platform.signalExecutor(*machine, SIGKILL);
+            m_platform.loop().after(downTime, [this, machine, executor] {
+                m_platform.startExecutor(*machine, executor);
+            });
+        });
+    }
+
+    void begin()
+    {
+        m_platform.submit(m_job, oneTask(9000), [this] {
+            awaitEnd(m_platform, m_job, [this](const std::string &) {
+                m_platform.finish(m_broken                         ? ruleBroken
+                                  : m_cut || !m_platform.trouble() ? ruleHeld
+                                                                   : couldNotRun);
+            });
+        });
+    }
+
+    void started(const std::string &executor, const std::string &task)
+    {
+        if (task.starts_with(m_firstJob)) {
+            m_executor = executor;
+            return;
+        }
+        std::vector<std::string> running;
+        for (const auto &it : m_platform.runs[task]) {
+            if (it.how.empty())
+                running.push_back(it.executor);
+        }
+        if (running.size() > 1) {
+            m_broken = true;
+            m_platform.note("TWICE: " + task + " runs on " + running.front() + " and on "
+                            + running.back());
+        }
+        if (!m_platform.trouble() || executor != m_executor || std::exchange(m_cut, true))
+            return;
+        m_platform.loop().after(runTimeBeforeCut, [this, executor] {
+            auto *machine = m_platform.machineOfExecutor(executor);
+            m_platform.signalExecutor(*machine, SIGUSR1);
+            m_platform.loop().after(
+                    cutLength, [this, machine] { m_platform.signalExecutor(*machine, SIGUSR2); });
+        });
+    }
+
+    Platform &m_platform;
+    const std::string m_firstJob = "00000000000000d0";
+    const std::string m_job = "00000000000000d1";
+    std::string m_executor; ///< That runs the first job.
+    bool m_mayRestart = false;
+    bool m_cut = false;
+    bool m_broken = false;
+};
+
+template <typename Scenario>
+void keep(Platform &platform)
+{
+    static std::unique_ptr<Scenario> scenario;
+    scenario = std::make_unique<Scenario>(platform);
+}
+
+} // namespace
+
+bool beginScenario(const std::string &name, Platform &platform)
+{
+    limitTime(platform);
+    if (name == "overlapping-waves")
+        keep<OverlappingWaves>(platform);
+    else if (name == "repeated-cuts")
+        keep<RepeatedCuts>(platform);
+    else if (name == "restart-under-same-id")
+        keep<RestartUnderSameId>(platform);
+    else
+        return false;
+    return true;
+}
+
+} // namespace review
