--- a/review/case.sh
+++ b/review/case.sh
@@ -11,9 +11,13 @@
 network=127.$((64 + $$ % 128)).$((1 + $$ / 128 % 250))
 pids=()
 stop_all() {
-    local pid
+    local pid n
+    touch "$run_dir/stop"
+    for n in $(seq "$nodes"); do
+        [ -s "$run_dir/node-$n.pid" ] && kill -KILL "$(cat "$run_dir/node-$n.pid")" 2>/dev/null
+    done
+    kill -KILL "${standin_pid:-}" 2>/dev/null || true
     for pid in "${pids[@]}"; do
-        kill -KILL "$pid" 2>/dev/null || true
         wait "$pid" 2>/dev/null || true
     done
     [ -n "${KEEP_LOGS:-}" ] && cp "$run_dir"/*.log "$KEEP_LOGS"/
@@ -21,6 +25,19 @@
 }
 trap stop_all EXIT
 
+# run_node N: runs a node; a node that ends is started again, as the platform does.
+run_node() {
+    local pid
+    while [ ! -e "$run_dir/stop" ]; do
+        # shellcheck disable=SC2086
+        DRAGONFLYSILL_SETTINGS="$run_dir/node-$1.json" $command >>"$run_dir/node-$1.log" 2>&1 &
+        pid=$!
+        echo "$pid" >"$run_dir/node-$1.pid"
+        wait "$pid"
+        [ -e "$run_dir/stop" ] || sleep 0.5
+    done
+}
+
 [ -x "$standin" ] && [ -x "${command%% *}" ] || {
     echo "build the deploy file and review/build.sh first" >&2
     exit 2
@@ -34,8 +51,7 @@
         [ -s "$run_dir/node-$n.json" ] && break
         sleep 0.05
     done
-    # shellcheck disable=SC2086
-    DRAGONFLYSILL_SETTINGS="$run_dir/node-$n.json" $command >"$run_dir/node-$n.log" 2>&1 &
+    run_node "$n" &
     pids+=("$!")
 done
 result=0
--- a/review/standin/executor.cpp
+++ b/review/standin/executor.cpp
@@ -17,6 +17,7 @@
 #include <cstdio>
 #include <map>
 #include <memory>
+#include <random>
 #include <vector>
 
 namespace review {
@@ -32,6 +33,9 @@
 /** An entry is removed after this number of status report intervals of silence. */
 constexpr int missedHeartbeats = 3;
 constexpr std::size_t maxEndsPerReport = 500;
+/** Bounds of the time after which an order that was left unanswered is carried out. */
+constexpr unsigned minLateMs = 2000;
+constexpr unsigned maxLateMs = 12000;
 
 class Executor
 {
@@ -42,9 +46,9 @@
         , m_server(m_loop,
                    [this](const HttpRequest &request, HttpServer::Respond respond) {
                        if (!m_cut)
-                           handle(request, std::move(respond));
+                           receive(request, std::move(respond));
                    })
-        , m_signals(m_loop.context(), SIGUSR1, SIGUSR2)
+        , m_signals(m_loop.context(), SIGUSR1, SIGUSR2, SIGHUP)
         , m_input(m_loop.context(), ::dup(STDIN_FILENO))
     {
     }
@@ -94,8 +98,13 @@
         m_signals.async_wait([this](const boost::system::error_code &ec, int signal) {
             if (ec)
                 return;
-            m_cut = signal == SIGUSR1;
-            note(m_cut ? "cut" : "reachable-again");
+            if (signal == SIGHUP) {
+                m_late = !m_late;
+                note(m_late ? "late-orders" : "orders-in-time");
+            } else {
+                m_cut = signal == SIGUSR1;
+                note(m_cut ? "cut" : "reachable-again");
+            }
             awaitSignal();
         });
     }
@@ -183,6 +192,16 @@
 
     // Orders.
 
+    void receive(const HttpRequest &request, HttpServer::Respond respond)
+    {
+        if (!m_late || m_random() % 2 == 0) {
+            handle(request, std::move(respond));
+            return;
+        }
+        const std::chrono::milliseconds delay(minLateMs + m_random() % (maxLateMs - minLateMs));
+        m_loop.after(delay, [this, request] { handle(request, [](const HttpResponse &) {}); });
+    }
+
     void handle(const HttpRequest &request, HttpServer::Respond respond)
     {
         if (request.target == "/healthz") {
@@ -362,6 +381,8 @@
     boost::asio::posix::stream_descriptor m_input;
     std::array<char, 64> m_inputBytes{};
     bool m_cut = false;
+    bool m_late = false;
+    std::mt19937 m_random{std::random_device{}()};
     TimePoint m_startedAt = EventLoop::now();
     std::int64_t m_born = unixMilliseconds();
     std::int64_t m_lease = 0; ///< Of its entry in the store.
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -459,6 +459,15 @@
             });
 }
 
+void Platform::signalNode(int node, int signal)
+{
+    std::ifstream file(m_settings.folder + "/node-" + std::to_string(node) + ".pid");
+    pid_t process = 0;
+    if (file >> process && process > 0)
+        ::kill(process, signal);
+    note("signal " + std::to_string(signal) + " to node " + std::to_string(node));
+}
+
 void Platform::whenReady(std::function<void()> action)
 {
     const auto left = std::make_shared<int>(m_nodes);
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -120,6 +120,9 @@
                  const std::string &body, std::function<void(const HttpResponse &)> callback);
     /** Submits a job, with further attempts at other nodes, until it is accepted. */
     void submit(const std::string &id, const std::string &body, std::function<void()> accepted);
+    [[nodiscard]] int nodes() const { return m_nodes; }
+    /** Sends a signal to the process of a node, which is started again if it ends. */
+    void signalNode(int node, int signal);
     /** Waits until all nodes are ready. */
     void whenReady(std::function<void()> action);
 
--- a/review/standin/scenarios.cpp
+++ b/review/standin/scenarios.cpp
@@ -278,6 +278,235 @@
     bool m_broken = false;
 };
 
+// Nodes are stopped and started in turn while a queue waits; all nodes are asked for its length.
+
+class PendingDuringRestarts
+{
+public:
+    explicit PendingDuringRestarts(Platform &platform)
+        : m_platform(platform)
+    {
+        for (int n = 1; n <= executors; ++n)
+            platform.addMachine("m-" + std::to_string(n), "pool", "r-" + std::to_string(n), 8);
+        // The store takes 4 ms for an answer.
+        platform.store().slowDown(1h, 4ms);
+        platform.onEvent = [this](const std::string &, const std::string &event,
+                                  const std::vector<std::string> &words) {
+            if (event == "start")
+                m_waiting.erase(words.at(2).substr(0, words.at(2).find('.')));
+        };
+        platform.whenReady([this] { m_platform.loop().after(3s, [this] { submitShort(); }); });
+    }
+
+private:
+    static constexpr int executors = 4;
+    static constexpr int shortJobs = 2000;
+    static constexpr int longJobs = 200;
+    static constexpr Duration submitInterval = 12ms;
+    static constexpr Duration askInterval = 20ms;
+    /** `visible_ms` and 2 s. */
+    static constexpr Duration visibleTime = 5000ms;
+    static constexpr Duration stopInterval = 6000ms;
+    /** After an end of a process, its node is out of touch for this time. */
+    static constexpr Duration contactTime = 3000ms;
+    static constexpr int stops = 4;
+
+    static std::string jobId(int number)
+    {
+        auto text = std::to_string(number);
+        return std::string(16 - text.size(), '0') + text;
+    }
+
+    static std::string job(int runTimeMs, std::size_t specBytes)
+    {
+        auto spec = std::to_string(runTimeMs) + ' ';
+        spec.resize(specBytes, 'x');
+        return dump(Json{{"spec", spec},
+                         {"steps", Json::array({{{"count", 1},
+                                                 {"cpu", 1000},
+                                                 {"memMb", 512},
+                                                 {"estimateMs", runTimeMs}}})}});
+    }
+
+    void submitShort()
+    {
+        if (m_submitted == shortJobs) {
+            m_platform.loop().after(2s, [this] { submitLong(); });
+            return;
+        }
+        m_platform.submit(jobId(++m_submitted), job(50, 3900), [] {});
+        m_platform.loop().after(submitInterval, [this] { submitShort(); });
+    }
+
+    void submitLong()
+    {
+        if (m_submitted == shortJobs + longJobs) {
+            m_platform.loop().after(visibleTime + 1s, [this] {
+                for (int n = 1; n <= m_platform.nodes(); ++n)
+                    ask(n);
+                stopNext(1);
+            });
+            return;
+        }
+        const auto id = jobId(++m_submitted);
+        m_waiting[id] = TimePoint::max();
+        m_platform.submit(id, job(90000, 20), [this, id] {
+            if (const auto it = m_waiting.find(id); it != m_waiting.end())
+                it->second = EventLoop::now();
+        });
+        m_platform.loop().after(submitInterval, [this] { submitLong(); });
+    }
+
+    void stopNext(int node)
+    {
+        if (node > stops) {
+            m_platform.note(std::to_string(m_answers) + " answers, the smallest "
+                            + std::to_string(m_smallest));
+            m_platform.finish(m_wrong > 0 ? ruleBroken : ruleHeld);
+            return;
+        }
+        if (m_platform.trouble()) {
+            m_platform.signalNode(node, SIGTERM);
+            m_stoppedAt[node] = EventLoop::now();
+        }
+        m_platform.loop().after(stopInterval, [this, node] { stopNext(node + 1); });
+    }
+
+    /** Returns whether a node has not been stopped or started in the last contactTime. */
+    [[nodiscard]] bool inTouch(int node) const
+    {
+        const auto it = m_stoppedAt.find(node);
+        return it == m_stoppedAt.end();
+    }
+
+    void ask(int node)
+    {
+        const auto sentAt = EventLoop::now();
+        m_platform.request(node, "GET", {}, {}, [this, node, sentAt](const HttpResponse &it) {
+            if (it.status == 200)
+                answered(node, Json::parse(it.body).value("pending", -1), sentAt);
+            m_platform.loop().after(askInterval, [this, node] { ask(node); });
+        });
+    }
+
+    void answered(int node, int pending, TimePoint sentAt)
+    {
+        ++m_answers;
+        m_smallest = std::min(m_smallest, pending);
+        const auto waiting = std::ranges::count_if(
+                m_waiting, [sentAt](const auto &it) { return it.second <= sentAt - visibleTime; });
+        if (2 * pending >= waiting || !inTouch(node))
+            return;
+        ++m_wrong;
+        m_platform.note("MIXED: node " + std::to_string(node) + " gives " + std::to_string(pending)
+                        + " as pending, " + std::to_string(waiting)
+                        + " jobs accepted over 5 s before have not begun");
+    }
+
+    Platform &m_platform;
+    std::map<std::string, TimePoint> m_waiting; ///< Jobs that have not begun, and their acks.
+    std::map<int, TimePoint> m_stoppedAt;
+    int m_submitted = 0;
+    int m_answers = 0;
+    int m_wrong = 0;
+    int m_smallest = longJobs;
+};
+
+// Executors leave half of their orders unanswered for some seconds while jobs come; all nodes are
+// asked for the length of the queue.
+
+class PendingWithLateOrders
+{
+public:
+    explicit PendingWithLateOrders(Platform &platform)
+        : m_platform(platform)
+    {
+        for (int n = 1; n <= executors; ++n)
+            platform.addMachine("m-" + std::to_string(n), "pool", "r-" + std::to_string(n), 8);
+        platform.onEvent = [this](const std::string &, const std::string &event,
+                                  const std::vector<std::string> &words) {
+            if (event == "start")
+                m_waiting.erase(words.at(2).substr(0, words.at(2).find('.')));
+        };
+        platform.whenReady([this] { m_platform.loop().after(5s, [this] { begin(); }); });
+    }
+
+private:
+    static constexpr int executors = 12;
+    static constexpr int jobs = 200;
+    static constexpr Duration submitInterval = 25ms;
+    static constexpr Duration lateOrdersLength = 5500ms;
+    static constexpr Duration askInterval = 100ms;
+    /** `visible_ms` and 2 s. */
+    static constexpr Duration visibleTime = 5000ms;
+    static constexpr Duration scenarioLength = 20s;
+
+    void begin()
+    {
+        if (m_platform.trouble()) {
+            signalExecutors();
+            m_platform.loop().after(lateOrdersLength, [this] { signalExecutors(); });
+        }
+        submitNext();
+        for (int n = 1; n <= m_platform.nodes(); ++n)
+            ask(n);
+        m_platform.loop().after(scenarioLength, [this] {
+            m_platform.note(std::to_string(m_answers) + " answers, " + std::to_string(m_wrong)
+                            + " of them wrong");
+            m_platform.finish(m_wrong > 0 ? ruleBroken : ruleHeld);
+        });
+    }
+
+    void signalExecutors()
+    {
+        for (auto &[name, machine] : m_platform.machines())
+            m_platform.signalExecutor(machine, SIGHUP);
+    }
+
+    void submitNext()
+    {
+        if (m_submitted == jobs)
+            return;
+        auto id = std::to_string(++m_submitted);
+        id.insert(0, 16 - id.size(), '0');
+        m_waiting[id] = TimePoint::max();
+        m_platform.submit(id, oneTask(300), [this, id] {
+            if (const auto it = m_waiting.find(id); it != m_waiting.end())
+                it->second = EventLoop::now();
+        });
+        m_platform.loop().after(submitInterval, [this] { submitNext(); });
+    }
+
+    void ask(int node)
+    {
+        const auto sentAt = EventLoop::now();
+        m_platform.request(node, "GET", {}, {}, [this, node, sentAt](const HttpResponse &it) {
+            if (it.status == 200)
+                answered(node, Json::parse(it.body).value("pending", -1), sentAt);
+            m_platform.loop().after(askInterval, [this, node] { ask(node); });
+        });
+    }
+
+    void answered(int node, int pending, TimePoint sentAt)
+    {
+        ++m_answers;
+        const auto waiting = std::ranges::count_if(
+                m_waiting, [sentAt](const auto &it) { return it.second <= sentAt - visibleTime; });
+        if (2 * pending >= waiting)
+            return;
+        ++m_wrong;
+        m_platform.note("MIXED: node " + std::to_string(node) + " gives " + std::to_string(pending)
+                        + " as pending, " + std::to_string(waiting)
+                        + " jobs accepted over 5 s before have not begun");
+    }
+
+    Platform &m_platform;
+    std::map<std::string, TimePoint> m_waiting; ///< Jobs that have not begun, and their acks.
+    int m_submitted = 0;
+    int m_answers = 0;
+    int m_wrong = 0;
+};
+
 template <typename Scenario>
 void keep(Platform &platform)
 {
@@ -296,6 +525,10 @@
         keep<RepeatedCuts>(platform);
     else if (name == "restart-under-same-id")
         keep<RestartUnderSameId>(platform);
+    else if (name == "pending-during-restarts")
+        keep<PendingDuringRestarts>(platform);
+    else if (name == "pending-with-late-orders")
+        keep<PendingWithLateOrders>(platform);
     else
         return false;
     return true;
