--- a/review/standin/executor.cpp
+++ b/review/standin/executor.cpp
@@ -17,7 +17,6 @@
 #include <cstdio>
 #include <map>
 #include <memory>
-#include <random>
 #include <vector>
 
 namespace review {
@@ -33,9 +32,6 @@
 /** An entry is removed after this number of status report intervals of silence. */
 constexpr int missedHeartbeats = 3;
 constexpr std::size_t maxEndsPerReport = 500;
-/** Bounds of the time after which an order that was left unanswered is carried out. */
-constexpr unsigned minLateMs = 2000;
-constexpr unsigned maxLateMs = 12000;
 
 class Executor
 {
@@ -46,7 +42,7 @@
         , m_server(m_loop,
                    [this](const HttpRequest &request, HttpServer::Respond respond) {
                        if (!m_cut)
-                           receive(request, std::move(respond));
+                           handle(request, std::move(respond));
                    })
         , m_signals(m_loop.context(), SIGUSR1, SIGUSR2, SIGHUP)
         , m_input(m_loop.context(), ::dup(STDIN_FILENO))
@@ -99,8 +95,9 @@
             if (ec)
                 return;
             if (signal == SIGHUP) {
-                m_late = !m_late;
-                note(m_late ? "late-orders" : "orders-in-time");
+                m_cores = m_cores == m_settings.cores ? static_cast<int>(m_running.size())
+                                                      : m_settings.cores;
+                note("capacity " + std::to_string(m_cores));
             } else {
                 m_cut = signal == SIGUSR1;
                 note(m_cut ? "cut" : "reachable-again");
@@ -152,6 +149,7 @@
 
     void writeEntry()
     {
+        note("reports");
         const Json entry{{"service", m_settings.service},
                          {"address", m_settings.address},
                          {"zone", "zone-1"},
@@ -187,21 +185,11 @@
 
     [[nodiscard]] Json capacity() const
     {
-        return {{"cpu", m_settings.cores * 1000}, {"memMb", m_settings.cores * 4096}, {"gpu", 0}};
+        return {{"cpu", m_cores * 1000}, {"memMb", m_cores * 4096}, {"gpu", 0}};
     }
 
     // Orders.
 
-    void receive(const HttpRequest &request, HttpServer::Respond respond)
-    {
-        if (!m_late || m_random() % 2 == 0) {
-            handle(request, std::move(respond));
-            return;
-        }
-        const std::chrono::milliseconds delay(minLateMs + m_random() % (maxLateMs - minLateMs));
-        m_loop.after(delay, [this, request] { handle(request, [](const HttpResponse &) {}); });
-    }
-
     void handle(const HttpRequest &request, HttpServer::Respond respond)
     {
         if (request.target == "/healthz") {
@@ -263,7 +251,8 @@
         }
         extendLease(deadline);
         if (it == m_running.end()) {
-            if (std::ssize(m_running) >= m_settings.cores) {
+            if (std::ssize(m_running) >= m_cores) {
+                note("refused " + task + " attempt " + std::to_string(attempt) + " reason room");
                 refuse("room", respond);
                 return;
             }
@@ -381,8 +370,7 @@
     boost::asio::posix::stream_descriptor m_input;
     std::array<char, 64> m_inputBytes{};
     bool m_cut = false;
-    bool m_late = false;
-    std::mt19937 m_random{std::random_device{}()};
+    int m_cores = m_settings.cores; ///< At present.
     TimePoint m_startedAt = EventLoop::now();
     std::int64_t m_born = unixMilliseconds();
     std::int64_t m_lease = 0; ///< Of its entry in the store.
--- a/review/standin/executor.h
+++ b/review/standin/executor.h
@@ -22,8 +22,8 @@
 /**
  * Runs one executor as PROTOCOL.md describes it, until its standard input is closed. Events are
  * written to standard output, one a line. SIGUSR1 partitions it from everything, SIGUSR2 ends the
- * partition; its work goes on meanwhile. SIGHUP makes it leave half of its orders unanswered and
- * carry them out 2 to 12 s later; another SIGHUP ends that.
+ * partition; its work goes on meanwhile. SIGHUP shrinks
+ * its capacity to what is in use, which its next status report says; another SIGHUP restores it.
  *
  * The spec of a job is the run time of its work items in milliseconds.
  */
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -312,7 +312,7 @@
         return;
     const auto &executor = words[0];
     const auto &event = words[1];
-    if (event != "hold" || words.size() > 2)
+    if ((event != "hold" || words.size() > 2) && event != "reports")
         note("executor " + line);
     if (event == "start" && words.size() > 4) {
         runs[words[2]].push_back({executor, std::stoi(words[4]), EventLoop::now(), {}, {}, false});
--- a/review/standin/scenarios.cpp
+++ b/review/standin/scenarios.cpp
@@ -412,69 +412,101 @@
     int m_smallest = longJobs;
 };
 
-// Executors leave half of their orders unanswered for some seconds while jobs come; all nodes are
-// asked for the length of the queue.
+// The capacity of the only executor with room shrinks while jobs come; all nodes are asked for the
+// length of the queue.
 
-class PendingWithLateOrders
+class PendingWithoutRoom
 {
 public:
-    explicit PendingWithLateOrders(Platform &platform)
+    explicit PendingWithoutRoom(Platform &platform)
         : m_platform(platform)
     {
         for (int n = 1; n <= executors; ++n)
-            platform.addMachine("m-" + std::to_string(n), "pool", "r-" + std::to_string(n), 8);
-        platform.onEvent = [this](const std::string &, const std::string &event,
+            platform.addMachine("m-" + std::to_string(n), "pool", "r-" + std::to_string(n), cores);
+        platform.onEvent = [this](const std::string &executor, const std::string &event,
                                   const std::vector<std::string> &words) {
-            if (event == "start")
+            if (event == "start") {
                 m_waiting.erase(words.at(2).substr(0, words.at(2).find('.')));
+                ++m_running[executor];
+            } else if (event == "reports" && executor == m_executor) {
+                reported();
+            }
         };
-        platform.whenReady([this] { m_platform.loop().after(5s, [this] { begin(); }); });
+        platform.whenReady([this] { m_platform.loop().after(5s, [this] { submitLong(0); }); });
     }
 
 private:
-    static constexpr int executors = 12;
-    static constexpr int jobs = 200;
-    static constexpr Duration submitInterval = 25ms;
-    static constexpr Duration lateOrdersLength = 5500ms;
+    static constexpr int executors = 8;
+    static constexpr int cores = 8;
+    /** They fill all executors but one, which has room for all cores but one. */
+    static constexpr int longJobs = (executors - 1) * cores + 1;
+    static constexpr int jobs = cores - 1;
+    static constexpr Duration shrinkLength = 9000ms;
     static constexpr Duration askInterval = 100ms;
     /** `visible_ms` and 2 s. */
     static constexpr Duration visibleTime = 5000ms;
-    static constexpr Duration scenarioLength = 20s;
 
-    void begin()
+    static std::string jobId(char kind, int number)
     {
-        if (m_platform.trouble()) {
-            signalExecutors();
-            m_platform.loop().after(lateOrdersLength, [this] { signalExecutors(); });
+        const auto text = std::to_string(number);
+        return std::string(1, kind) + std::string(15 - text.size(), '0') + text;
+    }
+
+    void submitLong(int number)
+    {
+        if (number < longJobs) {
+            m_platform.submit(jobId('a', number), oneTask(60000),
+                              [this, number] { submitLong(number + 1); });
+            return;
         }
-        submitNext();
-        for (int n = 1; n <= m_platform.nodes(); ++n)
-            ask(n);
-        m_platform.loop().after(scenarioLength, [this] {
-            m_platform.note(std::to_string(m_answers) + " answers, " + std::to_string(m_wrong)
-                            + " of them wrong");
-            m_platform.finish(m_wrong > 0 ? ruleBroken : ruleHeld);
-        });
+        m_platform.loop().after(2s, [this] { chooseExecutor(); });
     }
 
-    void signalExecutors()
+    void chooseExecutor()
     {
-        for (auto &[name, machine] : m_platform.machines())
-            m_platform.signalExecutor(machine, SIGHUP);
+        int full = 0;
+        for (const auto &[executor, running] : m_running) {
+            full += static_cast<int>(running == cores);
+            if (running == 1)
+                m_executor = executor;
+        }
+        if (full != executors - 1 || m_executor.empty()) {
+            m_platform.note("the long jobs were not placed as expected");
+            m_platform.finish(couldNotRun);
+        }
     }
 
-    void submitNext()
+    /** Shrinks the capacity right after a status report. */
+    void reported()
     {
-        if (m_submitted == jobs)
+        if (std::exchange(m_begun, true))
             return;
-        auto id = std::to_string(++m_submitted);
-        id.insert(0, 16 - id.size(), '0');
-        m_waiting[id] = TimePoint::max();
-        m_platform.submit(id, oneTask(300), [this, id] {
-            if (const auto it = m_waiting.find(id); it != m_waiting.end())
-                it->second = EventLoop::now();
+        auto *machine = m_platform.machineOfExecutor(m_executor);
+        if (m_platform.trouble()) {
+            m_platform.signalExecutor(*machine, SIGHUP);
+            m_platform.loop().after(
+                    shrinkLength, [this, machine] { m_platform.signalExecutor(*machine, SIGHUP); });
+        }
+        m_platform.loop().after(100ms, [this] { submitJobs(); });
+        m_platform.loop().after(shrinkLength + 3s, [this] {
+            m_platform.note(std::to_string(m_answers) + " answers, " + std::to_string(m_wrong)
+                            + " of them wrong");
+            m_platform.finish(m_wrong > 0 ? ruleBroken : ruleHeld);
         });
-        m_platform.loop().after(submitInterval, [this] { submitNext(); });
+    }
+
+    void submitJobs()
+    {
+        for (int n = 0; n < jobs; ++n) {
+            const auto id = jobId('b', n);
+            m_waiting[id] = TimePoint::max();
+            m_platform.submit(id, oneTask(500), [this, id] {
+                if (const auto it = m_waiting.find(id); it != m_waiting.end())
+                    it->second = EventLoop::now();
+            });
+        }
+        for (int n = 1; n <= m_platform.nodes(); ++n)
+            ask(n);
     }
 
     void ask(int node)
@@ -501,8 +533,10 @@
     }
 
     Platform &m_platform;
+    std::map<std::string, int> m_running; ///< Number of runs by executor.
+    std::string m_executor; ///< The one with room.
     std::map<std::string, TimePoint> m_waiting; ///< Jobs that have not begun, and their acks.
-    int m_submitted = 0;
+    bool m_begun = false;
     int m_answers = 0;
     int m_wrong = 0;
 };
@@ -527,8 +561,8 @@
         keep<RestartUnderSameId>(platform);
     else if (name == "pending-during-restarts")
         keep<PendingDuringRestarts>(platform);
-    else if (name == "pending-with-late-orders")
-        keep<PendingWithLateOrders>(platform);
+    else if (name == "pending-without-room")
+        keep<PendingWithoutRoom>(platform);
     else
         return false;
     return true;
