--- a/review/case.sh
+++ b/review/case.sh
@@ -1,5 +1,6 @@
 # Runs a scenario of the stand-in beside nodes started with the command of the deploy file. Source
-# this file from a run.sh with the scenario's name in $scenario; it exits with the scenario's code.
+# this file from a run.sh with the scenario's name in $scenario and 0 or 1 in $trouble; it exits with the
+# scenario's code.
 
 case_dir=$(cd "$(dirname "$0")" && pwd)
 cd "$case_dir/../.."
@@ -42,7 +43,7 @@
     echo "build the deploy file and review/build.sh first" >&2
     exit 2
 }
-"$standin" "$scenario" "${TROUBLE:-1}" "$nodes" "$run_dir" "$case_dir/record.txt" "$network" \
+"$standin" "$scenario" "$trouble" "$nodes" "$run_dir" "$case_dir/record.txt" "$network" \
     >"$run_dir/standin.log" 2>&1 &
 standin_pid=$!
 pids+=("$standin_pid")
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr const char *callerHost = "jobs.example";
-constexpr const char *queuePrefix = "/work/";
+constexpr const char *queuePrefix = "/queue/";
 constexpr int frontPort = 8624;
 constexpr int readyPort = 8622;
 constexpr int controlPort = 8623;
