Record a crash once the end of its worker is known

A job was shown as failed although no run had failed and no worker had crashed: its workers were cut off for 5.5 s one after the other and answered again as the same incarnations.

Cause: Scheduler::checkWorkers() removed a silent worker once its entry had lapsed and recorded a crash for its unexplained runs. Nothing corrected that when the worker answered. The same inference elsewhere: a successor took a saved start for a confirmed crash if its worker had not answered within 5.2 s of the take-over, whether or not the order had been sent; unexplained runs were lost with their owner; and whether a job ended depended on the crash that was recorded last.

Change: a start whose outcome is not known belongs to an incarnation of a worker. It becomes a crash when a later incarnation answers, the instance has another worker or the list of instances shows the end, and is dropped when the incarnation answers. The worker is kept for that, up to 20 s. Unexplained runs are saved as trials, and trials of earlier owners become unexplained runs of workers that have not answered. A trial tells whether its worker has confirmed it. The limit depends on the whole record: three crashes if all were confirmed, four if one was not, five if fewer than two were.

The two tests in CrashingTasks need the new record to compile.

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -19,6 +19,15 @@
     bool operator==(const StartTarget &) const = default;
 };
 
+/** A start whose outcome is not known. */
+struct Trial
+{
+    StartTarget target;
+    bool confirmed = false; ///< The worker has confirmed or reported the run.
+
+    bool operator==(const Trial &) const = default;
+};
+
 /** The saved part of a job's state, sufficient for a new owner to continue the job. */
 struct JobProgress
 {
@@ -54,7 +63,7 @@
      * under which a worker has crashed are saved before the order is sent, those of tasks that an
      * earlier owner may have started at the same time while the store answers.
      */
-    std::map<std::tuple<int, int, int>, std::map<int, StartTarget>> trials;
+    std::map<std::tuple<int, int, int>, std::map<int, Trial>> trials;
 
     bool operator==(const JobProgress &) const = default;
 };
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -144,7 +144,7 @@
     static constexpr int maxSharedCrashes = 4;
     /** The same for a persistent task, whose job serves for long and has many starts. */
     static constexpr int maxPersistentCrashes = 5;
-    /** The same if the last run may not have reached its worker. */
+    /** The same if one of the runs may not have reached its worker. */
     static constexpr int maxUnconfirmedCrashes = 4;
     /** The same if all but one of the runs may not have reached their workers. */
     static constexpr int maxDoubtfulCrashes = 5;
@@ -171,6 +171,9 @@
      */
     void beginTrial(const TaskId &id, int run, const StartTarget &target);
 
+    /** Records that the worker of a trial has confirmed its run; has no effect on other runs. */
+    void confirmTrial(const TaskId &id, int run);
+
     /** Records that the outcome of a run is known if it was a trial; not after the job's end. */
     void endTrial(const TaskId &id, int run);
 
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -270,13 +270,25 @@
      * the others, once all workers that may have runs of their jobs have answered.
      */
     void settleInheritedTrials(TimePoint now);
-    /** Settles the trials of one job, once its workers have answered. */
+    /** What became of the worker of an earlier owner's trial. */
+    enum class TrialOutcome {
+        Survived, ///< Also if the start never reached it or it left as planned.
+        WorkerEnded,
+        Unknown, ///< The worker has not answered this owner.
+    };
+    [[nodiscard]] TrialOutcome trialOutcome(const StartTarget &target) const;
+    /**
+     * Settles the trials of one job, once its workers have answered. Those of workers that still
+     * have not answered stay unexplained.
+     */
     void settleTrials(JobRun &job, TimePoint now);
     [[nodiscard]] static StartTarget startTarget(const WorkerState &worker);
     /** Returns the number of starts of a job that are being saved, by the workers they are for. */
     [[nodiscard]] static StringMap<int> expectedTrials(const JobRun &job, const TaskId &except);
     /** Reserves a worker for the tasks of one job for probationTime. */
     static void beginProbation(WorkerState &worker, const std::string &job, TimePoint now);
+    /** Records that a worker has confirmed or reported a run. */
+    void confirmRun(TaskRun &run);
     /** Updates m_saveDelayed. */
     void observeSaves(TimePoint now);
     /**
@@ -287,6 +299,8 @@
      */
     bool prepareStart(JobRun &job, const TaskId &id, const Task &task, WorkerState &worker,
                       TimePoint now);
+    /** Adds to the runs of a worker of which it is not known whether they crashed it. */
+    void awaitExplanation(WorkerState &worker, const SuspectedRun &run);
     void forgetUnexplainedRuns(WorkerState &worker);
     /**
      * Returns how many workers have crashed under a task, or may have: those that run it and do not
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -20,6 +20,7 @@
 {
     TaskId task;
     int run = 0;
+    std::int64_t startedMs = 0; ///< Incarnation of the worker that it was started on.
     bool confirmed = false; ///< The worker had confirmed or reported the run.
 };
 
@@ -77,7 +78,10 @@
     bool retired = false; ///< It has ended permanently; its entry may still be in the store.
     TimePoint runsCheckedAt{}; ///< Time of the last check of its runs.
     TimePoint silentSince{}; ///< Since when it has not answered; see reachable.
-    /** Runs that were given up when their hold ended, before it is known whether it has crashed. */
+    /**
+     * Runs that were given up when their hold ended. They count as crashes once a later incarnation
+     * answers or the worker is retired, and as none once the incarnation that had them answers.
+     */
     std::vector<SuspectedRun> unexplainedRuns;
     /** Until this time it takes only tasks of probationJob, of which one may crash it. */
     TimePoint probationUntil{};
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -96,15 +96,15 @@
     return runs;
 }
 
-using TrialsByTask = std::map<std::tuple<int, int, int>, std::map<int, StartTarget>>;
+using TrialsByTask = std::map<std::tuple<int, int, int>, std::map<int, Trial>>;
 
 Json encodeTrials(const TrialsByTask &trials)
 {
     Json rows = Json::array();
     for (const auto &[key, runs] : trials) {
-        for (const auto &[run, target] : runs)
+        for (const auto &[run, trial] : runs)
             rows.push_back({std::get<0>(key), std::get<1>(key), std::get<2>(key), run,
-                            target.worker, target.startedMs});
+                            trial.target.worker, trial.target.startedMs, trial.confirmed});
     }
     return rows;
 }
@@ -112,9 +112,12 @@
 TrialsByTask decodeTrials(const Json &rows)
 {
     TrialsByTask trials;
+    // Nodes of the previous revision leave out whether a start was confirmed.
+    constexpr std::size_t confirmedField = 6;
     for (const auto &it : rows)
         trials[{it.at(0), it.at(1), it.at(2)}][it.at(3).get<int>()]
-                = {it.at(4).get<std::string>(), it.at(5).get<std::int64_t>()};
+                = {{it.at(4).get<std::string>(), it.at(5).get<std::int64_t>()},
+                   it.size() > confirmedField && it.at(confirmedField).get<bool>()};
     return trials;
 }
 
--- a/src/jobs/jobrun.cpp
+++ b/src/jobs/jobrun.cpp
@@ -318,9 +318,7 @@
     endTrial(id, run);
     m_lastCrash = ++m_changes;
     int limit = crashLimit(id);
-    if (!evidence.confirmed)
-        limit = std::max(limit, maxUnconfirmedCrashes);
-    else if (evidence.shared)
+    if (evidence.shared)
         limit = std::max(limit, maxSharedCrashes);
     if (static_cast<int>(runs.size()) < limit)
         return false;
@@ -331,14 +329,25 @@
 void JobRun::beginTrial(const TaskId &id, int run, const StartTarget &target)
 {
     auto &known = m_progress.trials[{id.occurrence, id.step, id.index}][run];
-    if (known == target)
+    if (known.target == target)
         return;
-    known = target;
+    known = {target};
     ++m_changes;
     if (auto *it = task(id))
         it->trialChange = m_changes;
 }
 
+void JobRun::confirmTrial(const TaskId &id, int run)
+{
+    const auto it = m_progress.trials.find({id.occurrence, id.step, id.index});
+    if (hasEnded() || it == m_progress.trials.end())
+        return;
+    const auto trial = it->second.find(run);
+    if (trial == it->second.end() || std::exchange(trial->second.confirmed, true))
+        return;
+    ++m_changes;
+}
+
 void JobRun::endTrial(const TaskId &id, int run)
 {
     // The end of a job is saved once; nothing would save a later change.
@@ -357,8 +366,8 @@
     const auto it = m_progress.trials.find({id.occurrence, id.step, id.index});
     if (it == m_progress.trials.end())
         return nullptr;
-    const auto target = it->second.find(run);
-    return target == it->second.end() ? nullptr : &target->second;
+    const auto trial = it->second.find(run);
+    return trial == it->second.end() ? nullptr : &trial->second.target;
 }
 
 bool JobRun::mayHaveStarted(const TaskId &id) const
@@ -376,7 +385,7 @@
     if (it == m_progress.unconfirmedCrashes.end())
         return maxCrashes;
     const int confirmed = crashes(id) - static_cast<int>(it->second.size());
-    return confirmed < minConfirmedCrashes ? maxDoubtfulCrashes : maxCrashes;
+    return confirmed < minConfirmedCrashes ? maxDoubtfulCrashes : maxUnconfirmedCrashes;
 }
 
 int JobRun::failures(const TaskId &id) const
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -51,12 +51,14 @@
         // A retired worker is kept as long as the store may still list its entry.
         const bool mayBeRemoved
                 = !worker.retired || now - worker.heldUntil >= internal::retiredRetention;
+        // Trials of earlier owners become unexplained runs of workers that have not answered.
+        const bool mayGetTrials = worker.startedMs == 0 && !m_inheritedTrials.empty();
+        const bool awaitsAnswer = (mayGetTrials || !worker.unexplainedRuns.empty())
+                                  && now - worker.lastContact < internal::unexplainedRetention;
         const bool remove = !worker.listed && worker.runs.empty() && now >= worker.heldUntil
-                            && mayBeRemoved && (worker.pendingEnds.empty() || !worker.reachable);
+                            && mayBeRemoved && !awaitsAnswer
+                            && (worker.pendingEnds.empty() || !worker.reachable);
         if (remove) {
-            // It has not come back, so that nothing else tells that it crashed.
-            if (!worker.retired)
-                recordCrashes(suspectedRuns(worker), now);
             forgetUnexplainedRuns(worker);
             std::erase(m_pools[worker.description.pool], &worker);
             it = m_workers.erase(it);
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -62,6 +62,11 @@
 constexpr Duration unhealthyPause = 500ms;
 /** Maximum time for which the entry of a worker that has ended may stay in the store. */
 constexpr Duration retiredRetention = 10s;
+/**
+ * Time since its last answer for which an unlisted worker is kept to learn whether it has crashed.
+ * One that has crashed is replaced, and one that was cut off answers again, within some seconds.
+ */
+constexpr Duration unexplainedRetention = 20s;
 /**
  * Time for which a reachable worker still gets tasks after its entry was removed from the store.
  * Entries that expired during a store outage are back within about 2 s of the store's return.
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -5,6 +5,7 @@
 #include "schedulerconstants.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflysill {
 
@@ -15,7 +16,7 @@
     auto suspected = worker.unexplainedRuns;
     for (const auto &[task, run] : worker.runs) {
         if (mayHaveCrashed(worker, run))
-            suspected.push_back({task, run.run, run.confirmed});
+            suspected.push_back({task, run.run, worker.startedMs, run.confirmed});
     }
     return suspected;
 }
@@ -74,6 +75,21 @@
     }
 }
 
+Scheduler::TrialOutcome Scheduler::trialOutcome(const StartTarget &target) const
+{
+    // An owner records its workers until it knows that they have ended.
+    const auto *holder = worker(target.worker);
+    if (holder == nullptr)
+        return TrialOutcome::WorkerEnded;
+    if (holder->retired)
+        return holder->description.draining ? TrialOutcome::Survived : TrialOutcome::WorkerEnded;
+    if (!holder->fenced)
+        return TrialOutcome::Unknown;
+    // A worker that lists neither the run nor its end has not received the order.
+    return holder->startedMs == target.startedMs ? TrialOutcome::Survived
+                                                 : TrialOutcome::WorkerEnded;
+}
+
 void Scheduler::settleTrials(JobRun &job, TimePoint now)
 {
     std::vector<SuspectedRun> crashed;
@@ -84,19 +100,20 @@
         const auto *task = job.task(id);
         const bool done = task != nullptr ? task->phase == Task::Phase::Done
                                           : job.stepDone(occurrence, step);
-        for (const auto &[run, target] : runs) {
-            const auto *holder = worker(target.worker);
-            // A worker that lists neither the run nor its end has not received the order.
-            const bool sameIncarnation = holder != nullptr && !holder->retired && holder->fenced
-                                         && holder->startedMs == target.startedMs;
-            (done || sameIncarnation ? others : crashed).push_back({id, run});
+        for (const auto &[run, trial] : runs) {
+            const auto outcome = done ? TrialOutcome::Survived : trialOutcome(trial.target);
+            const SuspectedRun start{id, run, trial.target.startedMs, trial.confirmed};
+            if (outcome == TrialOutcome::Unknown)
+                awaitExplanation(m_workers[trial.target.worker], start);
+            else
+                (outcome == TrialOutcome::Survived ? others : crashed).push_back(start);
         }
     }
     for (const auto &it : others)
         job.endTrial(it.task, it.run);
     // What else ran on the worker is not known.
     for (const auto &it : crashed) {
-        if (job.recordCrash(it.task, it.run, {.confirmed = true, .shared = true})) {
+        if (job.recordCrash(it.task, it.run, {.confirmed = it.confirmed, .shared = true})) {
             endJob(job, now);
             return;
         }
@@ -119,7 +136,7 @@
         if (task == nullptr || task->phase != Task::Phase::Waiting)
             continue;
         if (const auto it = runs.find(task->lastRun + 1); it != runs.end())
-            ++expected[it->second.worker];
+            ++expected[it->second.target.worker];
     }
     return expected;
 }
@@ -130,6 +147,17 @@
     worker.probationJob = job;
 }
 
+void Scheduler::confirmRun(TaskRun &run)
+{
+    if (std::exchange(run.confirmed, true) || !run.trial)
+        return;
+    auto *job = find(run.task.job);
+    if (job == nullptr)
+        return;
+    job->confirmTrial(run.task, run.run);
+    queueSave(*job);
+}
+
 void Scheduler::observeSaves(TimePoint now)
 {
     if (m_savesInFlight == 0 || m_saveAnswered)
@@ -160,6 +188,12 @@
     return false;
 }
 
+void Scheduler::awaitExplanation(WorkerState &worker, const SuspectedRun &run)
+{
+    worker.unexplainedRuns.push_back(run);
+    ++m_unexplainedRuns[run.task];
+}
+
 void Scheduler::forgetUnexplainedRuns(WorkerState &worker)
 {
     for (const auto &it : worker.unexplainedRuns) {
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -74,14 +74,19 @@
                                  TimePoint now)
 {
     const bool first = worker.startedMs == 0;
+    auto suspected = suspectedRuns(worker);
+    std::erase_if(suspected,
+                  [&report](const SuspectedRun &it) { return it.startedMs == report.startedMs; });
     worker.startedMs = report.startedMs;
     worker.time.reset();
     worker.lastProcessedEnd = 0;
     worker.lastSavedEnd = 0;
     worker.pendingEnds.clear();
-    if (first)
+    if (first) {
+        forgetUnexplainedRuns(worker);
+        recordCrashes(suspected, now);
         return;
-    auto suspected = suspectedRuns(worker);
+    }
     // A start order on its way may have reached the new incarnation.
     std::erase_if(suspected, [&worker](const SuspectedRun &it) {
         const auto *run = worker.findRun(it.task, it.run);
@@ -137,9 +142,16 @@
         const auto run = it++;
         if (run->second.phase == TaskRun::Phase::Starting)
             continue;
-        if (mayHaveCrashed(worker, run->second)) {
-            worker.unexplainedRuns.push_back({run->first, run->second.run, run->second.confirmed});
-            ++m_unexplainedRuns[run->first];
+        auto *job = find(run->first.job);
+        if (mayHaveCrashed(worker, run->second) && job != nullptr && !job->hasEnded()
+            && job->hasTask(run->first)) {
+            awaitExplanation(
+                    worker, {run->first, run->second.run, worker.startedMs, run->second.confirmed});
+            // A successor must learn of the crash, too, if there was one.
+            job->beginTrial(run->first, run->second.run, startTarget(worker));
+            if (run->second.confirmed)
+                job->confirmTrial(run->first, run->second.run);
+            queueSave(*job);
         }
         releaseRun(worker, run, now);
     }
@@ -263,7 +275,7 @@
         auto &known = run->second;
         if (known.run != row.run)
             continue;
-        known.confirmed = true;
+        confirmRun(known);
         if (known.phase == TaskRun::Phase::Starting || known.phase == TaskRun::Phase::Unconfirmed) {
             known.phase = TaskRun::Phase::Running;
             known.orderSettledAt = now;
@@ -379,7 +391,7 @@
     if (run == nullptr)
         return;
     run->orderSettledAt = now;
-    run->confirmed = true;
+    confirmRun(*run);
     if (run->phase == TaskRun::Phase::Starting)
         run->phase = TaskRun::Phase::Running;
 }
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -44,6 +44,8 @@
 constexpr int servingPercent = 100;
 /** Interval between two attempts to reach a worker that did not answer. */
 constexpr Duration retryInterval = 250ms;
+/** The same interval for a worker without runs that the store does not list. */
+constexpr Duration unlistedRetryInterval = 1000ms;
 
 } // namespace internal
 
@@ -345,7 +347,10 @@
         ++m_counts.holdsUnanswered;
         logUnreachable(id, report.error());
         m_scheduler.holdUnanswered(id, now);
-        m_holds.answered(id, now + internal::retryInterval);
+        const auto *worker = m_scheduler.worker(id);
+        const bool expected = worker == nullptr || worker->listed || worker->busy();
+        m_holds.answered(
+                id, now + (expected ? internal::retryInterval : internal::unlistedRetryInterval));
     }
     m_onChange();
 }
--- a/tests/jobs/crashevidencetest.cpp
+++ b/tests/jobs/crashevidencetest.cpp
@@ -36,6 +36,67 @@
     BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 1);
 }
 
+// Guards against a job that is given up because its workers were cut off one after the other, long
+// enough for their entries to expire, and answer again as the same incarnations (LOST).
+BOOST_AUTO_TEST_CASE(SilentWorkersThatAnswerAgainHaveNotCrashed)
+{
+    SchedulerHarness harness;
+    for (const auto *id : {"w1", "w2", "w3", "w4"})
+        harness.addWorker(id, 4, std::string("instance-") + id);
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    for (int n = 0; n < 3; ++n) {
+        const auto holder = harness.workerOf(firstTask);
+        BOOST_REQUIRE(!holder.empty());
+        harness.scheduler.holdUnanswered(holder, harness.now);
+        harness.workers[holder].end(firstTask, RunEnd::HoldExpired);
+        harness.advanceTime(3300ms);
+        harness.decideWithSaves();
+        harness.advanceTime(1200ms);
+        harness.scheduler.unlistWorker(holder, harness.now);
+        harness.decide();
+        harness.advanceTime(1s);
+        harness.scheduler.addOrUpdateWorker(harness.workers[holder].description, harness.now);
+        harness.reportFrom(holder);
+        BOOST_TEST(harness.scheduler.job("j")->crashes(firstTask) == 0);
+    }
+    BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Running));
+    harness.saveAll();
+    BOOST_TEST(harness.scheduler.job("j")->progress().trials.empty());
+}
+
+// Guards against the same after a take-over: a start that was saved counts as a crash only once its
+// worker is known to have ended (LOST).
+BOOST_AUTO_TEST_CASE(SuccessorCountsNoCrashOfAWorkerThatItHasNotReached)
+{
+    for (const bool crashed : {false, true}) {
+        JobProgress progress;
+        progress.state = JobStatus::Running;
+        progress.crashes[{0, 0, 0}] = {1};
+        SchedulerHarness first(500);
+        first.addWorker("w1");
+        first.scheduler.addJob(job("j", {step(1)}), progress, true, Duration{0}, first.now);
+        first.decideWithSaves();
+        BOOST_REQUIRE(first.workerOf(firstTask) == "w1");
+
+        SchedulerHarness second(1000);
+        second.scheduler.addInheritedWorker(first.workers["w1"].description, second.now);
+        second.scheduler.holdUnanswered("w1", second.now);
+        second.addWorker("w2");
+        second.scheduler.addJob(job("j", {step(1)}), first.scheduler.job("j")->progress(), true,
+                                Duration{0}, second.now);
+        for (int n = 0; n < 80 && second.workerOf(firstTask).empty(); ++n) {
+            second.decideWithSaves();
+            second.advanceTime(100ms);
+        }
+        BOOST_TEST(second.workerOf(firstTask) == "w2");
+        BOOST_TEST(second.scheduler.job("j")->crashes(firstTask) == 1);
+        second.workers["w1"].startedMs = crashed ? 2 : 1;
+        second.reportFrom("w1");
+        BOOST_TEST(second.scheduler.job("j")->crashes(firstTask) == (crashed ? 2 : 1));
+    }
+}
+
 // Guards against workers that were retired while they answered, or that have not answered yet, and
 // are taken for a failed rack.
 BOOST_AUTO_TEST_CASE(RetiredWorkersDoNotMakeACrashARackFailure)
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -403,6 +403,44 @@
     }
 }
 
+// Guards against a sound job that is given up because of saved starts that never reached their
+// workers, which others crashed (LOST).
+BOOST_AUTO_TEST_CASE(SavedStartIsAConfirmedCrashOnlyIfItsWorkerConfirmedIt)
+{
+    const TaskId task{"j", 0, 0, 0};
+    for (const bool answered : {true, false}) {
+        SchedulerHarness first;
+        int lastWorker = addWorkers(first, 2);
+        first.addJob(job("j", {step(1)}));
+        first.decide();
+        crash(first, first.workerOf(task), lastWorker);
+        first.decideWithSaves(!answered);
+        const auto stored = decodeProgress(encodeProgress(first.scheduler.job("j")->progress()));
+        BOOST_REQUIRE(static_cast<bool>(stored));
+        BOOST_TEST(stored->trials.size() == 1U);
+        SchedulerHarness second(1000);
+        second.scheduler.addJob(job("j", {step(1)}), *stored, true, Duration{0}, second.now);
+        second.addWorker("other");
+        second.decide();
+        const auto &progress = second.scheduler.job("j")->progress();
+        BOOST_TEST(second.scheduler.job("j")->crashes(task) == 2);
+        BOOST_TEST(progress.unconfirmedCrashes.empty() == answered);
+    }
+}
+
+// Guards against crashes whose weight depends on which of them is known first: that of a worker
+// that does not answer is known late.
+BOOST_AUTO_TEST_CASE(OrderOfCrashesDoesNotDecideWhetherAJobIsGivenUp)
+{
+    const TaskId task{"j", 0, 0, 0};
+    for (int unconfirmed = 1; unconfirmed <= 3; ++unconfirmed) {
+        JobRun run(job("j", {step(1)}), {}, 0);
+        for (int n = 1; n <= 3; ++n)
+            BOOST_TEST(!run.recordCrash(task, n, {.confirmed = n != unconfirmed}));
+        BOOST_TEST(run.recordCrash(task, 4, {.confirmed = true}));
+    }
+}
+
 // A start that was saved for one worker and sent to another would be unknown to a successor.
 BOOST_AUTO_TEST_CASE(TaskStartsOnTheWorkerThatItsStartWasSavedFor)
 {
@@ -415,7 +453,8 @@
     harness.saveAll();
     harness.decide();
     const auto target = [&harness] {
-        return harness.scheduler.job("sound")->progress().trials.begin()->second.begin()->second;
+        const auto &trials = harness.scheduler.job("sound")->progress().trials;
+        return trials.begin()->second.begin()->second.target;
     };
     const auto first = target();
     harness.saveAll();
@@ -483,7 +522,7 @@
     harness.decide();
     const auto &trials = harness.scheduler.job("j")->progress().trials;
     BOOST_REQUIRE(trials.size() == 1U);
-    const auto slow = trials.begin()->second.begin()->second.worker;
+    const auto slow = trials.begin()->second.begin()->second.target.worker;
     const std::string other = slow == "w1" ? "w2" : "w1";
     harness.advanceTime(500ms);
     for (const auto &[id, percent] : {std::pair{other, 60}, std::pair{slow, 10}}) {
--- a/tests/jobs/progressmodel.cpp
+++ b/tests/jobs/progressmodel.cpp
@@ -1,5 +1,7 @@
 #include "progressmodel.h"
 
+#include "dragonflysill/jobs/jobcodec.h"
+
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -43,6 +45,11 @@
 constexpr Duration maxWait = 3s;
 constexpr Duration contactTime = 4s;
 constexpr int requiredRoom = 2;
+/** Crashes under a task after which its job may be given up. */
+constexpr int crashesForGivingUp = 2;
+/** Crashes under a task that crashes its workers, and the starts after them that are too many. */
+constexpr int maxCrashes = 3;
+constexpr int tooManyStarts = 3;
 /**
  * Time for which a pool without room may stay so while the fleet has idle instances: the rule's
  * time, a move, and the first contact with the new worker.
@@ -359,6 +366,7 @@
     if (m_guarded && !(machine.capacity - used).covers(step.need))
         return StartRefusal::InsufficientCapacity;
     process.holdUntil = std::max(process.holdUntil, start.holdUntil);
+    checkStartAfterCrashes(m_jobs[start.task.job], start.task);
     auto &run = process.runs[start.task];
     run.row = {start.task, start.run, start.checkpoint, 0, {}};
     run.need = step.need;
@@ -493,6 +501,8 @@
     const auto id = machine.process->id;
     appendTrace(machine.name + " crashes with " + std::to_string(machine.process->runs.size())
                 + " runs");
+    for (const auto &[task, run] : machine.process->runs)
+        ++m_jobs[task.job].crashes[task];
     endProcess(machine);
     const auto back = randomDuration(3000, 3500);
     faultUntil(m_now + back);
@@ -742,6 +752,7 @@
         if (!*alive)
             return;
         for (const auto &it : updates) {
+            checkGivenUp(m_jobs[it.job], it.progress);
             m_jobs[it.job].saved = it.progress;
             if (isFinal(it.progress.state))
                 appendJobEvent(it.job,
@@ -1095,6 +1106,27 @@
     m_waits = std::move(waits);
 }
 
+void ProgressModel::checkGivenUp(const ModelJob &job, const JobProgress &progress)
+{
+    if (progress.state != JobStatus::Failed || isFinal(job.saved.state))
+        return;
+    const bool crashed = std::ranges::any_of(
+            job.crashes, [](const auto &it) { return it.second >= crashesForGivingUp; });
+    const bool failed = std::ranges::any_of(progress.failures, [&job](const auto &it) {
+        return std::ssize(it.second) >= job.job.policy.attempts;
+    });
+    if (!crashed && !failed)
+        recordViolation(job.job.id + " is given up without cause: " + encodeProgress(progress)
+                        + "\n" + job.events);
+}
+
+void ProgressModel::checkStartAfterCrashes(ModelJob &job, const TaskId &task)
+{
+    if (job.deadly && job.crashes[task] >= maxCrashes
+        && ++job.startsAfterCrashes[task] == tooManyStarts)
+        recordViolation(nameOf(task) + " is started too often\n" + job.events);
+}
+
 void ProgressModel::checkStep(const ModelJob &job, const JobRun &run, std::size_t step,
                               bool jobRuns, Waits &waits)
 {
--- a/tests/jobs/progressmodel.h
+++ b/tests/jobs/progressmodel.h
@@ -18,7 +18,8 @@
  * Simulation of an owner with its workers and seeded faults, which looks for tasks that could run
  * and do not. Once there has been no fault for the contact time, a job may not be without any run
  * for 3 s while it has a ready task, sound workers have room for two such tasks and less than half
- * of the cores of its pool is in use.
+ * of the cores of its pool is in use. A job may only be given up after all attempts of a task or
+ * two crashes under it, and a task that crashes its workers may be started twice after three.
  */
 class ProgressModel : public Simulation
 {
@@ -107,6 +108,8 @@
         bool hopeless = false; ///< Each of its runs fails.
         bool deadly = false; ///< Each of its runs ends its worker's process in the fault period.
         std::vector<Duration> runTimes; ///< By step.
+        std::map<TaskId, int> crashes; ///< Processes that crashed with a run of the task.
+        std::map<TaskId, int> startsAfterCrashes; ///< Starts after maxCrashes of them.
         std::optional<TimePoint> lastRunAt; ///< Time of the last end of a run.
         std::string events;
     };
@@ -188,6 +191,8 @@
 
     // Checks.
     void check();
+    void checkGivenUp(const ModelJob &job, const JobProgress &progress);
+    void checkStartAfterCrashes(ModelJob &job, const TaskId &task);
     void checkStep(const ModelJob &job, const JobRun &run, std::size_t step, bool jobRuns,
                    Waits &waits);
     [[nodiscard]] bool sound(const Machine &machine) const;
--- a/tests/jobs/storedrecordstest.cpp
+++ b/tests/jobs/storedrecordstest.cpp
@@ -43,7 +43,7 @@
     progress.failures[{0, 1, 2}] = {1, 1001};
     progress.crashes[{0, 1, 1}] = {1, 2};
     progress.unconfirmedCrashes[{0, 1, 1}] = {2};
-    progress.trials[{0, 1, 1}] = {{3, {"w", 1}}};
+    progress.trials[{0, 1, 1}] = {{3, {{"w", 1}, true}}};
     return encodeProgress(progress);
 }
 
