Wait for holds that reached a new incarnation on its earlier clock

An idle worker restarted under its id between two looks; the task that it got later ran twice for 3 s after a cut.

Cause: the look that reaches a new incarnation carries the end of the hold on the clock of the earlier one, which the worker takes for its own and shortens to the maximum of 10 s. Scheduler::beginIncarnation() inferred that nothing holds a new incarnation and set heldUntil to the present time. A successor inferred the same of a worker that had restarted under its predecessor.

Change: WorkerState keeps the end of the last hold that was sent and when. heldByEarlierClock() says until when a new incarnation may be held by it, bounded by the maximum hold and by the latest arrival. The record of an owner's workers tells which have restarted, for its successor.

Why it works: the owner no longer starts the task elsewhere before the latest time to which its own calls can have extended the lease.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -92,6 +92,8 @@
      * tasks survive a change of owner only if the new owner extends their hold within this time.
      */
     Milliseconds hold{3000};
+    /** Maximum to which workers shorten longer holds, from the platform's settings. */
+    Milliseconds maxHold{10000};
     /** Maximum time that a worker needs to stop a run, from the platform's settings. */
     Milliseconds stopTime{200};
     /** Maximum time for which a previous owner may still extend holds after losing ownership. */
@@ -315,6 +317,13 @@
      * entry.
      */
     void retirePreviousWorkers(const WorkerState &worker, TimePoint now);
+    /** Extends a worker's hold from now; returns its end on the worker's clock. */
+    WorkerClock extendHold(WorkerState &worker, TimePoint now) const;
+    /**
+     * Returns until when a worker's new incarnation may be held by calls that were sent on the
+     * clock of an earlier one, which it takes for its own and shortens to the maximum hold.
+     */
+    [[nodiscard]] TimePoint heldByEarlierClock(const WorkerState &worker, TimePoint now) const;
     void beginIncarnation(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                           TimePoint now);
     void applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
--- a/include/dragonflysill/jobs/worker.h
+++ b/include/dragonflysill/jobs/worker.h
@@ -28,6 +28,8 @@
     Resources capacity;
     std::int64_t startedMs
             = 0; ///< Start time of this incarnation in Unix milliseconds; 0 if unknown.
+    /** An earlier incarnation had the same id; only set in the record of an owner's workers. */
+    bool restarted = false;
     std::int64_t sequence = 0; ///< Increases with each update of the entry by one incarnation.
     bool draining = false; ///< The worker will stop by itself.
     std::optional<Milliseconds> drainTimeLeft; ///< Minimum time left while draining.
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -34,9 +34,6 @@
     /** Records the clock value of an answer that arrived at @p now. */
     void observe(WorkerClock clock, TimePoint now);
 
-    /** Discards the clock value, after another incarnation of the worker has started. */
-    void reset() { m_known = false; }
-
     /** Returns true if a clock value has been recorded. */
     [[nodiscard]] bool known() const { return m_known; }
 
@@ -46,6 +43,9 @@
     /** Returns the latest local time at which the worker's clock reaches @p clock. */
     [[nodiscard]] TimePoint latestTimeOf(WorkerClock clock) const;
 
+    /** Returns the earliest local time at which the worker's clock was 0, its start. */
+    [[nodiscard]] TimePoint earliestStart() const;
+
 private:
     WorkerClock m_clock = 0;
     TimePoint m_observed{};
@@ -72,6 +72,11 @@
     TimePoint lastContact{}; ///< Time of the last answer of any kind.
     TimePoint lastReport{}; ///< Time of the last report that listed the runs.
     TimePoint heldUntil{}; ///< Local time until which runs may continue without another hold.
+    WorkerClock holdSent = 0; ///< End of the last hold that was sent, on the clock known then.
+    TimePoint holdSentAt{}; ///< When it was sent, by this owner or an earlier one.
+    /** Incarnation that an earlier owner has recorded; 0 for a worker that it did not use. */
+    std::int64_t recordedStartMs = 0;
+    bool restarted = false; ///< An earlier incarnation had the same id.
     bool reachable = false; ///< The last hold request was answered.
     bool fenced = false; ///< It has received this owner's fencing token.
     bool leaving = false; ///< It gets no new tasks, and its persistent tasks are moved away.
--- a/include/dragonflysill/node/workerrecord.h
+++ b/include/dragonflysill/node/workerrecord.h
@@ -18,8 +18,8 @@
 std::string encodeWorkerRecord(std::span<const WorkerDescription> workers);
 
 /**
- * Decodes a record; only id, address, instance, pool and start time are set. Corrupt for invalid
- * bytes.
+ * Decodes a record; only id, address, instance, pool, start time and whether the worker had
+ * restarted are set. Corrupt for invalid bytes.
  */
 Result<std::vector<WorkerDescription>> decodeWorkerRecord(std::string_view pool,
                                                           std::string_view bytes);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -191,7 +191,10 @@
     addOrUpdateWorker(description, now);
     auto &worker = m_workers[description.id];
     worker.listed = false;
-    worker.heldUntil = now + m_settings.previousOwner + internal::maxHoldTime(m_settings.hold);
+    worker.recordedStartMs = description.startedMs;
+    worker.restarted = description.restarted;
+    worker.holdSentAt = now + m_settings.previousOwner;
+    worker.heldUntil = worker.holdSentAt + internal::maxHoldTime(m_settings.hold);
 }
 
 void Scheduler::unlistWorker(std::string_view id, TimePoint now)
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -18,6 +18,10 @@
 constexpr double maxClockDrift = 0.02;
 /** Maximum additional duration of a hold due to delays of the network and of the worker. */
 constexpr Duration holdMargin = 100ms;
+/** Maximum time from the decision to send a call to a worker to the arrival of its last copy. */
+constexpr Duration maxCallTime = 2s;
+/** Maximum time from the start of an incarnation until its owner has heard of it. */
+constexpr Duration maxFirstContactTime = 6s;
 /** Time after which a stop whose outcome is not known, or an unconfirmed pace, is sent again. */
 constexpr Duration orderRetryDelay = 500ms;
 /** Interval between two checks of a worker's runs for missing answers and progress. */
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -285,9 +285,7 @@
     if (admissionSettings(job) != nullptr)
         action.ticket = m_admissions.ticket({id.job, id.occurrence, id.step}, action.worker,
                                             worker.startedMs, now);
-    action.holdUntil = worker.time.clockAt(now, m_settings.hold);
-    worker.heldUntil = std::max(worker.heldUntil,
-                                worker.time.latestTimeOf(action.holdUntil) + internal::holdMargin);
+    action.holdUntil = extendHold(worker, now);
     if (suspicion(job, id, task) > 0)
         beginProbation(worker, id.job, now);
     run.trial = job.trialTarget(id, run.run) != nullptr;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -20,14 +20,35 @@
     if (it->reachable && it->lastReportListedEnds)
         request.acknowledgedEnds = it->lastSavedEnd;
     // An unanswered hold request may arrive late, so only reachable workers get a longer hold.
-    if (it->time.known() && it->reachable) {
-        request.holdUntil = it->time.clockAt(now, m_settings.hold);
-        it->heldUntil = std::max(it->heldUntil,
-                                 it->time.latestTimeOf(*request.holdUntil) + internal::holdMargin);
-    }
+    if (it->time.known() && it->reachable)
+        request.holdUntil = extendHold(*it, now);
     return request;
 }
 
+WorkerClock Scheduler::extendHold(WorkerState &worker, TimePoint now) const
+{
+    worker.holdSent = worker.time.clockAt(now, m_settings.hold);
+    worker.holdSentAt = now;
+    worker.heldUntil = std::max(worker.heldUntil,
+                                worker.time.latestTimeOf(worker.holdSent) + internal::holdMargin);
+    return worker.holdSent;
+}
+
+TimePoint Scheduler::heldByEarlierClock(const WorkerState &worker, TimePoint now) const
+{
+    const auto start = worker.time.earliestStart();
+    const auto lastArrival = worker.holdSentAt + internal::maxCallTime;
+    if (lastArrival < start)
+        return now;
+    const bool sentByThisOwner = worker.holdSent != 0;
+    const auto longest = std::min(lastArrival, start + internal::maxFirstContactTime)
+                         + internal::maxHoldTime(m_settings.maxHold);
+    return std::max(now, sentByThisOwner
+                                 ? std::min(longest, worker.time.latestTimeOf(worker.holdSent)
+                                                             + internal::holdMargin)
+                                 : longest);
+}
+
 void Scheduler::holdAnswered(std::string_view id, const WorkerReport &report, TimePoint sentAt,
                              TimePoint now)
 {
@@ -74,15 +95,20 @@
                                  TimePoint now)
 {
     const bool first = worker.startedMs == 0;
+    worker.restarted
+            = worker.restarted || !first
+              || (worker.recordedStartMs != 0 && worker.recordedStartMs < report.startedMs);
     auto suspected = suspectedRuns(worker);
     std::erase_if(suspected,
                   [&report](const SuspectedRun &it) { return it.startedMs == report.startedMs; });
     worker.startedMs = report.startedMs;
-    worker.time.reset();
+    worker.time.observe(report.clock, now);
     worker.lastProcessedEnd = 0;
     worker.lastSavedEnd = 0;
     worker.pendingEnds.clear();
     if (first) {
+        if (worker.restarted)
+            worker.heldUntil = std::max(worker.heldUntil, heldByEarlierClock(worker, now));
         forgetUnexplainedRuns(worker);
         recordCrashes(suspected, now);
         return;
@@ -94,7 +120,7 @@
     });
     forgetUnexplainedRuns(worker);
     worker.health = {};
-    worker.heldUntil = now;
+    worker.heldUntil = heldByEarlierClock(worker, now);
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
         const bool listed = std::ranges::any_of(report.running, [&](const RunningReport &row) {
--- a/src/jobs/workerstate.cpp
+++ b/src/jobs/workerstate.cpp
@@ -23,4 +23,12 @@
     return m_observed + Milliseconds(static_cast<std::int64_t>(ms) + 1);
 }
 
+TimePoint WorkerClockEstimate::earliestStart() const
+{
+    return m_observed
+           - Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_clock)
+                                                    / (1 - internal::maxClockDrift))
+                          + 1);
+}
+
 } // namespace dragonflysill
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -54,6 +54,7 @@
 {
     SchedulerSettings result;
     result.hold = std::min(result.hold, settings.maxHold);
+    result.maxHold = settings.maxHold;
     result.stopTime = settings.stopTime;
     return result;
 }
--- a/src/node/workerregistry.cpp
+++ b/src/node/workerregistry.cpp
@@ -163,8 +163,13 @@
     std::set<std::string> changed;
     std::set<std::string> kept;
     const auto keep = [&](const WorkerDescription &it) {
-        if (kept.insert(it.id).second)
-            pools[it.pool].push_back(it);
+        if (!kept.insert(it.id).second)
+            return;
+        auto &recorded = pools[it.pool].emplace_back(it);
+        const auto *worker = m_scheduler.worker(it.id);
+        recorded.restarted = worker != nullptr
+                             && (worker->restarted
+                                 || (worker->startedMs != 0 && worker->startedMs < it.startedMs));
     };
     for (const auto &[id, description] : m_listed) {
         const auto *worker = m_scheduler.worker(id);
--- /dev/null
+++ b/tests/jobs/holdtest.cpp
@@ -0,0 +1,82 @@
+#include "schedulerharness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+
+namespace {
+
+const TaskId task{"j", 0, 0, 0};
+/** Workers shorten longer holds to this. */
+constexpr Duration maxHold = 10s;
+
+/** Returns after how long a task of a worker that does not answer any more starts elsewhere. */
+Duration timeUntilRestart(SchedulerHarness &harness, const std::string &silent)
+{
+    const auto begin = harness.now;
+    harness.scheduler.holdUnanswered(silent, harness.now);
+    harness.workers.erase(silent);
+    while (harness.workerOf(task).empty() && harness.now - begin < 2 * maxHold) {
+        harness.advanceTime(100ms);
+        harness.reportAll();
+        harness.decideWithSaves();
+    }
+    return harness.now - begin;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Holds)
+
+// Guards against a task that runs twice: a worker that has restarted takes the end of a hold for a
+// time on its new clock and keeps its runs for longer than the owner believes (TWICE).
+BOOST_AUTO_TEST_CASE(HoldOnTheClockOfAnEarlierIncarnationIsWaitedFor)
+{
+    for (const bool reachesNewIncarnation : {true, false}) {
+        SchedulerHarness harness;
+        auto &worker = harness.addWorker("w1");
+        harness.advanceTime(2s);
+        if (reachesNewIncarnation) {
+            worker.restart(harness.now);
+        } else {
+            harness.scheduler.holdUnanswered("w1", harness.now);
+            harness.advanceTime(4s);
+            worker.restart(harness.now);
+        }
+        harness.advanceTime(100ms);
+        harness.reportFrom("w1");
+        harness.addJob(job("j", {step(1)}));
+        harness.decide();
+        BOOST_REQUIRE(harness.workerOf(task) == "w1");
+        harness.addWorker("w2");
+        const auto waited = timeUntilRestart(harness, "w1");
+        BOOST_TEST((reachesNewIncarnation ? waited >= maxHold : waited < 4s));
+        BOOST_TEST(harness.workerOf(task) == "w2");
+    }
+}
+
+// Guards against the same after a take-over: an earlier owner may have sent such a hold.
+BOOST_AUTO_TEST_CASE(HoldOfAnEarlierOwnerOnAnEarlierClockIsWaitedFor)
+{
+    for (const bool restarted : {true, false}) {
+        SchedulerHarness harness(1000);
+        auto &worker = harness.workers["w1"];
+        worker.description.id = "w1";
+        worker.description.pool = "pool";
+        worker.description.startedMs = worker.startedMs;
+        harness.scheduler.addInheritedWorker(worker.description, harness.now);
+        if (restarted)
+            worker.restart(harness.now - 1s);
+        harness.addJob(job("j", {step(1)}), true);
+        worker.running[task] = {task, 1, "", 10, {}};
+        harness.reportFrom("w1");
+        harness.decide();
+        harness.addWorker("w2");
+        const auto waited = timeUntilRestart(harness, "w1");
+        BOOST_TEST((restarted ? waited >= maxHold : waited < 6s));
+        BOOST_TEST(harness.workerOf(task) == "w2");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -18,6 +18,12 @@
 constexpr int workerCount = 3;
 constexpr int jobCount = 2;
 constexpr Duration maxLateOrderDelay = 6s;
+/** Workers shorten longer holds to this. */
+constexpr Duration maxHold = 10s;
+/** Interval between two holds of a worker without runs, see WorkerController. */
+constexpr Duration idleHoldInterval = 2s;
+/** Share of the restarts that an owner may miss between two holds. */
+constexpr double shortRestartShare = 0.3;
 
 } // namespace
 
@@ -136,7 +142,9 @@
     worker.running.clear();
     worker.finishAt.clear();
     worker.ended.clear();
-    schedule(Milliseconds(300 + m_random.below(4000)), [this, &worker] {
+    const auto pause
+            = chance(shortRestartShare) ? 20 + m_random.below(300) : 300 + m_random.below(4000);
+    schedule(Milliseconds(pause), [this, &worker] {
         appendTrace(worker.id + " restarts");
         worker.up = true;
         ++worker.incarnation;
@@ -147,23 +155,30 @@
         worker.expiredUpTo = 0;
         worker.acknowledged = 0;
         worker.blockedRun.clear();
-        if (m_scheduler) {
-            WorkerDescription description;
-            description.id = worker.id;
-            description.pool = "pool";
-            description.capacity = {2000, 1000, 0};
-            description.startedMs = worker.incarnation;
-            m_scheduler->addOrUpdateWorker(description, m_now);
-        }
+        schedule(Milliseconds(m_random.below(600)), [this, &worker] {
+            if (m_scheduler)
+                m_scheduler->addOrUpdateWorker(describe(worker, worker.incarnation), m_now);
+        });
     });
 }
 
+WorkerDescription ProtocolModel::describe(const ModelWorker &worker, std::int64_t incarnation)
+{
+    WorkerDescription description;
+    description.id = worker.id;
+    description.pool = "pool";
+    description.capacity = {2000, 1000, 0};
+    description.startedMs = incarnation;
+    return description;
+}
+
 void ProtocolModel::beginOwner()
 {
     ++m_fence;
     appendTrace("owner " + std::to_string(m_fence) + " begins");
     m_saving = false;
     m_holdPending.clear();
+    m_nextHold.clear();
     m_ownerAlive = std::make_shared<bool>(true);
     SchedulerSettings settings;
     settings.previousOwner = 0ms;
@@ -176,14 +191,10 @@
             m_scheduler->cancelJob(id, m_now);
     }
     for (const auto &[id, worker] : m_workers) {
-        WorkerDescription description;
-        description.id = id;
-        description.pool = "pool";
-        description.capacity = {2000, 1000, 0};
-        description.startedMs = worker.incarnation;
+        // The first owner's record of its workers is not written again when they restart.
         if (m_generation > 1)
-            m_scheduler->addInheritedWorker(description, m_now);
-        m_scheduler->addOrUpdateWorker(description, m_now);
+            m_scheduler->addInheritedWorker(describe(worker, 1), m_now);
+        m_scheduler->addOrUpdateWorker(describe(worker, worker.incarnation), m_now);
     }
 }
 
@@ -201,6 +212,7 @@
 void ProtocolModel::send(const StartTask &start)
 {
     auto &worker = m_workers[start.worker];
+    m_nextHold[worker.id] = m_now;
     const bool faultsActive = m_now < m_faultsUntil;
     const bool lost = faultsActive && chance(0.05);
     const bool late = faultsActive && chance(0.05);
@@ -261,7 +273,7 @@
 void ProtocolModel::sendHolds()
 {
     for (auto &[id, worker] : m_workers) {
-        if (!m_holdPending[id])
+        if (!m_holdPending[id] && m_now >= m_nextHold[id])
             hold(worker);
     }
 }
@@ -280,7 +292,7 @@
             worker.fence = std::max(worker.fence, fence);
             if (!refused) {
                 if (request.holdUntil)
-                    worker.holdUntil = std::max(worker.holdUntil, *request.holdUntil);
+                    extendHold(worker, *request.holdUntil);
                 acknowledge(worker, request.acknowledgedEnds);
                 report.startedMs = worker.incarnation;
                 report.clock = clock(worker);
@@ -299,6 +311,8 @@
                                                          + " runs of incarnation "
                                                          + std::to_string(report.startedMs)
                                                : " does not report"));
+            const bool idle = answers && report.running.empty() && report.ended.empty();
+            m_nextHold[worker.id] = idle ? m_now + idleHoldInterval : m_now;
             if (answers && !refused)
                 m_scheduler->holdAnswered(worker.id, report, sentAt, m_now);
             else
@@ -354,12 +368,17 @@
     appendTrace(worker.id + " starts " + nameOf(start.task, start.run) + " hold until "
                 + std::to_string(start.holdUntil) + " clock " + std::to_string(clock(worker)));
     checkStart(worker, start);
-    worker.holdUntil = std::max(worker.holdUntil, start.holdUntil);
+    extendHold(worker, start.holdUntil);
     worker.running[start.task] = {start.task, start.run, "", 0, {}};
     worker.finishAt[start.task] = m_now + Milliseconds(200 + m_random.below(1500));
     return "";
 }
 
+void ProtocolModel::extendHold(ModelWorker &worker, WorkerClock until) const
+{
+    worker.holdUntil = std::max(worker.holdUntil, std::min(until, clock(worker) + maxHold / 1ms));
+}
+
 void ProtocolModel::checkStart(const ModelWorker &worker, const StartTask &start)
 {
     const auto name = start.task.job + "." + std::to_string(start.task.step) + "."
--- a/tests/jobs/protocolmodel.h
+++ b/tests/jobs/protocolmodel.h
@@ -59,6 +59,9 @@
     void send(const RequestAdmission &) { }
     void hold(ModelWorker &worker);
     void crash(ModelWorker &worker);
+    [[nodiscard]] static WorkerDescription describe(const ModelWorker &worker,
+                                                    std::int64_t incarnation);
+    void extendHold(ModelWorker &worker, WorkerClock until) const;
 
     std::string applyStart(ModelWorker &worker, const StartTask &start, std::int64_t fence);
     void applyStop(ModelWorker &worker, const StopTask &stop, std::int64_t fence);
@@ -75,6 +78,7 @@
     std::map<std::string, JobProgress> m_saved;
     std::map<std::string, std::uint64_t> m_savedVersion;
     std::map<std::string, bool> m_holdPending;
+    std::map<std::string, TimePoint> m_nextHold;
     std::set<TaskId> m_done; ///< Tasks with a completed run.
     std::set<TaskId> m_doneAcknowledged;
     std::map<TaskId, std::set<int>> m_failedAcknowledged;
--- a/tests/jobs/schedulerharness.h
+++ b/tests/jobs/schedulerharness.h
@@ -45,6 +45,7 @@
 {
     WorkerDescription description;
     std::int64_t startedMs = 1;
+    TimePoint clockStart{};
     std::int64_t nextEnd = 1;
     std::map<TaskId, RunningReport> running;
     std::vector<EndReport> ended;
@@ -56,11 +57,23 @@
         running.erase(it);
     }
 
+    [[nodiscard]] WorkerClock clock(TimePoint now) const { return (now - clockStart) / 1ms; }
+
+    /** Ends the process and starts another one under the same id. */
+    void restart(TimePoint now)
+    {
+        ++startedMs;
+        clockStart = now;
+        nextEnd = 1;
+        running.clear();
+        ended.clear();
+    }
+
     [[nodiscard]] WorkerReport report(TimePoint now) const
     {
         WorkerReport result;
         result.startedMs = startedMs;
-        result.clock = now.time_since_epoch() / 1ms;
+        result.clock = clock(now);
         for (const auto &[task, row] : running)
             result.running.push_back(row);
         result.ended = ended;
@@ -188,7 +201,7 @@
     {
         auto &worker = workers[start.worker];
         worker.running[start.task] = {start.task, start.run, start.checkpoint, 0, {}};
-        scheduler.startConfirmed(start, now.time_since_epoch() / 1ms, now);
+        scheduler.startConfirmed(start, worker.clock(now), now);
     }
 
     void apply(const StopTask &stop)
