Count a job as begun once a worker has confirmed a start

Seven jobs whose starts were refused for want of room were shown as running, and all nodes gave 0 as pending.

Cause: Scheduler::startRun() marked the job as started when it decided on the order. Nothing undid that when the start was refused or got no answer.

Change: confirmRun(), which every confirmation and report of a run passes, and applyEnd() mark the job as started; startRun() does not.

Why it works: the state follows what a worker has said and not what it was asked.

--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -201,7 +201,7 @@
     /** Returns how many workers have crashed under a task. */
     [[nodiscard]] int crashes(const TaskId &id) const;
 
-    /** Records that a task was started. */
+    /** Records that a worker has confirmed or reported a run of a task. */
     void markStarted();
 
     /** Cancels the job; has no effect on a job that has ended. */
@@ -222,7 +222,7 @@
      */
     [[nodiscard]] bool mayEndSoon() const;
 
-    /** Returns true if a task has been started. */
+    /** Returns true if a worker has confirmed or reported a run of a task. */
     [[nodiscard]] bool started() const { return m_progress.state != JobStatus::Queued; }
 
     /** Accepted before this owner took over, so runs may exist that it does not know of yet. */
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -149,12 +149,14 @@
 
 void Scheduler::confirmRun(TaskRun &run)
 {
-    if (std::exchange(run.confirmed, true) || !run.trial)
+    if (std::exchange(run.confirmed, true))
         return;
     auto *job = find(run.task.job);
     if (job == nullptr)
         return;
-    job->confirmTrial(run.task, run.run);
+    job->markStarted();
+    if (run.trial)
+        job->confirmTrial(run.task, run.run);
     queueSave(*job);
 }
 
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -294,8 +294,6 @@
     worker.runs[id] = std::move(run);
     job.activate(id, worker.description.id);
     waitingChanged(job);
-    job.markStarted();
-    queueSave(job);
     m_actions.emplace_back(std::move(action));
     --m_startsLeft;
 }
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -192,6 +192,7 @@
     if (job != nullptr && !job->hasEnded() && job->hasTask(end.task)) {
         if (auto *task = job->task(end.task))
             task->lastRun = std::max(task->lastRun, end.run);
+        job->markStarted();
         job->endTrial(end.task, end.run);
         recordCheckpoint(*job, end, current ? &run->second : nullptr);
         if (end.end == RunEnd::Done && !job->step(end.task).persistent)
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -659,6 +659,40 @@
     BOOST_TEST((harness.scheduler.job("j")->progress().state == JobStatus::Completed));
 }
 
+// Guards against a count of waiting jobs that leaves out those whose starts were refused or got no
+// answer (MIXED).
+BOOST_AUTO_TEST_CASE(JobWaitsUntilAWorkerHasConfirmedAStart)
+{
+    enum class Answer { Refused, None, Confirmed, Listed, Ended };
+    for (const auto answer :
+         {Answer::Refused, Answer::None, Answer::Confirmed, Answer::Listed, Answer::Ended}) {
+        SchedulerHarness harness;
+        auto &worker = harness.addWorker("w1");
+        harness.addJob(job("j", {step(1)}));
+        const auto starts = ordersOf<StartTask>(harness.decide(true));
+        BOOST_REQUIRE(starts.size() == 1U);
+        const auto &start = starts.front();
+        const auto *waiting = harness.scheduler.job("j");
+        BOOST_TEST(!waiting->started());
+        harness.advanceTime(10ms);
+        if (answer == Answer::Refused) {
+            harness.scheduler.startRefused(start, StartRefusal::InsufficientCapacity, harness.now);
+        } else if (answer == Answer::None) {
+            harness.scheduler.startUnanswered(start, harness.now);
+        } else if (answer == Answer::Confirmed) {
+            harness.scheduler.startConfirmed(start, 0, harness.now);
+        } else {
+            worker.running[start.task] = {start.task, start.run, "", 0, {}};
+            if (answer == Answer::Ended)
+                worker.end(start.task, RunEnd::Failed);
+            harness.reportFrom("w1");
+        }
+        const bool begun = answer != Answer::Refused && answer != Answer::None;
+        BOOST_TEST(waiting->started() == begun);
+        BOOST_TEST(harness.scheduler.hasUpdates() == begun);
+    }
+}
+
 // A worker reports a failure until it is acknowledged, so the next owner may see it again.
 BOOST_AUTO_TEST_CASE(FailureThatWasSavedIsNotCountedAgain)
 {
