Count pending jobs only in a replica that has been read

Cause: showPending() asked whether the node follows the jobs, not whether it has read them; the owner answered other nodes in the same way.

Change: StateReplica::pending() has no value before all keys have been read; the node asks the owner then, and gives 503 if that one does not know either.

--- a/include/dragonflysill/node/statereplica.h
+++ b/include/dragonflysill/node/statereplica.h
@@ -90,8 +90,11 @@
      */
     [[nodiscard]] std::optional<JobStatus> status(std::string_view id) const;
 
-    /** Returns the number of jobs of a queue that have not started a task. */
-    [[nodiscard]] int pending(std::string_view queue) const;
+    /**
+     * Returns the number of jobs of a queue that have not started a task; no value before all keys
+     * have been read.
+     */
+    [[nodiscard]] std::optional<int> pending(std::string_view queue) const;
 
     /** Returns the items with a prefix that belong to no job and are not the owner. */
     [[nodiscard]] std::vector<KeyValue> otherItems(std::string_view prefix) const;
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -210,14 +210,15 @@
 
 void JobService::showPending(const Queue &queue, const HttpServer::Respond &respond)
 {
-    if (m_replica.followsJobs() || !m_ownerRequests.pending) {
-        respond(internal::status(200, platform::encodePending(m_replica.pending(queue.name))));
-        return;
-    }
-    m_ownerRequests.pending(queue.name, [respond](std::optional<int> count) {
+    const auto answer = [respond](std::optional<int> count) {
         respond(count ? internal::status(200, platform::encodePending(*count))
                       : internal::status(503));
-    });
+    };
+    const auto known = m_replica.pending(queue.name);
+    if (known || !m_ownerRequests.pending)
+        answer(known);
+    else
+        m_ownerRequests.pending(queue.name, answer);
 }
 
 void JobService::showStatus(std::string_view id, const HttpServer::Respond &respond)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -468,7 +468,7 @@
 {
     auto *link = ownerLink();
     if (link == nullptr) {
-        callback(m_owner ? std::optional(m_replica.pending(queue)) : std::nullopt);
+        callback(m_owner ? m_replica.pending(queue) : std::nullopt);
         return;
     }
     link->call(PendingQuery{queue}, internal::ownerAnswerTimeout,
--- a/src/node/statereplica.cpp
+++ b/src/node/statereplica.cpp
@@ -174,8 +174,10 @@
     return it->status;
 }
 
-int StateReplica::pending(std::string_view queue) const
+std::optional<int> StateReplica::pending(std::string_view queue) const
 {
+    if (!m_followsJobs || m_asOf == 0)
+        return std::nullopt;
     return static_cast<int>(std::ranges::count_if(m_jobs, [queue](const auto &it) {
         const auto &job = it.second;
         return job.queue == queue && job.status == JobStatus::Queued && !job.cancelled;
--- a/tests/node/statustest.cpp
+++ b/tests/node/statustest.cpp
@@ -301,4 +301,17 @@
     BOOST_TEST(call("GET", "/q/") == R"(200 {"pending":3})");
 }
 
+// Guards against a node that counts no waiting jobs while it reads those that it begins to follow
+// (MIXED).
+BOOST_AUTO_TEST_CASE(CountsPendingJobsItselfOnceItHasReadAllKeys)
+{
+    replica.followJobs(true);
+    ownerPending = 3;
+    BOOST_TEST(call("GET", "/q/") == R"(200 {"pending":3})");
+    ownerPending.reset();
+    BOOST_TEST(call("GET", "/q/") == "503 ");
+    replica.reset(nodekeys::root, {}, 1);
+    BOOST_TEST(call("GET", "/q/") == R"(200 {"pending":0})");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
