Take no rack for failed while one of its workers answers

Cause, in part inferred: rackFailed() took three workers that fell silent within 0.5 s for the failure of their rack if they were most of it, and the crashes under their runs were dropped, though another worker of the rack answered.

Change: a rack has failed only if none of its workers has answered since.

Evidence: CrashingTasks/RackWithAWorkerThatAnswersHasNotFailed fails without the change if the fourth worker answers (read from the condition: three silent, one answering).

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -260,7 +260,10 @@
     [[nodiscard]] std::vector<SuspectedRun> suspectedRuns(const WorkerState &worker) const;
     /** Returns true if a run was young enough when its worker was last heard of. */
     [[nodiscard]] static bool mayHaveCrashed(const WorkerState &worker, const TaskRun &run);
-    /** Returns true if several workers of a worker's rack fell silent at the same time. */
+    /**
+     * Returns true if several workers of a worker's rack fell silent at the same time and none of
+     * the others has answered since.
+     */
     [[nodiscard]] bool rackFailed(const WorkerState &worker) const;
     /**
      * Records the crash of a worker under each of the runs, one of which caused it, and ends jobs
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -52,7 +52,7 @@
 constexpr Duration crashAnswerDelay = 2500ms;
 /** Time without an answer to a save after which the store may have become unavailable. */
 constexpr Duration delayedSaveTime = 100ms;
-/** Number of workers, and most of its rack, that fall silent together if the rack has failed. */
+/** Minimum number of workers of a rack that fall silent together if it has failed. */
 constexpr std::ptrdiff_t rackFailureWorkers = 3;
 /** Maximum time between the first and the last of them. */
 constexpr Duration rackFailureSpread = 500ms;
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -33,17 +33,17 @@
     if (rack.empty() || worker.silentSince == TimePoint{})
         return false;
     std::ptrdiff_t silent = 0;
-    std::ptrdiff_t answering = 0;
     for (const auto &[id, other] : m_workers) {
         if (other.description.rack != rack)
             continue;
-        answering += static_cast<std::ptrdiff_t>(other.reachable);
+        if (other.reachable && other.lastContact >= worker.silentSince)
+            return false;
         silent += static_cast<std::ptrdiff_t>(
                 !other.reachable && other.silentSince != TimePoint{}
                 && std::chrono::abs(other.silentSince - worker.silentSince)
                            <= internal::rackFailureSpread);
     }
-    return silent >= internal::rackFailureWorkers && silent > answering;
+    return silent >= internal::rackFailureWorkers;
 }
 
 void Scheduler::recordCrashes(std::span<const SuspectedRun> runs, TimePoint now)
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -712,6 +712,39 @@
     BOOST_TEST(harness.scheduler.job("j")->progress().crashes.size() == 3U);
 }
 
+// Guards against the same while most of a rack's workers have crashed: one that answers shows that
+// the rack has not failed (BUDGET).
+BOOST_AUTO_TEST_CASE(RackWithAWorkerThatAnswersHasNotFailed)
+{
+    for (const bool answers : {true, false}) {
+        SchedulerHarness harness;
+        addWorkers(harness, 4);
+        for (auto &[id, worker] : harness.workers) {
+            worker.description.rack = "rack";
+            harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
+        }
+        auto spread = step(3);
+        spread.maxPerWorker = 1;
+        harness.addJob(job("j", {spread}));
+        harness.decide();
+        harness.advanceTime(100ms);
+        std::vector<std::string> holders;
+        holders.reserve(3);
+        for (int n = 0; n < 3; ++n)
+            holders.push_back(harness.workerOf({"j", 0, 0, n}));
+        for (const auto &id : holders)
+            harness.scheduler.holdUnanswered(id, harness.now);
+        harness.advanceTime(100ms);
+        for (const auto &[id, worker] : harness.workers) {
+            if (answers && worker.running.empty())
+                harness.reportFrom(id);
+        }
+        for (const auto &id : holders)
+            harness.scheduler.retireWorker(id, harness.now);
+        BOOST_TEST(harness.scheduler.job("j")->progress().crashes.size() == (answers ? 3U : 0U));
+    }
+}
+
 // A worker that was cut off and answers again has not crashed.
 BOOST_AUTO_TEST_CASE(RunsThatEndedWithTheirHoldCountOnlyIfTheWorkerCrashed)
 {
