Set up the two tests of racks with one function

Cause: the second test of rack failures repeated the set-up of the first.

Change: startOnRack() serves both; assertions and numbers of workers as before.

--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -51,6 +51,25 @@
     harness.scheduler.addOrUpdateWorker(description, harness.now);
 }
 
+/** Adds workers of one rack and starts a task on each of three; returns those three. */
+std::vector<std::string> startOnRack(SchedulerHarness &harness, int workers)
+{
+    addWorkers(harness, workers);
+    for (auto &[id, worker] : harness.workers) {
+        worker.description.rack = "rack";
+        harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
+    }
+    auto spread = step(3);
+    spread.maxPerWorker = 1;
+    harness.addJob(job("j", {spread}));
+    harness.decide();
+    std::vector<std::string> holders;
+    holders.reserve(3);
+    for (int n = 0; n < 3; ++n)
+        holders.push_back(harness.workerOf({"j", 0, 0, n}));
+    return holders;
+}
+
 /** Result of a play with a task that crashes each worker that starts it. */
 struct CrashTally
 {
@@ -692,19 +711,8 @@
 BOOST_AUTO_TEST_CASE(CrashesOfAFewWorkersAreNotARackFailure)
 {
     SchedulerHarness harness;
-    int lastWorker = addWorkers(harness, 7);
-    for (auto &[id, worker] : harness.workers) {
-        worker.description.rack = "rack";
-        harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
-    }
-    auto spread = step(3);
-    spread.maxPerWorker = 1;
-    harness.addJob(job("j", {spread}));
-    harness.decide();
-    std::vector<std::string> holders;
-    holders.reserve(3);
-    for (int n = 0; n < 3; ++n)
-        holders.push_back(harness.workerOf({"j", 0, 0, n}));
+    int lastWorker = 7;
+    const auto holders = startOnRack(harness, lastWorker);
     for (const auto &id : holders)
         harness.scheduler.holdUnanswered(id, harness.now);
     for (const auto &id : holders)
@@ -718,20 +726,8 @@
 {
     for (const bool answers : {true, false}) {
         SchedulerHarness harness;
-        addWorkers(harness, 4);
-        for (auto &[id, worker] : harness.workers) {
-            worker.description.rack = "rack";
-            harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
-        }
-        auto spread = step(3);
-        spread.maxPerWorker = 1;
-        harness.addJob(job("j", {spread}));
-        harness.decide();
+        const auto holders = startOnRack(harness, 4);
         harness.advanceTime(100ms);
-        std::vector<std::string> holders;
-        holders.reserve(3);
-        for (int n = 0; n < 3; ++n)
-            holders.push_back(harness.workerOf({"j", 0, 0, n}));
         for (const auto &id : holders)
             harness.scheduler.holdUnanswered(id, harness.now);
         harness.advanceTime(100ms);
