Log why a run is released without its end

The users' record could not tell apart why an owner took a run for over that was at work: the five places that release a run without its end wrote no line at info, nor did a report of a run that the owner does not know. Each now leaves a record (run-anomaly: reason, incarnation of the worker, time since the order, whether the worker had confirmed it), and run_anomalies_total counts them by reason. Refused starts are only counted, since workers refuse them all the time while a pool is full. No decision changes. Suite RunAnomalies; jobs-test passes.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -5,6 +5,7 @@
 #include "dragonflysill/jobs/fleetconfiguration.h"
 #include "dragonflysill/jobs/fleetview.h"
 #include "dragonflysill/jobs/jobrun.h"
+#include "dragonflysill/jobs/runanomaly.h"
 #include "dragonflysill/jobs/runtimemodel.h"
 #include "dragonflysill/jobs/startobstacle.h"
 #include "dragonflysill/jobs/waitingqueue.h"
@@ -17,6 +18,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -221,6 +223,12 @@
 
     [[nodiscard]] const DecisionWork &work() const { return m_work; }
 
+    /** Removes and returns the disagreements with workers since the last call, for the log. */
+    [[nodiscard]] std::vector<RunAnomaly> takeRunAnomalies()
+    {
+        return std::exchange(m_anomalies, {});
+    }
+
     /** Returns true if a worker has seen a higher fencing token, so a new owner exists. */
     [[nodiscard]] bool replaced() const { return m_replaced; }
 
@@ -312,6 +320,9 @@
      * answer, and those whose runs were given up and that have not answered since.
      */
     [[nodiscard]] int suspicion(const JobRun &job, const TaskId &id, const Task &task) const;
+    /** Records why a run is released without an end, or that it is reported but not known. */
+    void recordAnomaly(RunAnomalyKind kind, const WorkerState &worker, const TaskRun &run,
+                       TimePoint now);
     void loseRuns(WorkerState &worker, TimePoint now);
     void retire(WorkerState &worker, TimePoint now);
     /**
@@ -444,6 +455,7 @@
     bool m_workersChanged = false; ///< m_unreachedWorkers may be out of date.
     bool m_unadoptedRunsReported = false; ///< A worker may have WorkerState::unadoptedRuns.
     std::vector<SchedulerAction> m_actions;
+    std::vector<RunAnomaly> m_anomalies;
     std::map<std::string, PoolLoad, std::less<>> m_acceptedLoad; ///< Work and jobs by pool.
     std::map<std::string, WorkerAdmissionSettings, std::less<>> m_admissionQueues;
     AdmissionTable m_admissions;
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -93,6 +93,11 @@
     /** Returns the longest delay of a hold since the last call. */
     Duration takeMaxHoldDelay() { return m_workerController.takeMaxHoldDelay(); }
     [[nodiscard]] const DecisionCounts &decisionCounts() const { return m_decisionCounts; }
+    /** Returns the number of disagreements with workers about a run by kind. */
+    [[nodiscard]] const std::map<RunAnomalyKind, std::uint64_t> &runAnomalyCounts() const
+    {
+        return m_runAnomalyCounts;
+    }
     [[nodiscard]] const FleetControllerCounts &fleetCounts() const { return m_fleet.counts(); }
     [[nodiscard]] const PoolBalancer &balancer() const { return m_fleet.balancer(); }
     [[nodiscard]] const MaintenancePlanner &maintenance() const { return m_fleet.maintenance(); }
@@ -115,6 +120,8 @@
     /** Bounds the starts of the next decision to what the machine's link carries. */
     /** Logs why tasks wait although their pool has free capacity. */
     void logWaitingTasks(TimePoint now);
+    /** Logs and counts the disagreements with workers about a run. */
+    void logRunAnomalies();
     void limitStarts();
     void carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt);
     void saveProgress();
@@ -134,6 +141,7 @@
     bool m_decisionDue = false;
     TimePoint m_decisionRequestedAt{};
     DecisionCounts m_decisionCounts;
+    std::map<RunAnomalyKind, std::uint64_t> m_runAnomalyCounts;
     int m_savesInFlight = 0;
     TimePoint m_savedAt{};
     TimePoint m_nextSaveAt{}; ///< After a write that was not applied.
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -181,8 +181,11 @@
     worker.retired = true;
     worker.heldUntil = now;
     worker.unadoptedRuns.clear();
-    for (auto it = worker.runs.begin(); it != worker.runs.end();)
-        releaseRun(worker, it++, now);
+    for (auto it = worker.runs.begin(); it != worker.runs.end();) {
+        const auto run = it++;
+        recordAnomaly(RunAnomalyKind::WorkerEnded, worker, run->second, now);
+        releaseRun(worker, run, now);
+    }
     recordCrashes(suspected, now);
 }
 
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -130,12 +130,21 @@
         // new incarnation. A run that is being stopped is released after the stop is answered.
         const bool mayBeInNewIncarnation = run->second.phase != TaskRun::Phase::Running
                                            || run->second.orderSettledAt >= sentAt;
-        if (!listed && !mayBeInNewIncarnation)
+        if (!listed && !mayBeInNewIncarnation) {
+            recordAnomaly(RunAnomalyKind::EarlierIncarnation, worker, run->second, now);
             releaseRun(worker, run, now);
+        }
     }
     recordCrashes(suspected, now);
 }
 
+void Scheduler::recordAnomaly(RunAnomalyKind kind, const WorkerState &worker, const TaskRun &run,
+                              TimePoint now)
+{
+    m_anomalies.push_back({kind, run.task, run.run, worker.description.id, worker.startedMs,
+                           run.inherited ? Duration{0} : now - run.startedAt, run.confirmed});
+}
+
 void Scheduler::releaseRun(WorkerState &worker, std::map<TaskId, TaskRun>::iterator run,
                            TimePoint now)
 {
@@ -179,6 +188,7 @@
                 job->confirmTrial(run->first, run->second.run);
             queueSave(*job);
         }
+        recordAnomaly(RunAnomalyKind::HoldExpired, worker, run->second, now);
         releaseRun(worker, run, now);
     }
 }
@@ -300,8 +310,11 @@
             continue;
         }
         auto &known = run->second;
-        if (known.run != row.run)
+        if (known.run != row.run) {
+            m_anomalies.push_back({RunAnomalyKind::OtherRun, row.task, row.run,
+                                   worker.description.id, worker.startedMs});
             continue;
+        }
         confirmRun(known);
         if (known.phase == TaskRun::Phase::Starting || known.phase == TaskRun::Phase::Unconfirmed) {
             known.phase = TaskRun::Phase::Running;
@@ -332,6 +345,8 @@
                 = known.phase == TaskRun::Phase::Running && known.orderSettledAt < sentAt;
         const bool stopped = known.phase == TaskRun::Phase::Stopping && known.stopAnswered
                              && known.orderSettledAt + m_settings.stopTime < sentAt;
+        if (running)
+            recordAnomaly(RunAnomalyKind::NotListed, worker, known, now);
         if (running || stopped)
             releaseRun(worker, run, now);
     }
@@ -378,6 +393,8 @@
                             || (job->step(report.task).speculative && task->workers.size() < 2));
     auto &known = worker.runs[report.task] = std::move(run);
     if (!wanted) {
+        m_anomalies.push_back({RunAnomalyKind::Unknown, report.task, report.run,
+                               worker.description.id, worker.startedMs});
         known.unwanted = true;
         ++m_unwantedRuns[report.task];
         stopRun(worker, known, now);
@@ -451,8 +468,10 @@
         worker->reachable = false;
         break;
     }
-    if (worker->findRun(start.task, start.run) != nullptr)
+    if (const auto *run = worker->findRun(start.task, start.run)) {
+        recordAnomaly(RunAnomalyKind::Refused, *worker, *run, now);
         releaseRun(*worker, worker->runs.find(start.task), now);
+    }
 }
 
 void Scheduler::startUnanswered(const StartTask &start, TimePoint now)
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -115,6 +115,15 @@
             calls.startsUnanswered);
     counter(families, "starts_not_sent_total", "Starts that were not sent to their worker",
             calls.startsNotSent);
+    auto &anomalies = add(families, "run_anomalies_total",
+                          "Runs released without an end or reported but not known, by reason",
+                          prometheus::MetricType::Counter);
+    anomalies.metric.clear();
+    for (const auto &[kind, count] : owner.runAnomalyCounts()) {
+        auto &metric = anomalies.metric.emplace_back();
+        metric.label.push_back({"reason", std::string(runAnomalyName(kind))});
+        metric.counter.value = static_cast<double>(count);
+    }
     counter(families, "stops_total", "Stops sent to workers", calls.stops);
     counter(families, "paces_total", "Orders that limit the speed of tasks", calls.paces);
     counter(families, "advice_total", "Questions about admitted workers", calls.admissionRequests);
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -264,6 +264,25 @@
     }
 }
 
+void ScheduleOwner::logRunAnomalies()
+{
+    for (const auto &it : m_scheduler.takeRunAnomalies()) {
+        ++m_runAnomalyCounts[it.kind];
+        // Workers refuse starts all the time while their pool is full.
+        if (it.kind == RunAnomalyKind::Refused)
+            continue;
+        logInfo("run-anomaly", {{"job", it.task.job},
+                                {"task", it.task.position()},
+                                {"run", std::to_string(it.run)},
+                                {"worker", it.worker},
+                                {"incarnation", std::to_string(it.startedMs)},
+                                {"age_ms", std::to_string(it.age / 1ms)},
+                                {"confirmed", it.confirmed ? "yes" : "no"},
+                                {"reason", std::string(runAnomalyName(it.kind))},
+                                {"fence", std::to_string(m_fence)}});
+    }
+}
+
 void ScheduleOwner::decideAfterEvent()
 {
     if (!mayDecide())
@@ -284,6 +303,7 @@
         m_workerController.execute(it);
     m_workerController.sendDueHolds(startedAt);
     saveProgress();
+    logRunAnomalies();
     m_context.linkBudget.started(static_cast<int>(std::ranges::count_if(
             actions, [](const auto &it) { return std::holds_alternative<StartTask>(it); })));
     // On a full link, the next decision without an event is early enough.
