Make the protocol model as strict as the protocol

The model refused a start while another run of the task was at work on the worker and looked for a second run only on other workers, so that two runs on one worker could not show. It also kept copies of orders from reaching another incarnation, let a worker stop a run at once, gave an owner the clock of the time at which an answer arrived instead of the time at which it was sent, and ended an owner before the next one began. It now does no more against a second run than the protocol demands, and has copies of orders that arrive after the answer, owners that stand still, former owners beside the present one, and the list of instances.

--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -17,16 +17,43 @@
 constexpr Duration recoveryPeriod = 30s;
 constexpr int workerCount = 3;
 constexpr int jobCount = 2;
+/** Number of runs that a worker has room for. */
+constexpr std::size_t workerRoom = 2;
 constexpr Duration maxLateOrderDelay = 6s;
 /** Workers shorten longer holds to this. */
 constexpr Duration maxHold = 10s;
 /** Interval between two holds of a worker without runs, see WorkerController. */
 constexpr Duration idleHoldInterval = 2s;
+/** Time after which a call without an answer counts as unanswered, see WorkerController. */
+constexpr Duration callTimeout = 500ms;
+/** Time without an answer after which an order is sent again, see WorkerOrders. */
+constexpr Duration copyInterval = 80ms;
+/** Longest way of a copy that is sent then. */
+constexpr int maxCopyDelayMs = 1800;
+/** Share of the orders with copies of which one arrives after the answer. */
+constexpr double strayCopyShare = 0.3;
+/** Longest time that a worker takes to stop a run. */
+constexpr int maxStopMs = 200;
 /** Share of the restarts that an owner may miss between two holds. */
 constexpr double shortRestartShare = 0.3;
+/** Longest time that an owner's event loop stands still. */
+constexpr int maxStallMs = 2500;
+/** Longest time for which a former owner still gives orders if its key was revoked. */
+constexpr int maxFormerOwnerMs = 1350;
+/** Time for which it extends holds after that, see Ownership. */
+constexpr Duration formerOwnerHoldTime = 2s;
+/** Interval between two lists of the instances while a worker is silent, see FleetController. */
+constexpr Duration instanceListInterval = 500ms;
 
 } // namespace
 
+ProtocolModel::Owner::Owner(const SchedulerSettings &settings, std::int64_t ownerFence,
+                            int generation)
+    : scheduler(settings, 1000 * generation)
+    , fence(ownerFence)
+{
+}
+
 ProtocolModel::ProtocolModel(std::uint64_t seed)
     : Simulation(seed)
     , m_faultsUntil(m_now + faultPeriod)
@@ -60,10 +87,14 @@
 
 namespace {
 
+std::string nameOf(const TaskId &task)
+{
+    return task.job + "." + std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
 std::string nameOf(const TaskId &task, int run)
 {
-    return task.job + "." + std::to_string(task.step) + "." + std::to_string(task.index) + " run "
-           + std::to_string(run);
+    return nameOf(task) + " run " + std::to_string(run);
 }
 
 } // namespace
@@ -79,10 +110,9 @@
     beginOwner();
     while (m_violation.empty() && m_now < m_faultsUntil + recoveryPeriod) {
         step();
-        const bool finished
-                = m_now > m_faultsUntil && std::ranges::all_of(m_jobs, [&](auto &it) {
-                      return isFinal(m_saved[it.first].state) || m_cancelled.contains(it.first);
-                  });
+        const bool finished = !faultsActive() && std::ranges::all_of(m_jobs, [&](auto &it) {
+            return isFinal(m_saved[it.first].state) || m_cancelled.contains(it.first);
+        });
         if (finished
             && std::ranges::all_of(m_workers, [](auto &it) { return it.second.running.empty(); }))
             return m_violation;
@@ -97,27 +127,39 @@
     advanceClock(tickLength);
     for (auto &[id, worker] : m_workers)
         advance(worker);
-    if (m_now < m_faultsUntil)
+    if (faultsActive())
         injectFaults();
-    if (!m_scheduler)
+    for (const auto &it : std::vector<OwnerPtr>(m_owners))
+        act(it);
+}
+
+void ProtocolModel::act(const OwnerPtr &owner)
+{
+    if (owner->ended || m_now < owner->stalledUntil)
         return;
-    decide();
-    sendHolds();
-    save();
+    if (m_now >= owner->holdsUntil || owner->scheduler.replaced()) {
+        owner->ended = true;
+        std::erase(m_owners, owner);
+        return;
+    }
+    if (m_now < owner->ordersUntil) {
+        listInstances(owner);
+        decide(owner);
+        save(owner);
+    }
+    sendHolds(owner);
 }
 
 void ProtocolModel::injectFaults()
 {
-    if (m_scheduler && chance(0.01)) {
-        appendTrace("owner ends");
-        *m_ownerAlive = false;
-        m_scheduler.reset();
-        schedule(Milliseconds(200 + m_random.below(3000)), [this] { beginOwner(); });
-    }
+    if (!m_ownerless && chance(0.01))
+        endOwner();
+    else if (!m_ownerless && chance(0.005))
+        m_owners.back()->stalledUntil = m_now + Milliseconds(m_random.below(maxStallMs));
     for (auto &[id, worker] : m_workers) {
-        if (worker.up && chance(0.004))
+        if (worker.up && chance(0.004)) {
             crash(worker);
-        else if (!worker.disconnected && chance(0.005)) {
+        } else if (!worker.disconnected && chance(0.005)) {
             worker.disconnected = true;
             appendTrace(worker.id + " is disconnected");
             auto *target = &worker;
@@ -130,9 +172,34 @@
     if (chance(0.002)) {
         const auto id = "j" + std::to_string(m_random.below(jobCount));
         m_cancelled.insert(id);
-        if (m_scheduler)
-            m_scheduler->cancelJob(id, m_now);
+        for (const auto &it : m_owners)
+            it->scheduler.cancelJob(id, m_now);
+    }
+}
+
+void ProtocolModel::endOwner()
+{
+    auto &owner = *m_owners.back();
+    m_ownerless = true;
+    Duration pause = Milliseconds(200 + m_random.below(3000));
+    switch (m_random.below(3)) {
+    case 0:
+        appendTrace("owner " + std::to_string(owner.fence) + " ends");
+        owner.ended = true;
+        m_owners.pop_back();
+        break;
+    case 1:
+        appendTrace("owner " + std::to_string(owner.fence) + " only extends holds");
+        owner.ordersUntil = m_now;
+        owner.holdsUntil = m_now + formerOwnerHoldTime;
+        break;
+    default:
+        appendTrace("owner " + std::to_string(owner.fence) + " loses its key");
+        owner.ordersUntil = m_now + Milliseconds(m_random.below(maxFormerOwnerMs));
+        owner.holdsUntil = owner.ordersUntil + formerOwnerHoldTime;
+        pause = Milliseconds(m_random.below(300));
     }
+    schedule(pause, [this] { beginOwner(); });
 }
 
 void ProtocolModel::crash(ModelWorker &worker)
@@ -141,6 +208,7 @@
     worker.up = false;
     worker.running.clear();
     worker.finishAt.clear();
+    worker.stopAt.clear();
     worker.ended.clear();
     const auto pause
             = chance(shortRestartShare) ? 20 + m_random.below(300) : 300 + m_random.below(4000);
@@ -153,11 +221,10 @@
         worker.clockStart = m_now;
         worker.nextEnd = 1;
         worker.expiredUpTo = 0;
-        worker.acknowledged = 0;
         worker.blockedRun.clear();
         schedule(Milliseconds(m_random.below(600)), [this, &worker] {
-            if (m_scheduler)
-                m_scheduler->addOrUpdateWorker(describe(worker, worker.incarnation), m_now);
+            for (const auto &it : m_owners)
+                it->scheduler.addOrUpdateWorker(describe(worker, worker.incarnation), m_now);
         });
     });
 }
@@ -167,6 +234,7 @@
     WorkerDescription description;
     description.id = worker.id;
     description.pool = "pool";
+    description.instance = "machine-" + worker.id;
     description.capacity = {2000, 1000, 0};
     description.startedMs = incarnation;
     return description;
@@ -175,50 +243,82 @@
 void ProtocolModel::beginOwner()
 {
     ++m_fence;
+    m_ownerless = false;
     appendTrace("owner " + std::to_string(m_fence) + " begins");
-    m_saving = false;
-    m_holdPending.clear();
-    m_nextHold.clear();
-    m_ownerAlive = std::make_shared<bool>(true);
-    SchedulerSettings settings;
-    settings.previousOwner = 0ms;
-    m_scheduler = std::make_unique<Scheduler>(settings, 1000 * m_generation++);
+    auto owner = std::make_shared<Owner>(SchedulerSettings{}, m_fence, m_generation++);
+    auto &scheduler = owner->scheduler;
     for (const auto &[id, job] : m_jobs) {
         if (isFinal(m_saved[id].state))
             continue;
-        m_scheduler->addJob(job, m_saved[id], m_generation > 1, 0s, m_now);
+        scheduler.addJob(job, m_saved[id], m_generation > 1, 0s, m_now);
         if (m_cancelled.contains(id))
-            m_scheduler->cancelJob(id, m_now);
+            scheduler.cancelJob(id, m_now);
     }
     for (const auto &[id, worker] : m_workers) {
         // The first owner's record of its workers is not written again when they restart.
         if (m_generation > 1)
-            m_scheduler->addInheritedWorker(describe(worker, 1), m_now);
-        m_scheduler->addOrUpdateWorker(describe(worker, worker.incarnation), m_now);
+            scheduler.addInheritedWorker(describe(worker, 1), m_now);
+        scheduler.addOrUpdateWorker(describe(worker, worker.incarnation), m_now);
     }
+    m_owners.push_back(std::move(owner));
+}
+
+void ProtocolModel::deliver(const OwnerPtr &owner, Duration delay, std::function<void()> action)
+{
+    schedule(delay, [this, owner, action = std::move(action)]() mutable {
+        if (owner->ended)
+            return;
+        if (m_now < owner->stalledUntil)
+            deliver(owner, owner->stalledUntil - m_now, std::move(action));
+        else
+            action();
+    });
 }
 
-void ProtocolModel::decide()
+void ProtocolModel::decide(const OwnerPtr &owner)
 {
     // Like the owner: a full decision at intervals and one about what changed after other events.
-    const bool full = m_now - m_decidedAt >= decisionInterval;
+    const bool full = m_now - owner->decidedAt >= decisionInterval;
     if (full)
-        m_decidedAt = m_now;
+        owner->decidedAt = m_now;
     for (const auto &action :
-         full ? m_scheduler->decide(m_now, 0) : m_scheduler->decideAfterEvent(m_now, 0))
-        std::visit([this](const auto &order) { send(order); }, action);
+         full ? owner->scheduler.decide(m_now, 0) : owner->scheduler.decideAfterEvent(m_now, 0))
+        std::visit([&](const auto &order) { send(owner, order); }, action);
 }
 
-void ProtocolModel::send(const StartTask &start)
+void ProtocolModel::listInstances(const OwnerPtr &owner)
+{
+    if (owner->listing || !owner->scheduler.hasSilentWorkers(m_now))
+        return;
+    owner->listing = true;
+    schedule(delay(), [this, owner] {
+        std::set<std::string> down;
+        for (const auto &[id, worker] : m_workers) {
+            if (!worker.up)
+                down.insert(id);
+        }
+        deliver(owner, delay(), [this, owner, down] {
+            for (const auto &id : down) {
+                const auto *worker = owner->scheduler.worker(id);
+                if (worker == nullptr || worker->reachable || worker->retired)
+                    continue;
+                appendTrace("owner retires " + id);
+                owner->scheduler.retireWorker(id, m_now);
+            }
+            schedule(instanceListInterval, [owner] { owner->listing = false; });
+        });
+    });
+}
+
+void ProtocolModel::send(const OwnerPtr &owner, const StartTask &start)
 {
     auto &worker = m_workers[start.worker];
-    m_nextHold[worker.id] = m_now;
-    const bool faultsActive = m_now < m_faultsUntil;
-    const bool lost = faultsActive && chance(0.05);
-    const bool late = faultsActive && chance(0.05);
-    const auto fence = m_fence;
-    const auto alive = m_ownerAlive;
-    appendTrace("owner orders " + worker.id + " to start " + nameOf(start.task, start.run));
+    owner->nextHold[worker.id] = m_now;
+    const bool lost = faultsActive() && chance(0.05);
+    const bool late = faultsActive() && chance(0.05);
+    const auto fence = owner->fence;
+    appendTrace("owner " + std::to_string(fence) + " orders " + worker.id + " to start "
+                + nameOf(start.task, start.run));
     // A late order is lost if the incarnation of the worker that received it ends.
     if (late && worker.up && !worker.disconnected)
         schedule(2s + Milliseconds(m_random.below(maxLateOrderDelay / 1ms)),
@@ -226,112 +326,128 @@
                      if (worker.incarnation == incarnation)
                          applyStart(worker, start, fence);
                  });
-    schedule(delay(), [this, &worker, start, fence, alive, lost, late] {
-        const bool answers = worker.up && !worker.disconnected && !lost && !late;
-        const auto refusal = answers ? applyStart(worker, start, fence) : "";
-        const bool answerLost = m_now < m_faultsUntil && chance(0.03);
-        schedule(answers && !answerLost ? delay() : 500ms, [this, &worker, start, alive, refusal,
-                                                            known = answers && !answerLost] {
-            if (!*alive)
-                return;
-            appendTrace(nameOf(start.task, start.run)
-                        + (known ? " answered " + refusal : " unanswered"));
-            if (!known)
-                m_scheduler->startUnanswered(start, m_now);
-            else if (refusal.empty())
-                m_scheduler->startConfirmed(start, clock(worker), m_now);
-            else
-                m_scheduler->startRefused(start,
-                                          refusal == "fence"  ? StartRefusal::Fenced
-                                          : refusal == "old"  ? StartRefusal::StaleRun
-                                          : refusal == "late" ? StartRefusal::HoldExpired
-                                                              : StartRefusal::InsufficientCapacity,
-                                          m_now);
-        });
-    });
+    const auto arrival = delay();
+    const auto response = delay();
+    const bool answerLost = faultsActive() && chance(0.03);
+    // A copy may reach another incarnation than the one that it was sent to.
+    const bool copied = lost || late || answerLost || arrival + response >= copyInterval;
+    const bool strayCopy = faultsActive() && copied && chance(strayCopyShare);
+    if (strayCopy)
+        schedule(copyInterval + Milliseconds(m_random.below(maxCopyDelayMs)),
+                 [this, &worker, start, fence] {
+                     if (worker.up && !worker.disconnected)
+                         applyStart(worker, start, fence);
+                 });
+    schedule(arrival,
+             [this, owner, &worker, start, fence, lost, late, strayCopy, answerLost, response] {
+                 const bool received = worker.up && !worker.disconnected && !lost && !late;
+                 const auto refusal = received ? applyStart(worker, start, fence) : "";
+                 // An order counts as refused only if all of its copies are.
+                 const bool known = received && !answerLost && (refusal.empty() || !strayCopy);
+                 deliver(owner, known ? response : callTimeout,
+                         [this, owner, start, refusal, known, answered = clock(worker)] {
+                             if (known) {
+                                 startAnswered(owner, start, refusal, answered);
+                                 return;
+                             }
+                             appendTrace(nameOf(start.task, start.run) + " unanswered");
+                             owner->scheduler.startUnanswered(start, m_now);
+                         });
+             });
+}
+
+void ProtocolModel::startAnswered(const OwnerPtr &owner, const StartTask &start,
+                                  const std::string &refusal, WorkerClock clock)
+{
+    appendTrace(nameOf(start.task, start.run) + " answered " + refusal);
+    if (refusal.empty())
+        owner->scheduler.startConfirmed(start, clock, m_now);
+    else
+        owner->scheduler.startRefused(start,
+                                      refusal == "fence"  ? StartRefusal::Fenced
+                                      : refusal == "old"  ? StartRefusal::StaleRun
+                                      : refusal == "late" ? StartRefusal::HoldExpired
+                                                          : StartRefusal::InsufficientCapacity,
+                                      m_now);
 }
 
-void ProtocolModel::send(const StopTask &stop)
+void ProtocolModel::send(const OwnerPtr &owner, const StopTask &stop)
 {
     auto &worker = m_workers[stop.worker];
-    const bool lost = m_now < m_faultsUntil && chance(0.05);
-    schedule(delay(), [this, &worker, stop, fence = m_fence, alive = m_ownerAlive, lost] {
+    const bool lost = faultsActive() && chance(0.05);
+    schedule(delay(), [this, owner, &worker, stop, fence = owner->fence, lost] {
         const bool answers = worker.up && !worker.disconnected && !lost;
         if (answers)
             applyStop(worker, stop, fence);
-        schedule(answers ? delay() : 500ms, [this, stop, alive, answers] {
-            if (!*alive)
-                return;
+        deliver(owner, answers ? delay() : callTimeout, [this, owner, stop, answers] {
             if (answers)
-                m_scheduler->stopConfirmed(stop, m_now);
+                owner->scheduler.stopConfirmed(stop, m_now);
             else
-                m_scheduler->stopUnanswered(stop, m_now);
+                owner->scheduler.stopUnanswered(stop, m_now);
         });
     });
 }
 
-void ProtocolModel::sendHolds()
+void ProtocolModel::sendHolds(const OwnerPtr &owner)
 {
     for (auto &[id, worker] : m_workers) {
-        if (!m_holdPending[id] && m_now >= m_nextHold[id])
-            hold(worker);
+        const auto *known = owner->scheduler.worker(id);
+        if (known != nullptr && !known->retired && !owner->holdPending[id]
+            && m_now >= owner->nextHold[id])
+            hold(owner, worker);
     }
 }
 
-void ProtocolModel::hold(ModelWorker &worker)
+void ProtocolModel::hold(const OwnerPtr &owner, ModelWorker &worker)
 {
-    m_holdPending[worker.id] = true;
+    owner->holdPending[worker.id] = true;
     const auto sentAt = m_now;
-    const auto request = m_scheduler->holdRequest(worker.id, m_now);
-    schedule(delay(), [this, &worker, request, sentAt, fence = m_fence, alive = m_ownerAlive] {
-        const bool answers = worker.up && !worker.disconnected;
+    const auto request = owner->scheduler.holdRequest(worker.id, m_now);
+    schedule(delay(), [this, owner, &worker, request, sentAt] {
+        const auto fence = owner->fence;
+        const bool answers = worker.up && !worker.disconnected && fence >= worker.fence;
         WorkerReport report;
-        bool refused = false;
         if (answers) {
-            refused = fence < worker.fence;
-            worker.fence = std::max(worker.fence, fence);
-            if (!refused) {
-                if (request.holdUntil)
-                    extendHold(worker, *request.holdUntil);
-                acknowledge(worker, request.acknowledgedEnds);
-                report.startedMs = worker.incarnation;
-                report.clock = clock(worker);
-                for (const auto &[task, row] : worker.running)
-                    report.running.push_back(row);
-                report.ended = worker.ended;
-            }
+            worker.fence = fence;
+            if (request.holdUntil)
+                extendHold(worker, *request.holdUntil);
+            acknowledge(worker, request.acknowledgedEnds);
+            report.startedMs = worker.incarnation;
+            report.clock = clock(worker);
+            for (const auto &[run, row] : worker.running)
+                report.running.push_back(row);
+            report.ended = worker.ended;
         }
-        schedule(answers ? delay() : 500ms, [this, &worker, report, sentAt, alive, answers,
-                                             refused] {
-            if (!*alive)
-                return;
-            m_holdPending[worker.id] = false;
-            appendTrace(worker.id
-                        + (answers && !refused ? " reports " + std::to_string(report.running.size())
-                                                         + " runs of incarnation "
-                                                         + std::to_string(report.startedMs)
-                                               : " does not report"));
-            const bool idle = answers && report.running.empty() && report.ended.empty();
-            m_nextHold[worker.id] = idle ? m_now + idleHoldInterval : m_now;
-            if (answers && !refused)
-                m_scheduler->holdAnswered(worker.id, report, sentAt, m_now);
-            else
-                m_scheduler->holdUnanswered(worker.id, m_now);
-        });
+        deliver(owner, answers ? delay() : callTimeout,
+                [this, owner, &worker, report, sentAt, answers] {
+                    owner->holdPending[worker.id] = false;
+                    appendTrace(worker.id
+                                + (answers ? " reports " + std::to_string(report.running.size())
+                                                     + " runs of incarnation "
+                                                     + std::to_string(report.startedMs)
+                                           : " does not report")
+                                + " to owner " + std::to_string(owner->fence));
+                    const bool idle = answers && report.running.empty() && report.ended.empty();
+                    owner->nextHold[worker.id] = idle ? m_now + idleHoldInterval : m_now;
+                    if (answers)
+                        owner->scheduler.holdAnswered(worker.id, report, sentAt, m_now);
+                    else
+                        owner->scheduler.holdUnanswered(worker.id, m_now);
+                });
     });
 }
 
-void ProtocolModel::save()
+void ProtocolModel::save(const OwnerPtr &owner)
 {
-    if (m_saving || !m_scheduler->hasUpdates())
+    if (owner->saving || !owner->scheduler.hasUpdates())
         return;
-    m_saving = true;
-    auto updates = m_scheduler->takeUpdates(8);
-    const bool lost = m_now < m_faultsUntil && chance(0.1);
-    const bool answerLost = m_now < m_faultsUntil && chance(0.1);
-    schedule(delay(), [this, updates, lost, answerLost, fence = m_fence, alive = m_ownerAlive] {
+    owner->saving = true;
+    auto updates = owner->scheduler.takeUpdates(8);
+    const bool lost = faultsActive() && chance(0.1);
+    const bool answerLost = faultsActive() && chance(0.1);
+    schedule(delay(), [this, owner, updates, lost, answerLost] {
         // The write is conditional on the owner's key.
-        const bool applied = !lost && fence == m_fence && m_scheduler != nullptr;
+        const bool applied = !lost && owner->fence == m_fence && !m_ownerless;
         appendTrace(std::string(applied ? "saved" : "save lost"));
         if (applied) {
             for (const auto &it : updates) {
@@ -339,11 +455,9 @@
                 m_saved[it.job] = it.progress;
             }
         }
-        schedule(delay(), [this, updates, alive, saved = applied && !answerLost] {
-            if (!*alive)
-                return;
-            m_saving = false;
-            m_scheduler->updatesSaved(updates, saved);
+        deliver(owner, delay(), [owner, updates, saved = applied && !answerLost] {
+            owner->saving = false;
+            owner->scheduler.updatesSaved(updates, saved);
         });
     });
 }
@@ -356,21 +470,22 @@
     if (fence < worker.fence)
         return "fence";
     worker.fence = fence;
-    const auto running = worker.running.find(start.task);
-    if (running != worker.running.end())
-        return running->second.run == start.run ? "" : "old";
-    if (start.run <= worker.blockedRun[start.task])
-        return "old";
+    const RunKey run{start.task, start.run};
+    if (worker.running.contains(run))
+        return "";
     if (start.holdUntil < clock(worker))
         return "late";
-    if (worker.running.size() >= 2)
+    // The time of an order that is refused for one of the next reasons counts, too.
+    extendHold(worker, start.holdUntil);
+    if (start.run <= worker.blockedRun[start.task])
+        return "old";
+    if (worker.running.size() >= workerRoom)
         return "room";
     appendTrace(worker.id + " starts " + nameOf(start.task, start.run) + " hold until "
                 + std::to_string(start.holdUntil) + " clock " + std::to_string(clock(worker)));
-    checkStart(worker, start);
-    extendHold(worker, start.holdUntil);
-    worker.running[start.task] = {start.task, start.run, "", 0, {}};
-    worker.finishAt[start.task] = m_now + Milliseconds(200 + m_random.below(1500));
+    checkStart(start);
+    worker.running[run] = {start.task, start.run, "", 0, {}};
+    worker.finishAt[run] = m_now + Milliseconds(200 + m_random.below(1500));
     return "";
 }
 
@@ -379,12 +494,12 @@
     worker.holdUntil = std::max(worker.holdUntil, std::min(until, clock(worker) + maxHold / 1ms));
 }
 
-void ProtocolModel::checkStart(const ModelWorker &worker, const StartTask &start)
+void ProtocolModel::checkStart(const StartTask &start)
 {
-    const auto name = start.task.job + "." + std::to_string(start.task.step) + "."
-                      + std::to_string(start.task.index);
-    for (const auto &[id, other] : m_workers) {
-        if (id != worker.id && other.up && other.running.contains(start.task))
+    const auto name = nameOf(start.task);
+    for (const auto &[id, worker] : m_workers) {
+        const auto run = worker.running.lower_bound({start.task, 0});
+        if (worker.up && run != worker.running.end() && run->first.first == start.task)
             recordViolation("simultaneous runs of " + name);
     }
     if (m_doneAcknowledged.contains(start.task))
@@ -422,9 +537,10 @@
     worker.fence = fence;
     auto &blocked = worker.blockedRun[stop.task];
     blocked = std::max(blocked, stop.run);
-    const auto it = worker.running.find(stop.task);
-    if (it != worker.running.end() && it->second.run <= stop.run)
-        end(worker, stop.task, RunEnd::Stopped);
+    for (const auto &[run, row] : worker.running) {
+        if (run.first == stop.task && run.second <= stop.run)
+            worker.stopAt.emplace(run, m_now + Milliseconds(m_random.below(maxStopMs)));
+    }
 }
 
 void ProtocolModel::advance(ModelWorker &worker)
@@ -434,28 +550,32 @@
     const bool holdExpired = clock(worker) > worker.holdUntil;
     if (holdExpired)
         worker.expiredUpTo = worker.nextEnd - 1;
-    for (auto &[task, at] : std::map<TaskId, TimePoint>(worker.finishAt)) {
-        auto &row = worker.running[task];
+    for (auto &[run, at] : std::map<RunKey, TimePoint>(worker.finishAt)) {
+        auto &row = worker.running[run];
         row.percent = std::min(99, row.percent + 3);
+        const auto stop = worker.stopAt.find(run);
         if (holdExpired)
-            end(worker, task, RunEnd::HoldExpired);
+            end(worker, run, RunEnd::HoldExpired);
+        else if (stop != worker.stopAt.end() && m_now >= stop->second)
+            end(worker, run, RunEnd::Stopped);
         else if (m_now >= at)
-            end(worker, task, m_now < m_faultsUntil && chance(0.1) ? RunEnd::Failed : RunEnd::Done);
+            end(worker, run, faultsActive() && chance(0.1) ? RunEnd::Failed : RunEnd::Done);
     }
 }
 
-void ProtocolModel::end(ModelWorker &worker, const TaskId &task, RunEnd how)
+void ProtocolModel::end(ModelWorker &worker, const RunKey &run, RunEnd how)
 {
-    const auto it = worker.running.find(task);
+    const auto [task, number] = run;
     auto &blocked = worker.blockedRun[task];
-    blocked = std::max(blocked, it->second.run);
-    appendTrace(worker.id + " ends " + nameOf(task, it->second.run) + " how "
+    blocked = std::max(blocked, number);
+    appendTrace(worker.id + " ends " + nameOf(task, number) + " how "
                 + std::to_string(static_cast<int>(how)));
-    worker.ended.push_back({worker.nextEnd++, task, it->second.run, how, ""});
+    worker.ended.push_back({worker.nextEnd++, task, number, how, ""});
     if (how == RunEnd::Done)
         m_done.insert(task);
-    worker.running.erase(it);
-    worker.finishAt.erase(task);
+    worker.running.erase(run);
+    worker.finishAt.erase(run);
+    worker.stopAt.erase(run);
 }
 
 void ProtocolModel::acknowledge(ModelWorker &worker, std::int64_t upTo)
--- a/tests/jobs/protocolmodel.h
+++ b/tests/jobs/protocolmodel.h
@@ -3,19 +3,23 @@
 #include "dragonflysill/jobs/scheduler.h"
 #include "simulation.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dragonflysill::test {
 
 /**
  * Simulation of the task protocol with seeded fault injection: orders and answers are delayed,
- * lost, reordered and carried out seconds late; workers crash, restart and are disconnected; owners
- * end at any time and the next owner starts from the saved progress; saves are lost before or after
- * they are applied.
+ * lost, reordered and carried out seconds late; copies of an order arrive after its answer; workers
+ * crash, restart under their ids and are disconnected; owners stand still, end at any time or go on
+ * for a while beside the next one, which starts from the saved progress; saves are lost before or
+ * after they are applied. Workers do no more against a second run of a task than the protocol
+ * demands.
  */
 class ProtocolModel : public Simulation
 {
@@ -27,6 +31,8 @@
     std::string run();
 
 private:
+    using RunKey = std::pair<TaskId, int>; ///< Task and number of a run.
+
     struct ModelWorker
     {
         std::string id;
@@ -37,27 +43,54 @@
         WorkerClock holdUntil = 0;
         TimePoint clockStart{};
         std::int64_t nextEnd = 1;
-        std::int64_t acknowledged = 0;
-        std::map<TaskId, RunningReport> running;
-        std::map<TaskId, TimePoint> finishAt;
+        std::map<RunKey, RunningReport> running;
+        std::map<RunKey, TimePoint> finishAt;
+        std::map<RunKey, TimePoint> stopAt; ///< When a run that is being stopped ends.
         std::map<TaskId, int> blockedRun;
         std::vector<EndReport> ended;
         std::int64_t expiredUpTo = 0; ///< The hold expired after the ends up to this number.
     };
 
+    /** An owner of the schedule; a former one may go on for a while. */
+    struct Owner
+    {
+        Owner(const SchedulerSettings &settings, std::int64_t ownerFence, int generation);
+
+        Scheduler scheduler;
+        std::int64_t fence = 0;
+        bool ended = false;
+        TimePoint ordersUntil = TimePoint::max();
+        TimePoint holdsUntil = TimePoint::max();
+        TimePoint stalledUntil{}; ///< Its event loop stands still until then.
+        TimePoint decidedAt{}; ///< Time of the last full decision.
+        bool saving = false;
+        bool listing = false; ///< Its request for the list of instances is not answered.
+        std::map<std::string, bool> holdPending;
+        std::map<std::string, TimePoint> nextHold;
+    };
+    using OwnerPtr = std::shared_ptr<Owner>;
+
     [[nodiscard]] WorkerClock clock(const ModelWorker &worker) const;
+    [[nodiscard]] bool faultsActive() const { return m_now < m_faultsUntil; }
 
     void step();
     void injectFaults();
+    void endOwner();
     void beginOwner();
-    void decide();
-    void save();
-    void sendHolds();
-    void send(const StartTask &start);
-    void send(const StopTask &stop);
-    void send(const PaceTask &) { }
-    void send(const RequestAdmission &) { }
-    void hold(ModelWorker &worker);
+    void act(const OwnerPtr &owner);
+    /** Carries out an action of an owner after a delay, later if its event loop stands still. */
+    void deliver(const OwnerPtr &owner, Duration delay, std::function<void()> action);
+    void decide(const OwnerPtr &owner);
+    void save(const OwnerPtr &owner);
+    void sendHolds(const OwnerPtr &owner);
+    void listInstances(const OwnerPtr &owner);
+    void send(const OwnerPtr &owner, const StartTask &start);
+    void send(const OwnerPtr &owner, const StopTask &stop);
+    void send(const OwnerPtr &, const PaceTask &) { }
+    void send(const OwnerPtr &, const RequestAdmission &) { }
+    void startAnswered(const OwnerPtr &owner, const StartTask &start, const std::string &refusal,
+                       WorkerClock clock);
+    void hold(const OwnerPtr &owner, ModelWorker &worker);
     void crash(ModelWorker &worker);
     [[nodiscard]] static WorkerDescription describe(const ModelWorker &worker,
                                                     std::int64_t incarnation);
@@ -66,28 +99,23 @@
     std::string applyStart(ModelWorker &worker, const StartTask &start, std::int64_t fence);
     void applyStop(ModelWorker &worker, const StopTask &stop, std::int64_t fence);
     void advance(ModelWorker &worker);
-    void end(ModelWorker &worker, const TaskId &task, RunEnd how);
+    void end(ModelWorker &worker, const RunKey &run, RunEnd how);
     void acknowledge(ModelWorker &worker, std::int64_t upTo);
-    void checkStart(const ModelWorker &worker, const StartTask &start);
+    void checkStart(const StartTask &start);
     void checkProgress(const std::string &job, const JobProgress &progress);
 
-    TimePoint m_decidedAt{}; ///< Time of the last full decision.
     TimePoint m_faultsUntil;
     std::map<std::string, ModelWorker> m_workers;
     std::map<std::string, SubmittedJob> m_jobs;
     std::map<std::string, JobProgress> m_saved;
-    std::map<std::string, std::uint64_t> m_savedVersion;
-    std::map<std::string, bool> m_holdPending;
-    std::map<std::string, TimePoint> m_nextHold;
     std::set<TaskId> m_done; ///< Tasks with a completed run.
     std::set<TaskId> m_doneAcknowledged;
     std::map<TaskId, std::set<int>> m_failedAcknowledged;
     std::set<std::string> m_cancelled;
-    std::unique_ptr<Scheduler> m_scheduler;
-    std::shared_ptr<bool> m_ownerAlive;
+    std::vector<OwnerPtr> m_owners; ///< The present one is the last.
+    bool m_ownerless = false; ///< The last owner has ended, and the next one has not begun.
     std::int64_t m_fence = 0;
     int m_generation = 0;
-    bool m_saving = false;
 };
 
 } // namespace dragonflysill::test
