Keep copies of a start from reaching the next incarnation of its worker

Callers saw nothing; two runs of a task were at work at once. An order that is not answered within 80 ms has copies, which may arrive up to 2 s after the decision. The owner released a run at once when a report or the list of instances showed that its incarnation had ended, and started the task elsewhere; a copy then reached the next incarnation under the same id, which knows neither a stopped run nor a fence, and started the run a second time.

A run now keeps the time until which a copy may arrive; an answer within 80 ms means that there is none. Until then, a new incarnation is told to stop the run, which blocks it there, before the task starts elsewhere, and the task of a worker that is down waits, unless another worker has taken its instance. A retired worker that comes back under its id is the same worker: what was sent to it still counts.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -161,8 +161,14 @@
      * list it.
      */
     void addInheritedWorker(const WorkerDescription &description, TimePoint now);
-    /** Records that a worker and all its runs have ended permanently. */
-    void retireWorker(std::string_view id, TimePoint now);
+    /** How a worker has ended with all its runs. */
+    enum class WorkerEnd {
+        Down, ///< A later incarnation may use its id.
+        Replaced, ///< Its instance has a worker with another id.
+    };
+
+    /** Records that a worker and all its runs have ended. */
+    void retireWorker(std::string_view id, WorkerEnd end, TimePoint now);
     /** Sets whether a worker gets no new tasks and its persistent tasks are moved away. */
     void setLeaving(std::string_view id, bool leaving);
     [[nodiscard]] const WorkerState *worker(std::string_view id) const;
@@ -324,7 +330,7 @@
     void recordAnomaly(RunAnomalyKind kind, const WorkerState &worker, const TaskRun &run,
                        TimePoint now);
     void loseRuns(WorkerState &worker, TimePoint now);
-    void retire(WorkerState &worker, TimePoint now);
+    void retire(WorkerState &worker, WorkerEnd end, TimePoint now);
     /**
      * Retires the earlier workers of a worker's instance. If it has not answered yet, only those
      * are retired that answered this owner and fell silent: another writer may have written its
--- a/include/dragonflysill/jobs/taskrun.h
+++ b/include/dragonflysill/jobs/taskrun.h
@@ -25,6 +25,8 @@
     Resources reserved;
     TimePoint startedAt{}; ///< When the start order was sent.
     TimePoint orderSettledAt{}; ///< When the last start or stop order was answered or timed out.
+    /** Until then a copy of the start order may still reach a worker under the same id. */
+    TimePoint copiesUntil{};
     TimePoint progressAt{}; ///< When a report first listed the run or its percentage last changed.
     TimePoint stopSentAt{}; ///< When the last stop order was sent.
     bool confirmed = false; ///< The worker has confirmed or reported the run.
--- a/src/daymodel/daymodel.cpp
+++ b/src/daymodel/daymodel.cpp
@@ -167,7 +167,7 @@
     void stopWorker(Instance &it)
     {
         if (auto *scheduler = std::get_if<Scheduler>(&m_dispatch))
-            scheduler->retireWorker(it.worker.id, m_now);
+            scheduler->retireWorker(it.worker.id, Scheduler::WorkerEnd::Down, m_now);
         else
             std::get<FirstInFirstOut>(m_dispatch).removeWorker(it.worker.id);
         m_instanceByWorker.erase(it.worker.id);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -123,10 +123,9 @@
 {
     auto &worker = m_workers[description.id];
     m_workersChanged = true;
-    if (worker.retired && worker.isLaterIncarnation(description)) {
-        std::erase(m_pools[worker.description.pool], &worker);
-        worker = {};
-    }
+    // What earlier incarnations may have received still counts.
+    if (worker.isLaterIncarnation(description))
+        worker.retired = false;
     const bool known = !worker.description.id.empty();
     if (worker.retired || (known && description.startedMs < worker.description.startedMs))
         return;
@@ -162,17 +161,17 @@
             continue;
         const bool fellSilent = other.fenced && !other.reachable;
         if (answered || fellSilent)
-            retire(other, now);
+            retire(other, WorkerEnd::Replaced, now);
     }
 }
 
-void Scheduler::retireWorker(std::string_view id, TimePoint now)
+void Scheduler::retireWorker(std::string_view id, WorkerEnd end, TimePoint now)
 {
     if (auto *it = findWorker(id))
-        retire(*it, now);
+        retire(*it, end, now);
 }
 
-void Scheduler::retire(WorkerState &worker, TimePoint now)
+void Scheduler::retire(WorkerState &worker, WorkerEnd end, TimePoint now)
 {
     const auto suspected = suspectedRuns(worker);
     forgetUnexplainedRuns(worker);
@@ -183,6 +182,9 @@
     worker.unadoptedRuns.clear();
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
+        // A later incarnation would carry out a copy that is still on its way.
+        if (end == WorkerEnd::Down && now < run->second.copiesUntil)
+            continue;
         recordAnomaly(RunAnomalyKind::WorkerEnded, worker, run->second, now);
         releaseRun(worker, run, now);
     }
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -20,6 +20,8 @@
 constexpr Duration holdMargin = 100ms;
 /** Maximum time from the decision to send a call to a worker to the arrival of its last copy. */
 constexpr Duration maxCallTime = 2s;
+/** Maximum time to the answer of an order of which no second copy has been sent. */
+constexpr Duration singleCopyTime = 80ms;
 /** Maximum time from the start of an incarnation until its owner has heard of it. */
 constexpr Duration maxFirstContactTime = 6s;
 /** Time after which a stop whose outcome is not known, or an unconfirmed pace, is sent again. */
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -274,6 +274,7 @@
     run.run = ++task.lastRun;
     run.reserved = job.step(id).reserved();
     run.startedAt = now;
+    run.copiesUntil = now + internal::maxCallTime;
     run.resumed = !task.checkpoint.empty();
     worker.reserved += run.reserved;
     StartTask action;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -130,10 +130,15 @@
         // new incarnation. A run that is being stopped is released after the stop is answered.
         const bool mayBeInNewIncarnation = run->second.phase != TaskRun::Phase::Running
                                            || run->second.orderSettledAt >= sentAt;
-        if (!listed && !mayBeInNewIncarnation) {
-            recordAnomaly(RunAnomalyKind::EarlierIncarnation, worker, run->second, now);
-            releaseRun(worker, run, now);
+        if (listed || mayBeInNewIncarnation)
+            continue;
+        if (now < run->second.copiesUntil) {
+            // The new incarnation would carry out a copy that is still on its way.
+            stopRun(worker, run->second, now);
+            continue;
         }
+        recordAnomaly(RunAnomalyKind::EarlierIncarnation, worker, run->second, now);
+        releaseRun(worker, run, now);
     }
     recordCrashes(suspected, now);
 }
@@ -175,11 +180,11 @@
 {
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
-        if (run->second.phase == TaskRun::Phase::Starting)
+        if (run->second.phase == TaskRun::Phase::Starting || now < run->second.copiesUntil)
             continue;
         auto *job = find(run->first.job);
-        if (mayHaveCrashed(worker, run->second) && job != nullptr && !job->hasEnded()
-            && job->hasTask(run->first)) {
+        if (!worker.retired && mayHaveCrashed(worker, run->second) && job != nullptr
+            && !job->hasEnded() && job->hasTask(run->first)) {
             awaitExplanation(
                     worker, {run->first, run->second.run, worker.startedMs, run->second.confirmed});
             // A successor must learn of the crash, too, if there was one.
@@ -345,6 +350,10 @@
                 = known.phase == TaskRun::Phase::Running && known.orderSettledAt < sentAt;
         const bool stopped = known.phase == TaskRun::Phase::Stopping && known.stopAnswered
                              && known.orderSettledAt + m_settings.stopTime < sentAt;
+        if (running && now < known.copiesUntil) {
+            stopRun(worker, run->second, now);
+            continue;
+        }
         if (running)
             recordAnomaly(RunAnomalyKind::NotListed, worker, known, now);
         if (running || stopped)
@@ -435,6 +444,8 @@
     if (run == nullptr)
         return;
     run->orderSettledAt = now;
+    if (now - run->startedAt < internal::singleCopyTime)
+        run->copiesUntil = now;
     confirmRun(*run);
     if (run->phase == TaskRun::Phase::Starting)
         run->phase = TaskRun::Phase::Running;
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -185,17 +185,18 @@
 {
     // All tasks on an instance end when it is moved or maintained, and it gets a new worker
     // afterwards.
-    std::vector<std::string> ended;
+    std::map<std::string, Scheduler::WorkerEnd> ended;
     for (const auto &[id, worker] : m_scheduler.workers()) {
         const auto it = m_instances.find(worker.description.instance);
         // The list may be older than a worker that started recently and then not contain it.
         const auto age = unixMilliseconds() - worker.description.startedMs;
         const bool old = worker.description.startedMs != 0 && age > internal::maxListAge.count();
         if (it != m_instances.end() && !worker.reachable && old && it->second.worker != id)
-            ended.push_back(id);
+            ended[id] = it->second.worker.empty() ? Scheduler::WorkerEnd::Down
+                                                  : Scheduler::WorkerEnd::Replaced;
     }
-    for (const auto &id : ended)
-        m_scheduler.retireWorker(id, EventLoop::now());
+    for (const auto &[id, end] : ended)
+        m_scheduler.retireWorker(id, end, EventLoop::now());
 }
 
 FleetView FleetController::buildView(TimePoint now)
@@ -363,7 +364,8 @@
         // run others.
         if (const auto *worker = m_scheduler.worker(it->second.workerBefore);
             worker != nullptr && !startedAfter(*worker, it->second))
-            m_scheduler.retireWorker(it->second.workerBefore, EventLoop::now());
+            m_scheduler.retireWorker(it->second.workerBefore, Scheduler::WorkerEnd::Down,
+                                     EventLoop::now());
         it->second.answered = true;
         it->second.sentAt = EventLoop::now();
         if (wave != 0) {
--- a/tests/jobs/crashevidencetest.cpp
+++ b/tests/jobs/crashevidencetest.cpp
@@ -110,7 +110,7 @@
     };
     for (const auto *id : {"a", "b", "c"}) {
         add(id, 1, std::string("instance-") + id);
-        harness.scheduler.retireWorker(id, harness.now);
+        harness.scheduler.retireWorker(id, Scheduler::WorkerEnd::Down, harness.now);
     }
     harness.advanceTime(5s);
     add("w1", 1, "instance-1");
--- a/tests/jobs/crashingtasktest.cpp
+++ b/tests/jobs/crashingtasktest.cpp
@@ -702,7 +702,7 @@
     for (const auto *id : {"w1", "w2", "w3"})
         harness.scheduler.holdUnanswered(id, harness.now);
     for (const auto *id : {"w1", "w2", "w3"})
-        harness.scheduler.retireWorker(id, harness.now);
+        harness.scheduler.retireWorker(id, Scheduler::WorkerEnd::Down, harness.now);
     BOOST_TEST(harness.scheduler.job("j")->progress().crashes.empty());
 }
 
@@ -736,7 +736,7 @@
                 harness.reportFrom(id);
         }
         for (const auto &id : holders)
-            harness.scheduler.retireWorker(id, harness.now);
+            harness.scheduler.retireWorker(id, Scheduler::WorkerEnd::Down, harness.now);
         BOOST_TEST(harness.scheduler.job("j")->progress().crashes.size() == (answers ? 3U : 0U));
     }
 }
--- /dev/null
+++ b/tests/jobs/ordercopytest.cpp
@@ -0,0 +1,97 @@
+#include "schedulerharness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace dragonflysill;
+using namespace dragonflysill::test;
+
+namespace {
+
+const TaskId task{"j", 0, 0, 0};
+/** Latest arrival of a copy of an order after the decision to send it. */
+constexpr Duration maxCopyTime = 2s;
+
+/** A task whose start on w1 was answered after some time; w2 is added afterwards. */
+struct StartedTask
+{
+    explicit StartedTask(Duration answerTime)
+    {
+        harness.addWorker("w1");
+        harness.addJob(job("j", {step(1)}));
+        const auto starts = ordersOf<StartTask>(harness.decide(true));
+        BOOST_REQUIRE(starts.size() == 1);
+        harness.advanceTime(answerTime);
+        harness.workers["w1"].running[task] = {task, starts[0].run, "", 0, {}};
+        harness.scheduler.startConfirmed(starts[0], harness.workers["w1"].clock(harness.now),
+                                         harness.now);
+        harness.addWorker("w2");
+    }
+
+    SchedulerHarness harness;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OrderCopies)
+
+// Guards against a task that runs twice: a copy of its start reaches the next incarnation of the
+// worker, which knows nothing of before, after the task was started elsewhere (TWICE).
+BOOST_AUTO_TEST_CASE(RestartedWorkerIsToldNotToStartBeforeTheTaskStartsElsewhere)
+{
+    for (const bool copied : {true, false}) {
+        StartedTask started(copied ? 100ms : 50ms);
+        auto &harness = started.harness;
+        harness.workers["w1"].restart(harness.now);
+        harness.advanceTime(100ms);
+        harness.reportFrom("w1");
+        const auto stops = ordersOf<StopTask>(harness.decide(true));
+        BOOST_TEST(stops.size() == (copied ? 1 : 0));
+        BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves(true)).empty() == copied);
+        if (stops.empty())
+            continue;
+        BOOST_TEST(stops[0].worker == "w1");
+        harness.scheduler.stopConfirmed(stops[0], harness.now);
+        harness.advanceTime(300ms);
+        harness.reportFrom("w1");
+        BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves(true)).size() == 1);
+    }
+}
+
+// Guards against the same if the list of instances shows first that the worker has ended.
+BOOST_AUTO_TEST_CASE(TaskOfAnEndedWorkerWaitsForCopiesUnlessTheWorkerIsReplaced)
+{
+    using WorkerEnd = Scheduler::WorkerEnd;
+    for (const auto end : {WorkerEnd::Down, WorkerEnd::Replaced}) {
+        StartedTask started(100ms);
+        auto &harness = started.harness;
+        harness.scheduler.holdUnanswered("w1", harness.now);
+        harness.scheduler.retireWorker("w1", end, harness.now);
+        const auto starts = ordersOf<StartTask>(harness.decideWithSaves(true));
+        BOOST_TEST(starts.empty() == (end == WorkerEnd::Down));
+        harness.advanceTime(maxCopyTime);
+        harness.reportFrom("w2");
+        if (end == WorkerEnd::Down)
+            BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves(true)).size() == 1);
+    }
+}
+
+// Guards against the same if the ended worker comes back under its id in the meantime.
+BOOST_AUTO_TEST_CASE(EndedWorkerThatComesBackIsToldNotToStart)
+{
+    StartedTask started(100ms);
+    auto &harness = started.harness;
+    auto &worker = harness.workers["w1"];
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    harness.scheduler.retireWorker("w1", Scheduler::WorkerEnd::Down, harness.now);
+    worker.restart(harness.now);
+    worker.description.startedMs = worker.startedMs;
+    harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
+    harness.advanceTime(100ms);
+    harness.reportFrom("w1");
+    const auto actions = harness.decide(true);
+    BOOST_TEST(ordersOf<StartTask>(actions).empty());
+    BOOST_REQUIRE(ordersOf<StopTask>(actions).size() == 1);
+    BOOST_TEST(ordersOf<StopTask>(actions)[0].run == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/progressmodel.cpp
+++ b/tests/jobs/progressmodel.cpp
@@ -885,7 +885,7 @@
         }
         for (const auto &id : ended) {
             appendTrace(id + " is retired by the list of instances");
-            m_scheduler->retireWorker(id, m_now);
+            m_scheduler->retireWorker(id, Scheduler::WorkerEnd::Down, m_now);
         }
         std::erase_if(m_orders, [&](const auto &it) {
             const auto &[name, order] = it;
@@ -1001,7 +1001,7 @@
                 m_orders.erase(it);
                 return;
             }
-            m_scheduler->retireWorker(it->second.workerBefore, m_now);
+            m_scheduler->retireWorker(it->second.workerBefore, Scheduler::WorkerEnd::Down, m_now);
             it->second.answered = true;
             it->second.sentAt = m_now;
         });
--- a/tests/jobs/progresstest.cpp
+++ b/tests/jobs/progresstest.cpp
@@ -37,7 +37,7 @@
     SchedulerHarness harness;
     auto &worker = harness.addWorker("w", 4, "instance");
     harness.scheduler.holdUnanswered("w", harness.now);
-    harness.scheduler.retireWorker("w", harness.now);
+    harness.scheduler.retireWorker("w", Scheduler::WorkerEnd::Down, harness.now);
     harness.advanceTime(500ms);
     // The entry in the store is that of the ended process until it is replaced.
     harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -303,7 +303,7 @@
                 if (worker == nullptr || worker->reachable || worker->retired)
                     continue;
                 appendTrace("owner retires " + id);
-                owner->scheduler.retireWorker(id, m_now);
+                owner->scheduler.retireWorker(id, Scheduler::WorkerEnd::Down, m_now);
             }
             schedule(instanceListInterval, [owner] { owner->listing = false; });
         });
--- a/tests/jobs/waitingtasktest.cpp
+++ b/tests/jobs/waitingtasktest.cpp
@@ -329,7 +329,7 @@
     }
     harness.workers["crashing"].running.clear();
     harness.scheduler.holdUnanswered("crashing", harness.now);
-    harness.scheduler.retireWorker("crashing", harness.now);
+    harness.scheduler.retireWorker("crashing", Scheduler::WorkerEnd::Down, harness.now);
     harness.saveAll();
     BOOST_REQUIRE(harness.scheduler.job("j")->crashes(task) == 1);
     harness.decideWithSaves();
@@ -562,7 +562,7 @@
     BOOST_TEST(!harness.scheduler.hasSilentWorkers(harness.now));
     harness.scheduler.holdUnanswered(worker, harness.now);
     BOOST_TEST(harness.scheduler.hasSilentWorkers(harness.now));
-    harness.scheduler.retireWorker(worker, harness.now);
+    harness.scheduler.retireWorker(worker, Scheduler::WorkerEnd::Down, harness.now);
     BOOST_TEST(!harness.scheduler.hasSilentWorkers(harness.now));
 }
 
