Go on asking a worker that is down while copies of an order may arrive

A worker that the list of instances shows as down was not called any more, and its answers were ignored until its entry showed a later start. If it came back under its id before a copy of an order arrived, nothing told it that the run had been given up, and the task started elsewhere beside it.

Such a worker is retired only when no copy of its orders can arrive any more. Until then it counts as one that does not answer: it is asked at the usual interval, and what it answers first makes the owner stop the run there. A run whose incarnation has ended is marked, so that its crash counts once.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -361,6 +361,11 @@
     void applyFailure(WorkerState &worker, const EndReport &end, TimePoint now);
     void acknowledgeSaved(WorkerState &worker);
     void stopRun(WorkerState &worker, TaskRun &run, TimePoint now);
+    /**
+     * Stops a run whose incarnation of the worker has ended: the next one would carry out a copy of
+     * the start that is still on its way. An order without an outcome so far is stopped after it.
+     */
+    void awaitCopies(WorkerState &worker, TaskRun &run, TimePoint now);
     void stopOtherRuns(const TaskId &task, const std::string &except, TimePoint now);
     void checkWorkers(TimePoint now);
     void checkRun(WorkerState &worker, TaskRun &run, TimePoint now);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -177,17 +177,19 @@
     forgetUnexplainedRuns(worker);
     worker.listed = false;
     worker.reachable = false;
-    worker.retired = true;
     worker.heldUntil = now;
     worker.unadoptedRuns.clear();
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
-        // A later incarnation would carry out a copy that is still on its way.
-        if (end == WorkerEnd::Down && now < run->second.copiesUntil)
+        if (end == WorkerEnd::Down && now < run->second.copiesUntil) {
+            awaitCopies(worker, run->second, now);
             continue;
+        }
         recordAnomaly(RunAnomalyKind::WorkerEnded, worker, run->second, now);
         releaseRun(worker, run, now);
     }
+    // Until then, a later incarnation must be heard of.
+    worker.retired = worker.runs.empty();
     recordCrashes(suspected, now);
 }
 
@@ -231,6 +233,18 @@
     m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
 }
 
+void Scheduler::awaitCopies(WorkerState &worker, TaskRun &run, TimePoint now)
+{
+    run.incarnationEnded = true;
+    // What the earlier incarnation answered does not count for the next one.
+    run.stopAnswered = false;
+    run.stopSentAt = now;
+    if (run.phase == TaskRun::Phase::Stopping)
+        m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
+    else if (run.phase != TaskRun::Phase::Starting)
+        stopRun(worker, run, now);
+}
+
 void Scheduler::stopOtherRuns(const TaskId &task, const std::string &except, TimePoint now)
 {
     auto *job = find(task.job);
--- a/src/jobs/schedulercrashes.cpp
+++ b/src/jobs/schedulercrashes.cpp
@@ -24,7 +24,8 @@
 bool Scheduler::mayHaveCrashed(const WorkerState &worker, const TaskRun &run)
 {
     // The age of an inherited run is not known; a run that was adopted has survived its start.
-    return !run.inherited && worker.lastContact - run.startedAt <= internal::crashSuspicionTime;
+    return !run.inherited && !run.incarnationEnded
+           && worker.lastContact - run.startedAt <= internal::crashSuspicionTime;
 }
 
 bool Scheduler::rackFailed(const WorkerState &worker) const
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -133,8 +133,7 @@
         if (listed || mayBeInNewIncarnation)
             continue;
         if (now < run->second.copiesUntil) {
-            // The new incarnation would carry out a copy that is still on its way.
-            stopRun(worker, run->second, now);
+            awaitCopies(worker, run->second, now);
             continue;
         }
         recordAnomaly(RunAnomalyKind::EarlierIncarnation, worker, run->second, now);
@@ -183,8 +182,8 @@
         if (run->second.phase == TaskRun::Phase::Starting || now < run->second.copiesUntil)
             continue;
         auto *job = find(run->first.job);
-        if (!worker.retired && mayHaveCrashed(worker, run->second) && job != nullptr
-            && !job->hasEnded() && job->hasTask(run->first)) {
+        if (mayHaveCrashed(worker, run->second) && job != nullptr && !job->hasEnded()
+            && job->hasTask(run->first)) {
             awaitExplanation(
                     worker, {run->first, run->second.run, worker.startedMs, run->second.confirmed});
             // A successor must learn of the crash, too, if there was one.
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -75,23 +75,28 @@
     }
 }
 
-// Guards against the same if the ended worker comes back under its id in the meantime.
+// Guards against the same if the ended worker comes back under its id in the meantime, whether its
+// entry in the store or its own answer is seen first.
 BOOST_AUTO_TEST_CASE(EndedWorkerThatComesBackIsToldNotToStart)
 {
-    StartedTask started(100ms);
-    auto &harness = started.harness;
-    auto &worker = harness.workers["w1"];
-    harness.scheduler.holdUnanswered("w1", harness.now);
-    harness.scheduler.retireWorker("w1", Scheduler::WorkerEnd::Down, harness.now);
-    worker.restart(harness.now);
-    worker.description.startedMs = worker.startedMs;
-    harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
-    harness.advanceTime(100ms);
-    harness.reportFrom("w1");
-    const auto actions = harness.decide(true);
-    BOOST_TEST(ordersOf<StartTask>(actions).empty());
-    BOOST_REQUIRE(ordersOf<StopTask>(actions).size() == 1);
-    BOOST_TEST(ordersOf<StopTask>(actions)[0].run == 1);
+    for (const bool entrySeen : {true, false}) {
+        StartedTask started(100ms);
+        auto &harness = started.harness;
+        auto &worker = harness.workers["w1"];
+        harness.scheduler.holdUnanswered("w1", harness.now);
+        harness.scheduler.retireWorker("w1", Scheduler::WorkerEnd::Down, harness.now);
+        harness.decideWithSaves(true);
+        worker.restart(harness.now);
+        worker.description.startedMs = worker.startedMs;
+        if (entrySeen)
+            harness.scheduler.addOrUpdateWorker(worker.description, harness.now);
+        harness.advanceTime(600ms);
+        harness.reportFrom("w1");
+        const auto actions = harness.decide(true);
+        BOOST_TEST(ordersOf<StartTask>(actions).empty());
+        BOOST_REQUIRE(ordersOf<StopTask>(actions).size() == 1);
+        BOOST_TEST(ordersOf<StopTask>(actions)[0].run == 1);
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
