Count a stop only if the incarnation that has the run answered it

A start without an answer is released once its stop was answered and a later report does not list it. If the worker restarted after its answer, the next incarnation's report released the run, and a copy of the start, which that incarnation would still carry out, ran beside the task's next run.

A stop now names the incarnation that was known when it was ordered; an answer counts only for that one, and a new incarnation is told again while copies may arrive.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -42,6 +42,7 @@
     std::string worker;
     TaskId task;
     int run = 0;
+    std::int64_t startedMs = 0; ///< Incarnation of the worker that was known when it was ordered.
 };
 
 /** Order to limit the speed of a run. */
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -230,7 +230,7 @@
     run.phase = TaskRun::Phase::Stopping;
     run.stopSentAt = now;
     run.stopAnswered = false;
-    m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
+    m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run, worker.startedMs});
 }
 
 void Scheduler::awaitCopies(WorkerState &worker, TaskRun &run, TimePoint now)
@@ -240,7 +240,8 @@
     run.stopAnswered = false;
     run.stopSentAt = now;
     if (run.phase == TaskRun::Phase::Stopping)
-        m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
+        m_actions.emplace_back(
+                StopTask{worker.description.id, run.task, run.run, worker.startedMs});
     else if (run.phase != TaskRun::Phase::Starting)
         stopRun(worker, run, now);
 }
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -75,7 +75,8 @@
         if (!run.stopAnswered && now - run.stopSentAt > internal::orderRetryDelay
             && worker.reachable) {
             run.stopSentAt = now;
-            m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run});
+            m_actions.emplace_back(
+                    StopTask{worker.description.id, run.task, run.run, worker.startedMs});
         }
         return;
     }
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -126,18 +126,20 @@
         const bool listed = std::ranges::any_of(report.running, [&](const RunningReport &row) {
             return row.task == run->first && row.run == run->second.run;
         });
+        auto &known = run->second;
+        const bool running = known.phase == TaskRun::Phase::Running;
         // A start order that was not answered before the hold request was sent may have reached the
-        // new incarnation. A run that is being stopped is released after the stop is answered.
-        const bool mayBeInNewIncarnation = run->second.phase != TaskRun::Phase::Running
-                                           || run->second.orderSettledAt >= sentAt;
-        if (listed || mayBeInNewIncarnation)
-            continue;
-        if (now < run->second.copiesUntil) {
-            awaitCopies(worker, run->second, now);
+        // new incarnation.
+        const bool undecided = known.phase == TaskRun::Phase::Starting
+                               || (running && known.orderSettledAt >= sentAt);
+        if (listed || undecided)
             continue;
+        if (now < known.copiesUntil) {
+            awaitCopies(worker, known, now);
+        } else if (running) {
+            recordAnomaly(RunAnomalyKind::EarlierIncarnation, worker, known, now);
+            releaseRun(worker, run, now);
         }
-        recordAnomaly(RunAnomalyKind::EarlierIncarnation, worker, run->second, now);
-        releaseRun(worker, run, now);
     }
     recordCrashes(suspected, now);
 }
@@ -509,6 +511,9 @@
     if (worker == nullptr)
         return;
     worker->lastContact = now;
+    // The answer of an earlier incarnation says nothing about the present one.
+    if (stop.startedMs != worker->startedMs)
+        return;
     if (auto *run = worker->findRun(stop.task, stop.run)) {
         run->stopAnswered = true;
         run->orderSettledAt = now;
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -99,4 +99,33 @@
     }
 }
 
+// Guards against the same if the earlier incarnation had answered the stop of a start without an
+// answer: the next one does not know of it.
+BOOST_AUTO_TEST_CASE(StopAnsweredByAnEarlierIncarnationIsGivenAgain)
+{
+    for (const bool answerIsLate : {false, true}) {
+        SchedulerHarness harness;
+        auto &worker = harness.addWorker("w1");
+        harness.addJob(job("j", {step(1)}));
+        const auto starts = ordersOf<StartTask>(harness.decide(true));
+        BOOST_REQUIRE(starts.size() == 1);
+        harness.addWorker("w2");
+        harness.advanceTime(500ms);
+        harness.scheduler.startUnanswered(starts[0], harness.now);
+        const auto stops = ordersOf<StopTask>(harness.decide(true));
+        BOOST_REQUIRE(stops.size() == 1);
+        if (!answerIsLate)
+            harness.scheduler.stopConfirmed(stops[0], harness.now);
+        harness.advanceTime(300ms);
+        worker.restart(harness.now);
+        harness.reportFrom("w1");
+        if (answerIsLate)
+            harness.scheduler.stopConfirmed(stops[0], harness.now);
+        BOOST_TEST(ordersOf<StopTask>(harness.decide(true)).size() == 1);
+        harness.advanceTime(300ms);
+        harness.reportFrom("w1");
+        BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves(true)).empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
