Use a clock only for the incarnation that it belongs to

An answer to a start brings the worker's clock. If the answer of an earlier incarnation came after the first report of the next one, the owner took its clock for the present one: the next hold had a time far ahead, which the worker shortens to the maximum hold, so that it kept its runs for up to 10 s where the owner believed in 3.1 s. Cut off in that time, its tasks started elsewhere beside their runs.

A start names the incarnation that was known when it was ordered; the clock in its answer is used only for that one.

Evidence: Holds/ClockOfAnEarlierIncarnationIsNotUsedForTheNextOne failed (hold until 1,003,000 ms on a clock that had just begun).

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -34,6 +34,7 @@
     std::string checkpoint; ///< Empty to start from the beginning.
     std::string ticket; ///< Admission ticket; empty if the queue needs none.
     WorkerClock holdUntil = 0; ///< End of the run's hold on the worker's clock.
+    std::int64_t startedMs = 0; ///< Incarnation of the worker that was known when it was ordered.
 };
 
 /** Order to stop a run of a task; also blocks its start order if that arrives later. */
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -287,6 +287,7 @@
         action.ticket = m_admissions.ticket({id.job, id.occurrence, id.step}, action.worker,
                                             worker.startedMs, now);
     action.holdUntil = extendHold(worker, now);
+    action.startedMs = worker.startedMs;
     if (suspicion(job, id, task) > 0)
         beginProbation(worker, id.job, now);
     run.trial = job.trialTarget(id, run.run) != nullptr;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -440,7 +440,9 @@
     if (worker == nullptr)
         return;
     worker->lastContact = now;
-    worker->time.observe(clock, now);
+    // Each incarnation has a clock of its own.
+    if (start.startedMs == worker->startedMs)
+        worker->time.observe(clock, now);
     auto *run = worker->findRun(start.task, start.run);
     if (run == nullptr)
         return;
--- a/tests/jobs/holdtest.cpp
+++ b/tests/jobs/holdtest.cpp
@@ -79,4 +79,23 @@
     }
 }
 
+// Guards against the same through the clock in an answer of the earlier incarnation that comes
+// after the first report of the next one.
+BOOST_AUTO_TEST_CASE(ClockOfAnEarlierIncarnationIsNotUsedForTheNextOne)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    const auto starts = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(starts.size() == 1);
+    const auto earlierClock = worker.clock(harness.now);
+    harness.advanceTime(100ms);
+    worker.restart(harness.now);
+    harness.reportFrom("w1");
+    harness.scheduler.startConfirmed(starts[0], earlierClock, harness.now);
+    const auto request = harness.scheduler.holdRequest("w1", harness.now);
+    BOOST_REQUIRE(request.holdUntil.has_value());
+    BOOST_TEST(*request.holdUntil <= SchedulerSettings().hold.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
