Stop a run that a worker has beside a newer one of the same task

The owner skipped a reported run whose number is not the one it knows: nothing stopped it, and when it ended done, the other one on the same worker went on.

Such a run is told to stop, again every 500 ms as long as it is listed, and its worker's list is asked for meanwhile. An end done of either run stops the other, also on the same worker.

Evidence: OrderCopies/RunBesideANewerOneOnTheSameWorkerIsStopped failed (no stop). This limits what two runs cost; it does not keep the second from starting.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -350,6 +350,8 @@
                           TimePoint now);
     void applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                       TimePoint now);
+    /** Stops a reported run beside the one that is known on its worker. */
+    void stopOtherRun(WorkerState &worker, const RunningReport &report, TimePoint now);
     void processUnadoptedRuns(WorkerState &worker, TimePoint now);
     void adoptRun(WorkerState &worker, const RunningReport &report, TimePoint now);
     void recordCheckpoint(JobRun &job, const EndReport &end, TaskRun *run);
@@ -368,7 +370,8 @@
      * the start that is still on its way. An order without an outcome so far is stopped after it.
      */
     void awaitCopies(WorkerState &worker, TaskRun &run, TimePoint now);
-    void stopOtherRuns(const TaskId &task, const std::string &except, TimePoint now);
+    /** Stops all runs of a task but the one that has ended on @p worker. */
+    void stopOtherRuns(const WorkerState &worker, const EndReport &end, TimePoint now);
     void checkWorkers(TimePoint now);
     void checkRun(WorkerState &worker, TaskRun &run, TimePoint now);
     void paceBestEffortRuns(WorkerState &worker, TimePoint now);
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dragonflysill {
@@ -95,6 +96,8 @@
     std::map<TaskId, TaskRun> runs;
     /** Reported runs that this owner has neither started nor adopted. */
     std::map<TaskId, RunningReport> unadoptedRuns;
+    /** Reported runs of tasks of which `runs` has another run, and when their stop was sent. */
+    std::map<std::pair<TaskId, int>, TimePoint> otherRuns;
     Resources reserved; ///< Sum over the runs.
     int persistentRuns = 0;
     std::int64_t lastProcessedEnd = 0; ///< Number of the last end that was processed.
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -246,19 +246,21 @@
         stopRun(worker, run, now);
 }
 
-void Scheduler::stopOtherRuns(const TaskId &task, const std::string &except, TimePoint now)
+void Scheduler::stopOtherRuns(const WorkerState &worker, const EndReport &end, TimePoint now)
 {
-    auto *job = find(task.job);
-    const auto *it = job == nullptr ? nullptr : job->task(task);
+    auto *job = find(end.task.job);
+    const auto *it = job == nullptr ? nullptr : job->task(end.task);
     if (it == nullptr)
         return;
     for (const auto &id : std::vector<std::string>(it->workers)) {
-        auto *worker = findWorker(id);
-        if (id == except || worker == nullptr)
+        auto *holder = findWorker(id);
+        if (holder == nullptr)
             continue;
-        const auto run = worker->runs.find(task);
-        if (run != worker->runs.end())
-            stopRun(*worker, run->second, now);
+        const auto run = holder->runs.find(end.task);
+        const bool hasEnded
+                = holder == &worker && run != holder->runs.end() && run->second.run == end.run;
+        if (run != holder->runs.end() && !hasEnded)
+            stopRun(*holder, run->second, now);
     }
 }
 
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -5,6 +5,8 @@
 #include "schedulerconstants.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace dragonflysill {
 
@@ -248,7 +250,7 @@
     if (!job.complete(end.task, now))
         return;
     waitingChanged(job);
-    stopOtherRuns(end.task, worker.description.id, now);
+    stopOtherRuns(worker, end, now);
     if (job.hasEnded())
         endJob(job, now);
 }
@@ -305,10 +307,10 @@
 void Scheduler::applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                              TimePoint now)
 {
-    std::map<TaskId, int> listed;
+    std::set<std::pair<TaskId, int>> listed;
     worker.unadoptedRuns.clear();
     for (const auto &row : report.running) {
-        listed[row.task] = row.run;
+        listed.insert({row.task, row.run});
         const auto run = worker.runs.find(row.task);
         if (run == worker.runs.end()) {
             worker.unadoptedRuns[row.task] = row;
@@ -317,8 +319,7 @@
         }
         auto &known = run->second;
         if (known.run != row.run) {
-            m_anomalies.push_back({RunAnomalyKind::OtherRun, row.task, row.run,
-                                   worker.description.id, worker.startedMs});
+            stopOtherRun(worker, row, now);
             continue;
         }
         confirmRun(known);
@@ -339,12 +340,12 @@
         if (!row.checkpoint.empty())
             known.checkpoint = row.checkpoint;
     }
+    std::erase_if(worker.otherRuns, [&](const auto &it) { return !listed.contains(it.first); });
     if (report.ended.size() >= internal::maxEndsPerReport)
         return;
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
-        const auto row = listed.find(run->first);
-        if (row != listed.end() && row->second == run->second.run)
+        if (listed.contains({run->first, run->second.run}))
             continue;
         const auto &known = run->second;
         const bool running
@@ -362,6 +363,19 @@
     }
 }
 
+void Scheduler::stopOtherRun(WorkerState &worker, const RunningReport &report, TimePoint now)
+{
+    const auto [it, isNew] = worker.otherRuns.try_emplace({report.task, report.run}, now);
+    if (isNew)
+        m_anomalies.push_back({RunAnomalyKind::OtherRun, report.task, report.run,
+                               worker.description.id, worker.startedMs});
+    else if (now - it->second <= internal::orderRetryDelay)
+        return;
+    it->second = now;
+    m_actions.emplace_back(
+            StopTask{worker.description.id, report.task, report.run, worker.startedMs});
+}
+
 void Scheduler::processUnadoptedRuns(WorkerState &worker, TimePoint now)
 {
     for (auto it = worker.unadoptedRuns.begin(); it != worker.unadoptedRuns.end();) {
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -282,7 +282,7 @@
 
 bool WorkerController::needsRunningList(const WorkerState &worker, TimePoint now)
 {
-    if (!worker.fenced || !worker.reachable)
+    if (!worker.fenced || !worker.reachable || !worker.otherRuns.empty())
         return true;
     const auto age = now - worker.lastReport;
     if (age >= internal::runningListInterval)
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -128,4 +128,35 @@
     }
 }
 
+// Guards against a run that nobody stops, because its worker has a newer run of the task.
+BOOST_AUTO_TEST_CASE(RunBesideANewerOneOnTheSameWorkerIsStopped)
+{
+    SchedulerHarness harness(1000);
+    auto &worker = harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_REQUIRE(worker.running.contains(task));
+    auto report = worker.report(harness.now);
+    report.running.push_back({task, 7, "", 10, {}});
+    std::vector<StopTask> stops;
+    for (int n = 0; n < 7; ++n) {
+        harness.advanceTime(100ms);
+        harness.scheduler.holdAnswered("w1", report, harness.now, harness.now);
+        for (auto &it : ordersOf<StopTask>(harness.decide(true)))
+            stops.push_back(std::move(it));
+    }
+    // A stop without an effect is given again, at an interval.
+    BOOST_REQUIRE(stops.size() == 2);
+    BOOST_TEST(stops[0].run == 7);
+    BOOST_TEST(stops[1].run == 7);
+
+    // The task is done as soon as either run is.
+    report.running.pop_back();
+    report.ended.push_back({1, task, 7, RunEnd::Done, ""});
+    harness.scheduler.holdAnswered("w1", report, harness.now, harness.now);
+    stops = ordersOf<StopTask>(harness.decide(true));
+    BOOST_REQUIRE(stops.size() == 1);
+    BOOST_TEST(stops[0].run == 1001);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
