Let the protocol model cut workers off from later owners only

Some cuts of a worker leave the owner of that moment connected, so that its successor does not reach the worker.

--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -36,6 +36,8 @@
 constexpr int maxStopMs = 200;
 /** Share of the restarts that an owner may miss between two holds. */
 constexpr double shortRestartShare = 0.3;
+/** Share of the cuts of a worker that leave it connected to the present owner. */
+constexpr double partialCutShare = 0.3;
 /** Longest time that an owner's event loop stands still. */
 constexpr int maxStallMs = 2500;
 /** Longest time for which a former owner still gives orders if its key was revoked. */
@@ -161,7 +163,11 @@
             crash(worker);
         } else if (!worker.disconnected && chance(0.005)) {
             worker.disconnected = true;
-            appendTrace(worker.id + " is disconnected");
+            worker.reachedBy = chance(partialCutShare) ? m_fence : 0;
+            appendTrace(worker.id + " is disconnected"
+                        + (worker.reachedBy == 0
+                                   ? ""
+                                   : " except from owner " + std::to_string(worker.reachedBy)));
             auto *target = &worker;
             schedule(Milliseconds(500 + m_random.below(5000)), [this, target] {
                 target->disconnected = false;
@@ -292,15 +298,17 @@
         return;
     owner->listing = true;
     schedule(delay(), [this, owner] {
-        std::set<std::string> down;
+        std::map<std::string, std::int64_t> down;
         for (const auto &[id, worker] : m_workers) {
             if (!worker.up)
-                down.insert(id);
+                down[id] = worker.incarnation;
         }
         deliver(owner, delay(), [this, owner, down] {
-            for (const auto &id : down) {
+            for (const auto &[id, incarnation] : down) {
                 const auto *worker = owner->scheduler.worker(id);
-                if (worker == nullptr || worker->reachable || worker->retired)
+                // The list may be older than a worker that has started since.
+                if (worker == nullptr || worker->reachable || worker->retired
+                    || worker->latestStart() > incarnation)
                     continue;
                 appendTrace("owner retires " + id);
                 owner->scheduler.retireWorker(id, Scheduler::WorkerEnd::Down, m_now);
@@ -320,7 +328,7 @@
     appendTrace("owner " + std::to_string(fence) + " orders " + worker.id + " to start "
                 + nameOf(start.task, start.run));
     // A late order is lost if the incarnation of the worker that received it ends.
-    if (late && worker.up && !worker.disconnected)
+    if (late && reaches(fence, worker))
         schedule(2s + Milliseconds(m_random.below(maxLateOrderDelay / 1ms)),
                  [this, &worker, start, fence, incarnation = worker.incarnation] {
                      if (worker.incarnation == incarnation)
@@ -335,12 +343,12 @@
     if (strayCopy)
         schedule(copyInterval + Milliseconds(m_random.below(maxCopyDelayMs)),
                  [this, &worker, start, fence] {
-                     if (worker.up && !worker.disconnected)
+                     if (reaches(fence, worker))
                          applyStart(worker, start, fence);
                  });
     schedule(arrival,
              [this, owner, &worker, start, fence, lost, late, strayCopy, answerLost, response] {
-                 const bool received = worker.up && !worker.disconnected && !lost && !late;
+                 const bool received = reaches(fence, worker) && !lost && !late;
                  const auto refusal = received ? applyStart(worker, start, fence) : "";
                  // An order counts as refused only if all of its copies are.
                  const bool known = received && !answerLost && (refusal.empty() || !strayCopy);
@@ -376,7 +384,7 @@
     auto &worker = m_workers[stop.worker];
     const bool lost = faultsActive() && chance(0.05);
     schedule(delay(), [this, owner, &worker, stop, fence = owner->fence, lost] {
-        const bool answers = worker.up && !worker.disconnected && !lost;
+        const bool answers = reaches(fence, worker) && !lost;
         if (answers)
             applyStop(worker, stop, fence);
         deliver(owner, answers ? delay() : callTimeout, [this, owner, stop, answers] {
@@ -405,7 +413,7 @@
     const auto request = owner->scheduler.holdRequest(worker.id, m_now);
     schedule(delay(), [this, owner, &worker, request, sentAt] {
         const auto fence = owner->fence;
-        const bool answers = worker.up && !worker.disconnected && fence >= worker.fence;
+        const bool answers = reaches(fence, worker) && fence >= worker.fence;
         WorkerReport report;
         if (answers) {
             worker.fence = fence;
--- a/tests/jobs/protocolmodel.h
+++ b/tests/jobs/protocolmodel.h
@@ -39,6 +39,8 @@
         std::int64_t incarnation = 1;
         bool up = true;
         bool disconnected = false;
+        /** Fence of the owner that still reaches it while it is disconnected; 0 for none. */
+        std::int64_t reachedBy = 0;
         std::int64_t fence = 0;
         WorkerClock holdUntil = 0;
         TimePoint clockStart{};
@@ -71,6 +73,11 @@
     using OwnerPtr = std::shared_ptr<Owner>;
 
     [[nodiscard]] WorkerClock clock(const ModelWorker &worker) const;
+    /** Returns whether calls of an owner reach a worker. */
+    [[nodiscard]] static bool reaches(std::int64_t fence, const ModelWorker &worker)
+    {
+        return worker.up && (!worker.disconnected || worker.reachedBy == fence);
+    }
     [[nodiscard]] bool faultsActive() const { return m_now < m_faultsUntil; }
 
     void step();
