Take a hold that is refused for its fence for the sign of a newer owner

An owner whose key was revoked goes on until its lease has expired by its own clock, up to 1.35 s beside the next owner. Workers refuse its orders and holds, but only a refused order ended it; a refused hold counted as unanswered. A worker that restarts in that time has seen no fence and carries out what it orders, beside a run of the next owner.

A hold refused for its fence now ends the ownership as a refused order does: holds go to every worker at least every 2 s, mostly within tens of milliseconds.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -187,6 +187,8 @@
     void holdAnswered(std::string_view worker, const WorkerReport &report, TimePoint sentAt,
                       TimePoint now);
     void holdUnanswered(std::string_view worker, TimePoint now);
+    /** Records that a worker has refused a call because it has seen a newer owner. */
+    void newerOwnerSeen() { m_replaced = true; }
     void startConfirmed(const StartTask &start, WorkerClock clock, TimePoint now);
     void startRefused(const StartTask &start, StartRefusal refusal, TimePoint now);
     void startUnanswered(const StartTask &start, TimePoint now);
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -475,7 +475,7 @@
         return;
     switch (refusal) {
     case StartRefusal::Fenced:
-        m_replaced = true;
+        newerOwnerSeen();
         break;
     case StartRefusal::InvalidTicket:
         m_admissions.dropTicket({start.task.job, start.task.occurrence, start.task.step},
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -345,6 +345,8 @@
                                             : minHoldInterval()));
     } else {
         ++m_counts.holdsUnanswered;
+        if (report.error().is(ErrorKind::LeaseLost))
+            m_scheduler.newerOwnerSeen();
         logUnreachable(id, report.error());
         m_scheduler.holdUnanswered(id, now);
         const auto *worker = m_scheduler.worker(id);
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -413,7 +413,8 @@
     const auto request = owner->scheduler.holdRequest(worker.id, m_now);
     schedule(delay(), [this, owner, &worker, request, sentAt] {
         const auto fence = owner->fence;
-        const bool answers = reaches(fence, worker) && fence >= worker.fence;
+        const bool refused = reaches(fence, worker) && fence < worker.fence;
+        const bool answers = reaches(fence, worker) && !refused;
         WorkerReport report;
         if (answers) {
             worker.fence = fence;
@@ -426,9 +427,11 @@
                 report.running.push_back(row);
             report.ended = worker.ended;
         }
-        deliver(owner, answers ? delay() : callTimeout,
-                [this, owner, &worker, report, sentAt, answers] {
+        deliver(owner, answers || refused ? delay() : callTimeout,
+                [this, owner, &worker, report, sentAt, answers, refused] {
                     owner->holdPending[worker.id] = false;
+                    if (refused)
+                        owner->scheduler.newerOwnerSeen();
                     appendTrace(worker.id
                                 + (answers ? " reports " + std::to_string(report.running.size())
                                                      + " runs of incarnation "
--- a/tests/node/workercontrollertest.cpp
+++ b/tests/node/workercontrollertest.cpp
@@ -1,8 +1,10 @@
 #include "dragonflysill/node/workercontroller.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpclient.h"
+#include "dragonflysill/net/httpserver.h"
 #include "jobs/schedulerharness.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <string>
@@ -56,4 +58,28 @@
     BOOST_TEST(ordersOf<StartTask>(harness.decide()).size() == 2U);
 }
 
+// Guards against a former owner whose key was revoked and that goes on giving orders, which a
+// worker that has restarted would carry out, although the others refuse its holds.
+BOOST_AUTO_TEST_CASE(HoldThatIsRefusedForItsFenceShowsANewerOwner)
+{
+    using Tcp = boost::asio::ip::tcp;
+    HttpServer server{loop, [](const HttpRequest &, const HttpServer::Respond &respond) {
+                          respond({409, R"({"clockMs":7,"reason":"fence"})", {}});
+                      }};
+    Tcp::acceptor acceptor(loop.context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
+    WorkerDescription worker;
+    worker.id = "w";
+    worker.pool = "pool";
+    worker.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    acceptor.close();
+    BOOST_REQUIRE(server.listen(worker.address).ok());
+    const auto now = EventLoop::now();
+    harness.scheduler.addOrUpdateWorker(worker, now);
+    controller.addNewWorkers(now);
+    controller.sendDueHolds(now);
+    while (controller.counts().holdsUnanswered == 0 && loop.context().run_one() > 0) {
+    }
+    BOOST_TEST(harness.scheduler.replaced());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
