Make the progress model as strict as the protocol

A worker of the model refused a start while it had another run of the task, and nothing looked for two runs at once. Now a run that is higher than every stopped or ended one is carried out, and two runs of a task at once, on one worker or two, or a start after an acknowledged end are violations. A stop takes up to 200 ms, a third of the orders without an answer within 80 ms have a copy that arrives up to 1.2 s after the decision, some workers that keep their id are back within 320 ms, a time in a refused start counts, holds are shortened to the maximum, and an answer has the clock of the time it was sent.

--- a/tests/jobs/progressmodel.cpp
+++ b/tests/jobs/progressmodel.cpp
@@ -30,11 +30,23 @@
 constexpr Duration shortHoldWait = 250ms;
 constexpr Duration maxHoldWait = 800ms;
 constexpr Duration answerTimeout = 500ms;
+/** Time without an answer after which an order is sent again, see WorkerOrders. */
+constexpr Duration copyInterval = 80ms;
+/** Latest arrival of a copy after the decision to send the order. */
+constexpr Duration maxCopyTime = 1200ms;
+/** Share of the orders with copies of which one arrives after the others. */
+constexpr double strayCopyShare = 0.3;
+/** Longest time that a worker takes to stop a run. */
+constexpr int maxStopMs = 200;
+/** Workers shorten longer holds to this. */
+constexpr Duration maxHold = 10s;
 
 constexpr Duration faultPeriod = 20s;
 constexpr Duration calmPeriod = 22s;
 constexpr Duration moveTime = 1500ms;
 constexpr Duration entryLifetime = 2s;
+/** Share of the restarts under the same id that an owner may miss between two holds. */
+constexpr double shortRestartShare = 0.3;
 constexpr Duration checkInterval = 100ms;
 
 /** Maximum number of orders for a job that are lost in a span of time, besides the faults. */
@@ -72,6 +84,12 @@
 
 } // namespace
 
+bool ProgressModel::Process::hasRunOf(const TaskId &task) const
+{
+    const auto it = runs.lower_bound({task, 0});
+    return it != runs.end() && it->first.first == task;
+}
+
 ProgressModel::ProgressModel(std::uint64_t seed, Mode mode)
     : Simulation(seed)
     , m_mode(mode)
@@ -79,6 +97,7 @@
     , m_lastFaultAt(m_now)
     , m_endAt(m_faultsUntil + calmPeriod)
     , m_lossRandom(~seed)
+    , m_protocolRandom(~seed + 1)
 {
     constexpr std::array<double, 4> lostOrders{0, 0, 0.02, 0.15};
     m_lostOrders = lostOrders.at(m_lossRandom.below(lostOrders.size()));
@@ -253,8 +272,9 @@
 {
     if (!machine.process)
         return;
-    for (const auto &[task, run] : machine.process->runs)
-        appendJobEvent(task.job, nameOf(task, run.row.run) + " ends with " + machine.process->id);
+    for (const auto &[key, run] : machine.process->runs)
+        appendJobEvent(key.first.job,
+                       nameOf(key.first, key.second) + " ends with " + machine.process->id);
     // The entry expires later unless the worker is back by then.
     schedule(entryLifetime + randomDuration(0, 1000),
              [this, id = machine.process->id, startedMs = machine.process->startedMs] {
@@ -307,8 +327,11 @@
         return;
     auto &process = *machine.process;
     const bool holdExpired = clock(process) > process.holdUntil;
-    std::vector<std::pair<TaskId, RunEnd>> ends;
-    for (auto &[task, run] : process.runs) {
+    if (holdExpired)
+        process.expiredUpTo = process.nextEnd - 1;
+    std::vector<std::pair<RunKey, RunEnd>> ends;
+    for (auto &[key, run] : process.runs) {
+        const auto &task = key.first;
         if (!machine.standsStill)
             run.done += scaled(passed, 1 / machine.slowness);
         const bool finished = run.done >= run.total;
@@ -319,20 +342,22 @@
         if (spec.savesProgress && percent >= 10)
             run.row.checkpoint = std::to_string(run.row.percent);
         if (holdExpired)
-            ends.emplace_back(task, RunEnd::HoldExpired);
+            ends.emplace_back(key, RunEnd::HoldExpired);
+        else if (run.stopsAt && m_now >= *run.stopsAt)
+            ends.emplace_back(key, RunEnd::Stopped);
         else if (finished && run.fails)
-            ends.emplace_back(task, RunEnd::Failed);
+            ends.emplace_back(key, RunEnd::Failed);
         else if (finished && !run.persistent)
-            ends.emplace_back(task, RunEnd::Done);
+            ends.emplace_back(key, RunEnd::Done);
     }
-    for (const auto &[task, how] : ends)
-        endRun(process, task, how);
+    for (const auto &[key, how] : ends)
+        endRun(process, key, how);
 }
 
-void ProgressModel::endRun(Process &process, const TaskId &task, RunEnd how)
+void ProgressModel::endRun(Process &process, const RunKey &key, RunEnd how)
 {
-    const auto it = process.runs.find(task);
-    const int run = it->second.row.run;
+    const auto it = process.runs.find(key);
+    const auto [task, run] = key;
     auto &blocked = process.blockedRun[task];
     blocked = std::max(blocked, run);
     process.ended.push_back({process.nextEnd++, task, run, how, it->second.row.checkpoint});
@@ -349,25 +374,25 @@
     if (fence < process.fence)
         return StartRefusal::Fenced;
     process.fence = fence;
-    const auto running = process.runs.find(start.task);
-    if (running != process.runs.end())
-        return running->second.row.run == start.run ? std::nullopt
-                                                    : std::optional(StartRefusal::StaleRun);
-    if (start.run <= process.blockedRun[start.task])
-        return StartRefusal::StaleRun;
+    const RunKey key{start.task, start.run};
+    if (process.runs.contains(key))
+        return std::nullopt;
     if (start.holdUntil < clock(process))
         return StartRefusal::HoldExpired;
+    // The time of an order that is refused for one of the next reasons counts, too.
+    extendHold(process, start.holdUntil);
+    if (start.run <= process.blockedRun[start.task])
+        return StartRefusal::StaleRun;
     const auto &job = m_jobs[start.task.job];
     const auto n = static_cast<std::size_t>(start.task.step);
     const auto &step = job.job.spec.steps[n];
     Resources used;
-    for (const auto &[task, run] : process.runs)
+    for (const auto &[other, run] : process.runs)
         used += run.need;
     if (m_guarded && !(machine.capacity - used).covers(step.need))
         return StartRefusal::InsufficientCapacity;
-    process.holdUntil = std::max(process.holdUntil, start.holdUntil);
-    checkStartAfterCrashes(m_jobs[start.task.job], start.task);
-    auto &run = process.runs[start.task];
+    checkStart(start);
+    auto &run = process.runs[key];
     run.row = {start.task, start.run, start.checkpoint, 0, {}};
     run.need = step.need;
     run.persistent = step.persistent;
@@ -397,9 +422,29 @@
     process.fence = fence;
     auto &blocked = process.blockedRun[stop.task];
     blocked = std::max(blocked, stop.run);
-    const auto it = process.runs.find(stop.task);
-    if (it != process.runs.end() && it->second.row.run <= stop.run)
-        endRun(process, stop.task, RunEnd::Stopped);
+    for (auto &[key, run] : process.runs) {
+        if (key.first == stop.task && key.second <= stop.run && !run.stopsAt)
+            run.stopsAt = m_now + Milliseconds(m_protocolRandom.below(maxStopMs));
+    }
+}
+
+void ProgressModel::extendHold(Process &process, WorkerClock until) const
+{
+    process.holdUntil
+            = std::max(process.holdUntil, std::min(until, clock(process) + maxHold / 1ms));
+}
+
+bool ProgressModel::drawStrayCopy(OrderLoss loss, TimePoint orderedAt, bool answered,
+                                  Duration answerTime, std::function<void()> apply)
+{
+    const bool copied = !answered || m_now + answerTime - orderedAt >= copyInterval;
+    const bool lost = loss == OrderLoss::Order || loss == OrderLoss::OrderAtOnce;
+    if (!copied || lost || m_protocolRandom.unit() >= strayCopyShare)
+        return false;
+    const auto range = static_cast<std::size_t>((maxCopyTime - copyInterval) / 1ms);
+    const auto arrival = orderedAt + copyInterval + Milliseconds(m_protocolRandom.below(range));
+    schedule(std::max(Duration{0}, Duration(arrival - m_now)), std::move(apply));
+    return true;
 }
 
 // Faults.
@@ -501,10 +546,12 @@
     const auto id = machine.process->id;
     appendTrace(machine.name + " crashes with " + std::to_string(machine.process->runs.size())
                 + " runs");
-    for (const auto &[task, run] : machine.process->runs)
-        ++m_jobs[task.job].crashes[task];
+    for (const auto &[key, run] : machine.process->runs)
+        ++m_jobs[key.first.job].crashes[key.first];
     endProcess(machine);
-    const auto back = randomDuration(3000, 3500);
+    auto back = randomDuration(3000, 3500);
+    if (m_sameIds && m_protocolRandom.unit() < shortRestartShare)
+        back = Milliseconds(20 + m_protocolRandom.below(300));
     faultUntil(m_now + back);
     schedule(back, [this, &machine, id] {
         if (!machine.process && !machine.moving)
@@ -660,10 +707,11 @@
 void ProgressModel::send(const StartTask &start)
 {
     appendJobEvent(start.task.job, nameOf(start.task, start.run) + " ordered on " + start.worker);
-    schedule(delay(), [this, start, fence = m_fence, alive = m_ownerAlive] {
+    schedule(delay(), [this, start, orderedAt = m_now, fence = m_fence, alive = m_ownerAlive] {
         auto *machine = machineOf(start.worker);
         std::optional<StartRefusal> refusal;
         bool known = false;
+        const auto workerClock = machine ? clock(*machine->process) : WorkerClock{0};
         const auto loss = drawLoss(start.task.job, machine);
         if (machine == nullptr) {
             // The connection is refused, or the machine does not answer.
@@ -680,11 +728,20 @@
             refusal = applyStart(*machine, start, fence);
             known = (!machine->losesAnswers || chance(0.5)) && loss == OrderLoss::None;
         }
-        const auto answered = known                            ? delay()
-                              : loss == OrderLoss::OrderAtOnce ? tickLength
-                                                               : answerTimeout;
-        schedule(answered, [this, start, alive, refusal, known,
-                            process = machine ? machine->process : nullptr] {
+        auto answered = known                            ? delay()
+                        : loss == OrderLoss::OrderAtOnce ? tickLength
+                                                         : answerTimeout;
+        const bool stray = drawStrayCopy(loss, orderedAt, known, answered, [this, start, fence] {
+            auto *receiver = machineOf(start.worker);
+            if (receiver != nullptr && !receiver->cutOff)
+                applyStart(*receiver, start, fence);
+        });
+        // An order counts as refused only if all of its copies are.
+        if (known && refusal && stray) {
+            known = false;
+            answered = answerTimeout;
+        }
+        schedule(answered, [this, start, alive, refusal, known, workerClock] {
             if (!*alive)
                 return;
             m_changed = true;
@@ -694,7 +751,7 @@
             else if (refusal)
                 m_scheduler->startRefused(start, *refusal, m_now);
             else
-                m_scheduler->startConfirmed(start, clock(*process), m_now);
+                m_scheduler->startConfirmed(start, workerClock, m_now);
             if (!known || refusal)
                 appendJobEvent(
                         start.task.job,
@@ -709,7 +766,7 @@
 void ProgressModel::send(const StopTask &stop)
 {
     appendJobEvent(stop.task.job, nameOf(stop.task, stop.run) + " to stop on " + stop.worker);
-    schedule(delay(), [this, stop, fence = m_fence, alive = m_ownerAlive] {
+    schedule(delay(), [this, stop, orderedAt = m_now, fence = m_fence, alive = m_ownerAlive] {
         auto *machine = machineOf(stop.worker);
         bool known = false;
         const auto loss = drawLoss(stop.task.job, machine);
@@ -728,6 +785,11 @@
         const auto answered = known                            ? delay()
                               : loss == OrderLoss::OrderAtOnce ? tickLength
                                                                : answerTimeout;
+        drawStrayCopy(loss, orderedAt, known, answered, [this, stop, fence] {
+            auto *receiver = machineOf(stop.worker);
+            if (receiver != nullptr && !receiver->cutOff)
+                applyStop(*receiver, stop, fence);
+        });
         schedule(answered, [this, stop, alive, known] {
             if (!*alive)
                 return;
@@ -810,9 +872,14 @@
         auto &process = *machine->process;
         process.fence = fence;
         if (request.holdUntil)
-            process.holdUntil = std::max(process.holdUntil, *request.holdUntil);
-        std::erase_if(process.ended,
-                      [&](const EndReport &it) { return it.number <= request.acknowledgedEnds; });
+            extendHold(process, *request.holdUntil);
+        std::erase_if(process.ended, [&](const EndReport &it) {
+            if (it.number > request.acknowledgedEnds)
+                return false;
+            if (it.end == RunEnd::Done && it.number > process.expiredUpTo)
+                m_jobs[it.task.job].doneAcknowledged.insert(it.task);
+            return true;
+        });
         // The worker waits for an end of a run.
         const auto waited = process.ended.empty() ? wait : Duration{0};
         schedule(waited, [this, id, listRunning, sentAt, alive, machine,
@@ -823,7 +890,7 @@
             report.startedMs = process->startedMs;
             report.clock = clock(*process);
             report.runningListed = listRunning;
-            for (const auto &[task, run] : process->runs) {
+            for (const auto &[key, run] : process->runs) {
                 if (listRunning)
                     report.running.push_back(run.row);
             }
@@ -876,16 +943,17 @@
     schedule(delay(), [this, workers, sentAt = m_now, alive = m_ownerAlive] {
         if (!*alive)
             return;
-        std::vector<std::string> ended;
+        std::map<std::string, Scheduler::WorkerEnd> ended;
         for (const auto &[id, worker] : m_scheduler->workers()) {
             const auto startedMs = worker.description.startedMs;
-            if (!worker.reachable && unixMs() - startedMs > maxListAge / 1ms
-                && workers.at(worker.description.instance) != id)
-                ended.push_back(id);
+            const auto &present = workers.at(worker.description.instance);
+            if (!worker.reachable && unixMs() - startedMs > maxListAge / 1ms && present != id)
+                ended[id] = present.empty() ? Scheduler::WorkerEnd::Down
+                                            : Scheduler::WorkerEnd::Replaced;
         }
-        for (const auto &id : ended) {
+        for (const auto &[id, end] : ended) {
             appendTrace(id + " is retired by the list of instances");
-            m_scheduler->retireWorker(id, Scheduler::WorkerEnd::Down, m_now);
+            m_scheduler->retireWorker(id, end, m_now);
         }
         std::erase_if(m_orders, [&](const auto &it) {
             const auto &[name, order] = it;
@@ -1040,9 +1108,10 @@
             continue;
         auto free = machine.capacity;
         int ofStep = 0;
-        for (const auto &[task, run] : machine.process->runs) {
+        for (const auto &[key, run] : machine.process->runs) {
             free -= run.need;
-            ofStep += static_cast<int>(task.job == job && task.step == static_cast<int>(step));
+            ofStep += static_cast<int>(key.first.job == job
+                                       && key.first.step == static_cast<int>(step));
         }
         int fitting = 0;
         while (fitting < requiredRoom && free.covers(spec.need.times(fitting + 1)))
@@ -1062,7 +1131,7 @@
         if (machine.pool != pool || !machine.process)
             continue;
         total += machine.capacity.milliCores;
-        for (const auto &[task, run] : machine.process->runs)
+        for (const auto &[key, run] : machine.process->runs)
             used += run.need.milliCores;
     }
     return 2 * used < total;
@@ -1075,7 +1144,7 @@
     return std::ranges::none_of(m_machines, [&](const auto &it) {
         const auto &process = it.second.process;
         return process
-               && (process->runs.contains(id)
+               && (process->hasRunOf(id)
                    || std::ranges::any_of(process->ended, [&](const EndReport &end) {
                           return end.task == id && end.end == RunEnd::Done;
                       }));
@@ -1092,8 +1161,8 @@
     for (const auto &[name, machine] : m_machines) {
         if (!machine.process)
             continue;
-        for (const auto &[task, run] : machine.process->runs)
-            running.insert(task.job);
+        for (const auto &[key, run] : machine.process->runs)
+            running.insert(key.first.job);
     }
     Waits waits;
     for (const auto &[id, job] : m_jobs) {
@@ -1120,11 +1189,23 @@
                         + "\n" + job.events);
 }
 
-void ProgressModel::checkStartAfterCrashes(ModelJob &job, const TaskId &task)
+void ProgressModel::checkStart(const StartTask &start)
 {
+    const auto &task = start.task;
+    auto &job = m_jobs[task.job];
+    const bool speculative = job.job.spec.steps[static_cast<std::size_t>(task.step)].speculative;
+    const bool running = std::ranges::any_of(m_machines, [&task](const auto &it) {
+        return it.second.process && it.second.process->hasRunOf(task);
+    });
+    const auto name = nameOf(task, start.run) + " begins on " + start.worker;
+    if (running && !speculative)
+        recordViolation(name + " beside another run\n" + job.events);
+    if (job.doneAcknowledged.contains(task) && !speculative)
+        recordViolation(name + " after its end was acknowledged\n" + job.events);
     if (job.deadly && job.crashes[task] >= maxCrashes
         && ++job.startsAfterCrashes[task] == tooManyStarts)
         recordViolation(nameOf(task) + " is started too often\n" + job.events);
+    appendJobEvent(task.job, name);
 }
 
 void ProgressModel::checkStep(const ModelJob &job, const JobRun &run, std::size_t step,
@@ -1200,7 +1281,7 @@
             continue;
         }
         Resources used;
-        for (const auto &[task, run] : machine.process->runs)
+        for (const auto &[key, run] : machine.process->runs)
             used += run.need;
         const auto &id = machine.process->id;
         text << " " << id << (sound(machine) ? " sound" : " not sound") << ", uses "
--- a/tests/jobs/progressmodel.h
+++ b/tests/jobs/progressmodel.h
@@ -5,11 +5,13 @@
 #include "dragonflysill/jobs/scheduler.h"
 #include "simulation.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dragonflysill::test {
@@ -20,6 +22,8 @@
  * for 3 s while it has a ready task, sound workers have room for two such tasks and less than half
  * of the cores of its pool is in use. A job may only be given up after all attempts of a task or
  * two crashes under it, and a task that crashes its workers may be started twice after three.
+ * Two runs of a task at once and a start after an acknowledged end are never allowed; workers do no
+ * more against them than the protocol demands.
  */
 class ProgressModel : public Simulation
 {
@@ -59,6 +63,8 @@
     };
     static constexpr int faultKinds = 12;
 
+    using RunKey = std::pair<TaskId, int>; ///< Task and number of a run.
+
     struct ModelRun
     {
         RunningReport row;
@@ -67,20 +73,24 @@
         Duration done{0};
         bool fails = false;
         bool persistent = false;
+        std::optional<TimePoint> stopsAt; ///< When a run that is being stopped ends.
     };
 
     /** One life of a worker's process. */
     struct Process
     {
+        [[nodiscard]] bool hasRunOf(const TaskId &task) const;
+
         std::string id;
         std::int64_t startedMs = 0;
         TimePoint begin{};
         std::int64_t fence = 0;
         WorkerClock holdUntil = 0;
         std::int64_t nextEnd = 1;
-        std::map<TaskId, ModelRun> runs;
+        std::map<RunKey, ModelRun> runs;
         std::map<TaskId, int> blockedRun;
         std::vector<EndReport> ended;
+        std::int64_t expiredUpTo = 0; ///< The hold expired after the ends up to this number.
     };
 
     struct Machine
@@ -110,6 +120,7 @@
         std::vector<Duration> runTimes; ///< By step.
         std::map<TaskId, int> crashes; ///< Processes that crashed with a run of the task.
         std::map<TaskId, int> startsAfterCrashes; ///< Starts after maxCrashes of them.
+        std::set<TaskId> doneAcknowledged; ///< Tasks with an acknowledged end of a completed run.
         std::optional<TimePoint> lastRunAt; ///< Time of the last end of a run.
         std::string events;
     };
@@ -148,10 +159,17 @@
     void putEntry(const Machine &machine);
     void notifyEntry(const std::string &id);
     void advance(Machine &machine, Duration passed);
-    void endRun(Process &process, const TaskId &task, RunEnd how);
+    void endRun(Process &process, const RunKey &key, RunEnd how);
     std::optional<StartRefusal> applyStart(Machine &machine, const StartTask &start,
                                            std::int64_t fence);
     void applyStop(Machine &machine, const StopTask &stop, std::int64_t fence);
+    void extendHold(Process &process, WorkerClock until) const;
+    /**
+     * Draws whether an order has a copy that arrives after the others, and if so carries out
+     * @p apply then, also if the worker has restarted under its id.
+     */
+    bool drawStrayCopy(OrderLoss loss, TimePoint orderedAt, bool answered, Duration answerTime,
+                       std::function<void()> apply);
 
     // Faults.
     void injectFaults();
@@ -192,7 +210,7 @@
     // Checks.
     void check();
     void checkGivenUp(const ModelJob &job, const JobProgress &progress);
-    void checkStartAfterCrashes(ModelJob &job, const TaskId &task);
+    void checkStart(const StartTask &start);
     void checkStep(const ModelJob &job, const JobRun &run, std::size_t step, bool jobRuns,
                    Waits &waits);
     [[nodiscard]] bool sound(const Machine &machine) const;
@@ -215,6 +233,8 @@
     bool m_sameIds = false; ///< A restarted worker keeps its id.
     /** Draws the losses of orders, which leave the other draws of a seed as they are. */
     Random m_lossRandom;
+    /** Draws copies of orders, times of stops and short restarts in the same way. */
+    Random m_protocolRandom;
     double m_lostOrders = 0; ///< Share of the orders to sound workers that are lost, at any time.
     std::map<std::string, std::vector<TimePoint>> m_lossTimes; ///< By job.
     std::vector<std::string> m_poolNames;
