Begin an incarnation of a worker with runs only on a report with their list

What the users saw: two runs of a task at once, on two workers or on one, in the second case with a run that was never told to stop. Callers' jobs were done twice.

Cause: a delegate leaves the list of runs out of most of its reports. A worker that has restarted under its id, of which its owner has not heard, is given a task, starts it in its new incarnation and answers. If the next report shows the new incarnation without the list, every confirmed run counted as one of the earlier incarnation and was released, the new one's run too. Its task started again: beside it on the same worker, where the owner then skipped it in every list, or elsewhere, until a list showed it as unknown and it was stopped. No order is lost, late or sent twice for this; it takes delegates, that is a large site.

Such a report now changes nothing but that the worker counts as one that does not answer, so that the next hold, 25 ms later, asks for the list.

Evidence: Admission/FirstReportOfAnIncarnationWithoutTheListOfRunsReleasesNone failed (a second start).

--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -57,6 +57,12 @@
     auto *it = findWorker(id);
     if (it == nullptr || it->retired || report.startedMs < it->startedMs)
         return;
+    // A delegate leaves the list out of most reports. Without it, the runs that the new incarnation
+    // has would count as ended; the next hold asks for it.
+    if (it->startedMs != report.startedMs && !report.runningListed && !it->runs.empty()) {
+        it->reachable = false;
+        return;
+    }
     it->lastContact = now;
     it->lastReportListedEnds = !report.ended.empty();
     if (!it->reachable || !it->fenced)
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -24,6 +24,8 @@
 constexpr Duration maxHold = 10s;
 /** Interval between two holds of a worker without runs, see WorkerController. */
 constexpr Duration idleHoldInterval = 2s;
+/** Interval between two reports with the list of runs, see WorkerController. */
+constexpr Duration runningListInterval = 2s;
 /** Time after which a call without an answer counts as unanswered, see WorkerController. */
 constexpr Duration callTimeout = 500ms;
 /** Time without an answer after which an order is sent again, see WorkerOrders. */
@@ -406,12 +408,22 @@
     }
 }
 
+bool ProtocolModel::needsRunningList(const WorkerState &worker) const
+{
+    const bool settling = std::ranges::any_of(worker.runs, [](const auto &it) {
+        return it.second.phase == TaskRun::Phase::Stopping;
+    });
+    return !worker.fenced || !worker.reachable || !worker.otherRuns.empty() || settling
+           || m_now - worker.lastReport >= runningListInterval;
+}
+
 void ProtocolModel::hold(const OwnerPtr &owner, ModelWorker &worker)
 {
     owner->holdPending[worker.id] = true;
     const auto sentAt = m_now;
     const auto request = owner->scheduler.holdRequest(worker.id, m_now);
-    schedule(delay(), [this, owner, &worker, request, sentAt] {
+    const bool listed = needsRunningList(*owner->scheduler.worker(worker.id));
+    schedule(delay(), [this, owner, &worker, request, sentAt, listed] {
         const auto fence = owner->fence;
         const bool refused = reaches(fence, worker) && fence < worker.fence;
         const bool answers = reaches(fence, worker) && !refused;
@@ -423,8 +435,11 @@
             acknowledge(worker, request.acknowledgedEnds);
             report.startedMs = worker.incarnation;
             report.clock = clock(worker);
-            for (const auto &[run, row] : worker.running)
-                report.running.push_back(row);
+            report.runningListed = listed;
+            for (const auto &[run, row] : worker.running) {
+                if (listed)
+                    report.running.push_back(row);
+            }
             report.ended = worker.ended;
         }
         deliver(owner, answers || refused ? delay() : callTimeout,
--- a/tests/jobs/protocolmodel.h
+++ b/tests/jobs/protocolmodel.h
@@ -97,6 +97,8 @@
     void send(const OwnerPtr &, const RequestAdmission &) { }
     void startAnswered(const OwnerPtr &owner, const StartTask &start, const std::string &refusal,
                        WorkerClock clock);
+    /** Returns whether an owner that calls through a delegate asks a worker for its runs. */
+    [[nodiscard]] bool needsRunningList(const WorkerState &worker) const;
     void hold(const OwnerPtr &owner, ModelWorker &worker);
     void crash(ModelWorker &worker);
     [[nodiscard]] static WorkerDescription describe(const ModelWorker &worker,
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -856,4 +856,28 @@
     BOOST_TEST(harness.scheduler.worker("w")->runs.size() == 1U);
 }
 
+// Guards against two runs of a task at once: a worker that has restarted carries out a start, and
+// the first report of its new incarnation comes from a delegate, without the list of runs (TWICE).
+BOOST_AUTO_TEST_CASE(FirstReportOfAnIncarnationWithoutTheListOfRunsReleasesNone)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.advanceTime(500ms);
+    worker.restart(harness.now);
+    harness.addJob(job("j", {step(1)}));
+    BOOST_REQUIRE(ordersOf<StartTask>(harness.decide()).size() == 1U);
+    harness.addWorker("w2");
+    harness.advanceTime(30ms);
+    auto report = worker.report(harness.now);
+    report.running.clear();
+    report.runningListed = false;
+    harness.scheduler.holdAnswered("w1", report, harness.now, harness.now);
+    BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves()).empty());
+    harness.reportFrom("w1");
+    const auto actions = harness.decideWithSaves();
+    BOOST_TEST(ordersOf<StartTask>(actions).empty());
+    BOOST_TEST(ordersOf<StopTask>(actions).empty());
+    BOOST_TEST(harness.scheduler.worker("w1")->runs.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
