Count no crash under a run that the next incarnation of its worker lists

Five such crashes give up a sound job.

Evidence: CrashEvidence/RunThatTheNextIncarnationListsHasNotCrashedTheEarlierOne failed.

--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -10,6 +10,18 @@
 
 namespace dragonflysill {
 
+namespace internal {
+
+/** Returns whether a report lists a run as running. */
+bool lists(const WorkerReport &report, const TaskId &task, int run)
+{
+    return std::ranges::any_of(report.running, [&](const RunningReport &row) {
+        return row.task == task && row.run == run;
+    });
+}
+
+} // namespace internal
+
 HoldRequest Scheduler::holdRequest(std::string_view id, TimePoint now)
 {
     HoldRequest request;
@@ -121,26 +133,24 @@
         recordCrashes(suspected, now);
         return;
     }
-    // A start order on its way may have reached the new incarnation.
-    std::erase_if(suspected, [&worker](const SuspectedRun &it) {
+    // A start order on its way may have reached the new incarnation, and one that it lists has.
+    std::erase_if(suspected, [&](const SuspectedRun &it) {
         const auto *run = worker.findRun(it.task, it.run);
-        return run != nullptr && run->phase == TaskRun::Phase::Starting;
+        return (run != nullptr && run->phase == TaskRun::Phase::Starting)
+               || internal::lists(report, it.task, it.run);
     });
     forgetUnexplainedRuns(worker);
     worker.health = {};
     worker.heldUntil = heldByEarlierClock(worker, now);
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
-        const bool listed = std::ranges::any_of(report.running, [&](const RunningReport &row) {
-            return row.task == run->first && row.run == run->second.run;
-        });
         auto &known = run->second;
         const bool running = known.phase == TaskRun::Phase::Running;
         // A start order that was not answered before the hold request was sent may have reached the
         // new incarnation.
         const bool undecided = known.phase == TaskRun::Phase::Starting
                                || (running && known.orderSettledAt >= sentAt);
-        if (listed || undecided)
+        if (undecided || internal::lists(report, known.task, known.run))
             continue;
         if (now < known.copiesUntil) {
             awaitCopies(worker, known, now);
--- a/tests/jobs/crashevidencetest.cpp
+++ b/tests/jobs/crashevidencetest.cpp
@@ -197,4 +197,20 @@
     BOOST_TEST(harness.workerOf(firstTask) == "w2");
 }
 
+// Guards against a sound job that is given up: a start that the next incarnation of a worker has
+// answered and lists counts as a crash of the earlier one.
+BOOST_AUTO_TEST_CASE(RunThatTheNextIncarnationListsHasNotCrashedTheEarlierOne)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.advanceTime(500ms);
+    worker.restart(harness.now);
+    harness.addJob(job("j", {step(1)}));
+    BOOST_REQUIRE(ordersOf<StartTask>(harness.decide()).size() == 1U);
+    harness.advanceTime(30ms);
+    harness.reportFrom("w1");
+    BOOST_TEST(harness.scheduler.worker("w1")->runs.size() == 1U);
+    BOOST_TEST(harness.scheduler.job("j")->progress().crashes.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
