Discard the bytes of a request that was given up

A call that timed out closed its connection, and the kernel went on sending the request, so that an order arrived when a partition healed, seconds after its caller had given it up; the stream of Beast closes the socket itself on a timeout. Connections now discard undelivered bytes on a close other than that of an idle connection, which also covers a process that is killed. TCP_USER_TIMEOUT, set to the timeout of the call in steps of 250 ms, covers a process that is paused at its timeout. Cost: two socket options for each new connection, one for an idle one that is closed, none for most reused ones.

Evidence: RequestThatTimedOutIsNotDelivered and RequestOfAPausedProcessIsNotDeliveredAfterItsTimeout failed before (the server received the end of the request in both); net-test passes.

--- a/include/dragonflysill/net/httpclient.h
+++ b/include/dragonflysill/net/httpclient.h
@@ -33,8 +33,8 @@
 
 /**
  * HTTP/1.1 client on the event loop. It reuses idle connections to an address and opens new ones as
- * needed. When a call times out, its connection is closed together with all idle connections to the
- * same address, because they may be dead too.
+ * needed. When a call times out, its connection is reset, so that the request does not arrive
+ * later, and all idle connections to the same address are closed, because they may be dead too.
  */
 class HttpClient
 {
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <optional>
@@ -27,6 +28,8 @@
 constexpr std::chrono::milliseconds uncheckedIdleTime{100};
 /** Maximum interval between two searches for connections that have been idle for too long. */
 constexpr std::chrono::milliseconds maxUnusedCheckInterval{1000};
+/** Timeouts are rounded up to it for the kernel, so that the option of a socket rarely changes. */
+constexpr std::chrono::milliseconds kernelTimeoutStep{250};
 
 /** One connection with at most one call in flight. */
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
@@ -54,6 +57,7 @@
             }
             beast::error_code ignored;
             self->m_stream.socket().set_option(Tcp::no_delay(true), ignored);
+            self->setResetOnClose(true);
             self->write();
         });
     }
@@ -64,8 +68,10 @@
         write();
     }
 
+    /** Closes the connection, which no call uses. */
     void close()
     {
+        setResetOnClose(false);
         beast::error_code ignored;
         m_stream.socket().close(ignored);
     }
@@ -97,11 +103,36 @@
         m_request.prepare_payload();
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
+        m_timeout = timeout;
         m_stream.expires_after(timeout);
     }
 
+    /**
+     * Sets whether closing the socket discards the bytes that the peer has not received. The kernel
+     * would go on sending a request that was given up, and deliver it when a partition heals. The
+     * stream closes the socket itself on a timeout, and the kernel that of a killed process.
+     */
+    void setResetOnClose(bool reset)
+    {
+        beast::error_code ignored;
+        m_stream.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+    }
+
+    /** Makes the kernel discard the request after the timeout, also while the process is paused. */
+    void setKernelTimeout()
+    {
+        const auto steps = (m_timeout + kernelTimeoutStep - Duration{1}) / kernelTimeoutStep;
+        const auto timeout = std::max<std::int64_t>(steps, 1) * kernelTimeoutStep;
+        if (timeout == std::exchange(m_kernelTimeout, timeout))
+            return;
+        const auto limit = static_cast<unsigned int>(timeout.count());
+        ::setsockopt(m_stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+                     sizeof(limit));
+    }
+
     void write()
     {
+        setKernelTimeout();
         http::async_write(m_stream, m_request,
                           [self = shared_from_this()](beast::error_code ec, std::size_t n) {
                               self->written(n);
@@ -153,7 +184,8 @@
 
     void fail(ErrorKind kind, const beast::error_code &ec)
     {
-        close();
+        beast::error_code ignored;
+        m_stream.socket().close(ignored);
         if (*m_alive) {
             m_client.m_traffic.timeouts += static_cast<std::uint64_t>(ec == beast::error::timeout);
             // The peer may have ended without closing the other connections either.
@@ -173,6 +205,8 @@
     beast::flat_buffer m_buffer;
     HttpClient::Callback m_callback;
     TimePoint m_calledAt{};
+    Duration m_timeout{0};
+    std::chrono::milliseconds m_kernelTimeout{0};
 };
 
 } // namespace internal
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -10,6 +11,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -75,6 +77,40 @@
     }
 };
 
+/** A server whose kernel accepts a connection, and which reads only when the test calls for it. */
+struct StalledServer
+{
+    /** Larger than what the server's kernel takes, so that the client's one keeps the rest. */
+    static constexpr std::size_t bodyBytes = std::size_t{64} * 1024;
+    static constexpr int receiveBufferBytes = 4096;
+
+    boost::asio::io_context context;
+    Tcp::acceptor acceptor{context};
+    std::string address;
+
+    StalledServer()
+    {
+        acceptor.open(Tcp::v4());
+        acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+        acceptor.listen();
+        address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    }
+
+    /** Returns a request that the kernels of both sides hold together. */
+    static HttpRequest request() { return {"POST", "/", std::string(bodyBytes, 'x') + "end", {}}; }
+
+    /** Accepts the connection and returns whether the end of the request arrives on it. */
+    bool receive()
+    {
+        auto socket = acceptor.accept();
+        std::string received;
+        boost::system::error_code ec;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "end", ec);
+        return !ec;
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Http)
@@ -248,6 +284,42 @@
     BOOST_TEST(answer->error().is(ErrorKind::OutcomeUnknown));
 }
 
+// Guards against orders that arrive after their caller has given them up: the kernel went on
+// sending the request of a call that had timed out, for example until a partition healed.
+BOOST_AUTO_TEST_CASE(RequestThatTimedOutIsNotDelivered)
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    StalledServer server;
+    std::optional<Result<HttpResponse>> answer;
+    client.call(server.address, StalledServer::request(), 300ms,
+                [&](const auto &it) { answer = it; });
+    loop.run();
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->error().is(ErrorKind::OutcomeUnknown));
+    BOOST_REQUIRE(client.traffic().bytesSent > StalledServer::bodyBytes);
+    BOOST_TEST(!server.receive());
+}
+
+// Guards against the same while the process is paused and can't reset the connection.
+BOOST_AUTO_TEST_CASE(RequestOfAPausedProcessIsNotDeliveredAfterItsTimeout)
+{
+    EventLoop loop;
+    HttpClient client(loop);
+    StalledServer server;
+    std::optional<Result<HttpResponse>> answer;
+    client.call(server.address, StalledServer::request(), 200ms,
+                [&](const auto &it) { answer = it; });
+    while (client.traffic().bytesSent == 0 && loop.context().run_one() > 0) {
+    }
+    BOOST_REQUIRE(client.traffic().bytesSent > StalledServer::bodyBytes);
+    std::this_thread::sleep_for(2s);
+    BOOST_TEST(!server.receive());
+    loop.run();
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer->error().is(ErrorKind::OutcomeUnknown));
+}
+
 BOOST_AUTO_TEST_CASE(InvalidAddressIsUnreachable)
 {
     EchoServer echo;
