Withhold a request if its connection is established after the timeout

A process that is paused between the start of a connection and its establishment handles the latter first when it goes on, and wrote the request however late. The deadline is compared before the request is written; the call then counts as not sent, and the connection is kept for others. Calls that wait for others to their address were already compared with their deadline.

Evidence: RequestIsNotSentIfTheProcessWasPausedWhileConnecting failed before (a request with a timeout of 100 ms was answered after a pause of 200 ms); net-test passes.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -58,7 +58,11 @@
             beast::error_code ignored;
             self->m_stream.socket().set_option(Tcp::no_delay(true), ignored);
             self->setResetOnClose(true);
-            self->write();
+            // A process that was paused meanwhile handles the connection before the timeout.
+            if (EventLoop::now() >= self->m_deadline)
+                self->withholdRequest("not connected within the timeout");
+            else
+                self->write();
         });
     }
 
@@ -104,6 +108,7 @@
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
         m_timeout = timeout;
+        m_deadline = m_calledAt + timeout;
         m_stream.expires_after(timeout);
     }
 
@@ -182,6 +187,18 @@
         callback(std::move(response));
     }
 
+    /** Ends the call without sending its request; the connection can be used by others. */
+    void withholdRequest(const std::string &reason)
+    {
+        m_stream.expires_never();
+        auto callback = std::move(m_callback);
+        if (*m_alive)
+            m_client.callEnded(m_address, shared_from_this());
+        else
+            close();
+        callback(Error(ErrorKind::Unreachable, m_address + ": " + reason));
+    }
+
     void fail(ErrorKind kind, const beast::error_code &ec)
     {
         beast::error_code ignored;
@@ -205,6 +222,7 @@
     beast::flat_buffer m_buffer;
     HttpClient::Callback m_callback;
     TimePoint m_calledAt{};
+    TimePoint m_deadline{};
     Duration m_timeout{0};
     std::chrono::milliseconds m_kernelTimeout{0};
 };
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -320,6 +320,21 @@
     BOOST_TEST(answer->error().is(ErrorKind::OutcomeUnknown));
 }
 
+// Guards against a process that is paused while it connects, and sends an order when it goes on,
+// long after the order's timeout.
+BOOST_AUTO_TEST_CASE(RequestIsNotSentIfTheProcessWasPausedWhileConnecting)
+{
+    EchoServer echo;
+    HttpClient client(echo.loop);
+    echo.loop.post([] { std::this_thread::sleep_for(200ms); });
+    const auto late = echo.call(client, {"GET", "/late", "", {}}, echo.address, 100ms);
+    BOOST_REQUIRE(!late->ok());
+    BOOST_TEST(late->error().is(ErrorKind::Unreachable));
+    BOOST_TEST(client.traffic().bytesSent == 0U);
+    BOOST_TEST(echo.call(client, {"GET", "/", "", {}}, echo.address)->ok());
+    BOOST_TEST(echo.handled == 1);
+}
+
 BOOST_AUTO_TEST_CASE(InvalidAddressIsUnreachable)
 {
     EchoServer echo;
