Withdraw orders that are not written yet when they are decided or their owner replaced

A copy of an order that waited for others to its worker, or for its connection, was sent although another copy had decided the order, and a delegate went on with the orders and holds of an earlier owner, and sent further copies of them, after a newer one had called. Such a copy can reach the next incarnation of the worker, which knows no fence. A call now has a predicate that is asked before a request that had to wait is written; a withdrawn call counts as not sent, and its new connection is kept. Calls whose request was written are left alone. Waiting calls are sent in an event of their own, after the callback of the call that ended, since that callback may withdraw them; later calls queue behind.

--- a/include/dragonflysill/jobs/orderattempts.h
+++ b/include/dragonflysill/jobs/orderattempts.h
@@ -28,6 +28,9 @@
     /** Returns whether another copy may be sent. */
     [[nodiscard]] bool mayRepeat() const { return !m_decided && m_sent < m_limit; }
 
+    /** Returns whether the outcome of the order is known. */
+    [[nodiscard]] bool decided() const { return m_decided; }
+
     /** Records that a copy was sent. */
     void copySent();
 
@@ -38,7 +41,15 @@
      */
     std::optional<OrderOutcome> copyAnswered(const OrderOutcome &outcome);
 
+    /**
+     * Records that no further copy will be sent.
+     * @return the outcome of the order, once, if no copy is on its way
+     */
+    std::optional<OrderOutcome> stopRepeating();
+
 private:
+    OrderOutcome decide();
+
     int m_limit;
     int m_sent = 0;
     int m_outstanding = 0;
--- a/include/dragonflysill/net/httpclient.h
+++ b/include/dragonflysill/net/httpclient.h
@@ -41,6 +41,8 @@
 public:
     /** Receives the response, Unreachable if the request was not sent, or else OutcomeUnknown. */
     using Callback = std::function<void(Result<HttpResponse>)>;
+    /** Returns whether a call has not been withdrawn. */
+    using Wanted = std::function<bool()>;
 
     explicit HttpClient(EventLoop &loop, HttpClientLimits limits = {});
     ~HttpClient();
@@ -52,8 +54,11 @@
      * @param address "IP:PORT"
      * @param timeout time for the whole call, including the wait for other calls to the address and
      * the connection setup
+     * @param wanted asked before a call that had to wait for others or for its connection is sent;
+     * if it returns false, the call fails with Unreachable. Empty if the call is never withdrawn.
      */
-    void call(const std::string &address, HttpRequest request, Duration timeout, Callback callback);
+    void call(const std::string &address, HttpRequest request, Duration timeout, Callback callback,
+              Wanted wanted = {});
 
     [[nodiscard]] const HttpTraffic &traffic() const { return m_traffic; }
 
@@ -72,6 +77,7 @@
         TimePoint since{};
         TimePoint deadline{};
         Callback callback;
+        Wanted wanted;
     };
 
     /** Connections and calls of an address. */
@@ -83,12 +89,14 @@
     };
 
     void send(const std::string &address, Peer &peer, HttpRequest request, Duration timeout,
-              Callback callback);
+              Callback callback, Wanted wanted);
     void failLater(Callback callback, std::string detail);
     /** Closes the idle connections to an address. */
     void closeIdle(const std::string &address);
+    /** Sends calls that wait for others to an address to end. */
+    void sendWaiting(const std::string &address);
     /**
-     * Ends a call and starts the next one that waits for the address.
+     * Ends a call; the next one that waits for the address is sent later.
      * @param connection the connection of the call, if it can be reused
      */
     void callEnded(const std::string &address,
--- a/include/dragonflysill/node/workerorders.h
+++ b/include/dragonflysill/node/workerorders.h
@@ -84,6 +84,9 @@
     /** Extends the hold of a worker's runs and reads its report; the first answer counts. */
     void hold(DelegatedHold hold, ReportCallback callback);
 
+    /** Stops sending: what has not been written yet is withdrawn, and nothing is sent again. */
+    void withdraw() { m_withdrawn = true; }
+
     [[nodiscard]] const WorkerOrderCounts &counts() const { return m_counts; }
 
 private:
@@ -101,6 +104,9 @@
     /** Sends a copy of an order and decides when to send the next one. */
     void sendCopy(const std::shared_ptr<PendingOrder> &order);
     void sendCopy(const std::shared_ptr<PendingHold> &hold);
+    /** Sends another copy of an order that may have one. */
+    void repeat(const std::shared_ptr<PendingOrder> &order);
+    [[nodiscard]] bool mayRepeat(const PendingHold &hold) const;
     void orderAnswered(const std::shared_ptr<PendingOrder> &order, const OrderOutcome &outcome);
     void holdAnswered(const std::shared_ptr<PendingHold> &hold, const Result<WorkerReport> &report);
     /** Runs an action unless this object has been destroyed by then. */
@@ -115,6 +121,7 @@
     std::unique_ptr<platform::WorkerCalls> m_calls;
     std::multimap<TimePoint, std::function<void()>> m_due;
     bool m_timerRuns = false;
+    bool m_withdrawn = false;
     WorkerOrderCounts m_counts;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/jobs/orderattempts.cpp
+++ b/src/jobs/orderattempts.cpp
@@ -30,10 +30,23 @@
     const bool refused = m_refusal || m_notSent;
     if (m_outstanding > 0 || (m_unanswered && !refused && mayRepeat()))
         return std::nullopt;
+    return decide();
+}
+
+std::optional<OrderOutcome> OrderAttempts::stopRepeating()
+{
+    m_limit = m_sent;
+    if (m_decided || m_outstanding > 0)
+        return std::nullopt;
+    return decide();
+}
+
+OrderOutcome OrderAttempts::decide()
+{
     m_decided = true;
     if (m_unanswered)
         return m_reason;
-    return m_refusal ? m_refusal : m_notSent;
+    return m_refusal.value_or(m_notSent.value_or(StartRefusal::NotSent));
 }
 
 } // namespace dragonflysill
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -47,10 +47,11 @@
     }
 
     void connectAndSend(const Tcp::endpoint &endpoint, HttpRequest request, Duration timeout,
-                        HttpClient::Callback callback)
+                        HttpClient::Callback callback, HttpClient::Wanted wanted)
     {
         prepare(std::move(request), timeout, std::move(callback));
-        m_stream.async_connect(endpoint, [self = shared_from_this()](beast::error_code ec) {
+        m_stream.async_connect(endpoint, [self = shared_from_this(),
+                                          wanted = std::move(wanted)](beast::error_code ec) {
             if (ec) {
                 self->fail(ErrorKind::Unreachable, ec);
                 return;
@@ -61,6 +62,8 @@
             // A process that was paused meanwhile handles the connection before the timeout.
             if (EventLoop::now() >= self->m_deadline)
                 self->withholdRequest("not connected within the timeout");
+            else if (wanted && !wanted())
+                self->withholdRequest("withdrawn");
             else
                 self->write();
         });
@@ -241,19 +244,22 @@
 }
 
 void HttpClient::call(const std::string &address, HttpRequest request, Duration timeout,
-                      Callback callback)
+                      Callback callback, Wanted wanted)
 {
     auto &peer = m_peers[address];
-    if (m_limits.callsPerAddress != 0 && peer.callsInFlight >= m_limits.callsPerAddress) {
+    const bool full
+            = m_limits.callsPerAddress != 0 && peer.callsInFlight >= m_limits.callsPerAddress;
+    if (full || !peer.waiting.empty()) {
         const auto now = EventLoop::now();
-        peer.waiting.push_back({std::move(request), now, now + timeout, std::move(callback)});
+        peer.waiting.push_back(
+                {std::move(request), now, now + timeout, std::move(callback), std::move(wanted)});
         return;
     }
-    send(address, peer, std::move(request), timeout, std::move(callback));
+    send(address, peer, std::move(request), timeout, std::move(callback), std::move(wanted));
 }
 
 void HttpClient::send(const std::string &address, Peer &peer, HttpRequest request, Duration timeout,
-                      Callback callback)
+                      Callback callback, Wanted wanted)
 {
     const auto checkedSince = EventLoop::now() - internal::uncheckedIdleTime;
     while (!peer.idle.empty()) {
@@ -277,7 +283,8 @@
     ++peer.callsInFlight;
     auto connection = std::make_shared<internal::HttpConnection>(*this, m_alive, m_loop, address,
                                                                  m_limits.readBytes);
-    connection->connectAndSend(*endpoint, std::move(request), timeout, std::move(callback));
+    connection->connectAndSend(*endpoint, std::move(request), timeout, std::move(callback),
+                               std::move(wanted));
 }
 
 void HttpClient::failLater(Callback callback, std::string detail)
@@ -290,14 +297,26 @@
 void HttpClient::callEnded(const std::string &address,
                            std::shared_ptr<internal::HttpConnection> connection)
 {
-    const auto now = EventLoop::now();
     auto &peer = m_peers[address];
     --peer.callsInFlight;
     if (connection) {
-        peer.idle.push_back({std::move(connection), now});
+        peer.idle.push_back({std::move(connection), EventLoop::now()});
         if (!std::exchange(m_closingUnused, true))
             closeUnusedLater();
     }
+    if (peer.waiting.empty())
+        return;
+    // The callback of the call that ended may withdraw the next one.
+    m_loop.post([this, alive = m_alive, address] {
+        if (*alive)
+            sendWaiting(address);
+    });
+}
+
+void HttpClient::sendWaiting(const std::string &address)
+{
+    const auto now = EventLoop::now();
+    auto &peer = m_peers[address];
     while (!peer.waiting.empty() && peer.callsInFlight < m_limits.callsPerAddress) {
         auto next = std::move(peer.waiting.front());
         peer.waiting.pop_front();
@@ -306,7 +325,12 @@
             failLater(std::move(next.callback), address + ": earlier calls were not answered");
             continue;
         }
-        send(address, peer, std::move(next.request), next.deadline - now, std::move(next.callback));
+        if (next.wanted && !next.wanted()) {
+            failLater(std::move(next.callback), address + ": withdrawn");
+            continue;
+        }
+        send(address, peer, std::move(next.request), next.deadline - now, std::move(next.callback),
+             std::move(next.wanted));
     }
 }
 
--- a/src/node/workerdelegate.cpp
+++ b/src/node/workerdelegate.cpp
@@ -59,6 +59,8 @@
                              : Error(ErrorKind::Unreachable, "the request arrived late"));
         return;
     }
+    for (auto it = m_orders.begin(); it != m_orders.end() && it->first < request.fence; ++it)
+        it->second->withdraw();
     auto &orders = ordersOf(request.fence);
     std::visit([&](const auto &it) { carryOut(it, orders, respond); }, request.message);
 }
--- a/src/node/workerorders.cpp
+++ b/src/node/workerorders.cpp
@@ -30,20 +30,21 @@
 {
     platform::WorkerCalls &calls;
     const WorkerOrders::OrderCallback &callback;
+    const HttpClient::Wanted &wanted;
 
     void operator()(const DelegatedStart &it) const
     {
-        calls.start(it.address, it.order, it.timeout, callback);
+        calls.start(it.address, it.order, it.timeout, callback, wanted);
     }
 
     void operator()(const DelegatedStop &it) const
     {
-        calls.stop(it.address, it.order, it.timeout, callback);
+        calls.stop(it.address, it.order, it.timeout, callback, wanted);
     }
 
     void operator()(const DelegatedPace &it) const
     {
-        calls.pace(it.address, it.order, it.timeout, callback);
+        calls.pace(it.address, it.order, it.timeout, callback, wanted);
     }
 };
 
@@ -164,9 +165,8 @@
 {
     const auto channel = route(internal::targetOf(order->order), order->sent++);
     order->attempts.copySent();
+    const auto timeout = std::visit([](const auto &it) { return it.timeout; }, order->order);
     if (const auto *it = std::get_if<DelegateChannel>(&channel)) {
-        const auto timeout
-                = std::visit([](const auto &sent) { return sent.timeout; }, order->order);
         std::visit(
                 [&](const auto &sent) {
                     it->link->call(sent, timeout + internal::delegateMargin,
@@ -176,8 +176,7 @@
                                            return;
                                        if (!answer) {
                                            m_routing.failed(channel);
-                                           if (order->attempts.mayRepeat())
-                                               sendCopy(order);
+                                           repeat(order);
                                        }
                                        orderAnswered(order, internal::outcomeOf(answer));
                                    });
@@ -188,16 +187,30 @@
             if (*alive)
                 orderAnswered(order, outcome);
         };
-        std::visit(internal::DirectCall{*m_calls, callback}, order->order);
+        // Copies that wait when another one decides the order could reach a later incarnation.
+        const HttpClient::Wanted wanted = [this, alive = m_alive, order] {
+            return *alive && !m_withdrawn && !order->attempts.decided();
+        };
+        std::visit(internal::DirectCall{*m_calls, callback, wanted}, order->order);
     }
     if (!order->attempts.mayRepeat())
         return;
     after(repeatDelay(channel), [this, order, copy = order->sent] {
-        if (order->sent == copy && order->attempts.mayRepeat())
-            sendCopy(order);
+        if (order->sent == copy)
+            repeat(order);
     });
 }
 
+void WorkerOrders::repeat(const std::shared_ptr<PendingOrder> &order)
+{
+    if (!order->attempts.mayRepeat())
+        return;
+    if (!m_withdrawn)
+        sendCopy(order);
+    else if (const auto decided = order->attempts.stopRepeating())
+        std::exchange(order->callback, nullptr)(*decided);
+}
+
 void WorkerOrders::orderAnswered(const std::shared_ptr<PendingOrder> &order,
                                  const OrderOutcome &outcome)
 {
@@ -221,26 +234,33 @@
                                return;
                            if (!answer) {
                                m_routing.failed(channel);
-                               if (hold->callback && hold->sent < internal::maxHoldCopies)
+                               if (mayRepeat(*hold))
                                    sendCopy(hold);
                            }
                            holdAnswered(hold, internal::reportOf(answer));
                        });
     } else {
-        m_calls->hold(copy.worker.address, copy.worker.id, copy.request, copy.wait, copy.timeout,
-                      [this, alive = m_alive, hold](const Result<WorkerReport> &report) {
-                          if (*alive)
-                              holdAnswered(hold, report);
-                      });
+        m_calls->hold(
+                copy.worker.address, copy.worker.id, copy.request, copy.wait, copy.timeout,
+                [this, alive = m_alive, hold](const Result<WorkerReport> &report) {
+                    if (*alive)
+                        holdAnswered(hold, report);
+                },
+                [this, alive = m_alive, hold] { return *alive && !m_withdrawn && hold->callback; });
     }
     if (hold->sent >= internal::maxHoldCopies)
         return;
     after(wait + repeatDelay(channel), [this, hold, sent = hold->sent] {
-        if (hold->callback && hold->sent == sent)
+        if (hold->sent == sent && mayRepeat(*hold))
             sendCopy(hold);
     });
 }
 
+bool WorkerOrders::mayRepeat(const PendingHold &hold) const
+{
+    return !m_withdrawn && hold.callback && hold.sent < internal::maxHoldCopies;
+}
+
 void WorkerOrders::holdAnswered(const std::shared_ptr<PendingHold> &hold,
                                 const Result<WorkerReport> &report)
 {
--- a/tests/net/nettest.cpp
+++ b/tests/net/nettest.cpp
@@ -320,6 +320,45 @@
     BOOST_TEST(answer->error().is(ErrorKind::OutcomeUnknown));
 }
 
+// Guards against copies of an order that are sent although another copy has decided it.
+BOOST_AUTO_TEST_CASE(WithdrawnCallIsNotSentAndLeavesItsConnection)
+{
+    EchoServer echo;
+    HttpClient client(echo.loop);
+    std::optional<Result<HttpResponse>> withdrawn;
+    client.call(
+            echo.address, {"GET", "/", "", {}}, 5s, [&](const auto &it) { withdrawn = it; },
+            [] { return false; });
+    while (!withdrawn && echo.loop.context().run_one() > 0) {
+    }
+    BOOST_REQUIRE(withdrawn.has_value());
+    BOOST_REQUIRE(!withdrawn->ok());
+    BOOST_TEST(withdrawn->error().is(ErrorKind::Unreachable));
+    BOOST_TEST(echo.handled == 0);
+    BOOST_TEST(echo.call(client, {"GET", "/", "", {}}, echo.address)->ok());
+    BOOST_TEST(client.traffic().connectionsOpened == 1U);
+}
+
+// Guards against the same for a copy that waits until the other one is answered.
+BOOST_AUTO_TEST_CASE(CallThatTheAnswerBeforeItWithdrawsIsNotSent)
+{
+    EchoServer echo;
+    HttpClient client(echo.loop, {1});
+    bool decided = false;
+    client.call(echo.address, {"GET", "/", "", {}}, 5s, [&](const auto &) { decided = true; });
+    std::optional<Result<HttpResponse>> second;
+    client.call(
+            echo.address, {"GET", "/", "", {}}, 5s, [&](const auto &it) { second = it; },
+            [&] { return !decided; });
+    while (!second && echo.loop.context().run_one() > 0) {
+    }
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(decided);
+    BOOST_REQUIRE(!second->ok());
+    BOOST_TEST(second->error().is(ErrorKind::Unreachable));
+    BOOST_TEST(echo.handled == 1);
+}
+
 // Guards against a process that is paused while it connects, and sends an order when it goes on,
 // long after the order's timeout.
 BOOST_AUTO_TEST_CASE(RequestIsNotSentIfTheProcessWasPausedWhileConnecting)
--- a/tests/node/workerdelegatetest.cpp
+++ b/tests/node/workerdelegatetest.cpp
@@ -37,8 +37,14 @@
     EventLoop loop;
     std::string workerAddress = freeAddress();
     std::map<std::string, int> calls; ///< Of the worker, by path.
+    bool workerAnswers = true;
+    std::vector<HttpServer::Respond> unanswered;
     HttpServer worker{loop, [this](const HttpRequest &request, const HttpServer::Respond &respond) {
                           ++calls[request.target];
+                          if (!workerAnswers) {
+                              unanswered.push_back(respond);
+                              return;
+                          }
                           respond({200,
                                    R"({"clockMs":7,"born":3,)"
                                    R"("running":[["0123456789abcdef.0.0.1",4,"",41]],)"
@@ -217,6 +223,38 @@
     BOOST_TEST(calls["/v1/run-start"] == 1);
 }
 
+// Guards against a start of an earlier owner that reaches the next incarnation of a worker, which
+// knows neither fence, after the present owner has started the task elsewhere.
+BOOST_AUTO_TEST_CASE(CopiesForAnEarlierOwnerAreNotSent)
+{
+    workerAnswers = false;
+    std::optional<PeerAnswer> earlier;
+    auto request = startRequest();
+    request.timeout = 500ms;
+    delegate.handle({request, fence, 0ms}, [&](PeerAnswer it) { earlier = std::move(it); });
+    runUntil([this] { return !unanswered.empty(); });
+    workerAnswers = true;
+    const DelegatedStop stop{{"w", {"0123456789abcdef", 0, 0, 0}, 1}, workerAddress, 10s};
+    BOOST_TEST(std::holds_alternative<OrderConfirmed>(receive(stop, fence + 1, 0ms)));
+    runUntil([&] { return earlier.has_value(); });
+    BOOST_REQUIRE(std::holds_alternative<Error>(*earlier));
+    BOOST_TEST(std::get<Error>(*earlier).is(ErrorKind::OutcomeUnknown));
+    BOOST_TEST(calls["/v1/run-start"] == 1);
+}
+
+// Guards against the same for an order that has not been written when the next owner calls.
+BOOST_AUTO_TEST_CASE(OrderOfAnEarlierOwnerThatWaitsIsNotSent)
+{
+    std::optional<PeerAnswer> earlier;
+    delegate.handle({startRequest(), fence, 0ms}, [&](PeerAnswer it) { earlier = std::move(it); });
+    const DelegatedStop stop{{"w", {"0123456789abcdef", 0, 0, 0}, 1}, workerAddress, 10s};
+    BOOST_TEST(std::holds_alternative<OrderConfirmed>(receive(stop, fence + 1, 0ms)));
+    runUntil([&] { return earlier.has_value(); });
+    BOOST_REQUIRE(std::holds_alternative<StartRefusal>(*earlier));
+    BOOST_TEST((std::get<StartRefusal>(*earlier) == StartRefusal::NotSent));
+    BOOST_TEST(calls["/v1/run-start"] == 0);
+}
+
 BOOST_AUTO_TEST_CASE(RequestThatIsNoCallToAWorkerIsRefused)
 {
     BOOST_TEST(std::holds_alternative<Error>(receive(StatusQuery{"j", 0ms}, fence, 0ms)));
--- a/tests/node/workerorderstest.cpp
+++ b/tests/node/workerorderstest.cpp
@@ -37,6 +37,8 @@
     HttpClient client{loop};
     LoadGovernor governor;
     WorkerOrders orders{loop, client, client, governor, 1};
+    HttpClient narrowClient{loop, {1}}; ///< Copies wait for the answer to the one before.
+    WorkerOrders narrowOrders{loop, narrowClient, narrowClient, governor, 1};
 
     SilentWorkerFixture() { BOOST_REQUIRE(worker.listen(address).ok()); }
 
@@ -117,6 +119,26 @@
     BOOST_TEST(orders.counts().repeated == 1U);
 }
 
+// Guards against a start that is carried out by the next incarnation of a worker: copies that
+// waited in the process were sent after another one had been answered.
+BOOST_AUTO_TEST_CASE(CopiesThatWaitWhenTheOrderIsDecidedAreNotSent)
+{
+    std::optional<OrderOutcome> result;
+    narrowOrders.start(address, {"w", {"j", 0, 0, 0}, 1, "p", {}, {}, 100}, 10s,
+                       [&](const OrderOutcome &it) { result = it; });
+    while (narrowOrders.counts().repeated < 2 && loop.context().run_one() > 0) {
+    }
+    BOOST_REQUIRE(unanswered.size() == 1U);
+    silentCalls = 0;
+    unanswered[0]({200, body, {}});
+    BOOST_TEST(std::holds_alternative<OrderConfirmed>(await(result)));
+    std::optional<OrderOutcome> next;
+    narrowOrders.stop(address, {"w", {"j", 0, 0, 1}, 1}, 10s,
+                      [&](const OrderOutcome &it) { next = it; });
+    BOOST_TEST(std::holds_alternative<OrderConfirmed>(await(next)));
+    BOOST_TEST(calls["/v1/run-start"] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(StopIsSentAgain)
 {
     std::optional<OrderOutcome> result;
