Send no copy of an order after the timeout of its first copy

A process that was paused handled the timer of the next copy before the timeout of the first one, and sent the order again however late. The order now counts as decided by the copies that were sent.

--- a/src/node/workerorders.cpp
+++ b/src/node/workerorders.cpp
@@ -93,6 +93,7 @@
     OrderCallback callback;
     OrderAttempts attempts;
     int sent = 0;
+    TimePoint sendUntil{}; ///< Copies that are due later, after a pause, are not sent.
 };
 
 /** A hold and its copies. */
@@ -166,7 +167,11 @@
     const auto channel = route(internal::targetOf(order->order), order->sent++);
     order->attempts.copySent();
     const auto timeout = std::visit([](const auto &it) { return it.timeout; }, order->order);
+    if (order->sent == 1)
+        order->sendUntil = EventLoop::now() + timeout;
     if (const auto *it = std::get_if<DelegateChannel>(&channel)) {
+        if (order->sent == 1)
+            order->sendUntil += internal::delegateMargin;
         std::visit(
                 [&](const auto &sent) {
                     it->link->call(sent, timeout + internal::delegateMargin,
@@ -205,7 +210,7 @@
 {
     if (!order->attempts.mayRepeat())
         return;
-    if (!m_withdrawn)
+    if (!m_withdrawn && EventLoop::now() < order->sendUntil)
         sendCopy(order);
     else if (const auto decided = order->attempts.stopRepeating())
         std::exchange(order->callback, nullptr)(*decided);
--- a/tests/node/workerorderstest.cpp
+++ b/tests/node/workerorderstest.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -139,6 +140,20 @@
     BOOST_TEST(calls["/v1/run-start"] == 1);
 }
 
+// Guards against a process that was paused and goes on to send an order that its caller books as
+// unanswered.
+BOOST_AUTO_TEST_CASE(CopiesAreNotSentAfterTheTimeoutOfTheFirst)
+{
+    std::optional<OrderOutcome> result;
+    orders.start(address, {"w", {"j", 0, 0, 0}, 1, "p", {}, {}, 100}, 300ms,
+                 [&](const OrderOutcome &it) { result = it; });
+    while (calls.empty() && loop.context().run_one() > 0) {
+    }
+    std::this_thread::sleep_for(400ms);
+    BOOST_TEST(std::holds_alternative<OrderUnanswered>(await(result)));
+    BOOST_TEST(calls["/v1/run-start"] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(StopIsSentAgain)
 {
     std::optional<OrderOutcome> result;
