Send no request to a peer after a pause of the process

A link stamps a frame when it is sent, so that a delegate takes a request that waited in the owner's process for a new one: after a pause the flush ran before the check for timeouts and sent it. A call that has waited for 500 ms, or until its deadline, is now not sent. No change of the wire format.

--- a/include/dragonflysill/peers/peerlink.h
+++ b/include/dragonflysill/peers/peerlink.h
@@ -73,6 +73,7 @@
     struct Call
     {
         TimePoint deadline{};
+        TimePoint sendUntil{};
         bool sent = false;
         Callback callback;
     };
--- a/src/peers/peerlink.cpp
+++ b/src/peers/peerlink.cpp
@@ -18,6 +18,11 @@
 constexpr Duration pingInterval = 300ms;
 /** Time without any frame from a peer that should answer after which the connection is dead. */
 constexpr Duration silenceTimeout = 800ms;
+/**
+ * Maximum time from a call to its frame. A call that waits longer, because this process was paused,
+ * is not sent: the peer cannot know how late it is and would carry it out like a new one.
+ */
+constexpr Duration maxFrameWait = 500ms;
 /** Maximum number of requests that wait for a connection. */
 constexpr std::size_t maxWaitingRequests = 10000;
 /** Delay after a failure before the next attempt to connect. */
@@ -61,7 +66,9 @@
     if (++m_lastCall == noCall)
         ++m_lastCall;
     const auto number = m_lastCall;
-    m_calls[number] = {EventLoop::now() + timeout, false, std::move(callback)};
+    const auto now = EventLoop::now();
+    m_calls[number] = {now + timeout, now + std::min(timeout, internal::maxFrameWait), false,
+                       std::move(callback)};
     m_batch.requests.push_back({number, std::move(request)});
     if (m_state == State::Open)
         flushLater();
@@ -95,15 +102,23 @@
 {
     if (m_state != State::Open || m_batch.empty())
         return;
-    // Calls that have timed out meanwhile are not sent.
-    std::erase_if(m_batch.requests, [this](const auto &it) {
-        return it.call != noCall && !m_calls.contains(it.call);
+    const auto now = EventLoop::now();
+    std::erase_if(m_batch.requests, [this, now](const auto &it) {
+        if (it.call == noCall)
+            return false;
+        const auto call = m_calls.find(it.call);
+        if (call == m_calls.end())
+            return true;
+        if (now < call->second.sendUntil) {
+            call->second.sent = true;
+            return false;
+        }
+        fail(call->second, ErrorKind::Unreachable, "not sent in time");
+        m_calls.erase(call);
+        return true;
     });
-    for (const auto &it : m_batch.requests) {
-        if (it.call != noCall)
-            m_calls[it.call].sent = true;
-    }
-    sendBatch(std::exchange(m_batch, {}));
+    if (!m_batch.empty())
+        sendBatch(std::exchange(m_batch, {}));
 }
 
 void PeerLink::sendBatch(const PeerBatch &batch)
@@ -129,6 +144,12 @@
         return;
     }
     if (m_state == State::Opening) {
+        // A process that was paused reads an answer before it handles the timeout. The peer
+        // measures the delay of further frames by the first one, which has to be on time.
+        if (EventLoop::now() - m_openedAt >= internal::openTimeout) {
+            close("late answer to the first frame");
+            return;
+        }
         m_state = State::Open;
         flush();
     }
--- a/tests/peers/peerlinktest.cpp
+++ b/tests/peers/peerlinktest.cpp
@@ -1,4 +1,5 @@
 #include "dragonflysill/peers/peerlink.h"
+#include "dragonflysill/base/frame.h"
 #include "dragonflysill/peers/framedelay.h"
 #include "dragonflysill/peers/peerserver.h"
 
@@ -8,6 +9,7 @@
 
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace dragonflysill;
@@ -178,6 +180,44 @@
     BOOST_TEST(server->connections() == 1U);
 }
 
+// Guards against an order that a process gives to a delegate after a pause, seconds after the
+// order's caller has given it up.
+BOOST_AUTO_TEST_CASE(CallThatWaitedWhileTheProcessWasPausedIsNotSent)
+{
+    link.connect();
+    runUntil([this] { return link.usable(); });
+    ask("a", 1h);
+    std::this_thread::sleep_for(600ms);
+    runUntil([this] { return !answers.empty(); });
+    BOOST_REQUIRE(!answers[0].ok());
+    BOOST_TEST(answers[0].error().is(ErrorKind::Unreachable));
+    BOOST_TEST(requests.empty());
+    ask("b");
+    runUntil([this] { return answers.size() == 2; });
+    BOOST_TEST(answers[1].ok());
+}
+
+// Guards against a delegate that takes late orders for punctual ones: it measures the delay of
+// frames by the first one of their connection, which it read late.
+BOOST_AUTO_TEST_CASE(ConnectionWithALateFirstAnswerIsNotUsed)
+{
+    server.reset();
+    Tcp::acceptor acceptor(loop.context());
+    acceptor.open(Tcp::v4());
+    acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"),
+                   static_cast<std::uint16_t>(std::stoi(address.substr(10)))});
+    acceptor.listen();
+    link.connect();
+    loop.context().poll();
+    auto peer = acceptor.accept();
+    std::this_thread::sleep_for(600ms);
+    PeerEncoder encoder;
+    boost::asio::write(peer, boost::asio::buffer(*encodeFrame(encoder.encode({}))));
+    runUntil([this] { return link.usable() || link.closed(); });
+    BOOST_TEST(link.closed());
+}
+
 BOOST_AUTO_TEST_CASE(AnswerAfterTheSessionHasEndedIsDropped)
 {
     answering = false;
