Send no copy of an order after the lease of its owner

Only the first copy of an order depended on the lease; copies that were due or waited when it lapsed went out beside the orders of the next owner. They now ask for the lease too. Holds are left as they are: a former owner may extend them for a while.

--- a/include/dragonflysill/node/workerorders.h
+++ b/include/dragonflysill/node/workerorders.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 
 namespace dragonflysill {
@@ -84,6 +85,12 @@
     /** Extends the hold of a worker's runs and reads its report; the first answer counts. */
     void hold(DelegatedHold hold, ReportCallback callback);
 
+    /** Sets a function that returns whether the owner may give orders; asked for each copy. */
+    void setMayGiveOrders(std::function<bool()> mayGiveOrders)
+    {
+        m_mayGiveOrders = std::move(mayGiveOrders);
+    }
+
     /** Stops sending: what has not been written yet is withdrawn, and nothing is sent again. */
     void withdraw() { m_withdrawn = true; }
 
@@ -107,6 +114,8 @@
     /** Sends another copy of an order that may have one. */
     void repeat(const std::shared_ptr<PendingOrder> &order);
     [[nodiscard]] bool mayRepeat(const PendingHold &hold) const;
+    /** Returns whether copies of orders may still be sent. */
+    [[nodiscard]] bool mayGiveOrders() const;
     void orderAnswered(const std::shared_ptr<PendingOrder> &order, const OrderOutcome &outcome);
     void holdAnswered(const std::shared_ptr<PendingHold> &hold, const Result<WorkerReport> &report);
     /** Runs an action unless this object has been destroyed by then. */
@@ -118,6 +127,7 @@
     EventLoop &m_loop;
     const LoadGovernor &m_governor;
     Routing m_routing;
+    std::function<bool()> m_mayGiveOrders;
     std::unique_ptr<platform::WorkerCalls> m_calls;
     std::multimap<TimePoint, std::function<void()>> m_due;
     bool m_timerRuns = false;
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -62,6 +62,7 @@
     , m_mayGiveOrders(std::move(mayGiveOrders))
     , m_onChange(std::move(onChange))
 {
+    m_orders.setMayGiveOrders(m_mayGiveOrders);
 }
 
 WorkerController::~WorkerController()
--- a/src/node/workerorders.cpp
+++ b/src/node/workerorders.cpp
@@ -194,7 +194,7 @@
         };
         // Copies that wait when another one decides the order could reach a later incarnation.
         const HttpClient::Wanted wanted = [this, alive = m_alive, order] {
-            return *alive && !m_withdrawn && !order->attempts.decided();
+            return *alive && mayGiveOrders() && !order->attempts.decided();
         };
         std::visit(internal::DirectCall{*m_calls, callback, wanted}, order->order);
     }
@@ -210,7 +210,7 @@
 {
     if (!order->attempts.mayRepeat())
         return;
-    if (!m_withdrawn && EventLoop::now() < order->sendUntil)
+    if (mayGiveOrders() && EventLoop::now() < order->sendUntil)
         sendCopy(order);
     else if (const auto decided = order->attempts.stopRepeating())
         std::exchange(order->callback, nullptr)(*decided);
@@ -261,6 +261,11 @@
     });
 }
 
+bool WorkerOrders::mayGiveOrders() const
+{
+    return !m_withdrawn && (!m_mayGiveOrders || m_mayGiveOrders());
+}
+
 bool WorkerOrders::mayRepeat(const PendingHold &hold) const
 {
     return !m_withdrawn && hold.callback && hold.sent < internal::maxHoldCopies;
--- a/tests/node/workerorderstest.cpp
+++ b/tests/node/workerorderstest.cpp
@@ -154,6 +154,22 @@
     BOOST_TEST(calls["/v1/run-start"] == 1);
 }
 
+// Guards against orders of an owner that has lost its lease beside those of the next one: only the
+// first copy depended on the lease.
+BOOST_AUTO_TEST_CASE(CopiesAreNotSentAfterTheLeaseOfTheirOwner)
+{
+    bool leased = true;
+    orders.setMayGiveOrders([&] { return leased; });
+    std::optional<OrderOutcome> result;
+    orders.start(address, {"w", {"j", 0, 0, 0}, 1, "p", {}, {}, 100}, 500ms,
+                 [&](const OrderOutcome &it) { result = it; });
+    while (calls.empty() && loop.context().run_one() > 0) {
+    }
+    leased = false;
+    BOOST_TEST(std::holds_alternative<OrderUnanswered>(await(result)));
+    BOOST_TEST(calls["/v1/run-start"] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(StopIsSentAgain)
 {
     std::optional<OrderOutcome> result;
