--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <optional>
@@ -27,6 +28,8 @@
 constexpr std::chrono::milliseconds uncheckedIdleTime{100};
 /** Maximum interval between two searches for connections that have been idle for too long. */
 constexpr std::chrono::milliseconds maxUnusedCheckInterval{1000};
+/** Timeouts are rounded up to it for the kernel, so that the option of a socket rarely changes. */
+constexpr std::chrono::milliseconds kernelTimeoutStep{250};
 
 /** One connection with at most one call in flight. */
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
@@ -44,17 +47,25 @@
     }
 
     void connectAndSend(const Tcp::endpoint &endpoint, HttpRequest request, Duration timeout,
-                        HttpClient::Callback callback)
+                        HttpClient::Callback callback, HttpClient::Wanted wanted)
     {
         prepare(std::move(request), timeout, std::move(callback));
-        m_stream.async_connect(endpoint, [self = shared_from_this()](beast::error_code ec) {
+        m_stream.async_connect(endpoint, [self = shared_from_this(),
+                                          wanted = std::move(wanted)](beast::error_code ec) {
             if (ec) {
                 self->fail(ErrorKind::Unreachable, ec);
                 return;
             }
             beast::error_code ignored;
             self->m_stream.socket().set_option(Tcp::no_delay(true), ignored);
-            self->write();
+            self->setResetOnClose(true);
+            // A process that was paused meanwhile handles the connection before the timeout.
+            if (EventLoop::now() >= self->m_deadline)
+                self->withholdRequest("not connected within the timeout");
+            else if (wanted && !wanted())
+                self->withholdRequest("withdrawn");
+            else
+                self->write();
         });
     }
 
@@ -64,8 +75,10 @@
         write();
     }
 
+    /** Closes the connection, which no call uses. */
     void close()
     {
+        setResetOnClose(false);
         beast::error_code ignored;
         m_stream.socket().close(ignored);
     }
@@ -97,11 +110,37 @@
         m_request.prepare_payload();
         m_parser.emplace();
         m_parser->body_limit(maxResponseBytes);
+        m_timeout = timeout;
+        m_deadline = m_calledAt + timeout;
         m_stream.expires_after(timeout);
     }
 
+    /**
+     * Sets whether closing the socket discards the bytes that the peer has not received. The kernel
+     * would go on sending a request that was given up, and deliver it when a partition heals. The
+     * stream closes the socket itself on a timeout, and the kernel that of a killed process.
+     */
+    void setResetOnClose(bool reset)
+    {
+        beast::error_code ignored;
+        m_stream.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+    }
+
+    /** Makes the kernel discard the request after the timeout, also while the process is paused. */
+    void setKernelTimeout()
+    {
+        const auto steps = (m_timeout + kernelTimeoutStep - Duration{1}) / kernelTimeoutStep;
+        const auto timeout = std::max<std::int64_t>(steps, 1) * kernelTimeoutStep;
+        if (timeout == std::exchange(m_kernelTimeout, timeout))
+            return;
+        const auto limit = static_cast<unsigned int>(timeout.count());
+        ::setsockopt(m_stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+                     sizeof(limit));
+    }
+
     void write()
     {
+        setKernelTimeout();
         http::async_write(m_stream, m_request,
                           [self = shared_from_this()](beast::error_code ec, std::size_t n) {
                               self->written(n);
@@ -151,9 +190,22 @@
         callback(std::move(response));
     }
 
+    /** Ends the call without sending its request; the connection can be used by others. */
+    void withholdRequest(const std::string &reason)
+    {
+        m_stream.expires_never();
+        auto callback = std::move(m_callback);
+        if (*m_alive)
+            m_client.callEnded(m_address, shared_from_this());
+        else
+            close();
+        callback(Error(ErrorKind::Unreachable, m_address + ": " + reason));
+    }
+
     void fail(ErrorKind kind, const beast::error_code &ec)
     {
-        close();
+        beast::error_code ignored;
+        m_stream.socket().close(ignored);
         if (*m_alive) {
             m_client.m_traffic.timeouts += static_cast<std::uint64_t>(ec == beast::error::timeout);
             // The peer may have ended without closing the other connections either.
@@ -173,6 +225,9 @@
     beast::flat_buffer m_buffer;
     HttpClient::Callback m_callback;
     TimePoint m_calledAt{};
+    TimePoint m_deadline{};
+    Duration m_timeout{0};
+    std::chrono::milliseconds m_kernelTimeout{0};
 };
 
 } // namespace internal
@@ -189,19 +244,22 @@
 }
 
 void HttpClient::call(const std::string &address, HttpRequest request, Duration timeout,
-                      Callback callback)
+                      Callback callback, Wanted wanted)
 {
     auto &peer = m_peers[address];
-    if (m_limits.callsPerAddress != 0 && peer.callsInFlight >= m_limits.callsPerAddress) {
+    const bool full
+            = m_limits.callsPerAddress != 0 && peer.callsInFlight >= m_limits.callsPerAddress;
+    if (full || !peer.waiting.empty()) {
         const auto now = EventLoop::now();
-        peer.waiting.push_back({std::move(request), now, now + timeout, std::move(callback)});
+        peer.waiting.push_back(
+                {std::move(request), now, now + timeout, std::move(callback), std::move(wanted)});
         return;
     }
-    send(address, peer, std::move(request), timeout, std::move(callback));
+    send(address, peer, std::move(request), timeout, std::move(callback), std::move(wanted));
 }
 
 void HttpClient::send(const std::string &address, Peer &peer, HttpRequest request, Duration timeout,
-                      Callback callback)
+                      Callback callback, Wanted wanted)
 {
     const auto checkedSince = EventLoop::now() - internal::uncheckedIdleTime;
     while (!peer.idle.empty()) {
@@ -225,7 +283,8 @@
     ++peer.callsInFlight;
     auto connection = std::make_shared<internal::HttpConnection>(*this, m_alive, m_loop, address,
                                                                  m_limits.readBytes);
-    connection->connectAndSend(*endpoint, std::move(request), timeout, std::move(callback));
+    connection->connectAndSend(*endpoint, std::move(request), timeout, std::move(callback),
+                               std::move(wanted));
 }
 
 void HttpClient::failLater(Callback callback, std::string detail)
@@ -238,14 +297,26 @@
 void HttpClient::callEnded(const std::string &address,
                            std::shared_ptr<internal::HttpConnection> connection)
 {
-    const auto now = EventLoop::now();
     auto &peer = m_peers[address];
     --peer.callsInFlight;
     if (connection) {
-        peer.idle.push_back({std::move(connection), now});
+        peer.idle.push_back({std::move(connection), EventLoop::now()});
         if (!std::exchange(m_closingUnused, true))
             closeUnusedLater();
     }
+    if (peer.waiting.empty())
+        return;
+    // The callback of the call that ended may withdraw the next one.
+    m_loop.post([this, alive = m_alive, address] {
+        if (*alive)
+            sendWaiting(address);
+    });
+}
+
+void HttpClient::sendWaiting(const std::string &address)
+{
+    const auto now = EventLoop::now();
+    auto &peer = m_peers[address];
     while (!peer.waiting.empty() && peer.callsInFlight < m_limits.callsPerAddress) {
         auto next = std::move(peer.waiting.front());
         peer.waiting.pop_front();
@@ -254,7 +325,12 @@
             failLater(std::move(next.callback), address + ": earlier calls were not answered");
             continue;
         }
-        send(address, peer, std::move(next.request), next.deadline - now, std::move(next.callback));
+        if (next.wanted && !next.wanted()) {
+            failLater(std::move(next.callback), address + ": withdrawn");
+            continue;
+        }
+        send(address, peer, std::move(next.request), next.deadline - now, std::move(next.callback),
+             std::move(next.wanted));
     }
 }
 
