Acknowledge no ends in copies of a hold

The numbers of ends restart with each incarnation of a worker. A copy of a hold, sent 80 ms and more after the first, carried the same acknowledgement; reaching the next incarnation late, it made that forget ends with low numbers which no owner had seen, and the tasks would run again.

Evidence: WorkersThatDoNotAnswer/CopiesOfAHoldAcknowledgeNoEnds failed (the second call had 5).

--- a/src/node/workerorders.cpp
+++ b/src/node/workerorders.cpp
@@ -226,8 +226,11 @@
 void WorkerOrders::sendCopy(const std::shared_ptr<PendingHold> &hold)
 {
     auto copy = hold->hold;
-    if (hold->sent > 0)
+    if (hold->sent > 0) {
         copy.wait = Milliseconds(0);
+        // The numbers of ends restart with each incarnation, and a copy may reach the next one.
+        copy.request.acknowledgedEnds = 0;
+    }
     const auto channel = route(copy.worker, hold->sent++);
     ++hold->outstanding;
     const auto wait = copy.wait;
--- a/tests/node/workerorderstest.cpp
+++ b/tests/node/workerorderstest.cpp
@@ -192,6 +192,31 @@
     BOOST_TEST(calls["/v1/hold"] == 2);
 }
 
+// Guards against a completed task that runs again: the numbers of ends restart with each
+// incarnation, and one that a late copy of a hold reaches would forget an end that no owner has
+// seen.
+BOOST_AUTO_TEST_CASE(CopiesOfAHoldAcknowledgeNoEnds)
+{
+    std::vector<std::string> bodies;
+    HttpServer server{loop, [&](const HttpRequest &request, HttpServer::Respond respond) {
+                          bodies.push_back(request.body);
+                          if (bodies.size() == 1)
+                              unanswered.push_back(std::move(respond));
+                          else
+                              respond({200, body, {}});
+                      }};
+    address = freeAddress();
+    BOOST_REQUIRE(server.listen(address).ok());
+    DelegatedHold hold{{"w", address}, {}, 50ms, 10s, true};
+    hold.request.acknowledgedEnds = 5;
+    std::optional<Result<WorkerReport>> result;
+    orders.hold(hold, [&](const Result<WorkerReport> &it) { result = it; });
+    BOOST_REQUIRE(await(result).ok());
+    BOOST_REQUIRE(bodies.size() == 2U);
+    BOOST_TEST(bodies[0].find(R"("ackedUpto":5)") != std::string::npos);
+    BOOST_TEST(bodies[1].find(R"("ackedUpto":0)") != std::string::npos);
+}
+
 // A copy that arrives after a newer pace would undo it.
 BOOST_AUTO_TEST_CASE(PaceIsNotSentAgain)
 {
