Acknowledge ends only after a report that was read in time

An acknowledgement is only sent after a report with ends, so that it reaches the incarnation that has them. An owner whose loop stood still reads a report seconds after it was sent; the worker has restarted since, and the acknowledgement makes its next incarnation forget ends of the same numbers, which nobody has seen. The task runs again.

A report counts for it only within 1 s of its request; after a later one, the next hold lists the ends again.

--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -101,7 +101,7 @@
     Resources reserved; ///< Sum over the runs.
     int persistentRuns = 0;
     std::int64_t lastProcessedEnd = 0; ///< Number of the last end that was processed.
-    bool lastReportListedEnds = false; ///< The last report contained ends.
+    bool lastReportListedEnds = false; ///< The last report contained ends and was recent.
     std::int64_t lastSavedEnd = 0; ///< Ends up to this number are saved and may be acknowledged.
     std::deque<PendingEnd> pendingEnds;
     WorkerHealth health;
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -22,6 +22,8 @@
 constexpr Duration maxCallTime = 2s;
 /** Maximum time to the answer of an order of which no second copy has been sent. */
 constexpr Duration singleCopyTime = 80ms;
+/** Maximum age of a report, from its request, after which its incarnation may have ended. */
+constexpr Duration maxReportAge = 1s;
 /** Maximum time from the start of an incarnation until its owner has heard of it. */
 constexpr Duration maxFirstContactTime = 6s;
 /** Time after which a stop whose outcome is not known, or an unconfirmed pace, is sent again. */
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -76,7 +76,7 @@
         return;
     }
     it->lastContact = now;
-    it->lastReportListedEnds = !report.ended.empty();
+    it->lastReportListedEnds = !report.ended.empty() && now - sentAt <= internal::maxReportAge;
     if (!it->reachable || !it->fenced)
         m_changedPools.insert(it->description.pool);
     it->reachable = true;
--- a/tests/jobs/holdtest.cpp
+++ b/tests/jobs/holdtest.cpp
@@ -98,4 +98,23 @@
     BOOST_TEST(*request.holdUntil <= SchedulerSettings().hold.count());
 }
 
+// Guards against a completed task that runs again: an owner that stood still reads a report late, and
+// its acknowledgement makes the next incarnation forget an end that no owner has seen (TWICE).
+BOOST_AUTO_TEST_CASE(EndsOfAReportThatWasReadLateAreNotAcknowledged)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    worker.end(task, RunEnd::Done);
+    const auto sentAt = harness.now;
+    const auto report = worker.report(sentAt);
+    harness.advanceTime(2s);
+    harness.scheduler.holdAnswered("w1", report, sentAt, harness.now);
+    harness.saveAll();
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 0);
+    harness.reportFrom("w1");
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
