--- a/tests/jobs/holdtest.cpp
+++ b/tests/jobs/holdtest.cpp
@@ -98,8 +98,8 @@
     BOOST_TEST(*request.holdUntil <= SchedulerSettings().hold.count());
 }
 
-// Guards against a completed task that runs again: an owner that stood still reads a report late, and
-// its acknowledgement makes the next incarnation forget an end that no owner has seen (TWICE).
+// Guards against a completed task that runs again: an owner that stood still reads a report late,
+// and its acknowledgement makes the next incarnation forget an end that no owner has seen (TWICE).
 BOOST_AUTO_TEST_CASE(EndsOfAReportThatWasReadLateAreNotAcknowledged)
 {
     SchedulerHarness harness;
