Make the workers of the stand-in as strict as the protocol

The stand-in refused a start while another run of the task was at work on the worker, carried out stops at once, took each hold as it came, had exact clocks and gave each restarted worker a new id at once.

Workers that crash again every 1.3 s for 5 s are a new fault of the series. The checks keep the set of runs of each task.

--- a/programs/fleet-standin/faultseries.cpp
+++ b/programs/fleet-standin/faultseries.cpp
@@ -12,6 +12,7 @@
 constexpr Duration maxPause = 900ms;
 constexpr Duration minFault = 200ms;
 constexpr Duration maxFault = 2500ms;
+constexpr Duration flapLength = 5s;
 constexpr Duration minDelay = 20ms;
 constexpr Duration maxDelay = 250ms;
 /** Bandwidth of a limited link; a day of the soak needs about ten times as much at the owner. */
@@ -24,7 +25,7 @@
 /** Numbers of kinds of faults and changes. */
 constexpr std::size_t storeFaults = 4;
 constexpr std::size_t linkFaults = 6;
-constexpr std::size_t fleetFaults = 4;
+constexpr std::size_t fleetFaults = 5;
 constexpr std::size_t workFaults = 2;
 
 std::string lasting(std::string_view fault, Duration length)
@@ -149,6 +150,11 @@
         m_fleet.renewConfiguration();
         m_log.note("change", "configuration changed");
         break;
+    case 2:
+        m_fleet.flapWorkers(internal::flapLength);
+        m_log.note("fault", internal::lasting("some backend servers crash repeatedly",
+                                              internal::flapLength));
+        break;
     default:
         m_fleet.crashWorker();
         m_log.note("fault", "backend server crashed");
--- a/programs/fleet-standin/faultseries.h
+++ b/programs/fleet-standin/faultseries.h
@@ -13,9 +13,9 @@
 
 /**
  * A seeded series of faults of the simulated platform: its store is away, slow, loses answers or
- * drops its history, links are slow, cut, reset or silent, backend servers crash, tasks crash
- * them, their capacity shrinks and grows again, instances come and go, and the configuration
- * changes. Faults overlap.
+ * drops its history, links are slow, cut, reset or silent, backend servers crash once or
+ * repeatedly, tasks crash them, their capacity shrinks and grows again, instances come and go, and
+ * the configuration changes. Faults overlap.
  */
 class FaultSeries
 {
--- a/tests/fleet-standin/faultseriestest.cpp
+++ b/tests/fleet-standin/faultseriestest.cpp
@@ -85,6 +85,11 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(SeriesPlaysWorkersThatCrashRepeatedly)
+{
+    BOOST_TEST(count(cause(1, 100), "some backend servers crash repeatedly for 5000 ms") > 0);
+}
+
 BOOST_AUTO_TEST_CASE(SomeJobsOfTheFaultHaveATaskThatCrashesItsWorkers)
 {
     FaultSeries series(loop, fleet, links, log, 1);
--- a/tests/platform-standin-fleet/fleetstandintest.cpp
+++ b/tests/platform-standin-fleet/fleetstandintest.cpp
@@ -30,18 +30,24 @@
 {
     static constexpr int workers = 7;
 
-    EventLoop loop;
-    FleetShape shape = makeShape();
-    FleetStandin fleet{loop, shape};
-    HttpClient client{loop};
-    std::string evidence;
-
     FleetFixture()
+        : FleetFixture(makeShape())
+    {
+    }
+
+    explicit FleetFixture(const FleetShape &fleetShape)
+        : shape(fleetShape)
     {
         fleet.setPromiseHandler([this](const std::string &text) { evidence = text; });
         BOOST_REQUIRE(fleet.start().ok());
     }
 
+    EventLoop loop;
+    FleetShape shape;
+    FleetStandin fleet{loop, shape};
+    HttpClient client{loop};
+    std::string evidence;
+
     static FleetShape makeShape()
     {
         FleetShape shape;
@@ -53,6 +59,8 @@
         shape.workersPerPool = workers;
         shape.standby = 0;
         shape.longTaskEvery = 1;
+        shape.sameIdShare = 0;
+        shape.openPortShare = 0;
         return shape;
     }
 
@@ -123,21 +131,38 @@
         return static_cast<int>(worker->capacity.milliCores / 1000);
     }
 
-    /** Returns how many runs an instance's first worker lists as running and as ended `done`. */
-    std::pair<int, int> runsOn(int instance)
+    /** Returns what an instance's first worker, or its later incarnation, reports of itself. */
+    WorkerReport report(int instance, const Json &request = Json{{"deadlineMs", 1000000}})
     {
         std::string body;
         BOOST_TEST(call(address(instance),
                         {"POST",
                          pathHold,
-                         dump(Json{{"deadlineMs", 1000000}}),
+                         dump(request),
                          {{headerExpectInstance, workerOf(instance)}}},
                         &body)
                    == 200);
         const auto report = decodeReport(body);
         BOOST_REQUIRE(report.ok());
-        return {std::ssize(report->running),
-                std::ranges::count(report->ended, RunEnd::Done, &EndReport::end)};
+        return *report;
+    }
+
+    /** Orders an instance's first worker to stop a run. */
+    void stop(int instance, const std::string &task, int run)
+    {
+        BOOST_TEST(call(address(instance), {"POST",
+                                            pathRunStop,
+                                            dump(Json{{"task", task}, {"attempt", run}}),
+                                            {{headerExpectInstance, workerOf(instance)}}})
+                   == 200);
+    }
+
+    /** Returns how many runs an instance's first worker lists as running and as ended `done`. */
+    std::pair<int, int> runsOn(int instance)
+    {
+        const auto lists = report(instance);
+        return {std::ssize(lists.running),
+                std::ranges::count(lists.ended, RunEnd::Done, &EndReport::end)};
     }
 
     /** Submits jobs until one has a task of step 0 that crashes its workers; returns that task. */
@@ -245,6 +270,119 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+/** A fleet whose crashed workers start again under their id, with ports that stay open. */
+struct SameIdFixture : FleetFixture
+{
+    SameIdFixture()
+        : FleetFixture(makeSameIdShape())
+    {
+    }
+
+    static FleetShape makeSameIdShape()
+    {
+        auto shape = makeShape();
+        shape.sameIdShare = 1;
+        shape.openPortShare = 1;
+        return shape;
+    }
+
+    /**
+     * Starts a run on a worker that may be down. The request waits in its port, but the connection
+     * of an earlier one may be closed first.
+     */
+    void startAfterCrash(int instance, const std::string &task, int run)
+    {
+        BOOST_TEST((start(instance, task, run) == 200 || start(instance, task, run) == 200));
+    }
+
+    /** Returns the entry of the first machine in the list of machines. */
+    Json firstMachine()
+    {
+        std::string body;
+        BOOST_TEST(call(shape.host + ':' + std::to_string(shape.firstPort + 1),
+                        {"GET", pathMachines, {}, {}}, &body)
+                   == 200);
+        const auto json = Json::parse(body);
+        const auto &machines = json.at("machines");
+        const auto it = std::ranges::find_if(
+                machines, [](const Json &row) { return row.at("machine") == "m-2"; });
+        BOOST_REQUIRE((it != machines.end()));
+        return *it;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(Restarts, SameIdFixture)
+
+// Guards against an order that the next incarnation under the same id carries out.
+BOOST_AUTO_TEST_CASE(NextIncarnationKnowsNothingAndCarriesOutWhatWaitedForIt)
+{
+    BOOST_TEST(start(1, "job.0.0.0", 2) == 200);
+    stop(1, "job.0.0.0", 2);
+    std::vector<EndReport> ended;
+    runUntil([this, &ended] {
+        ended = report(1, Json{{"deadlineMs", 1000000}, {"fencingToken", 7}}).ended;
+        return !ended.empty();
+    });
+    const auto before = report(1, Json{{"fencingToken", 7}});
+    BOOST_TEST(start(1, "job.0.0.0", 3) == 409);
+    const auto crashing = submitCrashingJob();
+    BOOST_TEST(call(address(1), {"POST",
+                                 pathRunStart,
+                                 dump(Json{{"task", crashing},
+                                           {"attempt", 1},
+                                           {"deadlineMs", 1000000},
+                                           {"spec", ""},
+                                           {"fencingToken", 7}}),
+                                 {{headerExpectInstance, workerOf(1)}}})
+               >= 0);
+    runUntil([this] { return fleet.tally().crashes == 1; });
+    const auto machine = firstMachine();
+    BOOST_TEST(machine.at("state") == "down");
+    BOOST_TEST(machine.at("id").is_null());
+    startAfterCrash(1, "job.0.0.0", 1);
+    BOOST_TEST(firstMachine().at("id") == workerOf(1));
+    const auto after = report(1);
+    BOOST_TEST(after.startedMs > before.startedMs);
+    BOOST_TEST(after.clock < 1000);
+    BOOST_TEST(after.ended.empty());
+    BOOST_TEST(after.running.size() == 1U);
+    stop(1, "job.0.0.0", 1);
+    runUntil([this, &ended] {
+        ended = report(1).ended;
+        return !ended.empty();
+    });
+    BOOST_TEST(ended.front().number == 1);
+    BOOST_TEST(fleet.tally().broken() == 0U, evidence);
+}
+
+// Guards against an end of an earlier incarnation that is taken for one of the next.
+BOOST_AUTO_TEST_CASE(EndIsLostWithItsIncarnation)
+{
+    const auto crashing = submitCrashingJob();
+    BOOST_TEST(start(1, "job.0.0.0", 1) == 200);
+    runUntil([this] { return fleet.tally().done == 1; });
+    BOOST_TEST(*fleet.taskToRun("job") == "job.0.0.1");
+    crash(1, crashing);
+    startAfterCrash(1, "other.0.0.0", 1);
+    BOOST_TEST(*fleet.taskToRun("job") == "job.0.0.0");
+}
+
+BOOST_AUTO_TEST_CASE(WorkersCrashAndStartAgainWhileTheyFlap)
+{
+    for (int n = 0; n < workers; ++n)
+        fleet.flapWorkers(1h);
+    const auto flappingSince = EventLoop::now();
+    for (int downs = 0; downs < 2;) {
+        runUntil([this] { return firstMachine().at("state") == "down"; });
+        ++downs;
+        runUntil([this] { return firstMachine().at("state") == "up"; });
+    }
+    BOOST_TEST((EventLoop::now() - flappingSince >= 1300ms));
+    BOOST_TEST(firstMachine().at("id") == workerOf(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(Capacity, FleetFixture)
 
 // Guards against a worker that accepts more than its entry shows while its capacity is lower.
@@ -302,17 +440,76 @@
     BOOST_TEST(start(1, "job.0.0.0", 1) == 200);
     BOOST_TEST(start(2, "job.0.0.0", 2) == 200);
     BOOST_TEST(fleet.tally().duplicateStarts == 1U);
-    BOOST_TEST(evidence == "run 2 of job.0.0.0 starts on i-2 and runs on i-1");
+    BOOST_TEST(evidence == "run 2 of job.0.0.0 starts on i-2 and runs on i-1 as run 1");
+}
+
+// Guards against two runs of a task on one worker, which refuses only what is not higher than a run
+// that was stopped or has ended there.
+BOOST_AUTO_TEST_CASE(SecondRunOnAWorkerIsCarriedOutAndABrokenPromise)
+{
+    BOOST_TEST(start(1, "job.0.0.0", 2) == 200);
+    BOOST_TEST(start(1, "job.0.0.0", 2) == 200);
+    BOOST_TEST(fleet.tally().broken() == 0U, evidence);
+    BOOST_TEST(start(1, "job.0.0.0", 3) == 200);
+    BOOST_TEST(evidence == "run 3 of job.0.0.0 starts on i-1 and runs on i-1 as run 2");
+    BOOST_TEST(start(1, "job.0.0.0", 1) == 200);
+    BOOST_TEST(fleet.tally().duplicateStarts == 2U);
+    BOOST_TEST(runsOn(1).first == 3);
+    stop(1, "job.0.0.0", 2);
+    runUntil([this] { return runsOn(1).first < 3; });
+    BOOST_TEST(start(1, "job.0.0.0", 1) == 200);
+    BOOST_TEST(start(1, "job.0.0.0", 2) == 409);
+}
+
+// Guards against a task that starts elsewhere as soon as its stop is answered.
+BOOST_AUTO_TEST_CASE(RunIsListedUntilItsStopIsCarriedOut)
+{
+    int listed = 0;
+    for (int n = 1; n <= workers; ++n) {
+        const auto task = "job-" + std::to_string(n) + ".0.0.0";
+        BOOST_TEST(start(n, task, 1) == 200);
+        stop(n, task, 1);
+        listed += runsOn(n).first;
+        runUntil([this, n] { return runsOn(n).first == 0; });
+        BOOST_TEST(start(n, task, 1) == 409);
+        BOOST_TEST((report(n).ended.front().end == RunEnd::Stopped));
+    }
+    BOOST_TEST(listed > 0);
+}
+
+/** A fleet with short leases. */
+struct ShortLeaseFixture : FleetFixture
+{
+    ShortLeaseFixture()
+        : FleetFixture(makeShortLeaseShape())
+    {
+    }
+
+    static FleetShape makeShortLeaseShape()
+    {
+        auto shape = makeShape();
+        shape.maxHold = 100ms;
+        return shape;
+    }
+};
+
+// Guards against runs that a time of an earlier incarnation's clock keeps alive for long.
+BOOST_FIXTURE_TEST_CASE(LeaseIsShortenedToItsLongestTime, ShortLeaseFixture)
+{
+    BOOST_TEST(start(1, "job.0.0.0", 1) == 200);
+    std::vector<EndReport> ended;
+    runUntil([this, &ended] {
+        ended = report(1, Json::object()).ended;
+        return !ended.empty();
+    });
+    BOOST_TEST((ended.front().end == RunEnd::HoldExpired));
 }
 
 BOOST_AUTO_TEST_CASE(TaskMayStartElsewhereAfterItsRunIsStopped)
 {
     BOOST_TEST(start(1, "job.0.0.0", 1) == 200);
-    BOOST_TEST(call(address(1), {"POST",
-                                 pathRunStop,
-                                 dump(Json{{"task", "job.0.0.0"}, {"attempt", 1}}),
-                                 {{headerExpectInstance, workerOf(1)}}})
-               == 200);
+    stop(1, "job.0.0.0", 1);
+    runUntil([this] { return runsOn(1).first == 0; });
     BOOST_TEST(start(2, "job.0.0.0", 2) == 200);
     BOOST_TEST(fleet.tally().broken() == 0U, evidence);
 }
