Deliver requests that a cut holds back after their client or server has gone

The proxy of the soak connected to the server before the cut, so that a request that it held back was lost when the worker behind it restarted meanwhile, and it closed the server's side at once when the client closed its own. A late copy of an order never reached the next incarnation of a worker.

A request that a cut holds back now reaches the process that serves the address when the link heals, also if its client has closed its side. A client that resets its connection loses the request.

--- a/include/dragonflysill/faults/faultproxy.h
+++ b/include/dragonflysill/faults/faultproxy.h
@@ -54,7 +54,11 @@
     /** Delays all bytes by @p delay for @p length. */
     void delay(Duration length, Duration delay);
 
-    /** Holds back the bytes of one direction for @p length, like a partition that heals. */
+    /**
+     * Holds back the bytes of one direction for @p length, like a partition that heals. Requests
+     * that are held back reach the process that serves the address afterwards, also if their client
+     * has closed its side; a client that resets its connection loses them.
+     */
     void cut(Duration length, Direction direction);
 
     /** Limits the bandwidth of each direction of each connection for @p length. */
