--- a/tests/node/workerregistrytest.cpp
+++ b/tests/node/workerregistrytest.cpp
@@ -10,8 +10,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -216,4 +218,28 @@
     BOOST_TEST(scheduler.worker("i-7")->listed);
 }
 
+// Guards against two runs of a task: a successor does not wait for the hold of a worker that is
+// missing in the record. The write that removes the worker is carried out without an answer, and
+// the worker is back under its id before it is repeated.
+BOOST_FIXTURE_TEST_CASE(WorkerThatIsBackAfterALostRemovalIsRecordedBeforeItIsUsed, RegistryFixture)
+{
+    addWorker("i-7");
+    putAndRead("i-8", entryWith("m-1", "m-2"));
+    BOOST_REQUIRE(runUntil([&] { return scheduler.worker("i-8") != nullptr; }));
+    // Writes that only remove workers are a second apart.
+    std::this_thread::sleep_for(1100ms);
+    store.faults = {FakeStore::Fault::LostAfter};
+    scheduler.retireWorker("i-7", Scheduler::WorkerEnd::Down, EventLoop::now());
+    const auto key = platform::prefixWorkers + std::string("i-7");
+    store.items.erase(key);
+    store.changes.push_back({key, "", ++store.revision, true});
+    BOOST_REQUIRE(runUntil([&] { return store.faults.empty(); }));
+    put("i-7", entryWith("1790000000000", "1790000005000"));
+    BOOST_REQUIRE(runUntil([&] { return !scheduler.worker("i-7")->retired; }));
+    const auto &record = store.items.at(nodekeys::key(nodekeys::workers, "pool"));
+    const auto recorded = decodeWorkerRecord("pool", record.value);
+    BOOST_REQUIRE(recorded.ok());
+    BOOST_TEST(std::ranges::count(*recorded, "i-7", &WorkerDescription::id) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
