Use a worker only if the record that has it was written last

The write that removed it had been carried out without an answer; the owner still took it for recorded and used it before the write was repeated. Its successor, which reads the record, did not wait for its hold and started its tasks elsewhere.

Once a write that removes workers is sent, they count as not recorded until a write that has them is answered; one that is back makes its pool's record due at once.

--- a/include/dragonflysill/node/workerregistry.h
+++ b/include/dragonflysill/node/workerregistry.h
@@ -52,6 +52,11 @@
     void change(std::span<const KeyUpdate> updates);
     void entryChanged(const std::string &id, const std::string &bytes);
     [[nodiscard]] bool isKnownPool(const std::string &pool) const;
+    /** Returns whether a successor finds a worker in the record, so that it may be used. */
+    [[nodiscard]] bool isRecorded(const std::string &id) const
+    {
+        return m_recorded.contains(id) && !m_maybeRemoved.contains(id);
+    }
     void list(const WorkerDescription &description);
     void entryRemoved(const std::string &id);
     void recordWritten(const ConditionalWrite &write, const std::map<std::string, std::string> &ids,
@@ -67,6 +72,8 @@
     /** Workers whose entry names a pool that is not known yet, by id. */
     std::map<std::string, WorkerDescription> m_otherWorkers;
     std::map<std::string, std::string> m_recorded; ///< Pool of each recorded worker.
+    /** Recorded workers that a write without an answer may have removed. */
+    std::set<std::string> m_maybeRemoved;
     TimePoint m_recordedAt{};
     std::map<std::string, std::int64_t> m_recordRevisions; ///< Revision of each pool's record.
     bool m_recording = false;
--- a/src/node/workerregistry.cpp
+++ b/src/node/workerregistry.cpp
@@ -128,7 +128,7 @@
 void WorkerRegistry::list(const WorkerDescription &description)
 {
     m_listed[description.id] = description;
-    if (m_recorded.contains(description.id))
+    if (isRecorded(description.id))
         m_scheduler.addOrUpdateWorker(description, EventLoop::now());
 }
 
@@ -176,7 +176,7 @@
         if (worker != nullptr && worker->retired && !worker->isLaterIncarnation(description))
             continue;
         keep(description);
-        if (!m_recorded.contains(id))
+        if (!isRecorded(id))
             changed.insert(description.pool);
     }
     // Unlisted workers that may still hold runs stay in the record.
@@ -207,6 +207,11 @@
         for (const auto &it : pools[pool])
             ids[it.id] = pool;
     }
+    // From now on the record may lack them, whatever the answer is.
+    for (const auto &[id, pool] : m_recorded) {
+        if (written.contains(pool) && !ids.contains(id))
+            m_maybeRemoved.insert(id);
+    }
     m_recording = true;
     m_context.store.write(write, [this, alive = m_alive, write, ids,
                                   written](const Result<WriteOutcome> &outcome) {
@@ -240,6 +245,9 @@
         m_recordRevisions[std::string(nodekeys::nameIn(nodekeys::workers, it.key))]
                 = outcome->revision;
     std::erase_if(m_recorded, [&](const auto &it) { return pools.contains(it.second); });
+    std::erase_if(m_maybeRemoved, [&](const std::string &id) {
+        return ids.contains(id) || !m_recorded.contains(id);
+    });
     for (const auto &[id, pool] : ids) {
         m_recorded[id] = pool;
         if (const auto it = m_listed.find(id); it != m_listed.end())
