Wait for the hold of a start that the next incarnation has answered

A start with a time of the earlier clock is carried out by an incarnation that its owner has not heard of, and held for up to the maximum hold. Its answer brings the new clock before any report does; the owner took it for the same incarnation's, and the next hold overwrote what was known of the start's.

A clock that is lower than the last one is not used, and one that has gone back by more than an answer can be late makes the worker count as held for the maximum.

--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -470,9 +470,14 @@
     if (worker == nullptr)
         return;
     worker->lastContact = now;
-    // Each incarnation has a clock of its own.
-    if (start.startedMs == worker->startedMs)
+    // Each incarnation has a clock of its own, and the next one may answer before its first report.
+    const bool wentBack = worker->time.known() && clock < worker->time.last();
+    if (start.startedMs == worker->startedMs && !wentBack)
         worker->time.observe(clock, now);
+    // It takes the end of the start's hold, on the earlier clock, for a time on its own.
+    if (wentBack && worker->time.last() - clock > internal::maxCallTime / Milliseconds(1))
+        worker->heldUntil
+                = std::max(worker->heldUntil, now + internal::maxHoldTime(m_settings.maxHold));
     auto *run = worker->findRun(start.task, start.run);
     if (run == nullptr)
         return;
--- a/tests/jobs/holdtest.cpp
+++ b/tests/jobs/holdtest.cpp
@@ -117,4 +117,46 @@
     BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 1);
 }
 
+// Guards against the same through the clock in an answer of the next incarnation that comes before
+// its first report: the hold of the start, on the earlier clock, is forgotten.
+BOOST_AUTO_TEST_CASE(HoldOfAStartThatTheNextIncarnationAnsweredIsWaitedFor)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.advanceTime(2s);
+    worker.restart(harness.now);
+    harness.advanceTime(20ms);
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(task) == "w1");
+    harness.addWorker("w2");
+    harness.advanceTime(25ms);
+    harness.reportFrom("w1");
+    const auto waited = timeUntilRestart(harness, "w1");
+    BOOST_TEST((waited >= maxHold), "started elsewhere after " << waited / 1ms << " ms");
+    BOOST_TEST(harness.workerOf(task) == "w2");
+}
+
+// Guards against the same if the list of instances shows before that answer that the worker is
+// down.
+BOOST_AUTO_TEST_CASE(HoldOfAStartThatWasAnsweredAfterItsWorkerWasDownIsWaitedFor)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.advanceTime(2s);
+    harness.addJob(job("j", {step(1)}));
+    const auto starts = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(starts.size() == 1);
+    harness.addWorker("w2");
+    harness.advanceTime(100ms);
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    harness.scheduler.retireWorker("w1", Scheduler::WorkerEnd::Down, harness.now);
+    worker.restart(harness.now);
+    harness.advanceTime(100ms);
+    harness.scheduler.startConfirmed(starts[0], worker.clock(harness.now), harness.now);
+    const auto waited = timeUntilRestart(harness, "w1");
+    BOOST_TEST((waited >= maxHold), "started elsewhere after " << waited / 1ms << " ms");
+    BOOST_TEST(harness.workerOf(task) == "w2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
