--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -84,6 +84,7 @@
     bool reachable = false; ///< The last hold request was answered.
     bool fenced = false; ///< It has received this owner's fencing token.
     bool leaving = false; ///< It gets no new tasks, and its persistent tasks are moved away.
+    bool ended = false; ///< It is down; retired when no copy of an order can arrive any more.
     bool retired = false; ///< It has ended permanently; its entry may still be in the store.
     TimePoint runsCheckedAt{}; ///< Time of the last check of its runs.
     TimePoint silentSince{}; ///< Since when it has not answered; see reachable.
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -124,8 +124,10 @@
     auto &worker = m_workers[description.id];
     m_workersChanged = true;
     // What earlier incarnations may have received still counts.
-    if (worker.isLaterIncarnation(description))
+    if (worker.isLaterIncarnation(description)) {
+        worker.ended = false;
         worker.retired = false;
+    }
     const bool known = !worker.description.id.empty();
     if (worker.retired || (known && description.startedMs < worker.description.startedMs))
         return;
@@ -189,6 +191,7 @@
         releaseRun(worker, run, now);
     }
     // Until then, a later incarnation must be heard of.
+    worker.ended = true;
     worker.retired = worker.runs.empty();
     recordCrashes(suspected, now);
 }
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -38,6 +38,7 @@
         }
         if (!worker.reachable && now >= worker.heldUntil)
             loseRuns(worker, now);
+        worker.retired = worker.retired || (worker.ended && worker.runs.empty());
         if (now - worker.runsCheckedAt >= internal::runCheckInterval) {
             worker.runsCheckedAt = now;
             for (auto &[task, run] : worker.runs)
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -81,6 +81,7 @@
         m_changedPools.insert(it->description.pool);
     it->reachable = true;
     it->fenced = true;
+    it->ended = false;
     if (it->startedMs == report.startedMs) {
         forgetUnexplainedRuns(*it);
     } else {
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -159,4 +159,20 @@
     BOOST_TEST(stops[0].run == 1001);
 }
 
+// Guards against an ended worker whose entry in the store makes it a new one, because it was removed
+// as soon as no copy could arrive any more.
+BOOST_AUTO_TEST_CASE(EndedWorkerIsKeptAfterItsCopies)
+{
+    StartedTask started(100ms);
+    auto &harness = started.harness;
+    harness.scheduler.holdUnanswered("w1", harness.now);
+    harness.scheduler.retireWorker("w1", Scheduler::WorkerEnd::Down, harness.now);
+    harness.advanceTime(maxCopyTime);
+    harness.decideWithSaves(true);
+    harness.scheduler.addOrUpdateWorker(harness.workers["w1"].description, harness.now);
+    const auto *worker = harness.scheduler.worker("w1");
+    BOOST_REQUIRE(worker != nullptr);
+    BOOST_TEST(!worker->listed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
