Block copies of starts by an earlier owner, too

A run that a new owner adopts had no time until which copies of its start may arrive: its worker's restart right after a take-over released it at once, while delegates of the former owner may still send copies. It now has the former owner's time and that of a copy, from the first decision on.

--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -422,6 +422,8 @@
     run.inherited = true;
     run.phase = TaskRun::Phase::Running;
     run.startedAt = now;
+    run.copiesUntil
+            = m_firstDecisionAt.value_or(now) + m_settings.previousOwner + internal::maxCallTime;
     run.orderSettledAt = now;
     run.progressAt = now;
     run.percent = report.percent;
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -175,4 +175,28 @@
     BOOST_TEST(!worker->listed);
 }
 
+// Guards against a copy of a start that an earlier owner gave right before a take-over.
+BOOST_AUTO_TEST_CASE(CopyOfAStartByAnEarlierOwnerIsBlocked)
+{
+    SchedulerHarness harness(1000);
+    auto &worker = harness.workers["w1"];
+    worker.description.id = "w1";
+    worker.description.pool = "pool";
+    worker.description.startedMs = worker.startedMs;
+    harness.scheduler.addInheritedWorker(worker.description, harness.now);
+    harness.addJob(job("j", {step(1)}), true);
+    worker.running[task] = {task, 1, "", 0, {}};
+    harness.reportFrom("w1");
+    harness.decide();
+    harness.addWorker("w2");
+    harness.advanceTime(100ms);
+    worker.restart(harness.now);
+    harness.advanceTime(100ms);
+    harness.reportFrom("w1");
+    const auto stops = ordersOf<StopTask>(harness.decide(true));
+    BOOST_REQUIRE(stops.size() == 1);
+    BOOST_TEST(stops[0].run == 1);
+    BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves(true)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
