Adopt the newer of two unknown runs of a task and stop the other

Of two runs of a task in one list that a new owner does not know, the later row was adopted, which may be the older run, and the other one was left at work until the next list. The end of another run of the task made the owner forget an unknown one. Now the newer run is adopted, the older is stopped at once, and an end concerns only the run that it names.

--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -239,7 +239,9 @@
     // An end that changes nothing may still depend on unsaved changes caused by other ends.
     if (job != nullptr)
         change = job->changes();
-    worker.unadoptedRuns.erase(end.task);
+    if (const auto it = worker.unadoptedRuns.find(end.task);
+        it != worker.unadoptedRuns.end() && it->second.run == end.run)
+        worker.unadoptedRuns.erase(it);
     if (current)
         releaseRun(worker, worker.runs.find(end.task), now);
     const bool unsaved = change != 0 && job->saved() < change;
@@ -330,7 +332,14 @@
         listed.insert({row.task, row.run});
         const auto run = worker.runs.find(row.task);
         if (run == worker.runs.end()) {
-            worker.unadoptedRuns[row.task] = row;
+            auto [it, isFirst] = worker.unadoptedRuns.try_emplace(row.task, row);
+            if (!isFirst) {
+                // The newer one of two runs is adopted.
+                auto older = row;
+                if (older.run > it->second.run)
+                    std::swap(older, it->second);
+                stopOtherRun(worker, older, now);
+            }
             m_unadoptedRunsReported = true;
             continue;
         }
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -199,4 +199,26 @@
     BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves(true)).empty());
 }
 
+// Guards against a new owner that adopts the older one of two runs of a task on a worker, or that
+// leaves the other one at work until the next list.
+BOOST_AUTO_TEST_CASE(OlderOfTwoUnknownRunsOnAWorkerIsStopped)
+{
+    for (const bool newerFirst : {true, false}) {
+        SchedulerHarness harness(1000);
+        auto &worker = harness.addWorker("w1");
+        harness.addJob(job("j", {step(1)}), true);
+        auto report = worker.report(harness.now);
+        report.running = {{task, newerFirst ? 5 : 4, "", 10, {}},
+                          {task, newerFirst ? 4 : 5, "", 10, {}}};
+        harness.scheduler.holdAnswered("w1", report, harness.now, harness.now);
+        const auto stops = ordersOf<StopTask>(harness.decide(true));
+        const auto &runs = harness.scheduler.worker("w1")->runs;
+        BOOST_REQUIRE(runs.contains(task));
+        BOOST_TEST(runs.at(task).run == 5);
+        BOOST_TEST(stops.size() == 1);
+        if (!stops.empty())
+            BOOST_TEST(stops[0].run == 4);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
