Count the copies of an order before taking a quick answer for the only one

When the link to a delegate fails, the second copy goes out at once and may be answered within a millisecond, while the delegate goes on with the first. The answer now says how many copies were sent before.

Evidence: WorkerControllers/QuickAnswerAfterAFailedLinkLeavesACopyOnItsWay failed.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -189,7 +189,8 @@
     void holdUnanswered(std::string_view worker, TimePoint now);
     /** Records that a worker has refused a call because it has seen a newer owner. */
     void newerOwnerSeen() { m_replaced = true; }
-    void startConfirmed(const StartTask &start, WorkerClock clock, TimePoint now);
+    /** @param copies number of copies of the order that this owner had sent by then */
+    void startConfirmed(const StartTask &start, WorkerClock clock, TimePoint now, int copies = 1);
     void startRefused(const StartTask &start, StartRefusal refusal, TimePoint now);
     void startUnanswered(const StartTask &start, TimePoint now);
     void stopConfirmed(const StopTask &stop, TimePoint now);
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -476,7 +476,7 @@
     }
 }
 
-void Scheduler::startConfirmed(const StartTask &start, WorkerClock clock, TimePoint now)
+void Scheduler::startConfirmed(const StartTask &start, WorkerClock clock, TimePoint now, int copies)
 {
     auto *worker = findWorker(start.worker);
     if (worker == nullptr)
@@ -494,7 +494,8 @@
     if (run == nullptr)
         return;
     run->orderSettledAt = now;
-    if (now - run->startedAt < internal::singleCopyTime)
+    // A delegate sends no second copy earlier.
+    if (copies == 1 && now - run->startedAt < internal::singleCopyTime)
         run->copiesUntil = now;
     confirmRun(*run);
     if (run->phase == TaskRun::Phase::Starting)
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -176,7 +176,7 @@
                 m_governor.recordResponseTime(now - sentAt, now);
                 m_holds.bringForward(start.worker, now + minHoldInterval());
                 if (const auto *it = std::get_if<OrderConfirmed>(&outcome)) {
-                    m_scheduler.startConfirmed(start, it->clock, now);
+                    m_scheduler.startConfirmed(start, it->clock, now, it->copies);
                 } else if (const auto *it = std::get_if<StartRefusal>(&outcome)) {
                     ++(*it == StartRefusal::NotSent ? m_counts.startsNotSent
                                                     : m_counts.startsRefused);
--- a/src/node/workerorders.cpp
+++ b/src/node/workerorders.cpp
@@ -219,8 +219,12 @@
 void WorkerOrders::orderAnswered(const std::shared_ptr<PendingOrder> &order,
                                  const OrderOutcome &outcome)
 {
-    if (const auto decided = order->attempts.copyAnswered(outcome))
-        std::exchange(order->callback, nullptr)(*decided);
+    auto decided = order->attempts.copyAnswered(outcome);
+    if (!decided)
+        return;
+    if (auto *it = std::get_if<OrderConfirmed>(&*decided))
+        it->copies = order->sent;
+    std::exchange(order->callback, nullptr)(*decided);
 }
 
 void WorkerOrders::sendCopy(const std::shared_ptr<PendingHold> &hold)
--- a/tests/node/workercontrollertest.cpp
+++ b/tests/node/workercontrollertest.cpp
@@ -2,11 +2,14 @@
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/net/httpserver.h"
+#include "dragonflysill/peers/peerlink.h"
+#include "dragonflysill/peers/peerserver.h"
 #include "jobs/schedulerharness.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <string>
 
 using namespace dragonflysill;
@@ -82,4 +85,63 @@
     BOOST_TEST(harness.scheduler.replaced());
 }
 
+// Guards against a task that runs twice: the link to a delegate that has received a start fails,
+// the second copy is answered at once, and the delegate goes on with the first one.
+BOOST_AUTO_TEST_CASE(QuickAnswerAfterAFailedLinkLeavesACopyOnItsWay)
+{
+    using Tcp = boost::asio::ip::tcp;
+    const auto freeAddress = [this] {
+        const Tcp::acceptor acceptor(loop.context(),
+                                     {boost::asio::ip::make_address("127.0.0.1"), 0});
+        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    };
+    HttpServer worker{loop, [](const HttpRequest &, const HttpServer::Respond &respond) {
+                          respond({200, R"({"clockMs":7})", {}});
+                      }};
+    const auto workerAddress = freeAddress();
+    BOOST_REQUIRE(worker.listen(workerAddress).ok());
+    int delegated = 0;
+    std::unique_ptr<PeerServer> delegate;
+    delegate = std::make_unique<PeerServer>(
+            loop, [&](const ReceivedRequest &, const PeerServer::Respond &) {
+                ++delegated;
+                loop.post([&] { delegate.reset(); });
+            });
+    const auto delegateAddress = freeAddress();
+    BOOST_REQUIRE(delegate->listen(delegateAddress).ok());
+    PeerLink link{loop, delegateAddress, Duration{1ms}};
+    link.connect();
+    while (!link.usable() && loop.context().run_one() > 0) {
+    }
+    WorkerController delegating{loop,
+                                {client, client, client},
+                                harness.scheduler,
+                                governor,
+                                1,
+                                {},
+                                {[&](const WorkerTarget &, int copy) {
+                                     return copy == 0 ? WorkerChannel(DelegateChannel{&link})
+                                                      : DirectChannel{};
+                                 },
+                                 [](const WorkerChannel &) {}},
+                                [] { return true; },
+                                [] {}};
+    harness.now = EventLoop::now();
+    auto &known = harness.addWorker("w");
+    known.description.address = workerAddress;
+    harness.scheduler.addOrUpdateWorker(known.description, harness.now);
+    harness.addJob(job("j", {step(1)}));
+    harness.now = EventLoop::now();
+    const auto orderedAt = harness.now;
+    for (const auto &it : harness.decide(true))
+        delegating.execute(it);
+    const auto &runs = harness.scheduler.worker("w")->runs;
+    BOOST_REQUIRE(runs.size() == 1U);
+    while (!runs.begin()->second.confirmed && loop.context().run_one() > 0) {
+    }
+    BOOST_TEST_MESSAGE("answered after " << (EventLoop::now() - orderedAt) / 1ms << " ms");
+    BOOST_TEST(delegated == 1);
+    BOOST_TEST((runs.begin()->second.copiesUntil > orderedAt + 1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
