Stop released runs in the next incarnation while their copies may arrive

The time until which copies of a start may arrive went with its run when that ended or its stop was answered. After a restart within that time, a copy started the run again, of a task that was done or ran elsewhere.

A worker keeps its released runs until then, and a new incarnation is told to stop them with its first report. It narrows the time in which a copy can start one to that between a restart and this report.

Evidence: OrderCopies/CopyOfAStartIsBlockedAfterItsRunWasReleased failed in both forms.

--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -25,6 +25,14 @@
     bool confirmed = false; ///< The worker had confirmed or reported the run.
 };
 
+/** A run that was released while copies of its start may still arrive. */
+struct ReleasedRun
+{
+    TaskId task;
+    int run = 0;
+    TimePoint copiesUntil{}; ///< See TaskRun.
+};
+
 /**
  * Converts between a worker's clock and the local clock. The worker's clock may be up to 2 % slow,
  * so a hold may last longer on the local clock than its nominal length.
@@ -102,6 +110,7 @@
     std::map<TaskId, RunningReport> unadoptedRuns;
     /** Reported runs of tasks of which `runs` has another run, and when their stop was sent. */
     std::map<std::pair<TaskId, int>, TimePoint> otherRuns;
+    std::vector<ReleasedRun> releasedRuns; ///< The next incarnation is told not to start them.
     Resources reserved; ///< Sum over the runs.
     int persistentRuns = 0;
     std::int64_t lastProcessedEnd = 0; ///< Number of the last end that was processed.
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -160,6 +160,11 @@
             releaseRun(worker, run, now);
         }
     }
+    for (const auto &it : worker.releasedRuns) {
+        if (now < it.copiesUntil)
+            m_actions.emplace_back(
+                    StopTask{worker.description.id, it.task, it.run, worker.startedMs});
+    }
     recordCrashes(suspected, now);
 }
 
@@ -173,6 +178,10 @@
 void Scheduler::releaseRun(WorkerState &worker, std::map<TaskId, TaskRun>::iterator run,
                            TimePoint now)
 {
+    std::erase_if(worker.releasedRuns,
+                  [now](const ReleasedRun &it) { return now >= it.copiesUntil; });
+    if (now < run->second.copiesUntil)
+        worker.releasedRuns.push_back({run->first, run->second.run, run->second.copiesUntil});
     worker.reserved -= run->second.reserved;
     worker.persistentRuns -= static_cast<int>(run->second.persistent);
     if (run->second.unwanted && --m_unwantedRuns[run->first] == 0)
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -159,8 +159,8 @@
     BOOST_TEST(stops[0].run == 1001);
 }
 
-// Guards against an ended worker whose entry in the store makes it a new one, because it was removed
-// as soon as no copy could arrive any more.
+// Guards against an ended worker whose entry in the store makes it a new one, because it was
+// removed as soon as no copy could arrive any more.
 BOOST_AUTO_TEST_CASE(EndedWorkerIsKeptAfterItsCopies)
 {
     StartedTask started(100ms);
@@ -208,8 +208,8 @@
         auto &worker = harness.addWorker("w1");
         harness.addJob(job("j", {step(1)}), true);
         auto report = worker.report(harness.now);
-        report.running = {{task, newerFirst ? 5 : 4, "", 10, {}},
-                          {task, newerFirst ? 4 : 5, "", 10, {}}};
+        report.running
+                = {{task, newerFirst ? 5 : 4, "", 10, {}}, {task, newerFirst ? 4 : 5, "", 10, {}}};
         harness.scheduler.holdAnswered("w1", report, harness.now, harness.now);
         const auto stops = ordersOf<StopTask>(harness.decide(true));
         const auto &runs = harness.scheduler.worker("w1")->runs;
@@ -221,4 +221,45 @@
     }
 }
 
+// Guards against a copy of the start of a run that was released because it has ended, or because
+// its stop was answered: the next incarnation of its worker knows of neither.
+BOOST_AUTO_TEST_CASE(CopyOfAStartIsBlockedAfterItsRunWasReleased)
+{
+    for (const bool ended : {true, false}) {
+        SchedulerHarness harness;
+        auto &worker = harness.addWorker("w1");
+        harness.addJob(job("j", {step(1)}));
+        const auto first = ordersOf<StartTask>(harness.decide(true));
+        BOOST_REQUIRE(first.size() == 1);
+        harness.addWorker("w2");
+        if (ended) {
+            harness.advanceTime(100ms);
+            worker.running[task] = {task, 1, "", 0, {}};
+            harness.scheduler.startConfirmed(first[0], worker.clock(harness.now), harness.now);
+            harness.advanceTime(100ms);
+            worker.end(task, RunEnd::Failed);
+        } else {
+            harness.advanceTime(500ms);
+            harness.scheduler.startUnanswered(first[0], harness.now);
+            const auto stops = ordersOf<StopTask>(harness.decide(true));
+            BOOST_REQUIRE(stops.size() == 1);
+            harness.scheduler.stopConfirmed(stops[0], harness.now);
+            harness.advanceTime(300ms);
+        }
+        harness.reportFrom("w1");
+        const auto starts = ordersOf<StartTask>(harness.decideWithSaves());
+        BOOST_REQUIRE(starts.size() == 1);
+        BOOST_TEST(starts[0].worker == "w2");
+        worker.restart(harness.now);
+        harness.advanceTime(100ms);
+        harness.reportFrom("w1");
+        const auto stops = ordersOf<StopTask>(harness.decide(true));
+        BOOST_TEST(stops.size() == 1, "no stop, ended " << ended);
+        if (stops.empty())
+            continue;
+        BOOST_TEST(stops[0].worker == "w1");
+        BOOST_TEST(stops[0].run == 1);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
