--- a/tests/jobs/holdtest.cpp
+++ b/tests/jobs/holdtest.cpp
@@ -159,4 +159,42 @@
     BOOST_TEST(harness.workerOf(task) == "w2");
 }
 
+// Guards against the same if the only report of the next incarnation comes without the list of
+// runs.
+BOOST_AUTO_TEST_CASE(HoldOnAnEarlierClockIsWaitedForAfterAReportWithoutTheList)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.advanceTime(2s);
+    worker.restart(harness.now);
+    harness.advanceTime(20ms);
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(task) == "w1");
+    harness.addWorker("w2");
+    harness.advanceTime(25ms);
+    auto report = worker.report(harness.now);
+    report.running.clear();
+    report.runningListed = false;
+    harness.scheduler.holdAnswered("w1", report, harness.now, harness.now);
+    const auto waited = timeUntilRestart(harness, "w1");
+    BOOST_TEST((waited >= maxHold), "started elsewhere after " << waited / 1ms << " ms");
+    BOOST_TEST(harness.workerOf(task) == "w2");
+}
+
+// Guards against a completed task that runs again: an owner that stood still after it had read a
+// report acknowledges its ends to the next incarnation (TWICE).
+BOOST_AUTO_TEST_CASE(EndsAreNotAcknowledgedAfterAPauseOfTheOwner)
+{
+    SchedulerHarness harness;
+    auto &worker = harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    worker.end(task, RunEnd::Done);
+    harness.reportFrom("w1");
+    harness.saveAll();
+    harness.advanceTime(2s);
+    BOOST_TEST(harness.scheduler.holdRequest("w1", harness.now).acknowledgedEnds == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
