--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -370,7 +370,7 @@
     void stopRun(WorkerState &worker, TaskRun &run, TimePoint now);
     /**
      * Stops a run whose incarnation of the worker has ended: the next one would carry out a copy of
-     * the start that is still on its way. An order without an outcome so far is stopped after it.
+     * the start that is still on its way. A start without an outcome is stopped once it has one.
      */
     void awaitCopies(WorkerState &worker, TaskRun &run, TimePoint now);
     /** Stops all runs of a task but the one that has ended on @p worker. */
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -190,7 +190,7 @@
         recordAnomaly(RunAnomalyKind::WorkerEnded, worker, run->second, now);
         releaseRun(worker, run, now);
     }
-    // Until then, a later incarnation must be heard of.
+    // A worker with runs left is still asked, so that a later incarnation is heard of.
     worker.ended = true;
     worker.retired = worker.runs.empty();
     recordCrashes(suspected, now);
