Send no copy of a start once a report has told of its run

Copies were still sent; the worker was down by then, its port kept one, and its next incarnation started the run again.

A further copy is sent only while neither an answer nor a report has told what became of the start.

Copies that a delegate sends by itself are not covered.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -189,6 +189,8 @@
     void holdUnanswered(std::string_view worker, TimePoint now);
     /** Records that a worker has refused a call because it has seen a newer owner. */
     void newerOwnerSeen() { m_replaced = true; }
+    /** Returns whether neither an answer nor a report has told what became of a start. */
+    [[nodiscard]] bool isStarting(const StartTask &start) const;
     /** @param copies number of copies of the order that this owner had sent by then */
     void startConfirmed(const StartTask &start, WorkerClock clock, TimePoint now, int copies = 1);
     void startRefused(const StartTask &start, StartRefusal refusal, TimePoint now);
--- a/include/dragonflysill/node/workerorders.h
+++ b/include/dragonflysill/node/workerorders.h
@@ -74,9 +74,13 @@
     WorkerOrders(const WorkerOrders &) = delete;
     WorkerOrders &operator=(const WorkerOrders &) = delete;
 
-    /** @param timeout time for the worker's answer to each copy of the order */
+    /**
+     * @param timeout time for the worker's answer to each copy of the order
+     * @param undecided returns whether it is not known otherwise what became of the order; if it
+     * is, no further copy is sent. Empty if only answers tell.
+     */
     void start(const std::string &address, const StartTask &order, Milliseconds timeout,
-               OrderCallback callback);
+               OrderCallback callback, std::function<bool()> undecided = {});
     void stop(const std::string &address, const StopTask &order, Milliseconds timeout,
               OrderCallback callback);
     void pace(const std::string &address, const PaceTask &order, Milliseconds timeout,
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -485,6 +485,16 @@
     }
 }
 
+bool Scheduler::isStarting(const StartTask &start) const
+{
+    const auto *holder = worker(start.worker);
+    if (holder == nullptr)
+        return false;
+    const auto it = holder->runs.find(start.task);
+    return it != holder->runs.end() && it->second.run == start.run
+           && it->second.phase == TaskRun::Phase::Starting;
+}
+
 void Scheduler::startConfirmed(const StartTask &start, WorkerClock clock, TimePoint now, int copies)
 {
     auto *worker = findWorker(start.worker);
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -192,7 +192,8 @@
                     m_scheduler.startUnanswered(start, now);
                 }
                 m_onChange();
-            });
+            },
+            [this, start] { return m_scheduler.isStarting(start); });
 }
 
 void WorkerController::deliver(const StopTask &stop, const std::string &address)
--- a/src/node/workerorders.cpp
+++ b/src/node/workerorders.cpp
@@ -93,6 +93,7 @@
     OrderCallback callback;
     OrderAttempts attempts;
     int sent = 0;
+    std::function<bool()> undecided{}; ///< See start().
     TimePoint sendUntil{}; ///< Copies that are due later, after a pause, are not sent.
 };
 
@@ -120,10 +121,12 @@
 }
 
 void WorkerOrders::start(const std::string &address, const StartTask &order, Milliseconds timeout,
-                         OrderCallback callback)
+                         OrderCallback callback, std::function<bool()> undecided)
 {
-    sendCopy(std::make_shared<PendingOrder>(PendingOrder{DelegatedStart{order, address, timeout},
-                                                         std::move(callback), OrderAttempts()}));
+    auto pending = std::make_shared<PendingOrder>(PendingOrder{
+            DelegatedStart{order, address, timeout}, std::move(callback), OrderAttempts()});
+    pending->undecided = std::move(undecided);
+    sendCopy(pending);
 }
 
 void WorkerOrders::stop(const std::string &address, const StopTask &order, Milliseconds timeout,
@@ -194,7 +197,8 @@
         };
         // Copies that wait when another one decides the order could reach a later incarnation.
         const HttpClient::Wanted wanted = [this, alive = m_alive, order] {
-            return *alive && mayGiveOrders() && !order->attempts.decided();
+            return *alive && mayGiveOrders() && !order->attempts.decided()
+                   && (!order->undecided || order->undecided());
         };
         std::visit(internal::DirectCall{*m_calls, callback, wanted}, order->order);
     }
@@ -210,7 +214,8 @@
 {
     if (!order->attempts.mayRepeat())
         return;
-    if (mayGiveOrders() && EventLoop::now() < order->sendUntil)
+    if (mayGiveOrders() && EventLoop::now() < order->sendUntil
+        && (!order->undecided || order->undecided()))
         sendCopy(order);
     else if (const auto decided = order->attempts.stopRepeating())
         std::exchange(order->callback, nullptr)(*decided);
--- a/tests/node/workerorderstest.cpp
+++ b/tests/node/workerorderstest.cpp
@@ -174,6 +174,24 @@
     BOOST_TEST(orders.counts().repeated == repeated);
 }
 
+// Guards against a copy of a start that is sent after the end of its run was reported, because the
+// answer was lost, and that the next incarnation of the worker carries out (TWICE).
+BOOST_AUTO_TEST_CASE(CopiesAreNotSentOnceAReportHasToldOfTheRun)
+{
+    silentCalls = 100;
+    bool undecided = true;
+    std::optional<OrderOutcome> result;
+    orders.start(
+            address, {"w", {"j", 0, 0, 0}, 1, "p", {}, {}, 100}, 500ms,
+            [&](const OrderOutcome &it) { result = it; }, [&] { return undecided; });
+    while (calls.empty() && loop.context().run_one() > 0) {
+    }
+    undecided = false;
+    const auto repeated = orders.counts().repeated;
+    BOOST_TEST(std::holds_alternative<OrderUnanswered>(await(result)));
+    BOOST_TEST(orders.counts().repeated == repeated);
+}
+
 BOOST_AUTO_TEST_CASE(StopIsSentAgain)
 {
     std::optional<OrderOutcome> result;
