--- a/include/dragonflysill/jobs/orderoutcome.h
+++ b/include/dragonflysill/jobs/orderoutcome.h
@@ -11,8 +11,7 @@
 struct OrderConfirmed
 {
     WorkerClock clock = 0;
-    int copies
-            = 1; ///< Number of copies that were sent before the response, apart from a delegate's.
+    int copies = 1; ///< Copies that the owner had sent before the response.
 };
 
 /** There was no valid response: the order may have been carried out, or may still be. */
