Build orders to stop a run, and the set-up of two tests of holds, in one place

Five places filled in a stop order field by field; one that left out the incarnation would compile, and its answer would never count. The private stoporder.h does it for all of them. Two cases of suite Holds shared their set-up, and three their checks; all assertions are kept.

No change of behaviour.

--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "dragonflysill/jobs/scheduler.h"
 
 #include "schedulerconstants.h"
+#include "stoporder.h"
 
 #include <algorithm>
 #include <utility>
@@ -233,7 +234,7 @@
     run.phase = TaskRun::Phase::Stopping;
     run.stopSentAt = now;
     run.stopAnswered = false;
-    m_actions.emplace_back(StopTask{worker.description.id, run.task, run.run, worker.startedMs});
+    m_actions.emplace_back(internal::stopOrder(worker, run.task, run.run));
 }
 
 void Scheduler::awaitCopies(WorkerState &worker, TaskRun &run, TimePoint now)
@@ -243,8 +244,7 @@
     run.stopAnswered = false;
     run.stopSentAt = now;
     if (run.phase == TaskRun::Phase::Stopping)
-        m_actions.emplace_back(
-                StopTask{worker.description.id, run.task, run.run, worker.startedMs});
+        m_actions.emplace_back(internal::stopOrder(worker, run.task, run.run));
     else if (run.phase != TaskRun::Phase::Starting)
         stopRun(worker, run, now);
 }
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/jobs/scheduler.h"
 
 #include "schedulerconstants.h"
+#include "stoporder.h"
 
 #include <algorithm>
 #include <vector>
@@ -76,8 +77,7 @@
         if (!run.stopAnswered && now - run.stopSentAt > internal::orderRetryDelay
             && worker.reachable) {
             run.stopSentAt = now;
-            m_actions.emplace_back(
-                    StopTask{worker.description.id, run.task, run.run, worker.startedMs});
+            m_actions.emplace_back(internal::stopOrder(worker, run.task, run.run));
         }
         return;
     }
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/jobs/scheduler.h"
 
 #include "schedulerconstants.h"
+#include "stoporder.h"
 
 #include <algorithm>
 #include <set>
@@ -162,8 +163,7 @@
     }
     for (const auto &it : worker.releasedRuns) {
         if (now < it.copiesUntil)
-            m_actions.emplace_back(
-                    StopTask{worker.description.id, it.task, it.run, worker.startedMs});
+            m_actions.emplace_back(internal::stopOrder(worker, it.task, it.run));
     }
     recordCrashes(suspected, now);
 }
@@ -407,8 +407,7 @@
     else if (now - it->second <= internal::orderRetryDelay)
         return;
     it->second = now;
-    m_actions.emplace_back(
-            StopTask{worker.description.id, report.task, report.run, worker.startedMs});
+    m_actions.emplace_back(internal::stopOrder(worker, report.task, report.run));
 }
 
 void Scheduler::processUnadoptedRuns(WorkerState &worker, TimePoint now)
--- a/tests/jobs/holdtest.cpp
+++ b/tests/jobs/holdtest.cpp
@@ -25,6 +25,29 @@
     return harness.now - begin;
 }
 
+/** Starts the task on w1, of whose restart the owner has not heard; w2 is added afterwards. */
+void startOnARestartedWorker(SchedulerHarness &harness)
+{
+    auto &worker = harness.addWorker("w1");
+    harness.advanceTime(2s);
+    worker.restart(harness.now);
+    harness.advanceTime(20ms);
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(task) == "w1");
+    harness.addWorker("w2");
+    harness.advanceTime(25ms);
+}
+
+/** Checks that the task of w1, which does not answer any more, starts on w2 after the longest hold.
+ */
+void checkThatTheLongestHoldIsWaitedFor(SchedulerHarness &harness)
+{
+    const auto waited = timeUntilRestart(harness, "w1");
+    BOOST_TEST((waited >= maxHold), "started elsewhere after " << waited / 1ms << " ms");
+    BOOST_TEST(harness.workerOf(task) == "w2");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Holds)
@@ -122,19 +145,9 @@
 BOOST_AUTO_TEST_CASE(HoldOfAStartThatTheNextIncarnationAnsweredIsWaitedFor)
 {
     SchedulerHarness harness;
-    auto &worker = harness.addWorker("w1");
-    harness.advanceTime(2s);
-    worker.restart(harness.now);
-    harness.advanceTime(20ms);
-    harness.addJob(job("j", {step(1)}));
-    harness.decide();
-    BOOST_REQUIRE(harness.workerOf(task) == "w1");
-    harness.addWorker("w2");
-    harness.advanceTime(25ms);
+    startOnARestartedWorker(harness);
     harness.reportFrom("w1");
-    const auto waited = timeUntilRestart(harness, "w1");
-    BOOST_TEST((waited >= maxHold), "started elsewhere after " << waited / 1ms << " ms");
-    BOOST_TEST(harness.workerOf(task) == "w2");
+    checkThatTheLongestHoldIsWaitedFor(harness);
 }
 
 // Guards against the same if the list of instances shows before that answer that the worker is
@@ -154,9 +167,7 @@
     worker.restart(harness.now);
     harness.advanceTime(100ms);
     harness.scheduler.startConfirmed(starts[0], worker.clock(harness.now), harness.now);
-    const auto waited = timeUntilRestart(harness, "w1");
-    BOOST_TEST((waited >= maxHold), "started elsewhere after " << waited / 1ms << " ms");
-    BOOST_TEST(harness.workerOf(task) == "w2");
+    checkThatTheLongestHoldIsWaitedFor(harness);
 }
 
 // Guards against the same if the only report of the next incarnation comes without the list of
@@ -164,22 +175,12 @@
 BOOST_AUTO_TEST_CASE(HoldOnAnEarlierClockIsWaitedForAfterAReportWithoutTheList)
 {
     SchedulerHarness harness;
-    auto &worker = harness.addWorker("w1");
-    harness.advanceTime(2s);
-    worker.restart(harness.now);
-    harness.advanceTime(20ms);
-    harness.addJob(job("j", {step(1)}));
-    harness.decide();
-    BOOST_REQUIRE(harness.workerOf(task) == "w1");
-    harness.addWorker("w2");
-    harness.advanceTime(25ms);
-    auto report = worker.report(harness.now);
+    startOnARestartedWorker(harness);
+    auto report = harness.workers["w1"].report(harness.now);
     report.running.clear();
     report.runningListed = false;
     harness.scheduler.holdAnswered("w1", report, harness.now, harness.now);
-    const auto waited = timeUntilRestart(harness, "w1");
-    BOOST_TEST((waited >= maxHold), "started elsewhere after " << waited / 1ms << " ms");
-    BOOST_TEST(harness.workerOf(task) == "w2");
+    checkThatTheLongestHoldIsWaitedFor(harness);
 }
 
 // Guards against a completed task that runs again: an owner that stood still after it had read a
