Review case 6: late starts of a former owner run on workers that crashed

An owner takes a crashed worker that the list of machines shows as down for ended, although starts of the former owner may still arrive at its next incarnation.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../standins-2/run.sh" late-start "$(dirname "$0")"
