--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -85,7 +85,9 @@
         }
         shape.longTaskEvery = m_name == "late-submission" ? 1 : 0;
         shape.reach = [this](const std::string &client, const std::string &address) {
-            return client.empty() && m_name != "many-items" && m_name != "late-start" ? proxyOf(address) : address;
+            return client.empty() && m_name != "many-items" && m_name != "late-start"
+                           ? proxyOf(address)
+                           : address;
         };
         m_fleet = std::make_unique<platform::FleetStandin>(m_loop, shape);
     }
@@ -152,8 +154,8 @@
                                                      nodeAddress(n, readyPort), 7060));
         json["ip"] = nodeIp(n);
         json["portRange"] = {7060, 7075};
-        json["limits"] = {{"cpuShare", 0.25}, {"cores", 1}, {"memoryMb", 260}, {"maxFds", 4100},
-                          {"linkMbps", 1000.0}, {"diskMb", 0}};
+        json["limits"] = {{"cpuShare", 0.25}, {"cores", 1},         {"memoryMb", 260},
+                          {"maxFds", 4100},   {"linkMbps", 1000.0}, {"diskMb", 0}};
         json["bounds"]["graceS"] = 6;
         json["bounds"]["cancel_ms"] = cancelBound.count();
         json["bounds"]["status_s"] = m_name == "removal-rate" ? 1 : 120;
@@ -192,8 +194,8 @@
     {
         m_client.call(nodeAddress(n, metricsPort), {"GET", "/v1/status", {}, {}}, 1s,
                       [this, n](const Result<HttpResponse> &response) {
-                          const auto json = response ? Json::parse(response->body, nullptr, false)
-                                                     : Json();
+                          const auto json
+                                  = response ? Json::parse(response->body, nullptr, false) : Json();
                           if (json.is_object() && json.value("owns_schedule", false)) {
                               m_owner = n;
                               // The workers have been asked for their runs by then.
@@ -236,11 +238,11 @@
     {
         auto &proxy = m_proxies[worker];
         if (!proxy.server) {
-            proxy.address = m_host + ':'
-                            + std::to_string(proxyPort + static_cast<int>(m_proxies.size()));
+            proxy.address
+                    = m_host + ':' + std::to_string(proxyPort + static_cast<int>(m_proxies.size()));
             proxy.server = std::make_unique<HttpServer>(
-                    m_loop, [this, worker](const HttpRequest &request,
-                                           const HttpServer::Respond &respond) {
+                    m_loop,
+                    [this, worker](const HttpRequest &request, const HttpServer::Respond &respond) {
                         forward(worker, request, respond);
                     });
             if (!proxy.server->listen(proxy.address))
@@ -259,13 +261,14 @@
         if (start && needsTicket(task) && !ticketValid(task, instance, json.value("ticket", ""))) {
             if (++m_refusedStarts[task] <= 2)
                 note("start of " + task + " on " + instance + " rejected: no valid ticket");
-            const auto clock = m_clocks[worker]
-                               + (EventLoop::now() - m_clockReadAt[worker]) / 1ms;
+            const auto clock = m_clocks[worker] + (EventLoop::now() - m_clockReadAt[worker]) / 1ms;
             respond({409, dump(Json{{"clockMs", clock}, {"reason", "ticket"}}), {}});
             return;
         }
         m_client.call(worker,
-                      {request.method, request.target, request.body,
+                      {request.method,
+                       request.target,
+                       request.body,
                        {{"Dragonflysill-Expect-Instance", instance}}},
                       5s,
                       [this, worker, start, task, instance,
@@ -366,9 +369,8 @@
                      accepted();
                      return;
                  }
-                 m_loop.after(200ms, [=, this] {
-                     submit(job, node % nodeCount + 1, text, accepted);
-                 });
+                 m_loop.after(200ms,
+                              [=, this] { submit(job, node % nodeCount + 1, text, accepted); });
              });
     }
 
@@ -409,13 +411,14 @@
         address.sin_port = htons(frontPort);
         ::inet_pton(AF_INET, nodeIp(m_frozen).c_str(), &address.sin_addr);
         const auto content = body(3, 2);
-        const auto request = "POST " + target(job) + " HTTP/1.1\r\nHost: "
-                             + platform::FleetStandin::callerHost
+        const auto request = "POST " + target(job)
+                             + " HTTP/1.1\r\nHost: " + platform::FleetStandin::callerHost
                              + "\r\nContent-Type: application/json\r\nContent-Length: "
                              + std::to_string(content.size()) + "\r\n\r\n" + content;
-        const bool sent = ::connect(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0
-                          && ::send(fd, request.data(), request.size(), 0)
-                                     == static_cast<ssize_t>(request.size());
+        const bool sent
+                = ::connect(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0
+                  && ::send(fd, request.data(), request.size(), 0)
+                             == static_cast<ssize_t>(request.size());
         note("POST " + jobId(job) + " at node-" + std::to_string(m_frozen)
              + (sent ? " sent" : " not sent"));
         if (!sent)
@@ -468,10 +471,15 @@
     {
         Json routes = Json::array();
         const auto add = [&](const std::string &pool, bool admission) {
-            routes.push_back({{"name", "queue-" + pool}, {"host", platform::FleetStandin::callerHost},
+            routes.push_back({{"name", "queue-" + pool},
+                              {"host", platform::FleetStandin::callerHost},
                               {"prefix", platform::FleetStandin::queuePrefix(pool)},
-                              {"timeoutMs", timeoutMs}, {"targetRuntimeMs", 600}, {"priority", 0},
-                              {"service", pool}, {"attempts", 3}, {"slackFactor", 2.0}});
+                              {"timeoutMs", timeoutMs},
+                              {"targetRuntimeMs", 600},
+                              {"priority", 0},
+                              {"service", pool},
+                              {"attempts", 3},
+                              {"slackFactor", 2.0}});
             if (admission)
                 routes.back()["advice"] = {{"decideMs", m_policy.decide.count()},
                                            {"periodMs", m_policy.period.count()},
@@ -482,10 +490,12 @@
         add("intake", false);
         Json services = Json::array();
         for (const auto *pool : {"routing", "intake", "spare"})
-            services.push_back({{"name", pool}, {"enforcesCapacity", true},
+            services.push_back({{"name", pool},
+                                {"enforcesCapacity", true},
                                 {"standby", std::string_view(pool) == "spare"}});
-        m_fleet->store().put("op/config", dump(Json{{"version", version}, {"routes", routes},
-                                                    {"services", services}}));
+        m_fleet->store().put(
+                "op/config",
+                dump(Json{{"version", version}, {"routes", routes}, {"services", services}}));
     }
 
     void askAdmission(const HttpRequest &request, const HttpServer::Respond &respond)
@@ -509,8 +519,8 @@
         m_calls.pop_front();
         const auto json = Json::parse(request.body, nullptr, false);
         const std::string step = json.at("step");
-        const auto time = m_policy.decide
-                          + m_policy.period * static_cast<int>(json.at("workers").size());
+        const auto time
+                = m_policy.decide + m_policy.period * static_cast<int>(json.at("workers").size());
         m_loop.after(time, [this, json, step, respond] {
             Json good = Json::array();
             for (const std::string worker : json.at("workers")) {
@@ -570,12 +580,14 @@
             note("admission calls: " + std::to_string(m_decidedCalls) + " decided, "
                  + std::to_string(m_refusedCalls) + " rejected with 429");
             end(m_broken > 0 ? broken : held,
-                std::to_string(m_broken) + " accepted jobs have nothing running for 3 s, with most "
-                                           "of the service free");
+                std::to_string(m_broken)
+                        + " accepted jobs have nothing running for 3 s, with most "
+                          "of the service free");
             return;
         }
         call("GET", m_owner, job, {}, [this, job, jobs](const Result<HttpResponse> &response) {
-            const bool completed = response && response->body.find("completed") != std::string::npos;
+            const bool completed
+                    = response && response->body.find("completed") != std::string::npos;
             const auto idle = EventLoop::now() - std::max(m_lastActive[jobId(job)], m_checkedSince);
             const bool runs = std::ranges::any_of(m_running, [&](const std::string &task) {
                 return task.starts_with(jobId(job));
@@ -651,9 +663,8 @@
         // The last submission is accepted within some seconds, and finishTime has passed by then.
         m_loop.after(75s, [this] {
             for (int n = 1; n <= nodeCount; ++n)
-                note("node-" + std::to_string(n) + ": at most "
-                     + std::to_string(m_peakKb[n] / 1024) + " MB, killed "
-                     + std::to_string(m_kills[n]) + " times");
+                note("node-" + std::to_string(n) + ": at most " + std::to_string(m_peakKb[n] / 1024)
+                     + " MB, killed " + std::to_string(m_kills[n]) + " times");
             checkHistoryJob(0, 1, 0);
         });
     }
@@ -800,8 +811,8 @@
             return;
         m_client.call(nodeAddress(n, metricsPort), {"GET", "/v1/status", {}, {}}, 300ms,
                       [this, n](const Result<HttpResponse> &response) {
-                          const auto json = response ? Json::parse(response->body, nullptr, false)
-                                                     : Json();
+                          const auto json
+                                  = response ? Json::parse(response->body, nullptr, false) : Json();
                           if (json.is_object() && json.value("owns_schedule", false)) {
                               note("SIGTERM to node-" + std::to_string(n));
                               ::kill(pidOf(n), SIGTERM);
@@ -832,7 +843,8 @@
                  + " ends, " + std::to_string(tally.duplicateStarts) + " doubled");
         call("GET", 2, 0, {}, [this, items](const Result<HttpResponse> &response) {
             const auto &tally = m_fleet->tally();
-            const bool completed = response && response->body.find("completed") != std::string::npos;
+            const bool completed
+                    = response && response->body.find("completed") != std::string::npos;
             const bool late = EventLoop::now() - m_startedAt > 92s;
             if (!completed && !late && tally.duplicateStarts < 100) {
                 m_loop.after(100ms, [this, items] { watchItems(items); });
