--- a/review/standins-2/run.sh
+++ b/review/standins-2/run.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
-# Plays a script case: run.sh CASE FOLDER. Writes FOLDER/record.txt. Exits with 1 if the rule was
-# broken, 0 if it held and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Plays a script case: run.sh CASE FOLDER [TROUBLE]. Writes FOLDER/record.txt. Exits with 1 if the rule
+# was broken, 0 if it held and 2 if the case could not run. TROUBLE, an argument or else the variable of
+# that name, is 0 to leave the disruption out.
 # Each background job gets a process group of its own, which ends a node with its supervisor.
 set -uom pipefail
 case_name=$1
 case_dir=$(cd "$2" && pwd)
+trouble=${3:-${TROUBLE:-1}}
 cd "$(dirname "$0")/../.."
 node=(target/bin/dragonflysill-node --metrics-port 9464)
 [ -x "${node[0]}" ] && [ -x target/review-2/review-fleet ] || exit 2
@@ -31,7 +33,7 @@
 trap stop_all EXIT
 # Addresses of its own for each run, so that all ports are free.
 host=127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1)).1
-target/review-2/review-fleet "$case_name" "$run_dir" "$host" >"$run_dir/standin.log" 2>&1 &
+TROUBLE=$trouble target/review-2/review-fleet "$case_name" "$run_dir" "$host" >"$run_dir/standin.log" 2>&1 &
 standin=$!
 pids+=("$standin")
 for n in 1 2 3; do
