Wait for an earlier owner's starts to workers that are down

Cause: Scheduler::retire took a worker that is down for one that can run nothing more unless this owner knew of runs there. Starts of the earlier owner wait at the worker's port, and its next incarnation, which has seen no fencing token, carries them out after the tasks have started elsewhere.

Change: an inherited worker keeps the time until which orders of earlier owners may be carried out (previousOwner and maxCallTime). If it is down, inherited tasks of its pool wait until then or until it answers again. A worker that is down no longer counts as fenced, since only the incarnation that has ended had seen the token.

--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -86,11 +86,13 @@
     TimePoint heldUntil{}; ///< Local time until which runs may continue without another hold.
     WorkerClock holdSent = 0; ///< End of the last hold that was sent, on the clock known then.
     TimePoint holdSentAt{}; ///< When it was sent, by this owner or an earlier one.
+    /** Until then an order of an earlier owner may be carried out, by any incarnation. */
+    TimePoint earlierOrdersUntil{};
     /** Incarnation that an earlier owner has recorded; 0 for a worker that it did not use. */
     std::int64_t recordedStartMs = 0;
     bool restarted = false; ///< An earlier incarnation had the same id.
     bool reachable = false; ///< The last hold request was answered.
-    bool fenced = false; ///< It has received this owner's fencing token.
+    bool fenced = false; ///< Its incarnation has received this owner's fencing token.
     bool leaving = false; ///< It gets no new tasks, and its persistent tasks are moved away.
     bool ended = false; ///< It is down; retired when no copy of an order can arrive any more.
     bool retired = false; ///< It has ended permanently; its entry may still be in the store.
@@ -142,6 +144,12 @@
     /** Returns true if the worker has runs. */
     [[nodiscard]] bool busy() const { return !runs.empty() || !unadoptedRuns.empty(); }
 
+    /** Returns true if the worker is down and no order can bring a run to its next incarnation. */
+    [[nodiscard]] bool mayBeRetired(TimePoint now) const
+    {
+        return ended && runs.empty() && now >= heldUntil;
+    }
+
     /** Returns true if the worker has no runs and no ends that have not been saved. */
     [[nodiscard]] bool empty() const { return !busy() && pendingEnds.empty(); }
 
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -180,8 +180,11 @@
     forgetUnexplainedRuns(worker);
     worker.listed = false;
     worker.reachable = false;
-    worker.heldUntil = now;
+    // The next incarnation has seen no fencing token and carries out what still arrives.
+    worker.fenced = false;
+    worker.heldUntil = end == WorkerEnd::Down ? std::max(now, worker.earlierOrdersUntil) : now;
     worker.unadoptedRuns.clear();
+    m_workersChanged = true;
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
         if (end == WorkerEnd::Down && now < run->second.copiesUntil) {
@@ -193,7 +196,7 @@
     }
     // A worker with runs left is still asked, so that a later incarnation is heard of.
     worker.ended = true;
-    worker.retired = worker.runs.empty();
+    worker.retired = worker.mayBeRetired(now);
     recordCrashes(suspected, now);
 }
 
@@ -205,6 +208,7 @@
     worker.recordedStartMs = description.startedMs;
     worker.restarted = description.restarted;
     worker.holdSentAt = now + m_settings.previousOwner;
+    worker.earlierOrdersUntil = worker.holdSentAt + internal::maxCallTime;
     worker.heldUntil = worker.holdSentAt + internal::maxHoldTime(m_settings.hold);
 }
 
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -39,7 +39,7 @@
         }
         if (!worker.reachable && now >= worker.heldUntil)
             loseRuns(worker, now);
-        worker.retired = worker.retired || (worker.ended && worker.runs.empty());
+        worker.retired = worker.retired || worker.mayBeRetired(now);
         if (now - worker.runsCheckedAt >= internal::runCheckInterval) {
             worker.runsCheckedAt = now;
             for (auto &[task, run] : worker.runs)
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -199,6 +199,54 @@
     BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves(true)).empty());
 }
 
+// Guards against a task that runs twice (TWICE): a worker that is down after a take-over carries out
+// a start of the earlier owner when it is back, whether it answered the new owner before or not.
+BOOST_AUTO_TEST_CASE(StartsOfAnEarlierOwnerAreWaitedForWhileTheirWorkerIsDown)
+{
+    for (const bool answered : {true, false}) {
+        SchedulerHarness harness(1000);
+        auto &worker = harness.workers["w1"];
+        worker.description.id = "w1";
+        worker.description.pool = "pool";
+        worker.description.startedMs = worker.startedMs;
+        harness.scheduler.addInheritedWorker(worker.description, harness.now);
+        if (answered)
+            harness.reportFrom("w1");
+        harness.scheduler.holdUnanswered("w1", harness.now);
+        harness.scheduler.retireWorker("w1", Scheduler::WorkerEnd::Down, harness.now);
+        harness.addWorker("w2");
+        harness.addJob(job("j", {step(1)}), true);
+        const auto begin = harness.now;
+        while (harness.workerOf(task).empty() && harness.now - begin < 10s) {
+            harness.advanceTime(100ms);
+            harness.reportFrom("w2");
+            harness.decide();
+        }
+        BOOST_TEST((harness.now - begin >= SchedulerSettings().previousOwner + maxCopyTime));
+        BOOST_TEST((harness.now - begin < 5s), "answered " << answered);
+    }
+}
+
+// Guards against a wait that is longer than necessary: a worker that is back refuses the earlier
+// owner's starts from its first answer on.
+BOOST_AUTO_TEST_CASE(StartsOfAnEarlierOwnerAreNotWaitedForOnceTheirWorkerIsBack)
+{
+    SchedulerHarness harness(1000);
+    auto &worker = harness.workers["w1"];
+    worker.description.id = "w1";
+    worker.description.pool = "pool";
+    worker.description.startedMs = worker.startedMs;
+    harness.scheduler.addInheritedWorker(worker.description, harness.now);
+    harness.scheduler.retireWorker("w1", Scheduler::WorkerEnd::Down, harness.now);
+    harness.addWorker("w2");
+    harness.addJob(job("j", {step(1)}), true);
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).empty());
+    harness.advanceTime(500ms);
+    worker.restart(harness.now);
+    harness.reportFrom("w1");
+    BOOST_TEST(ordersOf<StartTask>(harness.decide()).size() == 1);
+}
+
 // Guards against a new owner that adopts the older one of two runs of a task on a worker, or that
 // leaves the other one at work until the next list.
 BOOST_AUTO_TEST_CASE(OlderOfTwoUnknownRunsOnAWorkerIsStopped)
