Store the cancel of a job that the store does not know

Cause: JobService::cancel answered 410 for an id that the store does not have and left nothing that a submission would meet that waits in a node that stands still, or in the store.

Change: the cancel request is stored as for a known job, and 410 is the answer once it is stored. A submission that comes later counts as cancelled, so that the owner never starts it. The replica keeps cancel requests without a job over a full list of the jobs, and the owner removes them after the time for which it keeps jobs that have ended.

--- a/include/dragonflysill/node/jobservice.h
+++ b/include/dragonflysill/node/jobservice.h
@@ -87,7 +87,12 @@
     void showStoredStatus(const std::string &id, const HttpServer::Respond &respond);
     void showPending(const Queue &queue, const HttpServer::Respond &respond);
     void cancel(std::string_view id, TimePoint deadline, const HttpServer::Respond &respond);
-    void writeCancel(const std::string &id, TimePoint deadline, const HttpServer::Respond &respond);
+    /**
+     * Stores a cancel request, also for a job that is stored later.
+     * @param acknowledgement status of the response once it is stored
+     */
+    void writeCancel(const std::string &id, int acknowledgement, TimePoint deadline,
+                     const HttpServer::Respond &respond);
     /** Reads from the store whether a job was accepted. */
     void findStored(const std::string &id, std::function<void(Result<Done>)> callback);
     /** Applies a key that this node has stored, and tells the owner of it. */
--- a/include/dragonflysill/node/statereplica.h
+++ b/include/dragonflysill/node/statereplica.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace dragonflysill {
@@ -27,6 +28,13 @@
     std::int64_t acceptedRevision = 0; ///< Revision of the record; 0 if it was not received.
     JobStatus status = JobStatus::Queued;
     bool cancelled = false;
+    std::int64_t cancelledRevision = 0; ///< Revision of the cancel request; 0 if there is none.
+
+    /** Returns true if only a cancel request was received: its submission may still arrive. */
+    [[nodiscard]] bool onlyCancelled() const { return cancelled && acceptedRevision == 0; }
+
+    /** Returns true if nothing will run for it, so that its keys may be removed after a while. */
+    [[nodiscard]] bool hasEnded() const { return isFinal(status) || onlyCancelled(); }
 };
 
 /** Owner of the schedule according to the store. */
@@ -109,6 +117,11 @@
     void removeUnlisted(std::string_view prefix, std::span<const KeyValue> items,
                         std::int64_t asOf);
     void advance(std::string_view prefix, std::int64_t asOf);
+    /** Returns true if a full list of a prefix shows that a job's keys have been removed. */
+    [[nodiscard]] static bool isUnlisted(const std::string &id, const ReplicatedJob &job,
+                                         std::string_view prefix,
+                                         const std::unordered_set<std::string_view> &listed,
+                                         std::int64_t asOf);
     void setJobKey(const std::string &key, const std::string &value, std::int64_t revision);
     void notifyListener();
 
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -27,6 +27,10 @@
  */
 constexpr Milliseconds defaultWait = 2000ms;
 
+/** Answers to a cancel request that has been stored. */
+constexpr int jobCancelled = 200;
+constexpr int noSuchJob = 410;
+
 /** Names of the values of PendingWrite::Outcome in the log. */
 constexpr std::array outcomeNames{"stored", "existed", "not-done", "unknown"};
 
@@ -265,21 +269,22 @@
         return;
     }
     if (m_replica.job(id) != nullptr) {
-        writeCancel(std::string(id), deadline, respond);
+        writeCancel(std::string(id), internal::jobCancelled, deadline, respond);
         return;
     }
     findStored(std::string(id),
                [this, id = std::string(id), deadline, respond](const Result<Done> &found) {
                    if (found)
-                       writeCancel(id, deadline, respond);
+                       writeCancel(id, internal::jobCancelled, deadline, respond);
+                   // Its submission may still be on its way, to this node or another.
                    else if (found.error().is(ErrorKind::NotFound))
-                       respond(internal::status(410));
+                       writeCancel(id, internal::noSuchJob, deadline, respond);
                    else
                        respond(internal::status(503));
                });
 }
 
-void JobService::writeCancel(const std::string &id, TimePoint deadline,
+void JobService::writeCancel(const std::string &id, int acknowledgement, TimePoint deadline,
                              const HttpServer::Respond &respond)
 {
     const auto status = m_replica.status(id);
@@ -291,17 +296,19 @@
     write.key = nodekeys::key(nodekeys::cancelled, id);
     write.value = "1";
     write.deadline = deadline;
-    write.callback = [this, key = write.key, respond](PendingWrite::Outcome outcome,
-                                                      const std::string &value,
-                                                      std::int64_t revision) {
+    write.callback = [this, key = write.key, acknowledgement,
+                      respond](PendingWrite::Outcome outcome, const std::string &value,
+                               std::int64_t revision) {
         if (outcome != PendingWrite::Outcome::Stored) {
             respond(internal::status(outcome == PendingWrite::Outcome::Unknown ? 504 : 503));
             return;
         }
         ++m_counts.cancelled;
-        logInfo("job-cancelled", {{"key", key}, {"revision", std::to_string(revision)}});
+        logInfo("job-cancelled", {{"key", key},
+                                  {"revision", std::to_string(revision)},
+                                  {"answer", std::to_string(acknowledgement)}});
         keyStored(key, value, revision);
-        respond(internal::status(200));
+        respond(internal::status(acknowledgement));
     };
     m_writer.write(std::move(write));
 }
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -413,7 +413,7 @@
     std::vector<std::string> ids;
     for (const auto &[id, job] : m_context.replica.jobs()) {
         const auto *scheduled = m_scheduler.job(id);
-        if (!isFinal(job.status) || (scheduled != nullptr && !scheduled->hasEnded()))
+        if (!job.hasEnded() || (scheduled != nullptr && !scheduled->hasEnded()))
             continue;
         const auto since = m_endedSince.emplace(id, now).first->second;
         if (now - since < retention || ids.size() >= internal::removalsPerWrite)
--- a/src/node/statereplica.cpp
+++ b/src/node/statereplica.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <unordered_set>
 #include <utility>
 
 namespace dragonflysill {
@@ -33,15 +32,21 @@
         const bool keep = listed.contains(it->first) || it->second.modRevision > asOf;
         it = keep ? std::next(it) : m_otherItems.erase(it);
     }
-    if (!nodekeys::jobs.starts_with(prefix))
-        return;
     std::erase_if(m_jobs, [&](const auto &it) {
-        const auto &[id, job] = it;
-        const auto newest = std::max(job.acceptedRevision, job.progressRevision);
-        return newest <= asOf && !listed.contains(nodekeys::key(nodekeys::jobs, id));
+        return isUnlisted(it.first, it.second, prefix, listed, asOf);
     });
 }
 
+bool StateReplica::isUnlisted(const std::string &id, const ReplicatedJob &job,
+                              std::string_view prefix,
+                              const std::unordered_set<std::string_view> &listed, std::int64_t asOf)
+{
+    const auto kind = job.onlyCancelled() ? nodekeys::cancelled : nodekeys::jobs;
+    const auto newest = job.onlyCancelled() ? job.cancelledRevision
+                                            : std::max(job.acceptedRevision, job.progressRevision);
+    return kind.starts_with(prefix) && newest <= asOf && !listed.contains(nodekeys::key(kind, id));
+}
+
 void StateReplica::apply(std::string_view prefix, std::span<const KeyUpdate> updates,
                          std::int64_t asOf)
 {
@@ -133,6 +138,7 @@
     } else {
         id = nodekeys::nameIn(nodekeys::cancelled, key);
         auto &job = m_jobs[id];
+        job.cancelledRevision = std::max(job.cancelledRevision, revision);
         if (std::exchange(job.cancelled, true))
             return;
     }
@@ -150,6 +156,12 @@
     }
     if (const auto id = nodekeys::nameIn(nodekeys::jobs, key); !id.empty())
         m_jobs.erase(std::string(id));
+    if (const auto id = nodekeys::nameIn(nodekeys::cancelled, key); !id.empty()) {
+        const auto it = m_jobs.find(std::string(id));
+        if (it != m_jobs.end() && it->second.onlyCancelled()
+            && it->second.cancelledRevision < revision)
+            m_jobs.erase(it);
+    }
     const auto it = m_otherItems.find(key);
     if (it != m_otherItems.end() && it->second.modRevision < revision)
         m_otherItems.erase(it);
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -172,6 +172,40 @@
     BOOST_TEST(replica.job(jobId) != nullptr);
 }
 
+// Guards against an owner that starts a job although it was cancelled before its submission was
+// stored (UNASKED), and against cancel requests that stay in the store for good.
+BOOST_AUTO_TEST_CASE(CancelRequestThatComesFirstIsKeptForTheJob)
+{
+    StateReplica replica;
+    replica.followJobs(true);
+    const auto key = nodekeys::key(nodekeys::cancelled, jobId);
+    const std::vector<KeyValue> listed{{key, "1", 2, 2, 0}};
+    replica.reset(nodekeys::cancelled, listed, 2);
+    replica.reset(nodekeys::jobs, {}, 3);
+    BOOST_REQUIRE(replica.jobs().contains(jobId));
+    BOOST_TEST(replica.job(jobId) == nullptr);
+    BOOST_TEST(replica.jobs().at(jobId).hasEnded());
+    replica.applyOwn(nodekeys::key(nodekeys::jobs, jobId), "record", 4);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Cancelled));
+    BOOST_TEST(!replica.jobs().at(jobId).hasEnded());
+}
+
+BOOST_AUTO_TEST_CASE(CancelRequestWithoutAJobIsDroppedWithItsKey)
+{
+    StateReplica replica;
+    replica.followJobs(true);
+    const auto key = nodekeys::key(nodekeys::cancelled, jobId);
+    replica.applyOwn(key, "1", 5);
+    replica.reset(nodekeys::cancelled, {}, 4);
+    BOOST_TEST(replica.jobs().size() == 1U);
+    const std::vector<KeyUpdate> removed{{key, "", 6, true}};
+    replica.apply(nodekeys::cancelled, removed, 6);
+    BOOST_TEST(replica.jobs().empty());
+    replica.applyOwn(key, "1", 7);
+    replica.reset(nodekeys::cancelled, {}, 8);
+    BOOST_TEST(replica.jobs().empty());
+}
+
 BOOST_AUTO_TEST_CASE(NodeThatDoesNotFollowJobsKeepsNone)
 {
     StateReplica replica;
--- a/tests/node/statustest.cpp
+++ b/tests/node/statustest.cpp
@@ -293,6 +293,29 @@
     BOOST_TEST(call("DELETE", "/q/" + jobId) == "410 ");
 }
 
+// Guards against a job that runs after its cancel was answered "no such job" (UNASKED): its
+// submission waited in a node that stood still.
+BOOST_AUTO_TEST_CASE(SubmissionAfterItsCancelIsCancelled)
+{
+    BOOST_TEST(call("DELETE", "/q/" + jobId) == "410 ");
+    BOOST_TEST(call("POST", "/q/" + jobId, R"({"spec":"text","steps":[{"count":1,"cpu":100}]})")
+               == "200 ");
+    BOOST_TEST(show() == R"(200 {"state":"cancelled"})");
+}
+
+// The caller asks again, so that "no such job" stays true.
+BOOST_AUTO_TEST_CASE(CancelOfAnUnknownJobIsOnlyAnsweredOnceItIsStored)
+{
+    store.faults = {FakeStore::Fault::LostBefore};
+    service.handle({"DELETE", "/q/" + jobId, {}, {{"Host", "host"}}}, [&](const HttpResponse &it) {
+        BOOST_TEST(it.status == 410);
+        BOOST_TEST(store.items.contains(nodekeys::key(nodekeys::cancelled, jobId)));
+    });
+    loop.context().restart();
+    loop.run();
+    BOOST_TEST(store.writes == 2);
+}
+
 // A wrong count is worse than none.
 BOOST_AUTO_TEST_CASE(AsksTheOwnerHowManyJobsArePending)
 {
