Count holds on earlier clocks without taking a worker's clock for its age

Cause: heldByEarlierClock took what a worker's clock shows for the time since its start. On the platform it starts anywhere: the new log line worker-restarted shows clock_ms 2935730 75 ms after a start, and held_ms 0. A hold on the clock of before arrives 125 ms later and keeps the run for 10 s, while the owner waits for 3 s.

Change: a hold on an earlier clock counts from its latest arrival for the maximum hold, or until its end on the new clock; the holds of each earlier clock are kept until they have no effect; a start's answer raises the hold by what its end means on the answer's clock; the age of an inherited worker's incarnation is bounded by the time of day.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -9,6 +9,7 @@
 #include "dragonflysill/jobs/runtimemodel.h"
 #include "dragonflysill/jobs/startobstacle.h"
 #include "dragonflysill/jobs/waitingqueue.h"
+#include "dragonflysill/jobs/workerrestart.h"
 #include "dragonflysill/jobs/workerstate.h"
 
 #include <algorithm>
@@ -242,6 +243,12 @@
         return std::exchange(m_anomalies, {});
     }
 
+    /** Removes and returns the restarts of workers since the last call, for the log. */
+    [[nodiscard]] std::vector<WorkerRestart> takeWorkerRestarts()
+    {
+        return std::exchange(m_restarts, {});
+    }
+
     /** Returns true if a worker has seen a higher fencing token, so a new owner exists. */
     [[nodiscard]] bool replaced() const { return m_replaced; }
 
@@ -350,7 +357,8 @@
      * Returns until when a worker's new incarnation may be held by calls that were sent on the
      * clock of an earlier one, which it takes for its own and shortens to the maximum hold.
      */
-    [[nodiscard]] TimePoint heldByEarlierClock(const WorkerState &worker, TimePoint now) const;
+    [[nodiscard]] TimePoint heldByEarlierClock(const WorkerState &worker,
+                                               const WorkerReport &report, TimePoint now) const;
     void beginIncarnation(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
                           TimePoint now);
     void applyRunning(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
@@ -477,6 +485,7 @@
     bool m_unadoptedRunsReported = false; ///< A worker may have WorkerState::unadoptedRuns.
     std::vector<SchedulerAction> m_actions;
     std::vector<RunAnomaly> m_anomalies;
+    std::vector<WorkerRestart> m_restarts;
     std::map<std::string, PoolLoad, std::less<>> m_acceptedLoad; ///< Work and jobs by pool.
     std::map<std::string, WorkerAdmissionSettings, std::less<>> m_admissionQueues;
     AdmissionTable m_admissions;
--- a/include/dragonflysill/jobs/worker.h
+++ b/include/dragonflysill/jobs/worker.h
@@ -80,6 +80,7 @@
     std::vector<RunningReport> running;
     std::vector<EndReport> ended; ///< Ends that have not been acknowledged.
     bool runningListed = true; ///< False if the running tasks were left out.
+    std::optional<Duration> age; ///< Of the incarnation, by the time of day; not set if unknown.
 };
 
 /** Why a worker did not start a task. */
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -55,8 +55,11 @@
     /** Returns the latest local time at which the worker's clock reaches @p clock. */
     [[nodiscard]] TimePoint latestTimeOf(WorkerClock clock) const;
 
-    /** Returns the earliest local time at which the worker's clock was 0, its start. */
-    [[nodiscard]] TimePoint earliestStart() const;
+    /**
+     * Returns true if the same incarnation may have shown this value in an answer that arrived at
+     * @p now. Each incarnation's clock starts anew, at any value.
+     */
+    [[nodiscard]] bool mayShow(WorkerClock clock, TimePoint now) const;
 
 private:
     WorkerClock m_clock = 0;
@@ -64,6 +67,13 @@
     bool m_known = false;
 };
 
+/** The last hold that was sent on the clock of an incarnation that has ended. */
+struct EarlierHold
+{
+    WorkerClock until = 0; ///< Its end on that clock; the next incarnation takes it for its own.
+    TimePoint arrivesUntil{}; ///< Until when it may be carried out.
+};
+
 /** End of a run that is acknowledged after the job's progress has been saved. */
 struct PendingEnd
 {
@@ -84,8 +94,9 @@
     TimePoint lastContact{}; ///< Time of the last answer of any kind.
     TimePoint lastReport{}; ///< Time of the last report that listed the runs.
     TimePoint heldUntil{}; ///< Local time until which runs may continue without another hold.
-    WorkerClock holdSent = 0; ///< End of the last hold that was sent, on the clock known then.
-    TimePoint holdSentAt{}; ///< When it was sent, by this owner or an earlier one.
+    WorkerClock holdSent = 0; ///< End of the last hold that was sent; 0 before the first one.
+    TimePoint holdSentAt{}; ///< When it was sent.
+    std::vector<EarlierHold> earlierHolds; ///< Those that may have reached a later incarnation.
     /** Until then an order of an earlier owner may be carried out, by any incarnation. */
     TimePoint earlierOrdersUntil{};
     /** Incarnation that an earlier owner has recorded; 0 for a worker that it did not use. */
--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -121,6 +121,7 @@
     /** Logs why tasks wait although their pool has free capacity. */
     void logWaitingTasks(TimePoint now);
     /** Logs and counts the disagreements with workers about a run. */
+    void logWorkerRestarts();
     void logRunAnomalies();
     void limitStarts();
     void carryOut(const std::vector<SchedulerAction> &actions, TimePoint startedAt);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -207,9 +207,9 @@
     worker.listed = false;
     worker.recordedStartMs = description.startedMs;
     worker.restarted = description.restarted;
-    worker.holdSentAt = now + m_settings.previousOwner;
-    worker.earlierOrdersUntil = worker.holdSentAt + internal::maxCallTime;
-    worker.heldUntil = worker.holdSentAt + internal::maxHoldTime(m_settings.hold);
+    const auto lastOrder = now + m_settings.previousOwner;
+    worker.earlierOrdersUntil = lastOrder + internal::maxCallTime;
+    worker.heldUntil = lastOrder + internal::maxHoldTime(m_settings.hold);
 }
 
 void Scheduler::unlistWorker(std::string_view id, TimePoint now)
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -24,6 +24,8 @@
 constexpr Duration singleCopyTime = 80ms;
 /** Maximum age of a report, from its request, after which its incarnation may have ended. */
 constexpr Duration maxReportAge = 1s;
+/** Maximum error of the time of day, which may jump, from the platform's rules. */
+constexpr Duration maxWallClockError = 5s;
 /** Maximum time from the start of an incarnation until its owner has heard of it. */
 constexpr Duration maxFirstContactTime = 6s;
 /** Time after which a stop whose outcome is not known, or an unconfirmed pace, is sent again. */
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -49,19 +49,22 @@
     return worker.holdSent;
 }
 
-TimePoint Scheduler::heldByEarlierClock(const WorkerState &worker, TimePoint now) const
+TimePoint Scheduler::heldByEarlierClock(const WorkerState &worker, const WorkerReport &report,
+                                        TimePoint now) const
 {
-    const auto start = worker.time.earliestStart();
-    const auto lastArrival = worker.holdSentAt + internal::maxCallTime;
-    if (lastArrival < start)
-        return now;
-    const bool sentByThisOwner = worker.holdSent != 0;
-    const auto longest = std::min(lastArrival, start + internal::maxFirstContactTime)
-                         + internal::maxHoldTime(m_settings.maxHold);
-    return std::max(now, sentByThisOwner
-                                 ? std::min(longest, worker.time.latestTimeOf(worker.holdSent)
-                                                             + internal::holdMargin)
-                                 : longest);
+    const auto longest = internal::maxHoldTime(m_settings.maxHold);
+    auto earlierOrdersUntil = worker.earlierOrdersUntil;
+    // The earlier owner, too, has heard of an incarnation some time after its start.
+    if (report.age)
+        earlierOrdersUntil = std::min(earlierOrdersUntil,
+                                      now - *report.age + internal::maxWallClockError
+                                              + internal::maxFirstContactTime);
+    auto until = std::max(now, earlierOrdersUntil + longest);
+    for (const auto &it : worker.earlierHolds)
+        until = std::max(until,
+                         std::min(it.arrivesUntil + longest,
+                                  worker.time.latestTimeOf(it.until) + internal::holdMargin));
+    return until;
 }
 
 void Scheduler::holdAnswered(std::string_view id, const WorkerReport &report, TimePoint sentAt,
@@ -123,14 +126,27 @@
     auto suspected = suspectedRuns(worker);
     std::erase_if(suspected,
                   [&report](const SuspectedRun &it) { return it.startedMs == report.startedMs; });
-    worker.startedMs = report.startedMs;
+    const auto earlierStartedMs = std::exchange(worker.startedMs, report.startedMs);
     worker.time.observe(report.clock, now);
+    std::erase_if(worker.earlierHolds, [this, now](const EarlierHold &it) {
+        return it.arrivesUntil + internal::maxHoldTime(m_settings.maxHold) <= now;
+    });
+    const auto holdSent = std::exchange(worker.holdSent, 0);
+    if (holdSent != 0)
+        worker.earlierHolds.push_back({holdSent, worker.holdSentAt + internal::maxCallTime});
     worker.lastProcessedEnd = 0;
     worker.lastSavedEnd = 0;
     worker.pendingEnds.clear();
+    if (first && worker.restarted)
+        worker.heldUntil = std::max(worker.heldUntil, heldByEarlierClock(worker, report, now));
+    else if (!first)
+        worker.heldUntil = heldByEarlierClock(worker, report, now);
+    if (worker.restarted)
+        m_restarts.push_back({worker.description.id, worker.startedMs, earlierStartedMs,
+                              report.clock, holdSent,
+                              holdSent == 0 ? Duration{0} : now - worker.holdSentAt,
+                              worker.heldUntil - now});
     if (first) {
-        if (worker.restarted)
-            worker.heldUntil = std::max(worker.heldUntil, heldByEarlierClock(worker, now));
         forgetUnexplainedRuns(worker);
         recordCrashes(suspected, now);
         return;
@@ -143,7 +159,6 @@
     });
     forgetUnexplainedRuns(worker);
     worker.health = {};
-    worker.heldUntil = heldByEarlierClock(worker, now);
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
         auto &known = run->second;
@@ -500,14 +515,17 @@
     if (worker == nullptr)
         return;
     worker->lastContact = now;
-    // Each incarnation has a clock of its own, and the next one may answer before its first report.
-    const bool wentBack = worker->time.known() && clock < worker->time.last();
-    if (start.startedMs == worker->startedMs && !wentBack)
+    // The next incarnation may answer before its first report.
+    const bool sameIncarnation = worker->time.mayShow(clock, now);
+    if (start.startedMs == worker->startedMs && sameIncarnation)
         worker->time.observe(clock, now);
-    // It takes the end of the start's hold, on the earlier clock, for a time on its own.
-    if (wentBack && worker->time.last() - clock > internal::maxCallTime / Milliseconds(1))
-        worker->heldUntil
-                = std::max(worker->heldUntil, now + internal::maxHoldTime(m_settings.maxHold));
+    // Whichever it is, it takes the end of the start's hold for a time on its own clock.
+    if (!worker->ended || !sameIncarnation)
+        worker->heldUntil = std::max(
+                worker->heldUntil,
+                now
+                        + internal::maxHoldTime(std::min<Duration>(
+                                m_settings.maxHold, Milliseconds(start.holdUntil - clock))));
     auto *run = worker->findRun(start.task, start.run);
     if (run == nullptr)
         return;
--- a/src/jobs/workerstate.cpp
+++ b/src/jobs/workerstate.cpp
@@ -23,12 +23,9 @@
     return m_observed + Milliseconds(static_cast<std::int64_t>(ms) + 1);
 }
 
-TimePoint WorkerClockEstimate::earliestStart() const
+bool WorkerClockEstimate::mayShow(WorkerClock clock, TimePoint now) const
 {
-    return m_observed
-           - Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_clock)
-                                                    / (1 - internal::maxClockDrift))
-                          + 1);
+    return !m_known || (clock >= m_clock && clock <= clockAt(now, internal::maxCallTime));
 }
 
 } // namespace dragonflysill
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -283,6 +283,19 @@
     }
 }
 
+void ScheduleOwner::logWorkerRestarts()
+{
+    for (const auto &it : m_scheduler.takeWorkerRestarts())
+        logInfo("worker-restarted", {{"worker", it.worker},
+                                     {"incarnation", std::to_string(it.startedMs)},
+                                     {"earlier", std::to_string(it.earlierStartedMs)},
+                                     {"clock_ms", std::to_string(it.clock)},
+                                     {"hold_sent", std::to_string(it.holdSent)},
+                                     {"since_hold_ms", std::to_string(it.sinceHold / 1ms)},
+                                     {"held_ms", std::to_string(it.held / 1ms)},
+                                     {"fence", std::to_string(m_fence)}});
+}
+
 void ScheduleOwner::decideAfterEvent()
 {
     if (!mayDecide())
@@ -303,6 +316,7 @@
         m_workerController.execute(it);
     m_workerController.sendDueHolds(startedAt);
     saveProgress();
+    logWorkerRestarts();
     logRunAnomalies();
     m_context.linkBudget.started(static_cast<int>(std::ranges::count_if(
             actions, [](const auto &it) { return std::holds_alternative<StartTask>(it); })));
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -330,8 +330,15 @@
                                       {"worker", id},
                                       {"how", std::to_string(static_cast<int>(it.end))}});
         }
-        m_scheduler.holdAnswered(id, *report, sentAt, now);
         const auto *worker = m_scheduler.worker(id);
+        if (worker != nullptr && worker->startedMs != report->startedMs) {
+            auto dated = *report;
+            dated.age = Milliseconds(unixMilliseconds() - report->startedMs);
+            m_scheduler.holdAnswered(id, dated, sentAt, now);
+        } else {
+            m_scheduler.holdAnswered(id, *report, sentAt, now);
+        }
+        worker = m_scheduler.worker(id);
         const bool idle = worker == nullptr || !worker->busy();
         const bool unsaved = worker != nullptr
                              && (!worker->pendingEnds.empty()
