Wait for what may hold a restarted worker that has not answered

Cause: what holds a new incarnation was counted at its first answer. One that is known from its entry or from the earlier owner's record, and that stays silent, counted as held by the last hold of the one before, or for 3 s after a take-over.

Change: from the moment at which a restart is known until the worker answers, it counts as held for the maximum from the last arrival of an earlier owner's call, and tasks of starts whose copies may have reached it wait for the maximum hold after the last copy. An answer, or a list of instances that shows that it is down, ends both.

The harness gets inheritWorker() and the tests of holds a common start; no assertion changes.

--- a/include/dragonflysill/jobs/taskrun.h
+++ b/include/dragonflysill/jobs/taskrun.h
@@ -27,6 +27,8 @@
     TimePoint orderSettledAt{}; ///< When the last start or stop order was answered or timed out.
     /** Until then a copy of the start order may still reach a worker under the same id. */
     TimePoint copiesUntil{};
+    /** Until then an incarnation that has not answered may run a copy that has reached it. */
+    TimePoint copyHeldUntil{};
     /** The incarnation that had it has ended; only a copy of its start may still be carried out. */
     bool incarnationEnded = false;
     TimePoint progressAt{}; ///< When a report first listed the run or its percentage last changed.
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -120,7 +120,8 @@
     queueSave(job);
 }
 
-void Scheduler::addOrUpdateWorker(const WorkerDescription &description, TimePoint now)
+void Scheduler::addOrUpdateWorker(const WorkerDescription &description, TimePoint now,
+                                  std::optional<Duration> age)
 {
     auto &worker = m_workers[description.id];
     m_workersChanged = true;
@@ -136,6 +137,7 @@
         // Another incarnation: nothing is started on it before it has reported its runs.
         worker.reachable = false;
         worker.fenced = false;
+        holdUntilAnswer(worker, age, now);
     }
     if (!known || worker.description.pool != description.pool) {
         if (known)
@@ -200,9 +202,10 @@
     recordCrashes(suspected, now);
 }
 
-void Scheduler::addInheritedWorker(const WorkerDescription &description, TimePoint now)
+void Scheduler::addInheritedWorker(const WorkerDescription &description, TimePoint now,
+                                   std::optional<Duration> age)
 {
-    addOrUpdateWorker(description, now);
+    addOrUpdateWorker(description, now, age);
     auto &worker = m_workers[description.id];
     worker.listed = false;
     worker.recordedStartMs = description.startedMs;
@@ -210,6 +213,8 @@
     const auto lastOrder = now + m_settings.previousOwner;
     worker.earlierOrdersUntil = lastOrder + internal::maxCallTime;
     worker.heldUntil = lastOrder + internal::maxHoldTime(m_settings.hold);
+    if (worker.restarted)
+        holdUntilAnswer(worker, age, now);
 }
 
 void Scheduler::unlistWorker(std::string_view id, TimePoint now)
@@ -244,6 +249,7 @@
 void Scheduler::awaitCopies(WorkerState &worker, TaskRun &run, TimePoint now)
 {
     run.incarnationEnded = true;
+    run.copyHeldUntil = {};
     // What the earlier incarnation answered does not count for the next one.
     run.stopAnswered = false;
     run.stopSentAt = now;
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -49,17 +49,33 @@
     return worker.holdSent;
 }
 
+TimePoint Scheduler::earlierOrdersUntil(const WorkerState &worker, std::optional<Duration> age,
+                                        TimePoint now)
+{
+    if (!age)
+        return worker.earlierOrdersUntil;
+    const auto latestStart = now - *age + internal::maxWallClockError;
+    return std::min(worker.earlierOrdersUntil, latestStart + internal::maxFirstContactTime);
+}
+
+void Scheduler::holdUntilAnswer(WorkerState &worker, std::optional<Duration> age,
+                                TimePoint now) const
+{
+    const auto longest = internal::maxHoldTime(m_settings.maxHold);
+    worker.heldUntil = std::max(worker.heldUntil, earlierOrdersUntil(worker, age, now) + longest);
+    for (auto &[task, run] : worker.runs) {
+        // The incarnation before has answered after the last copy could arrive.
+        if (run.copiesUntil <= worker.lastContact)
+            continue;
+        run.copyHeldUntil = run.copiesUntil + longest;
+    }
+}
+
 TimePoint Scheduler::heldByEarlierClock(const WorkerState &worker, const WorkerReport &report,
                                         TimePoint now) const
 {
     const auto longest = internal::maxHoldTime(m_settings.maxHold);
-    auto earlierOrdersUntil = worker.earlierOrdersUntil;
-    // The earlier owner, too, has heard of an incarnation some time after its start.
-    if (report.age)
-        earlierOrdersUntil = std::min(earlierOrdersUntil,
-                                      now - *report.age + internal::maxWallClockError
-                                              + internal::maxFirstContactTime);
-    auto until = std::max(now, earlierOrdersUntil + longest);
+    auto until = std::max(now, earlierOrdersUntil(worker, report.age, now) + longest);
     for (const auto &it : worker.earlierHolds)
         until = std::max(until,
                          std::min(it.arrivesUntil + longest,
@@ -142,10 +158,9 @@
     else if (!first)
         worker.heldUntil = heldByEarlierClock(worker, report, now);
     if (worker.restarted)
-        m_restarts.push_back({worker.description.id, worker.startedMs, earlierStartedMs,
-                              report.clock, holdSent,
-                              holdSent == 0 ? Duration{0} : now - worker.holdSentAt,
-                              worker.heldUntil - now});
+        m_restarts.push_back(
+                {worker.description.id, worker.startedMs, earlierStartedMs, report.clock, holdSent,
+                 holdSent == 0 ? Duration{0} : now - worker.holdSentAt, worker.heldUntil - now});
     if (first) {
         forgetUnexplainedRuns(worker);
         recordCrashes(suspected, now);
@@ -224,7 +239,8 @@
 {
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
-        if (run->second.phase == TaskRun::Phase::Starting || now < run->second.copiesUntil)
+        if (run->second.phase == TaskRun::Phase::Starting
+            || now < std::max(run->second.copiesUntil, run->second.copyHeldUntil))
             continue;
         auto *job = find(run->first.job);
         if (mayHaveCrashed(worker, run->second) && job != nullptr && !job->hasEnded()
--- a/tests/jobs/holdtest.cpp
+++ b/tests/jobs/holdtest.cpp
@@ -25,6 +25,16 @@
     return harness.now - begin;
 }
 
+/** Starts the task on w1; returns after how long it starts on w2 if w1 does not answer any more. */
+Duration waitAfterAStart(SchedulerHarness &harness)
+{
+    harness.addJob(job("j", {step(1)}));
+    harness.decide();
+    BOOST_REQUIRE(harness.workerOf(task) == "w1");
+    harness.addWorker("w2");
+    return timeUntilRestart(harness, "w1");
+}
+
 /** Starts the task on w1, of whose restart the owner has not heard; w2 is added afterwards. */
 void startOnARestartedWorker(SchedulerHarness &harness)
 {
@@ -69,11 +79,7 @@
         }
         harness.advanceTime(100ms);
         harness.reportFrom("w1");
-        harness.addJob(job("j", {step(1)}));
-        harness.decide();
-        BOOST_REQUIRE(harness.workerOf(task) == "w1");
-        harness.addWorker("w2");
-        const auto waited = timeUntilRestart(harness, "w1");
+        const auto waited = waitAfterAStart(harness);
         BOOST_TEST((reachesNewIncarnation ? waited >= maxHold : waited < 4s));
         BOOST_TEST(harness.workerOf(task) == "w2");
     }
@@ -91,11 +97,7 @@
         worker.restart(harness.now, clockAtStart);
         harness.advanceTime(100ms);
         harness.reportFrom("w1");
-        harness.addJob(job("j", {step(1)}));
-        harness.decide();
-        BOOST_REQUIRE(harness.workerOf(task) == "w1");
-        harness.addWorker("w2");
-        BOOST_TEST((timeUntilRestart(harness, "w1") >= maxHold), "from " << clockAtStart / 1s);
+        BOOST_TEST((waitAfterAStart(harness) >= maxHold), "from " << clockAtStart / 1s);
     }
 }
 
@@ -113,11 +115,7 @@
         harness.advanceTime(100ms);
         harness.reportFrom("w1");
     }
-    harness.addJob(job("j", {step(1)}));
-    harness.decide();
-    BOOST_REQUIRE(harness.workerOf(task) == "w1");
-    harness.addWorker("w2");
-    BOOST_TEST((timeUntilRestart(harness, "w1") >= maxHold));
+    BOOST_TEST((waitAfterAStart(harness) >= maxHold));
 }
 
 // Guards against the same if the next incarnation answers a start and is silent before its first
@@ -128,11 +126,7 @@
     auto &worker = harness.addWorker("w1");
     harness.advanceTime(2s);
     worker.restart(harness.now, worker.clock(harness.now) * 1ms - 3500ms);
-    harness.addJob(job("j", {step(1)}));
-    harness.decide();
-    BOOST_REQUIRE(harness.workerOf(task) == "w1");
-    harness.addWorker("w2");
-    BOOST_TEST((timeUntilRestart(harness, "w1") >= SchedulerSettings().hold + 3500ms));
+    BOOST_TEST((waitAfterAStart(harness) >= SchedulerSettings().hold + 3500ms));
 }
 
 // Guards against the same after a take-over: an earlier owner may have sent such a hold.
@@ -140,11 +134,7 @@
 {
     for (const bool restarted : {true, false}) {
         SchedulerHarness harness(1000);
-        auto &worker = harness.workers["w1"];
-        worker.description.id = "w1";
-        worker.description.pool = "pool";
-        worker.description.startedMs = worker.startedMs;
-        harness.scheduler.addInheritedWorker(worker.description, harness.now);
+        auto &worker = harness.inheritWorker("w1");
         if (restarted)
             worker.restart(harness.now - 1s);
         harness.addJob(job("j", {step(1)}), true);
@@ -158,6 +148,57 @@
     }
 }
 
+// Guards against the same if such a worker does not answer the new owner: its restart is known from
+// the record of the earlier owner or from its entry.
+BOOST_AUTO_TEST_CASE(SilentWorkerThatHasRestartedIsWaitedForAfterATakeOver)
+{
+    constexpr Duration lastArrival = SchedulerSettings().previousOwner + 2s;
+    for (const bool recorded : {true, false}) {
+        for (const auto age : {Duration{3s}, Duration{60s}}) {
+            SchedulerHarness harness(1000);
+            WorkerDescription description;
+            description.id = "w1";
+            description.pool = "pool";
+            description.startedMs = 1;
+            description.restarted = recorded;
+            harness.scheduler.addInheritedWorker(description, harness.now, age);
+            ++description.startedMs;
+            if (!recorded)
+                harness.scheduler.addOrUpdateWorker(description, harness.now, age);
+            harness.addWorker("w2");
+            harness.addJob(job("j", {step(1)}), true);
+            const auto waited = timeUntilRestart(harness, "w1");
+            BOOST_TEST((age > maxHold ? waited < 6s : waited >= lastArrival + maxHold),
+                       "recorded " << recorded << ", after " << waited / 1ms << " ms");
+        }
+    }
+}
+
+// Guards against the same if it has restarted while a start was on its way to it: the next
+// incarnation may have carried it out before it was cut off.
+BOOST_AUTO_TEST_CASE(StartThatMayHaveReachedASilentIncarnationIsWaitedFor)
+{
+    for (const bool restarted : {true, false}) {
+        SchedulerHarness harness;
+        auto description = harness.addWorker("w1").description;
+        harness.addJob(job("j", {step(1)}));
+        const auto starts = ordersOf<StartTask>(harness.decide(true));
+        BOOST_REQUIRE(starts.size() == 1);
+        harness.addWorker("w2");
+        harness.advanceTime(500ms);
+        harness.scheduler.startUnanswered(starts[0], harness.now);
+        harness.scheduler.holdUnanswered("w1", harness.now);
+        harness.decide(true);
+        harness.advanceTime(500ms);
+        ++description.startedMs;
+        if (restarted)
+            harness.scheduler.addOrUpdateWorker(description, harness.now);
+        const auto waited = timeUntilRestart(harness, "w1");
+        BOOST_TEST((restarted ? waited >= 1s + maxHold : waited < 4s),
+                   "restarted " << restarted << ", after " << waited / 1ms << " ms");
+    }
+}
+
 // Guards against the same through the clock in an answer of the earlier incarnation that comes
 // after the first report of the next one.
 BOOST_AUTO_TEST_CASE(ClockOfAnEarlierIncarnationIsNotUsedForTheNextOne)
@@ -174,8 +215,7 @@
     harness.scheduler.startConfirmed(starts[0], earlierClock, harness.now);
     const auto request = harness.scheduler.holdRequest("w1", harness.now);
     BOOST_REQUIRE(request.holdUntil.has_value());
-    BOOST_TEST(*request.holdUntil
-               <= worker.clock(harness.now) + SchedulerSettings().hold.count());
+    BOOST_TEST(*request.holdUntil <= worker.clock(harness.now) + SchedulerSettings().hold.count());
 }
 
 // Guards against a completed task that runs again: an owner that stood still reads a report late,
--- a/tests/jobs/ordercopytest.cpp
+++ b/tests/jobs/ordercopytest.cpp
@@ -179,11 +179,7 @@
 BOOST_AUTO_TEST_CASE(CopyOfAStartByAnEarlierOwnerIsBlocked)
 {
     SchedulerHarness harness(1000);
-    auto &worker = harness.workers["w1"];
-    worker.description.id = "w1";
-    worker.description.pool = "pool";
-    worker.description.startedMs = worker.startedMs;
-    harness.scheduler.addInheritedWorker(worker.description, harness.now);
+    auto &worker = harness.inheritWorker("w1");
     harness.addJob(job("j", {step(1)}), true);
     worker.running[task] = {task, 1, "", 0, {}};
     harness.reportFrom("w1");
@@ -199,17 +195,14 @@
     BOOST_TEST(ordersOf<StartTask>(harness.decideWithSaves(true)).empty());
 }
 
-// Guards against a task that runs twice (TWICE): a worker that is down after a take-over carries out
-// a start of the earlier owner when it is back, whether it answered the new owner before or not.
+// Guards against a task that runs twice (TWICE): a worker that is down after a take-over carries
+// out a start of the earlier owner when it is back, whether it answered the new owner before or
+// not.
 BOOST_AUTO_TEST_CASE(StartsOfAnEarlierOwnerAreWaitedForWhileTheirWorkerIsDown)
 {
     for (const bool answered : {true, false}) {
         SchedulerHarness harness(1000);
-        auto &worker = harness.workers["w1"];
-        worker.description.id = "w1";
-        worker.description.pool = "pool";
-        worker.description.startedMs = worker.startedMs;
-        harness.scheduler.addInheritedWorker(worker.description, harness.now);
+        harness.inheritWorker("w1");
         if (answered)
             harness.reportFrom("w1");
         harness.scheduler.holdUnanswered("w1", harness.now);
@@ -232,11 +225,7 @@
 BOOST_AUTO_TEST_CASE(StartsOfAnEarlierOwnerAreNotWaitedForOnceTheirWorkerIsBack)
 {
     SchedulerHarness harness(1000);
-    auto &worker = harness.workers["w1"];
-    worker.description.id = "w1";
-    worker.description.pool = "pool";
-    worker.description.startedMs = worker.startedMs;
-    harness.scheduler.addInheritedWorker(worker.description, harness.now);
+    auto &worker = harness.inheritWorker("w1");
     harness.scheduler.retireWorker("w1", Scheduler::WorkerEnd::Down, harness.now);
     harness.addWorker("w2");
     harness.addJob(job("j", {step(1)}), true);
--- a/tests/jobs/schedulerharness.h
+++ b/tests/jobs/schedulerharness.h
@@ -107,6 +107,17 @@
         return worker;
     }
 
+    /** Adds a worker of the previous owner, which has not answered this one. */
+    FakeWorker &inheritWorker(const std::string &id)
+    {
+        auto &worker = workers[id];
+        worker.description.id = id;
+        worker.description.pool = "pool";
+        worker.description.startedMs = worker.startedMs;
+        scheduler.addInheritedWorker(worker.description, now);
+        return worker;
+    }
+
     void addJob(SubmittedJob submitted, bool inherited = false)
     {
         scheduler.addJob(std::move(submitted), {}, inherited, Duration{0}, now);
