--- a/include/dragonflysill/jobs/fleetconfiguration.h
+++ b/include/dragonflysill/jobs/fleetconfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflysill/jobs/job.h"
+#include "dragonflysill/jobs/team.h"
 
 #include <optional>
 #include <string>
@@ -27,6 +28,7 @@
     Milliseconds timeout{0}; ///< Maximum time until a caller gets a response.
     QueuePolicy policy;
     std::optional<WorkerAdmissionSettings> workerAdmission; ///< Set if starts need a ticket.
+    bool isPublic = false; ///< Callers need no key of a team.
 };
 
 /** Operators' settings of a pool. */
@@ -53,6 +55,8 @@
     std::vector<Queue> queues;
     std::vector<PoolSettings> pools;
     RequestLimits limits;
+    bool usesTeams = false; ///< Callers of queues that are not public need a key of a team.
+    std::vector<Team> teams;
 
     /**
      * Returns the queue of a request: of the host's queues whose prefix the path begins with, the
@@ -65,6 +69,9 @@
     /** Returns a queue by name; nullptr if there is none. */
     [[nodiscard]] const Queue *queue(std::string_view name) const;
 
+    /** Returns a team by name; nullptr if there is none. */
+    [[nodiscard]] const Team *team(std::string_view name) const;
+
     /** Returns a pool's settings by name; nullptr if there are none. */
     [[nodiscard]] const PoolSettings *pool(std::string_view name) const;
 };
--- a/include/dragonflysill/jobs/job.h
+++ b/include/dragonflysill/jobs/job.h
@@ -85,6 +85,7 @@
     std::string id;
     std::string queue; ///< Name of the queue it was submitted to.
     std::string pool; ///< Pool whose workers run its tasks.
+    std::string team; ///< Team that submitted it; empty for none.
     QueuePolicy policy; ///< Policy of the queue when the job was accepted.
     std::int64_t acceptedMs = 0; ///< Time of acceptance in Unix milliseconds.
     JobSpec spec;
--- a/include/dragonflysill/jobs/json.h
+++ b/include/dragonflysill/jobs/json.h
@@ -29,6 +29,9 @@
 {
     try {
         return decode(Json::parse(text));
+    } catch (const Json::parse_error &e) {
+        // The library's text quotes the input, which may contain credentials.
+        return Error(ErrorKind::Corrupt, "JSON syntax error at byte " + std::to_string(e.byte));
     } catch (const std::exception &e) {
         return Error(ErrorKind::Corrupt, e.what());
     }
--- a/src/jobs/fleetconfiguration.cpp
+++ b/src/jobs/fleetconfiguration.cpp
@@ -40,6 +40,11 @@
     return internal::findByName(queues, name);
 }
 
+const Team *FleetConfiguration::team(std::string_view name) const
+{
+    return internal::findByName(teams, name);
+}
+
 const PoolSettings *FleetConfiguration::pool(std::string_view name) const
 {
     return internal::findByName(pools, name);
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -145,6 +145,7 @@
               {"accepted", job.acceptedMs},
               {"payload", job.spec.payload},
               {"steps", std::move(steps)}};
+    internal::put(json, "team", job.team);
     internal::put(json, "priority", job.policy.priority);
     internal::put(json, "times", job.spec.occurrences, 1);
     internal::put(json, "timed", job.spec.scheduled);
@@ -160,6 +161,7 @@
         job.id = id;
         job.queue = json.at("queue");
         job.pool = json.at("pool");
+        job.team = json.value("team", "");
         job.policy.attempts = json.at("attempts");
         job.policy.priority = json.value("priority", 0);
         job.policy.slackFactor = json.at("slack");
