Move persistent tasks off all instances of a wave from its start

The last instances hold persistent tasks of jobs that may miss one task at a time, each move takes 1.3 to 2.2 s, and these moves came late: instances were emptied two at a time and not while their pool was short, tasks were moved to other instances of the wave and had to move again, and a full pool offered no free room for 10 s or more.

Change: persistent tasks leave all instances that an open wave still has to maintain, within their budgets, and prefer instances without pending maintenance; instances with persistent tasks are emptied also during a shortage; a task may leave when several busy workers have room beside their own persistent tasks, since it is served first there; if no worker has, the pool's load names the lack, so that an instance is moved to it. Instances without pending maintenance are moved first.

--- a/include/dragonflysill/jobs/fleetview.h
+++ b/include/dragonflysill/jobs/fleetview.h
@@ -26,6 +26,7 @@
     bool hasPersistentTasks
             = false; ///< Persistent tasks, which must be moved away first, run on it.
     bool leaving = false; ///< It gets no new tasks.
+    bool awaitsMaintenance = false; ///< An open wave has not maintained it yet.
     bool orderPending = false; ///< An order for it is pending.
     /** The previous owner may have given it an order shortly before the takeover. */
     bool possiblyOrdered = false;
--- a/include/dragonflysill/jobs/maintenanceplanner.h
+++ b/include/dragonflysill/jobs/maintenanceplanner.h
@@ -23,6 +23,7 @@
 struct MaintenanceDecision
 {
     std::vector<MaintainInstance> orders; ///< Instances to take down now.
+    std::set<std::string> open; ///< Instances of open waves that have not been maintained.
     std::set<std::string> leaving; ///< Instances that get no new tasks, so that they become empty.
 };
 
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -175,6 +175,8 @@
     void retireWorker(std::string_view id, WorkerEnd end, TimePoint now);
     /** Sets whether a worker gets no new tasks and its persistent tasks are moved away. */
     void setLeaving(std::string_view id, bool leaving);
+    /** Sets whether persistent tasks prefer other workers, because maintenance will follow here. */
+    void setAwaitsMaintenance(std::string_view id, bool awaits);
     [[nodiscard]] const WorkerState *worker(std::string_view id) const;
     [[nodiscard]] const StringMap<WorkerState> &workers() const { return m_workers; }
 
@@ -398,6 +400,13 @@
     void checkRun(WorkerState &worker, TaskRun &run, TimePoint now);
     void paceBestEffortRuns(WorkerState &worker, TimePoint now);
     void movePersistentTasksAway(WorkerState &worker, TimePoint now);
+    /**
+     * Returns whether a persistent task of @p worker that is stopped finds room on another one, at
+     * once or when a task that is not persistent ends there. Workers that await maintenance count
+     * only for one that drains or has been leaving for long.
+     */
+    [[nodiscard]] bool findsRoomSoon(const WorkerState &worker, const TaskId &id, const Task &task,
+                                     TimePoint now) const;
     /** Returns whether a previous owner may still give stop orders unknown to this owner. */
     [[nodiscard]] bool previousOwnerMayBeActive(TimePoint now) const
     {
@@ -497,6 +506,8 @@
     std::vector<WorkerRestart> m_restarts;
     std::map<std::string, PoolLoad, std::less<>> m_acceptedLoad; ///< Work and jobs by pool.
     std::map<std::string, WorkerAdmissionSettings, std::less<>> m_admissionQueues;
+    /** What a worker must be able to hold, by pool, so that a persistent task can leave another. */
+    StringMap<std::vector<LackingWorkers>> m_lackingForMoves;
     AdmissionTable m_admissions;
     RunTimeModel m_runTimes;
 };
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -152,8 +152,10 @@
         // The previous owner may have taken it down shortly before the takeover.
         possiblyDown += static_cast<int>(it->possiblyOrdered && !it->usable && !it->orderPending
                                          && !wave.down.contains(name));
-        if (!wave.maintained.contains(name))
+        if (!wave.maintained.contains(name)) {
             open.push_back(it);
+            decision.open.insert(name);
+        }
     }
     if (open.empty() && present > 0) {
         wave.completed = true;
@@ -186,7 +188,10 @@
         if (it->orderPending || it->possiblyOrdered || it->draining
             || it->state != FleetInstance::State::Up)
             continue;
-        if (!it->standby && hasShortage(it->pool) && !lateIn(it->pool) && !it->leaving)
+        // Emptying an instance of persistent tasks takes too long to wait for the end of a
+        // shortage.
+        if (!it->standby && hasShortage(it->pool) && !lateIn(it->pool) && !it->leaving
+            && !it->hasPersistentTasks)
             continue;
         if (it->standby || (it->empty && it->usable) || (it->empty && it->leaving)) {
             if (down >= wave.request.maxInstancesDown) {
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace dragonflysill {
@@ -305,8 +306,10 @@
             || it.milliCores < need.milliCores || it.memoryMb < need.memoryMb)
             continue;
         // Prefer idle instances of other pools, which would be moved anyway, to those in standby.
-        if (best == nullptr
-            || std::pair(it.standby, it.idleSince) < std::pair(best->standby, best->idleSince))
+        const auto rank = [](const InstanceView &instance) {
+            return std::tuple(instance.awaitsMaintenance, instance.standby, instance.idleSince);
+        };
+        if (best == nullptr || rank(it) < rank(*best))
             best = &it;
     }
     return best;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -231,6 +231,12 @@
         it->leaving = leaving;
 }
 
+void Scheduler::setAwaitsMaintenance(std::string_view id, bool awaits)
+{
+    if (auto *it = findWorker(id))
+        it->awaitsMaintenance = awaits;
+}
+
 void Scheduler::stopRun(WorkerState &worker, TaskRun &run, TimePoint now)
 {
     if (run.phase == TaskRun::Phase::Stopping)
@@ -414,6 +420,10 @@
 std::map<std::string, PoolLoad, std::less<>> Scheduler::loads(TimePoint now) const
 {
     auto loads = m_acceptedLoad;
+    for (const auto &[pool, lacking] : m_lackingForMoves) {
+        for (const auto &it : lacking)
+            addLackingWorkers(loads[pool].lacking, it);
+    }
     for (const auto &[id, job] : m_open) {
         auto &load = loads[job->job().pool];
         for (const auto &[occurrence, run] : job->occurrences()) {
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -30,6 +30,7 @@
 void Scheduler::checkWorkers(TimePoint now)
 {
     countUnreachedWorkers(now);
+    m_lackingForMoves.clear();
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         auto &worker = it->second;
         processUnadoptedRuns(worker, now);
@@ -48,7 +49,12 @@
         }
         if (worker.reachable)
             paceBestEffortRuns(worker, now);
-        if (worker.leaving || worker.description.draining)
+        // Instances are emptied a few at a time, but persistent tasks take long to move, so that
+        // they leave all instances of a wave from its start.
+        const bool mustLeave = worker.leaving || worker.description.draining;
+        worker.leavingSince
+                = mustLeave ? worker.leavingSince.value_or(now) : std::optional<TimePoint>();
+        if ((mustLeave || worker.awaitsMaintenance) && worker.persistentRuns > 0)
             movePersistentTasksAway(worker, now);
         // A retired worker is kept as long as the store may still list its entry.
         const bool mayBeRemoved
@@ -166,6 +172,8 @@
 
 void Scheduler::movePersistentTasksAway(WorkerState &worker, TimePoint now)
 {
+    // The tasks of a step find room on the same workers.
+    std::map<std::pair<std::string_view, int>, bool> roomForStep;
     for (auto &[id, run] : worker.runs) {
         auto *job = find(id.job);
         if (job == nullptr || run.phase != TaskRun::Phase::Running || !job->step(id).persistent)
@@ -173,13 +181,49 @@
         if (job->inherited && !worker.description.draining && previousOwnerMayBeActive(now))
             continue;
         const auto *task = job->task(id);
-        const int budget = std::max(1, job->step(id).maxUnavailable);
-        const bool mayStartAgain
-                = task != nullptr && (job->crashesSaved() || suspicion(*job, id, *task) == 0);
-        if (mayStartAgain && unavailableTasks(*job, id) < budget
-            && chooseWorker(*job, id, *task, now) != nullptr)
+        if (task == nullptr || (!job->crashesSaved() && suspicion(*job, id, *task) > 0))
+            continue;
+        const auto [room, isFirst] = roomForStep.try_emplace({id.job, id.step}, false);
+        if (isFirst)
+            room->second = findsRoomSoon(worker, id, *task, now);
+        if (!room->second)
+            addLackingWorkers(m_lackingForMoves[worker.description.pool],
+                              {1, job->step(id).reserved()});
+        else if (unavailableTasks(*job, id) < std::max(1, job->step(id).maxUnavailable))
             stopRun(worker, run, now);
     }
 }
 
+bool Scheduler::findsRoomSoon(const WorkerState &worker, const TaskId &id, const Task &task,
+                              TimePoint now) const
+{
+    const auto &job = *this->job(id.job);
+    // A task on a worker that awaits maintenance would have to be moved again.
+    const bool takesAnyWorker
+            = worker.description.draining
+              || (worker.leavingSince
+                  && now - *worker.leavingSince >= internal::maintainedWorkerDelay);
+    const auto pool = m_pools.find(job.job().pool);
+    if (pool == m_pools.end())
+        return false;
+    const auto moving = candidate(job, id, task);
+    int busyWorkers = 0;
+    for (const auto *it : pool->second) {
+        if (it->awaitsMaintenance && !takesAnyWorker)
+            continue;
+        const auto obstacle = startObstacle(*it, moving, now);
+        if (!obstacle && !it->health.slow(now))
+            return true;
+        if (obstacle != StartObstacle::NoFreeCapacity)
+            continue;
+        Resources free = it->description.capacity;
+        for (const auto &[other, run] : it->runs) {
+            if (run.persistent)
+                free -= run.reserved;
+        }
+        busyWorkers += static_cast<int>(free.covers(moving.step.reserved()));
+    }
+    return busyWorkers >= internal::minBusyWorkersForMove;
+}
+
 } // namespace dragonflysill
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -97,6 +97,16 @@
 constexpr int maxStepsWithoutWorker = 16;
 /** Maximum number of waiting steps of a pool that a decision after an event considers. */
 constexpr int maxStepsAfterEvent = 64;
+/**
+ * Number of busy workers with room beside their persistent tasks from which a persistent task may be
+ * moved without a free one: among so many, room becomes free within a fraction of a second.
+ */
+constexpr int minBusyWorkersForMove = 8;
+/**
+ * Time for which persistent tasks of a leaving worker wait for one that does not await maintenance;
+ * enough for an instance that is moved to the pool for them.
+ */
+constexpr Duration maintainedWorkerDelay = 4000ms;
 /** Maximum number of ends in a worker's report, from the worker protocol. */
 constexpr std::size_t maxEndsPerReport = 500;
 /** Multiple of its expected run time after which a speculative task gets a second copy. */
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -200,7 +200,8 @@
     WorkerState *quarantined = nullptr;
     std::tuple<bool, bool, Duration, std::int64_t> quarantinedScore;
     WorkerState *best = nullptr;
-    std::tuple<bool, bool, std::ptrdiff_t, bool, bool, bool, bool, bool, std::int64_t, bool, double>
+    std::tuple<bool, bool, std::ptrdiff_t, bool, bool, bool, bool, bool, std::int64_t, bool, bool,
+               double>
             bestScore;
     const auto *target = job.trialTarget(id, task.lastRun + 1);
     const auto expected = waiting.suspicion > 0 ? expectedTrials(job, id) : StringMap<int>{};
@@ -250,9 +251,11 @@
         // Of two suspected tasks on one worker, the crash would count for both.
         const bool besideSuspect
                 = waiting.suspicion > 0 && now < it->probationUntil && it->probationJob != id.job;
+        // A persistent task would have to be moved again before the maintenance.
+        const bool movesAgain = step.persistent && it->awaitsMaintenance;
         const std::tuple score(!isTarget || slow, besideSuspect, neighbours, slow, failedHere,
-                               suspect, noRecentSuccess, remote, startedMs, it->persistentRuns == 0,
-                               -load);
+                               suspect, noRecentSuccess, remote, startedMs, movesAgain,
+                               it->persistentRuns == 0, -load);
         if (best == nullptr || score < bestScore) {
             best = it;
             bestScore = score;
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -106,8 +106,10 @@
         it.leaving = it.leaving && !m_balancer.yielding().contains(it.name);
     const auto maintenance = m_maintenance.decide(
             fleet, [this](const std::string &pool) { return m_balancer.hasShortage(pool); }, now);
-    for (auto &it : fleet.instances)
+    for (auto &it : fleet.instances) {
         it.leaving = maintenance.leaving.contains(it.name);
+        it.awaitsMaintenance = maintenance.open.contains(it.name);
+    }
     const auto moves = m_balancer.decide(fleet, now);
     logLoad(fleet, now);
     for (const auto &it : maintenance.orders)
@@ -120,6 +122,7 @@
                              || m_balancer.yielding().contains(name);
         if (worker.leaving != leaving)
             m_scheduler.setLeaving(id, leaving);
+        m_scheduler.setAwaitsMaintenance(id, maintenance.open.contains(name));
     }
 }
 
--- a/tests/jobs/decisionstest.cpp
+++ b/tests/jobs/decisionstest.cpp
@@ -397,6 +397,22 @@
     BOOST_TEST(planner.decide(fleet.view, isShort, fleet.now).orders.size() == 1U);
 }
 
+// Guards against a wave that is late: an instance with persistent tasks takes too long to become
+// empty to wait for the end of its pool's shortage.
+BOOST_AUTO_TEST_CASE(InstancesWithPersistentTasksAreEmptiedDuringAShortage)
+{
+    Fleet fleet({{"a", 2}}, 0);
+    for (auto &it : fleet.view.instances)
+        it.empty = false;
+    fleet.view.instances[0].hasPersistentTasks = true;
+    MaintenancePlanner planner(2000ms);
+    planner.addWave(wave({"a-0", "a-1"}, 1), {}, fleet.now);
+    const auto isShort = [](const std::string &) { return true; };
+    const auto decision = planner.decide(fleet.view, isShort, fleet.now);
+    BOOST_TEST((decision.leaving == std::set<std::string>{"a-0"}));
+    BOOST_TEST((decision.open == std::set<std::string>{"a-0", "a-1"}));
+}
+
 // The pattern of a wave during turns: 350 instances, two of five due within 26 s, each pool in turn
 // short of instances, and in each pool the tasks of one persistent job, which may miss one task at
 // a time, on every tenth instance. Guards against a wave that is late because its instances with
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -432,6 +432,55 @@
     BOOST_TEST(ordersOf<StopTask>(harness.decide()).size() == 1U);
 }
 
+// Guards against a wave that is late because the tasks of its instances are moved to other instances
+// of the wave and have to be moved again, or only when each instance's turn has come.
+BOOST_AUTO_TEST_CASE(PersistentTasksLeaveInstancesThatAwaitMaintenanceForOthers)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1", 4);
+    auto serving = step(2);
+    serving.persistent = true;
+    serving.maxUnavailable = 1;
+    harness.addJob(job("j", {serving}));
+    harness.decide();
+    for (auto &[task, row] : harness.workers["w1"].running)
+        row.percent = 100;
+    harness.reportAll();
+    harness.addWorker("w2", 4);
+    harness.scheduler.setAwaitsMaintenance("w1", true);
+    harness.scheduler.setAwaitsMaintenance("w2", true);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide()).empty());
+    const auto lacking = harness.scheduler.loads(harness.now).at("pool").lacking;
+    BOOST_REQUIRE(lacking.size() == 1U);
+    BOOST_TEST((lacking.front().need == serving.need));
+    harness.addWorker("w3", 4);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide()).size() == 1U);
+    harness.reportAll();
+    harness.decide();
+    BOOST_TEST(harness.workers["w3"].running.size() == 1U);
+    BOOST_TEST(harness.scheduler.loads(harness.now).at("pool").lacking.empty());
+}
+
+// Guards against persistent tasks that never leave an instance of a full pool, because tasks that
+// are not persistent take all room as soon as it becomes free.
+BOOST_AUTO_TEST_CASE(PersistentTasksLeaveTheirWorkerAlthoughManyOthersAreBusy)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w0", 2);
+    auto serving = step(1);
+    serving.persistent = true;
+    harness.addJob(job("serving", {serving}));
+    harness.decide();
+    harness.workers["w0"].running.begin()->second.percent = 100;
+    for (int n = 1; n <= 8; ++n)
+        harness.addWorker("w" + std::to_string(n), 1);
+    harness.addJob(job("busy", {step(8)}));
+    harness.decide();
+    harness.reportAll();
+    harness.scheduler.setLeaving("w0", true);
+    BOOST_TEST(ordersOf<StopTask>(harness.decide()).size() == 1U);
+}
+
 // Two owners that are active at the same time would each use the availability budget.
 BOOST_AUTO_TEST_CASE(InheritedPersistentTasksAreNotMovedWhileThePreviousOwnerMayBeActive)
 {
