Hand the ownership over to a far more capable node

After all machines had lost power while the store was down, a node of 0.12 cores registered first, claimed the ownership and kept it, although nodes of 0.5 cores were up a second later; the schedule of 350 workers then fell behind. A registration that the store refused was repeated only after 1.3 s, so that chance decided which node was seen first.

Change: an owner leaves the schedule to a node of at least twice its processor capacity that has been registered for a second; a failed registration is repeated after 100 to 400 ms.

The new case of node-test fails without the hand-over.

--- a/include/dragonflysill/node/noderegistration.h
+++ b/include/dragonflysill/node/noderegistration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dragonflysill/base/backoff.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/node/statereplica.h"
 #include "dragonflysill/store/asyncstore.h"
@@ -70,11 +71,13 @@
 private:
     void registerNode();
     void keepAlive();
-    void again(void (NodeRegistration::*step)());
+    /** Takes a step after a delay, unless the registration has been stopped by then. */
+    void again(Duration delay, void (NodeRegistration::*step)());
 
     EventLoop &m_loop;
     AsyncStore &m_store;
     RegisteredNode m_node;
+    Backoff m_backoff;
     LeaseId m_lease = 0;
     bool m_stopped = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/include/dragonflysill/node/ownership.h
+++ b/include/dragonflysill/node/ownership.h
@@ -42,6 +42,9 @@
         int milliCores = 0;
         /** Time from its registration after which those of nodes started with it are known. */
         std::chrono::milliseconds registrationTime{300};
+        /** Time for which a far more capable node must be registered before it gets the ownership.
+         */
+        std::chrono::milliseconds handOverTime{1000};
     };
 
     Ownership(EventLoop &loop, AsyncStore &store, const StateReplica &replica, Candidate candidate,
@@ -88,6 +91,8 @@
     [[nodiscard]] bool isOwnKey() const;
     /** Returns whether a more capable node is given the time to claim the ownership first. */
     bool defersToOthers();
+    /** Returns whether a far more capable node has been registered for long enough to take over. */
+    bool shouldHandOver();
     void renew();
     void leaseRenewed(TimePoint sentAt);
     void verifyOwnerKey(TimePoint sentAt);
@@ -106,6 +111,7 @@
     TimePoint m_renewedAt{};
     std::optional<TimePoint> m_claimableSince; ///< Since when this node could claim.
     std::optional<TimePoint> m_registeredSince; ///< Since when the replica has its registration.
+    std::optional<TimePoint> m_moreCapableSince; ///< Since when a far more capable node is known.
     TimePoint m_notBefore{}; ///< Before it, the ownership is left to other nodes.
     bool m_renewing = false;
     bool m_campaigning = false;
--- a/src/node/noderegistration.cpp
+++ b/src/node/noderegistration.cpp
@@ -16,8 +16,13 @@
 
 /** Time after which the registration of a node that has ended is removed. */
 constexpr Milliseconds registrationLease = 4000ms;
-/** Interval between two renewals, and before a failed call is repeated. */
+/** Interval between two renewals, and before a failed renewal is repeated. */
 constexpr Duration registrationInterval = 1300ms;
+/**
+ * Delays before a failed registration is repeated. The owner is chosen among the registered nodes,
+ * so that all must be registered soon after the store is back.
+ */
+constexpr BackoffLimits registrationBackoff{100ms, 400ms};
 /** Number of nodes that follow all keys; more than the platform loses at once on most days. */
 constexpr std::ptrdiff_t standbyNodes = 4;
 
@@ -84,6 +89,9 @@
     : m_loop(loop)
     , m_store(store)
     , m_node(std::move(node))
+    , m_backoff(stableHash(m_node.name)
+                        ^ static_cast<std::uint64_t>(EventLoop::now().time_since_epoch().count()),
+                internal::registrationBackoff)
 {
 }
 
@@ -99,9 +107,9 @@
         m_store.endLease(m_lease, [](const Result<Done> &) {});
 }
 
-void NodeRegistration::again(void (NodeRegistration::*step)())
+void NodeRegistration::again(Duration delay, void (NodeRegistration::*step)())
 {
-    m_loop.after(internal::registrationInterval, [this, step, alive = m_alive] {
+    m_loop.after(delay, [this, step, alive = m_alive] {
         if (*alive && !m_stopped)
             (this->*step)();
     });
@@ -109,24 +117,29 @@
 
 void NodeRegistration::registerNode()
 {
-    m_store.grantLease(internal::registrationLease, [this, alive = m_alive](
-                                                            const Result<GrantedLease> &lease) {
-        if (!*alive || m_stopped)
-            return;
-        if (!lease) {
-            again(&NodeRegistration::registerNode);
-            return;
-        }
-        m_lease = lease->id;
-        ConditionalWrite write;
-        write.writes = {
-                {nodekeys::key(nodekeys::nodes, m_node.name), encodeRegistration(m_node), m_lease}};
-        m_store.write(write, [this, alive](const Result<WriteOutcome> &outcome) {
-            if (*alive)
-                again(outcome && outcome->applied ? &NodeRegistration::keepAlive
-                                                  : &NodeRegistration::registerNode);
-        });
-    });
+    m_store.grantLease(internal::registrationLease,
+                       [this, alive = m_alive](const Result<GrantedLease> &lease) {
+                           if (!*alive || m_stopped)
+                               return;
+                           if (!lease) {
+                               again(m_backoff.next(), &NodeRegistration::registerNode);
+                               return;
+                           }
+                           m_lease = lease->id;
+                           ConditionalWrite write;
+                           write.writes = {{nodekeys::key(nodekeys::nodes, m_node.name),
+                                            encodeRegistration(m_node), m_lease}};
+                           m_store.write(write, [this, alive](const Result<WriteOutcome> &outcome) {
+                               if (!*alive)
+                                   return;
+                               if (!outcome || !outcome->applied) {
+                                   again(m_backoff.next(), &NodeRegistration::registerNode);
+                                   return;
+                               }
+                               m_backoff.reset();
+                               again(internal::registrationInterval, &NodeRegistration::keepAlive);
+                           });
+                       });
 }
 
 void NodeRegistration::keepAlive()
@@ -135,7 +148,10 @@
         if (!*alive)
             return;
         const bool ended = !renewed && renewed.error().is(ErrorKind::LeaseLost);
-        again(ended ? &NodeRegistration::registerNode : &NodeRegistration::keepAlive);
+        if (ended && !m_stopped)
+            registerNode();
+        else
+            again(internal::registrationInterval, &NodeRegistration::keepAlive);
     });
 }
 
--- a/src/node/ownership.cpp
+++ b/src/node/ownership.cpp
@@ -22,6 +22,13 @@
 /** Time that a node gives more capable ones to claim the ownership; they notice it within 0.3 s. */
 constexpr Duration deferTime = 500ms;
 
+/**
+ * A node hands the ownership over to one that is more capable by this factor. It may have claimed
+ * it while the others were not registered yet, and could not keep up with the load of a large
+ * fleet.
+ */
+constexpr int handOverFactor = 2;
+
 /** Time for which a node leaves the ownership to others after an unexpected error. */
 constexpr Duration stepAsideTime = 5000ms;
 
@@ -63,6 +70,8 @@
                 = m_replica.ownerAsOf() >= m_fence && m_replica.owner().revision != m_fence;
         if (superseded)
             lose("the store names another owner or none");
+        else if (shouldHandOver())
+            stepAside("a far more capable node is registered");
         else if (!m_renewing
                  && EventLoop::now() - m_renewedAt >= m_leaseLength / internal::renewalsPerLease)
             renew();
@@ -88,6 +97,19 @@
                || !isStandby(m_replica, m_candidate.node));
 }
 
+bool Ownership::shouldHandOver()
+{
+    const auto now = EventLoop::now();
+    if (!valid() || m_candidate.milliCores == 0
+        || !moreCapableNodeRegistered(m_replica,
+                                      internal::handOverFactor * m_candidate.milliCores - 1)) {
+        m_moreCapableSince.reset();
+        return false;
+    }
+    m_moreCapableSince = m_moreCapableSince.value_or(now);
+    return now - *m_moreCapableSince >= m_candidate.handOverTime;
+}
+
 bool Ownership::mayClaim() const
 {
     // A key with this node's name was written by an earlier process of the node, because only one
@@ -211,6 +233,7 @@
     if (m_fence == 0)
         return;
     m_fence = 0;
+    m_moreCapableSince.reset();
     m_store.endLease(m_lease, [](const Result<Done> &) {});
     m_handlers.lost(reason);
 }
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -668,7 +668,7 @@
 
     explicit Candidate(std::chrono::milliseconds lease,
                        std::chrono::milliseconds registrationTime = 0ms)
-        : ownership(loop, store, replica, {"node-1", 120, registrationTime}, lease,
+        : ownership(loop, store, replica, {"node-1", 120, registrationTime, 0ms}, lease,
                     {[this](std::int64_t fence, std::int64_t) { gained.push_back(fence); },
                      [this](const std::string &) { ++lost; }})
     {
@@ -748,6 +748,24 @@
     BOOST_TEST(candidate.gained.empty());
 }
 
+// Guards against a small machine that keeps the schedule of a large fleet because it registered
+// first after all machines had lost power.
+BOOST_AUTO_TEST_CASE(OwnerHandsOverToAFarMoreCapableNode)
+{
+    Candidate candidate(1h);
+    candidate.check();
+    BOOST_REQUIRE(candidate.ownership.valid());
+    candidate.store.put(nodekeys::key(nodekeys::nodes, "node-2"), "200");
+    candidate.updateReplica();
+    candidate.check();
+    BOOST_TEST(candidate.lost == 0);
+    candidate.store.put(nodekeys::key(nodekeys::nodes, "node-3"), "500");
+    candidate.updateReplica();
+    candidate.check();
+    BOOST_TEST(candidate.lost == 1);
+    BOOST_TEST(!candidate.ownership.valid());
+}
+
 // Guards against a small machine that owns the schedule of a large fleet while larger ones are up.
 BOOST_AUTO_TEST_CASE(NodeLeavesTheClaimToAMoreCapableOne)
 {
