--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -98,8 +98,8 @@
 /** Maximum number of waiting steps of a pool that a decision after an event considers. */
 constexpr int maxStepsAfterEvent = 64;
 /**
- * Number of busy workers with room beside their persistent tasks from which a persistent task may be
- * moved without a free one: among so many, room becomes free within a fraction of a second.
+ * Number of busy workers with room beside their persistent tasks from which a persistent task may
+ * be moved without a free one: among so many, room becomes free within a fraction of a second.
  */
 constexpr int minBusyWorkersForMove = 8;
 /**
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -432,8 +432,8 @@
     BOOST_TEST(ordersOf<StopTask>(harness.decide()).size() == 1U);
 }
 
-// Guards against a wave that is late because the tasks of its instances are moved to other instances
-// of the wave and have to be moved again, or only when each instance's turn has come.
+// Guards against a wave that is late because the tasks of its instances are moved to other
+// instances of the wave and have to be moved again, or only when each instance's turn has come.
 BOOST_AUTO_TEST_CASE(PersistentTasksLeaveInstancesThatAwaitMaintenanceForOthers)
 {
     SchedulerHarness harness;
