Tell when the calls of a watch were sent

Cause: a response proves the state of the store as of the sending of its call, which the watch did not tell. A poll during the discarding of the store's history may also name a revision above a change that it leaves out; the next poll would never report that change.

Change: PrefixWatcher tells after each applied response whether it was a list or a poll and when it was sent, the first page of a list counting. On request, polls without changes leave its revision as it is. Without the request, calls are the same as before.

Tests seen to fail by changes of the code: the time of the response instead of sending for polls and for lists, the last page of a list instead of the first, failed polls that count, the revision of empty polls taken over, and a clock that does not count suspension.

--- a/src/node/prefixwatcher.cpp
+++ b/src/node/prefixwatcher.cpp
@@ -41,6 +41,7 @@
     m_listedItems.clear();
     m_listedPages.clear();
     m_listedAsOf = 0;
+    m_listSentAt = EventLoop::now();
     list({});
 }
 
@@ -92,7 +93,10 @@
     m_listedPages.clear();
     m_asOf = m_listedAsOf;
     const auto items = std::exchange(m_listedItems, {});
-    handle([&] { m_handlers.reset(items, m_asOf); });
+    handle([&] {
+        m_handlers.reset(items, m_asOf);
+        notifyApplied(Response::List, m_listSentAt);
+    });
     waitForChanges();
 }
 
@@ -101,13 +105,14 @@
     // After a failure, an answer tells at once that the store is back.
     const auto wait = m_failed ? std::chrono::milliseconds{0} : m_timing.wait;
     m_store.watch(m_prefix, m_asOf, wait,
-                  [this, alive = m_alive, call = ++m_call](const Result<StoreChanges> &changes) {
+                  [this, alive = m_alive, call = ++m_call,
+                   sentAt = EventLoop::now()](const Result<StoreChanges> &changes) {
                       if (*alive && call == m_call)
-                          changesReceived(changes);
+                          changesReceived(changes, sentAt);
                   });
 }
 
-void PrefixWatcher::changesReceived(const Result<StoreChanges> &changes)
+void PrefixWatcher::changesReceived(const Result<StoreChanges> &changes, TimePoint sentAt)
 {
     if (!changes) {
         if (changes.error().is(ErrorKind::Compacted))
@@ -119,8 +124,14 @@
     m_backoff.reset();
     m_failed = false;
     m_lastResponseAt = EventLoop::now();
-    m_asOf = std::max(m_asOf, changes->asOf);
-    handle([&] { m_handlers.changed(changes->updates, m_asOf); });
+    if (!m_advanceOnChangesOnly)
+        m_asOf = std::max(m_asOf, changes->asOf);
+    else if (!changes->updates.empty())
+        m_asOf = std::max(m_asOf, changes->updates.back().revision);
+    handle([&] {
+        m_handlers.changed(changes->updates, m_asOf);
+        notifyApplied(Response::Poll, sentAt);
+    });
     if (changes->updates.empty() || m_timing.pause == Duration{0}) {
         waitForChanges();
         return;
@@ -131,6 +142,12 @@
     });
 }
 
+void PrefixWatcher::notifyApplied(Response response, TimePoint sentAt)
+{
+    if (m_handlers.applied)
+        m_handlers.applied(response, sentAt);
+}
+
 void PrefixWatcher::handle(const std::function<void()> &handler)
 {
     try {
--- a/tests/node/fakestore.h
+++ b/tests/node/fakestore.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -79,7 +80,7 @@
         }
         StoreChanges result;
         for (const auto &it : changes) {
-            if (it.revision > after && it.key.starts_with(prefix))
+            if (!silent && it.revision > after && it.key.starts_with(prefix))
                 result.updates.push_back(it);
         }
         result.asOf = revision;
@@ -150,6 +151,8 @@
     std::int64_t compactedUpTo = 0;
     std::size_t pageSize = 2;
     bool reachable = true;
+    bool silent = false; ///< Watches return no changes, as while the history is discarded.
+    std::function<void()> beforeAnswer; ///< Called when an answer is due, before its callback.
     bool leaseEnded = false;
     int writes = 0;
     int reads = 0;
@@ -166,8 +169,11 @@
     template <typename T>
     void answer(Callback<T> callback, Result<T> result)
     {
-        m_loop.post(
-                [callback = std::move(callback), result = std::move(result)] { callback(result); });
+        m_loop.post([this, callback = std::move(callback), result = std::move(result)] {
+            if (beforeAnswer)
+                beforeAnswer();
+            callback(result);
+        });
     }
 
     WriteOutcome apply(const ConditionalWrite &change)
