Tell the team of a job in status answers between nodes

Cause: a node that does not follow the jobs asks the owner for the status and must know whose job it is.

Change: StatusAnswer has an optional team, sent in a table of its own (StatusTeam), which earlier versions ignore.

--- a/include/dragonflysill/peers/messages.h
+++ b/include/dragonflysill/peers/messages.h
@@ -82,10 +82,13 @@
 using PeerRequest = std::variant<StatusQuery, PendingQuery, StoredKey, DelegatedStart,
                                  DelegatedStop, DelegatedPace, DelegatedHold>;
 
-/** Answer to a StatusQuery; empty if the peer does not know the job. */
+/** Answer to a StatusQuery; without a status if the peer does not know the job. */
 struct StatusAnswer
 {
     std::optional<JobStatus> status;
+    /** Team of the job, empty for none; missing if the peer uses no teams or is an earlier version.
+     */
+    std::optional<std::string> team = std::nullopt;
 };
 
 /** Answer to a PendingQuery; empty if the peer does not own the schedule. */
--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -97,10 +97,11 @@
         const auto failures = tables(m_failures);
         const auto storedKeys = tables(m_storedKeys);
         const auto payloads = tables(m_payloads);
-        m_builder.Finish(peers::CreateBatch(m_builder, batchVersion, batch.sentMs, batch.fence,
-                                            workers, statusQueries, pendingQueries, starts, stops,
-                                            paces, holds, statusAnswers, pendingAnswers, confirmed,
-                                            refused, reports, failures, storedKeys, payloads));
+        const auto statusTeams = tables(m_statusTeams);
+        m_builder.Finish(peers::CreateBatch(
+                m_builder, batchVersion, batch.sentMs, batch.fence, workers, statusQueries,
+                pendingQueries, starts, stops, paces, holds, statusAnswers, pendingAnswers,
+                confirmed, refused, reports, failures, storedKeys, payloads, statusTeams));
         return {reinterpret_cast<const char *>(m_builder.GetBufferPointer()), m_builder.GetSize()};
     }
 
@@ -200,6 +201,9 @@
     {
         m_statusAnswers.emplace_back(call, answer.status ? static_cast<int>(*answer.status)
                                                          : unknownValue);
+        if (answer.team)
+            m_statusTeams.push_back(
+                    peers::CreateStatusTeam(m_builder, call, m_builder.CreateString(*answer.team)));
     }
 
     void add(std::uint32_t call, const PendingAnswer &answer)
@@ -268,6 +272,7 @@
     std::vector<flatbuffers::Offset<peers::Failure>> m_failures;
     std::vector<flatbuffers::Offset<peers::StoredKey>> m_storedKeys;
     std::vector<flatbuffers::Offset<peers::Payload>> m_payloads;
+    std::vector<flatbuffers::Offset<peers::StatusTeam>> m_statusTeams;
 };
 
 /** Calls a function for each item of a vector that may be missing. */
@@ -389,8 +394,14 @@
 
     void readAnswers()
     {
-        forEach(m_from.status_answers(), [this](const peers::StatusAnswer &it) {
+        std::unordered_map<std::uint32_t, std::string> teams;
+        forEach(m_from.status_teams(), [&teams](const peers::StatusTeam &it) {
+            teams.emplace(it.call(), it.team()->str());
+        });
+        forEach(m_from.status_answers(), [this, &teams](const peers::StatusAnswer &it) {
             StatusAnswer answer;
+            if (const auto team = teams.find(it.call()); team != teams.end())
+                answer.team = std::move(team->second);
             if (it.status() != unknownValue)
                 answer.status = enumValue(it.status(), JobStatus::Queued, JobStatus::Cancelled);
             addAnswer(it.call(), answer);
--- a/tests/peers/codectest.cpp
+++ b/tests/peers/codectest.cpp
@@ -34,7 +34,7 @@
     report.runningListed = false;
     report.running = {{task, 3, "saved", 41, 2.5}, {task, 4, {}, 100, std::nullopt}};
     report.ended = {{9, task, 2, RunEnd::Failed, "other"}};
-    batch.answers = {{7, StatusAnswer{JobStatus::Failed}},
+    batch.answers = {{7, StatusAnswer{JobStatus::Failed, "team"}},
                      {8, StatusAnswer{}},
                      {9, PendingAnswer{3}},
                      {10, PendingAnswer{}},
@@ -105,7 +105,9 @@
     BOOST_REQUIRE(decoded.ok());
     const auto &answers = decoded->answers;
     BOOST_TEST((*messageOf<StatusAnswer>(answers, 7).status == JobStatus::Failed));
+    BOOST_TEST(*messageOf<StatusAnswer>(answers, 7).team == "team");
     BOOST_TEST(!messageOf<StatusAnswer>(answers, 8).status.has_value());
+    BOOST_TEST(!messageOf<StatusAnswer>(answers, 8).team.has_value());
     BOOST_TEST(*messageOf<PendingAnswer>(answers, 9).count == 3);
     BOOST_TEST(!messageOf<PendingAnswer>(answers, 10).count.has_value());
     BOOST_TEST(messageOf<OrderConfirmed>(answers, 11).clock == 88);
