Ask callers for the keys of their teams

Cause: calls with unknown and with removed keys were served, also by nodes that cannot reach the store or stood still; a team could read and cancel the jobs of others.

Change: JobService asks CallerAccess for submissions, status queries, cancels and counts, after the queue was found: 401, 503 with Retry-After, or 403 for another team's job. The team is stored with the job; a node that does not follow the jobs learns it from the owner or the store. A cancel of a job that is not known yet names the team, so that it does not cancel another team's submission. The node takes the proof of its configuration from the watch of the operators' keys and polls as often as the settings require.

--- a/include/dragonflysill/jobs/jobcodec.h
+++ b/include/dragonflysill/jobs/jobcodec.h
@@ -19,8 +19,15 @@
  */
 Result<SubmittedJob> decodeJob(std::string_view id, std::string_view bytes);
 
-/** Returns the queue name in a stored job; empty if the bytes are not a job. */
-std::string decodeQueueName(std::string_view bytes);
+/** Where a stored job comes from. */
+struct JobOrigin
+{
+    std::string queue; ///< Name of its queue.
+    std::string team; ///< Team that submitted it; empty for none.
+};
+
+/** Returns the queue and the team in a stored job; empty if the bytes are not a job. */
+JobOrigin decodeOrigin(std::string_view bytes);
 
 /** Returns the name of a status as it is stored and logged. */
 std::string_view statusName(JobStatus status);
--- a/include/dragonflysill/node/node.h
+++ b/include/dragonflysill/node/node.h
@@ -77,6 +77,14 @@
 
 private:
     void configurationChanged(std::int64_t revision, const std::string &bytes);
+    /** Counts and logs a configuration that does not come into force, once for each revision. */
+    void configurationRefused(std::int64_t revision, const std::string &error);
+    /** Takes the proof of the configuration from a response of the store. */
+    void operatorKeysApplied(PrefixWatcher::Response response, TimePoint sentAt);
+    /** Makes the watch of the operators' keys prove the configuration as often as needed. */
+    void applyAccessSettings();
+    /** Logs whether keys are accepted, and polls the operators' keys again when they are not. */
+    void checkAccess(TimePoint now);
     void operatorKeyChanged(const std::string &key, std::int64_t revision,
                             const std::string &bytes);
     /** Asks the unreachable store for a key and sends its watches again once it answers. */
@@ -86,15 +94,15 @@
     void followState();
     /** Answers a request of another node. */
     void handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond);
-    /** Answers a status query as the owner of the schedule; no value if this node is not the owner.
-     */
-    void answerAsOwner(const StatusQuery &query, const StatusWaiters::Callback &callback);
+    /** Answers a status query as the owner of the schedule; empty if this node is not the owner. */
+    void answerAsOwner(const StatusQuery &query,
+                       const std::function<void(const StatusAnswer &)> &callback);
     /** Returns how the requests of callers reach the owner of the schedule. */
     OwnerRequests ownerRequests();
     /** Returns the link to the owner of the schedule; nullptr if it is this node or unknown. */
     PeerLink *ownerLink();
     /** Asks the owner of the schedule, which may be this node, for the status of a job. */
-    void askStatus(const std::string &job, StatusWaiters::Callback callback);
+    void askStatus(const std::string &job, std::function<void(const StatusAnswer &)> callback);
     void askPending(const std::string &queue, std::function<void(std::optional<int>)> callback);
     /** Tells the owner of the schedule of a key that this node has stored. */
     void keyStored(const std::string &key, const std::string &value, std::int64_t revision);
@@ -141,6 +149,10 @@
     bool m_probing = false; ///< A call of probeStore() is in flight.
     TimePoint m_polledAgainAt{}; ///< When the watches were last sent again.
     TimePoint m_storeCheckedAt{};
+    std::int64_t m_configurationRevision = 0; ///< Of the configuration in force.
+    std::int64_t m_refusedRevision = 0; ///< Of the newest configuration that was refused.
+    std::uint64_t m_configurationsRefused = 0;
+    bool m_acceptsKeys = true; ///< At the last check, the proof was young enough for known keys.
     LoadMonitor m_load;
     LoadGovernor m_governor;
     LinkBudget m_linkBudget;
--- a/include/dragonflysill/node/nodemetrics.h
+++ b/include/dragonflysill/node/nodemetrics.h
@@ -6,6 +6,7 @@
 #include "dragonflysill/node/scheduleowner.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +22,9 @@
     bool ready = false;
     bool storeReachable = false;
     std::int64_t configurationVersion = 0;
+    std::uint64_t configurationsRefused = 0;
+    std::int64_t refusedRevision = 0; ///< Revision of the newest configuration if it was refused.
+    std::optional<Duration> proofAge; ///< Empty without teams and without a proof.
     std::uint64_t storeCalls = 0;
     std::size_t callerConnections = 0;
     std::size_t jobsKnown = 0;
--- a/include/dragonflysill/node/statereplica.h
+++ b/include/dragonflysill/node/statereplica.h
@@ -23,11 +23,13 @@
 {
     std::string record; ///< Encoded job; empty if only other keys of the job were received.
     std::string queue; ///< Name of its queue; empty until the record is received.
+    std::string team; ///< Team that submitted it; empty for none.
     std::string progress; ///< Encoded JobProgress; empty if none was saved yet.
     std::int64_t progressRevision = 0;
     std::int64_t acceptedRevision = 0; ///< Revision of the record; 0 if it was not received.
     JobStatus status = JobStatus::Queued;
-    bool cancelled = false;
+    bool cancelled = false; ///< A cancel request applies to it.
+    std::string cancelMark; ///< Newest cancel request; empty if there is none.
     std::int64_t cancelledRevision = 0; ///< Revision of the cancel request; 0 if there is none.
 
     /** Returns true if only a cancel request was received: its submission may still arrive. */
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -172,12 +172,15 @@
     });
 }
 
-std::string decodeQueueName(std::string_view bytes)
+JobOrigin decodeOrigin(std::string_view bytes)
 {
     const auto json = Json::parse(bytes, nullptr, false);
-    return json.is_object() && json.contains("queue") && json["queue"].is_string()
-                   ? json["queue"].get<std::string>()
-                   : std::string();
+    const auto text = [&json](const char *name) {
+        return json.is_object() && json.contains(name) && json[name].is_string()
+                       ? json[name].get<std::string>()
+                       : std::string();
+    };
+    return {text("queue"), text("team")};
 }
 
 std::string_view statusName(JobStatus status)
--- a/src/node/jobservice.cpp
+++ b/src/node/jobservice.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/jobs/jobcodec.h"
 #include "dragonflysill/jobs/json.h"
+#include "dragonflysill/node/cancelmark.h"
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/storedstatus.h"
 #include "dragonflysill/telemetry/log.h"
@@ -39,8 +40,16 @@
     return {code, std::move(body), {}};
 }
 
+/** Names of AccessRefusal in metrics. */
+constexpr std::array refusalNames{"unknown-key", "cannot-tell", "other-team"};
+
 } // namespace internal
 
+std::string_view accessRefusalName(AccessRefusal cause)
+{
+    return internal::refusalNames.at(static_cast<std::size_t>(cause));
+}
+
 JobService::JobService(EventLoop &loop, AsyncStore &store, StateReplica &replica,
                        std::uint64_t seed)
     : m_store(store)
@@ -52,8 +61,10 @@
 
 void JobService::setConfiguration(FleetConfiguration configuration)
 {
-    if (!m_configuration || configuration.version > m_configuration->version)
-        m_configuration = std::move(configuration);
+    if (m_configuration && configuration.version <= m_configuration->version)
+        return;
+    m_configuration = std::move(configuration);
+    m_access.setConfiguration(*m_configuration);
 }
 
 void JobService::setStoreReachable(bool reachable)
@@ -70,11 +81,42 @@
 HttpResponse JobService::notAccepted()
 {
     ++m_counts.rejected;
+    return unavailable();
+}
+
+HttpResponse JobService::unavailable()
+{
     const auto outage = m_unreachableSince ? EventLoop::now() - *m_unreachableSince : Duration{0};
     const auto seconds = m_retryAdvice.secondsAfter(outage);
     return {503, {}, {{"Retry-After", std::to_string(seconds)}}};
 }
 
+HttpResponse JobService::refuse(AccessRefusal cause, const Access &access, bool submission)
+{
+    ++m_counts.accessRefused[{cause, access.team}];
+    switch (cause) {
+    case AccessRefusal::UnknownKey:
+        return {401, {}, {{"WWW-Authenticate", "Bearer"}}};
+    case AccessRefusal::OtherTeam:
+        return internal::status(403);
+    case AccessRefusal::CannotTell:
+        break;
+    }
+    return submission ? notAccepted() : unavailable();
+}
+
+bool JobService::checkJob(const Access &access, std::string_view jobTeam, bool submission,
+                          const HttpServer::Respond &respond)
+{
+    const auto toJob = access.toJob(jobTeam);
+    if (toJob == Access::ToJob::Allowed)
+        return true;
+    const auto cause = toJob == Access::ToJob::OtherTeam ? AccessRefusal::OtherTeam
+                                                         : AccessRefusal::CannotTell;
+    respond(refuse(cause, access, submission));
+    return false;
+}
+
 void JobService::handle(const HttpRequest &request, HttpServer::Respond respond)
 {
     if (!m_configuration || !m_replica.loaded()) {
@@ -90,15 +132,26 @@
     }
     const auto id = call.path.substr(queue->prefix.size());
     using Action = platform::CallerRequest::Action;
-    if (call.action == Action::Show && id.empty()) {
-        showPending(*queue, respond);
-        return;
-    }
-    if (!platform::isJobId(id)) {
+    const bool counts = call.action == Action::Show && id.empty();
+    if (!counts && !platform::isJobId(id)) {
         ++m_counts.unknownQueue;
         respond(internal::status(404));
         return;
     }
+    // The time is read after the request, so that a proof that has expired while the process was
+    // paused does not cover a request that was sent meanwhile.
+    const auto access = m_access.decide(*queue, call.key, EventLoop::now());
+    if (!access.allowed()) {
+        const auto cause = access.decision == Access::Decision::UnknownKey
+                                   ? AccessRefusal::UnknownKey
+                                   : AccessRefusal::CannotTell;
+        respond(refuse(cause, access, call.action == Action::Submit));
+        return;
+    }
+    if (counts) {
+        showPending(*queue, respond);
+        return;
+    }
     const auto wait = std::max<Milliseconds>(call.deadline.value_or(queue->timeout.count() > 0
                                                                             ? queue->timeout
                                                                             : internal::defaultWait)
@@ -107,13 +160,13 @@
     const auto deadline = EventLoop::now() + std::min(wait, internal::defaultWait);
     switch (call.action) {
     case Action::Submit:
-        submit(*queue, id, request, deadline, std::move(respond));
+        submit(*queue, id, request, access, deadline, std::move(respond));
         break;
     case Action::Show:
-        showStatus(id, respond);
+        showStatus(id, access, respond);
         break;
     case Action::Cancel:
-        cancel(id, deadline, respond);
+        cancel(id, access, deadline, respond);
         break;
     case Action::Unsupported:
         respond(internal::status(405));
@@ -122,9 +175,11 @@
 }
 
 void JobService::submit(const Queue &queue, std::string_view id, const HttpRequest &request,
-                        TimePoint deadline, HttpServer::Respond respond)
+                        const Access &access, TimePoint deadline, HttpServer::Respond respond)
 {
-    if (m_replica.job(id) != nullptr) {
+    if (const auto *known = m_replica.job(id)) {
+        if (!checkJob(access, known->team, true, respond))
+            return;
         ++m_counts.repeated;
         respond(internal::status(200));
         return;
@@ -144,6 +199,7 @@
     job.id = id;
     job.queue = queue.name;
     job.pool = queue.pool;
+    job.team = access.team;
     job.policy = queue.policy;
     job.acceptedMs = unixMilliseconds();
     job.spec = std::move(*spec);
@@ -152,9 +208,10 @@
     write.value = encodeJob(job);
     write.mustBeNew = true;
     write.deadline = deadline;
-    write.callback = [this, id = job.id, started = EventLoop::now(), respond = std::move(respond)](
-                             PendingWrite::Outcome outcome, const std::string &value,
-                             std::int64_t revision) {
+    write.callback = [this, id = job.id, access, started = EventLoop::now(),
+                      respond = std::move(respond)](PendingWrite::Outcome outcome,
+                                                    const std::string &value,
+                                                    std::int64_t revision) {
         const auto took = EventLoop::now() - started;
         m_submissionLatency.observe(took);
         logInfo("job-submitted",
@@ -162,14 +219,14 @@
                  {"outcome", internal::outcomeNames.at(static_cast<std::size_t>(outcome))},
                  {"revision", std::to_string(revision)},
                  {"took_ms", std::to_string(took / 1ms)}});
-        submissionAnswered(id, outcome, value, revision, respond);
+        submissionAnswered(id, access, outcome, value, revision, respond);
     };
     m_writer.write(std::move(write));
 }
 
-void JobService::submissionAnswered(const std::string &id, PendingWrite::Outcome outcome,
-                                    const std::string &value, std::int64_t revision,
-                                    const HttpServer::Respond &respond)
+void JobService::submissionAnswered(const std::string &id, const Access &access,
+                                    PendingWrite::Outcome outcome, const std::string &value,
+                                    std::int64_t revision, const HttpServer::Respond &respond)
 {
     switch (outcome) {
     case PendingWrite::Outcome::Stored:
@@ -179,6 +236,9 @@
             respond(notAccepted());
             return;
         }
+        if (outcome == PendingWrite::Outcome::Existed
+            && !checkJob(access, decodeOrigin(value).team, true, respond))
+            return;
         ++(outcome == PendingWrite::Outcome::Stored ? m_counts.accepted : m_counts.repeated);
         respond(internal::status(200));
         break;
@@ -199,7 +259,7 @@
         m_ownerRequests.stored(key, value, revision);
 }
 
-void JobService::findStored(const std::string &id, std::function<void(Result<Done>)> callback)
+void JobService::findStored(const std::string &id, std::function<void(Result<JobOrigin>)> callback)
 {
     m_store.get(nodekeys::key(nodekeys::jobs, id),
                 [callback = std::move(callback)](const Result<KeyValue> &item) {
@@ -208,7 +268,7 @@
                     else if (item->value == rejectedRecord)
                         callback(Error(ErrorKind::NotFound, "the job was rejected"));
                     else
-                        callback(Done());
+                        callback(decodeOrigin(item->value));
                 });
 }
 
@@ -225,67 +285,85 @@
         m_ownerRequests.pending(queue.name, answer);
 }
 
-void JobService::showStatus(std::string_view id, const HttpServer::Respond &respond)
+void JobService::showStatus(std::string_view id, const Access &access,
+                            const HttpServer::Respond &respond)
 {
     ++m_counts.statusRequests;
+    if (const auto *job = m_replica.job(id);
+        job != nullptr && !checkJob(access, job->team, false, respond))
+        return;
     const auto known = m_replica.status(id);
     if (!m_ownerRequests.status || (known && isFinal(*known))) {
-        showStoredStatus(std::string(id), respond);
+        showStoredStatus(std::string(id), access, respond);
         return;
     }
-    m_ownerRequests.status(std::string(id), [this, id = std::string(id),
-                                             respond](const std::optional<JobStatus> &status) {
-        if (status)
-            respond(internal::status(200, platform::encodeState(*status)));
-        else
-            showStoredStatus(id, respond);
+    m_ownerRequests.status(std::string(id), [this, id = std::string(id), access,
+                                             respond](const StatusAnswer &answer) {
+        const auto *job = m_replica.job(id);
+        const auto team = job != nullptr ? std::optional(job->team) : answer.team;
+        if (!answer.status)
+            showStoredStatus(id, access, respond);
+        else if (access.usesTeams && !team)
+            readStatus(id, access, answer.status, respond);
+        else if (checkJob(access, team.value_or(std::string()), false, respond))
+            respond(internal::status(200, platform::encodeState(*answer.status)));
     });
 }
 
-void JobService::showStoredStatus(const std::string &id, const HttpServer::Respond &respond)
+void JobService::showStoredStatus(const std::string &id, const Access &access,
+                                  const HttpServer::Respond &respond)
+{
+    const auto *job = m_replica.job(id);
+    if (job == nullptr)
+        readStatus(id, access, std::nullopt, respond);
+    else if (checkJob(access, job->team, false, respond))
+        respond(internal::status(200, platform::encodeState(*m_replica.status(id))));
+}
+
+void JobService::readStatus(const std::string &id, const Access &access,
+                            std::optional<JobStatus> newer, const HttpServer::Respond &respond)
 {
-    if (const auto status = m_replica.status(id)) {
-        respond(internal::status(200, platform::encodeState(*status)));
-        return;
-    }
     if (!m_storeReachable) {
         respond(internal::status(503));
         return;
     }
-    readStoredStatus(m_store, id, [respond](const Result<JobStatus> &status) {
-        if (status)
-            respond(internal::status(200, platform::encodeState(*status)));
-        else if (status.error().is(ErrorKind::NotFound))
-            respond(internal::status(410));
-        else
-            respond(internal::status(503));
-    });
+    readStoredStatus(
+            m_store, id, [this, access, newer, respond](const Result<StoredStatus> &stored) {
+                if (!stored)
+                    respond(internal::status(stored.error().is(ErrorKind::NotFound) ? 410 : 503));
+                else if (checkJob(access, stored->team, false, respond))
+                    respond(internal::status(
+                            200, platform::encodeState(newer.value_or(stored->status))));
+            });
 }
 
-void JobService::cancel(std::string_view id, TimePoint deadline, const HttpServer::Respond &respond)
+void JobService::cancel(std::string_view id, const Access &access, TimePoint deadline,
+                        const HttpServer::Respond &respond)
 {
     if (!m_storeReachable) {
         respond(internal::status(503));
         return;
     }
-    if (m_replica.job(id) != nullptr) {
-        writeCancel(std::string(id), internal::jobCancelled, deadline, respond);
+    if (const auto *job = m_replica.job(id)) {
+        if (checkJob(access, job->team, false, respond))
+            writeCancel(std::string(id), access, true, deadline, respond);
         return;
     }
-    findStored(std::string(id),
-               [this, id = std::string(id), deadline, respond](const Result<Done> &found) {
-                   if (found)
-                       writeCancel(id, internal::jobCancelled, deadline, respond);
-                   // Its submission may still be on its way, to this node or another.
-                   else if (found.error().is(ErrorKind::NotFound))
-                       writeCancel(id, internal::noSuchJob, deadline, respond);
-                   else
-                       respond(internal::status(503));
-               });
+    findStored(std::string(id), [this, id = std::string(id), access, deadline,
+                                 respond](const Result<JobOrigin> &found) {
+        if (!found && !found.error().is(ErrorKind::NotFound)) {
+            respond(internal::status(503));
+            return;
+        }
+        if (!checkJob(access, found ? found->team : access.team, false, respond))
+            return;
+        // Without a record, the submission may still be on its way, to this node or another.
+        writeCancel(id, access, found.ok(), deadline, respond);
+    });
 }
 
-void JobService::writeCancel(const std::string &id, int acknowledgement, TimePoint deadline,
-                             const HttpServer::Respond &respond)
+void JobService::writeCancel(const std::string &id, const Access &access, bool known,
+                             TimePoint deadline, const HttpServer::Respond &respond)
 {
     const auto status = m_replica.status(id);
     if (status && isFinal(*status)) {
@@ -294,12 +372,22 @@
     }
     PendingWrite write;
     write.key = nodekeys::key(nodekeys::cancelled, id);
-    write.value = "1";
+    write.value = cancelMark;
+    if (access.usesTeams && !known) {
+        write.value = cancelMarkOfTeam(access.team);
+        write.mustBeNew = true; // The mark of another team must stay.
+    }
     write.deadline = deadline;
-    write.callback = [this, key = write.key, acknowledgement,
+    write.callback = [this, access, key = write.key, mark = write.value,
+                      acknowledgement = known ? internal::jobCancelled : internal::noSuchJob,
                       respond](PendingWrite::Outcome outcome, const std::string &value,
                                std::int64_t revision) {
-        if (outcome != PendingWrite::Outcome::Stored) {
+        if (outcome == PendingWrite::Outcome::Existed && value != mark && value != cancelMark) {
+            respond(refuse(AccessRefusal::OtherTeam, access, false));
+            return;
+        }
+        if (outcome == PendingWrite::Outcome::Unknown
+            || outcome == PendingWrite::Outcome::NotDone) {
             respond(internal::status(outcome == PendingWrite::Outcome::Unknown ? 504 : 503));
             return;
         }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -87,6 +87,15 @@
            ^ static_cast<std::uint64_t>(EventLoop::now().time_since_epoch().count());
 }
 
+/** Longest time of the settings that is used, which keeps sums of times within their type. */
+constexpr Milliseconds maxAccessTime = std::chrono::hours(24);
+
+AccessSettings accessSettings(const platform::NodeSettings &settings)
+{
+    return {settings.strictRevocation, std::min(settings.revocationTime, maxAccessTime),
+            std::min(settings.configurationTime, maxAccessTime)};
+}
+
 } // namespace internal
 
 Node::Node(EventLoop &loop, const platform::NodeSettings &settings, std::string metricsAddress)
@@ -141,7 +150,12 @@
                              for (const auto &it : updates) {
                                  if (!it.deleted)
                                      operatorKeyChanged(it.key, it.revision, it.value);
+                                 else if (it.key == platform::keyConfiguration)
+                                     configurationRefused(it.revision, "it was deleted");
                              }
+                         },
+                         [this](PrefixWatcher::Response response, TimePoint sentAt) {
+                             operatorKeysApplied(response, sentAt);
                          }})
     , m_ownership(loop, m_store, m_replica, {settings.name, settings.milliCores},
                   std::max(internal::ownerLeaseLength, settings.minLease),
@@ -209,6 +223,41 @@
     // During the start there is no watch yet that could hang.
     if (!reachable && m_wasStoreReachable)
         probeStore();
+    checkAccess(now);
+}
+
+void Node::applyAccessSettings()
+{
+    auto &access = m_service.access();
+    access.setSettings(internal::accessSettings(m_settings)); // They can be read again.
+    m_operatorWatcher.setAdvanceOnChangesOnly(access.needsProof());
+    m_operatorWatcher.setWait(access.needsProof() ? ConfigurationProof::pollWait(access.settings())
+                                                  : internal::operatorWatchWait);
+}
+
+void Node::checkAccess(TimePoint now)
+{
+    applyAccessSettings();
+    const bool accepts = m_service.access().acceptsKeys(now);
+    if (accepts == std::exchange(m_acceptsKeys, accepts))
+        return;
+    if (accepts) {
+        logInfo("configuration-proven");
+        return;
+    }
+    logWarning("configuration-unproven");
+    // After a pause of the process, the poll that was sent before it proves too little.
+    if (m_storeReachable)
+        m_operatorWatcher.pollAgain();
+}
+
+void Node::operatorKeysApplied(PrefixWatcher::Response response, TimePoint sentAt)
+{
+    auto &proof = m_service.access().proof();
+    if (response == PrefixWatcher::Response::List)
+        proof.listAnswered(sentAt);
+    else
+        proof.pollAnswered(sentAt);
 }
 
 void Node::probeStore()
@@ -316,6 +365,11 @@
                            ready(),
                            m_storeReachable,
                            configuration ? configuration->version : 0,
+                           m_configurationsRefused,
+                           m_refusedRevision > m_configurationRevision ? m_refusedRevision : 0,
+                           configuration && configuration->usesTeams
+                                   ? m_service.access().proof().age(EventLoop::now())
+                                   : std::nullopt,
                            m_kvStore->calls(),
                            m_front.connections(),
                            m_replica.jobs().size(),
@@ -351,23 +405,38 @@
         m_owner->addWave(*wave);
 }
 
+void Node::configurationRefused(std::int64_t revision, const std::string &error)
+{
+    if (revision <= std::max(m_configurationRevision, m_refusedRevision))
+        return;
+    m_refusedRevision = revision;
+    ++m_configurationsRefused;
+    logWarning("configuration-unusable",
+               {{"revision", std::to_string(revision)}, {"error", error}});
+}
+
 void Node::configurationChanged(std::int64_t revision, const std::string &bytes)
 {
     auto configuration = platform::decodeConfiguration(bytes);
     if (!configuration) {
-        logWarning("configuration-unusable", {{"revision", std::to_string(revision)},
-                                              {"error", configuration.error().text()}});
+        configurationRefused(revision, configuration.error().text());
         return;
     }
     const auto &current = m_service.configuration();
-    if (current && configuration->version <= current->version)
+    if (current && configuration->version <= current->version) {
+        configurationRefused(revision, "its version " + std::to_string(configuration->version)
+                                               + " is not above "
+                                               + std::to_string(current->version));
         return;
+    }
+    m_configurationRevision = revision;
     logInfo("configuration-applied", {{"version", std::to_string(configuration->version)},
                                       {"revision", std::to_string(revision)}});
     const auto &limits = configuration->limits;
     m_front.setLimits(
             {limits.headerBytes, limits.bodyBytes, limits.idleTimeout, limits.headerTimeout});
     m_service.setConfiguration(std::move(*configuration));
+    applyAccessSettings();
     if (m_owner)
         m_owner->setConfiguration(*m_service.configuration());
 }
@@ -399,8 +468,7 @@
 void Node::handlePeerRequest(ReceivedRequest request, const PeerServer::Respond &respond)
 {
     if (const auto *status = std::get_if<StatusQuery>(&request.message)) {
-        answerAsOwner(*status,
-                      [respond](const std::optional<JobStatus> &it) { respond(StatusAnswer{it}); });
+        answerAsOwner(*status, respond);
     } else if (const auto *pending = std::get_if<PendingQuery>(&request.message)) {
         PendingAnswer answer;
         if (m_owner && m_ownership.valid())
@@ -414,22 +482,30 @@
     }
 }
 
-void Node::answerAsOwner(const StatusQuery &query, const StatusWaiters::Callback &callback)
+void Node::answerAsOwner(const StatusQuery &query,
+                         const std::function<void(const StatusAnswer &)> &callback)
 {
     if (!m_owner || !m_ownership.valid()) {
-        callback(std::nullopt);
+        callback({});
         return;
     }
+    const auto answer = [this, id = query.job, callback](const std::optional<JobStatus> &status) {
+        StatusAnswer it{status};
+        const auto *job = m_replica.job(id);
+        if (job != nullptr && m_service.configuration() && m_service.configuration()->usesTeams)
+            it.team = job->team;
+        callback(it);
+    };
     const auto status = m_replica.status(query.job);
     if (!status || isFinal(*status) || query.wait.count() == 0 || !m_owner->mayEndSoon(query.job))
-        callback(status);
+        answer(status);
     else
-        m_statusWaiters.wait(query.job, query.wait, callback);
+        m_statusWaiters.wait(query.job, query.wait, answer);
 }
 
 OwnerRequests Node::ownerRequests()
 {
-    return {[this](const std::string &job, StatusWaiters::Callback callback) {
+    return {[this](const std::string &job, std::function<void(const StatusAnswer &)> callback) {
                 askStatus(job, std::move(callback));
             },
             [this](const std::string &queue, std::function<void(std::optional<int>)> callback) {
@@ -449,7 +525,7 @@
     return !node || node->peerAddress.empty() ? nullptr : &m_peers.link(node->peerAddress);
 }
 
-void Node::askStatus(const std::string &job, StatusWaiters::Callback callback)
+void Node::askStatus(const std::string &job, std::function<void(const StatusAnswer &)> callback)
 {
     const StatusQuery query{job, internal::statusWait};
     auto *link = ownerLink();
@@ -460,7 +536,7 @@
     link->call(query, query.wait + internal::ownerAnswerTimeout,
                [callback = std::move(callback)](const Result<PeerAnswer> &answer) {
                    const auto *status = answer ? std::get_if<StatusAnswer>(&*answer) : nullptr;
-                   callback(status == nullptr ? std::nullopt : status->status);
+                   callback(status == nullptr ? StatusAnswer{} : *status);
                });
 }
 
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -93,6 +93,29 @@
     }
 }
 
+void addAccess(Families &families, const NodeMetrics &metrics)
+{
+    counter(families, "configurations_refused_total", "Configurations that did not come into force",
+            metrics.configurationsRefused);
+    gauge(families, "configuration_refused_revision",
+          "Revision of the newest configuration if it was refused, otherwise 0",
+          metrics.refusedRevision);
+    if (metrics.proofAge)
+        gauge(families, "configuration_proof_age_seconds",
+              "Time since the configuration was known to be the newest one",
+              toSeconds(*metrics.proofAge));
+    auto &refused = add(families, "access_refused_total",
+                        "Calls refused because of their key, by cause and team of the key",
+                        prometheus::MetricType::Counter);
+    refused.metric.clear();
+    for (const auto &[kind, count] : metrics.service.accessRefused) {
+        auto &metric = refused.metric.emplace_back();
+        metric.label.push_back({"cause", std::string(accessRefusalName(kind.first))});
+        metric.label.push_back({"team", kind.second});
+        metric.counter.value = static_cast<double>(count);
+    }
+}
+
 void addOwner(Families &families, const ScheduleOwner &owner)
 {
     const auto &calls = owner.workerCallCounts();
@@ -161,6 +184,7 @@
                       service.statusRequests);
     internal::counter(families, "no_queue_total", "Requests without a queue", service.unknownQueue);
     internal::counter(families, "store_calls_total", "Calls to the store", metrics.storeCalls);
+    internal::addAccess(families, metrics);
     internal::addTraffic(families, metrics);
     internal::histogram(families, "loop_delay_seconds", "Time by which the event loop ran late",
                         metrics.load.loopDelay());
--- a/src/node/statereplica.cpp
+++ b/src/node/statereplica.cpp
@@ -1,6 +1,7 @@
 #include "dragonflysill/node/statereplica.h"
 
 #include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/node/cancelmark.h"
 #include "dragonflysill/node/nodekeys.h"
 
 #include <algorithm>
@@ -123,7 +124,10 @@
             return;
         job.acceptedRevision = revision;
         job.record = value;
-        job.queue = decodeQueueName(value);
+        auto origin = decodeOrigin(value);
+        job.queue = std::move(origin.queue);
+        job.team = std::move(origin.team);
+        job.cancelled = job.cancelled && cancelApplies(job.cancelMark, job.team);
     } else if (const auto name = nodekeys::nameIn(nodekeys::progress, key); !name.empty()) {
         id = name;
         auto &job = m_jobs[id];
@@ -138,8 +142,12 @@
     } else {
         id = nodekeys::nameIn(nodekeys::cancelled, key);
         auto &job = m_jobs[id];
-        job.cancelledRevision = std::max(job.cancelledRevision, revision);
-        if (std::exchange(job.cancelled, true))
+        if (revision <= job.cancelledRevision)
+            return;
+        job.cancelledRevision = revision;
+        job.cancelMark = value;
+        const bool applies = job.acceptedRevision == 0 || cancelApplies(value, job.team);
+        if (!applies || std::exchange(job.cancelled, true))
             return;
     }
     m_changed.insert(std::move(id));
--- a/src/node/storedstatus.cpp
+++ b/src/node/storedstatus.cpp
@@ -1,6 +1,7 @@
 #include "dragonflysill/node/storedstatus.h"
 
 #include "dragonflysill/jobs/jobcodec.h"
+#include "dragonflysill/node/cancelmark.h"
 #include "dragonflysill/node/nodekeys.h"
 #include "dragonflysill/node/statereplica.h"
 
@@ -25,7 +26,7 @@
     return !item && item.error().is(ErrorKind::NotFound);
 }
 
-Result<JobStatus> combine(const JobKeys &keys)
+Result<StoredStatus> combine(const JobKeys &keys)
 {
     for (const auto *it : {&keys.record, &keys.progress, &keys.cancelled}) {
         if (!**it && !missing(**it))
@@ -40,13 +41,16 @@
             return Error(ErrorKind::Corrupt, "the progress of the job is unreadable");
         status = *decoded;
     }
-    return *keys.cancelled && !isFinal(status) ? JobStatus::Cancelled : status;
+    auto team = decodeOrigin((*keys.record)->value).team;
+    const bool cancelled = *keys.cancelled && cancelApplies((*keys.cancelled)->value, team);
+    return StoredStatus{cancelled && !isFinal(status) ? JobStatus::Cancelled : status,
+                        std::move(team)};
 }
 
 } // namespace internal
 
 void readStoredStatus(AsyncStore &store, const std::string &job,
-                      std::function<void(Result<JobStatus>)> callback)
+                      std::function<void(Result<StoredStatus>)> callback)
 {
     const auto keys = std::make_shared<internal::JobKeys>();
     const auto read = [&](std::string_view prefix,
--- a/tests/node/statustest.cpp
+++ b/tests/node/statustest.cpp
@@ -109,6 +109,8 @@
 
 const std::string jobId = "0123456789abcdef";
 
+using AnswerCallback = std::function<void(const StatusAnswer &)>;
+
 /** A job service on a fake store, and an owner of the schedule that the test plays. */
 struct StatusFixture
 {
@@ -126,13 +128,12 @@
         configuration.queues = {{"queue", "host", "/q/", "pool", 200ms, {}, {}}};
         service.setConfiguration(configuration);
         service.setStoreReachable(true);
-        service.setOwnerRequests(
-                {[this](const std::string &, const StatusWaiters::Callback &callback) {
-                     ++asked;
-                     callback(ownerAnswer);
-                 },
-                 {},
-                 {}});
+        service.setOwnerRequests({[this](const std::string &, const AnswerCallback &callback) {
+                                      ++asked;
+                                      callback({ownerAnswer});
+                                  },
+                                  {},
+                                  {}});
         replica.followJobs(true);
         replica.reset(nodekeys::root, {}, 1);
     }
@@ -208,9 +209,9 @@
     {
         replica.followJobs(false);
         service.setOwnerRequests(
-                {[this](const std::string &, const StatusWaiters::Callback &callback) {
+                {[this](const std::string &, const AnswerCallback &callback) {
                      ++asked;
-                     callback(ownerAnswer);
+                     callback({ownerAnswer});
                  },
                  [this](const std::string &, const std::function<void(std::optional<int>)> &it) {
                      it(ownerPending);
