Test marks of teams that come after the record, and jobs without a team

Seen to fail: without the check of the team for a mark that comes after the record, and with marks of teams that do not cancel jobs without a team.

--- a/tests/node/keystest.cpp
+++ b/tests/node/keystest.cpp
@@ -209,6 +209,12 @@
     BOOST_TEST(call("POST", "", "/open/") == 200);
     BOOST_TEST(call("GET", "key-b") == 200);
     BOOST_TEST(call("DELETE", "key-a") == 200);
+    store.items.clear();
+    followJobs(false);
+    followJobs(true);
+    BOOST_TEST(call("DELETE", "key-b") == 410);
+    BOOST_TEST(call("POST", "", "/open/") == 200);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Cancelled));
 }
 
 // Guards against a team that cancels jobs which another one is about to submit.
@@ -238,4 +244,15 @@
     }
 }
 
+// Guards against the mark of a team whose node had not found the job yet.
+BOOST_AUTO_TEST_CASE(MarkOfAnotherTeamThatComesLaterChangesNothing)
+{
+    BOOST_TEST(call("POST", "key-a") == 200);
+    const auto key = nodekeys::key(nodekeys::cancelled, jobId);
+    replica.applyOwn(key, cancelMarkOfTeam("b"), 10);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Queued));
+    replica.applyOwn(key, cancelMarkOfTeam("a"), 11);
+    BOOST_TEST((*replica.status(jobId) == JobStatus::Cancelled));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
