Give a pool another instance when persistent tasks find no room to leave

The pool's load named the lacking worker, but no instance was above its own pool's need to be moved while the fleet was full, and the name was dropped in every decision in which the budget was used up, so that the balancer's delay never passed (25 instances, no room for 7 s).

Change: the lack raises the pool's need by one instance and is kept for a second; while a persistent task starts up, its worker reports every 150 ms instead of 400 to 800 ms, since the next task of its job waits for it.

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -506,8 +506,14 @@
     std::vector<WorkerRestart> m_restarts;
     std::map<std::string, PoolLoad, std::less<>> m_acceptedLoad; ///< Work and jobs by pool.
     std::map<std::string, WorkerAdmissionSettings, std::less<>> m_admissionQueues;
-    /** What a worker must be able to hold, by pool, so that a persistent task can leave another. */
-    StringMap<std::vector<LackingWorkers>> m_lackingForMoves;
+    /** A worker that a pool lacked because a persistent task found no room to leave another. */
+    struct LackingForMoves
+    {
+        Resources need; ///< What it must be able to hold.
+        TimePoint since{}; ///< When it was last missed.
+    };
+
+    StringMap<LackingForMoves> m_lackingForMoves; ///< By pool.
     AdmissionTable m_admissions;
     RunTimeModel m_runTimes;
 };
--- a/include/dragonflysill/node/workercontroller.h
+++ b/include/dragonflysill/node/workercontroller.h
@@ -95,6 +95,8 @@
     void hold(const std::string &id, const WorkerState &worker, TimePoint now);
     [[nodiscard]] Duration minHoldInterval() const;
     [[nodiscard]] Milliseconds orderTimeout() const;
+    /** Returns whether a persistent task of a worker runs, but does not serve yet. */
+    [[nodiscard]] static bool startsPersistentTask(const WorkerState &worker);
     /** Returns whether the next report of a worker must list its running tasks. */
     [[nodiscard]] static bool needsRunningList(const WorkerState &worker, TimePoint now);
     void logUnreachable(const std::string &id, const Error &error);
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -420,10 +420,6 @@
 std::map<std::string, PoolLoad, std::less<>> Scheduler::loads(TimePoint now) const
 {
     auto loads = m_acceptedLoad;
-    for (const auto &[pool, lacking] : m_lackingForMoves) {
-        for (const auto &it : lacking)
-            addLackingWorkers(loads[pool].lacking, it);
-    }
     for (const auto &[id, job] : m_open) {
         auto &load = loads[job->job().pool];
         for (const auto &[occurrence, run] : job->occurrences()) {
@@ -450,6 +446,11 @@
             }
         }
     }
+    // All workers that the persistent tasks need may be in use while some have to leave theirs.
+    for (const auto &[pool, lacking] : m_lackingForMoves) {
+        addLackingWorkers(loads[pool].lacking, {1, lacking.need});
+        ++loads[pool].spread;
+    }
     return loads;
 }
 
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -30,7 +30,9 @@
 void Scheduler::checkWorkers(TimePoint now)
 {
     countUnreachedWorkers(now);
-    m_lackingForMoves.clear();
+    std::erase_if(m_lackingForMoves, [now](const auto &it) {
+        return now - it.second.since >= internal::lackingRetention;
+    });
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         auto &worker = it->second;
         processUnadoptedRuns(worker, now);
@@ -187,8 +189,7 @@
         if (isFirst)
             room->second = findsRoomSoon(worker, id, *task, now);
         if (!room->second)
-            addLackingWorkers(m_lackingForMoves[worker.description.pool],
-                              {1, job->step(id).reserved()});
+            m_lackingForMoves[worker.description.pool] = {job->step(id).reserved(), now};
         else if (unavailableTasks(*job, id) < std::max(1, job->step(id).maxUnavailable))
             stopRun(worker, run, now);
     }
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -107,6 +107,11 @@
  * enough for an instance that is moved to the pool for them.
  */
 constexpr Duration maintainedWorkerDelay = 4000ms;
+/**
+ * Time for which a pool keeps the demand for one more worker after a persistent task found no room;
+ * until then the task starts on the worker that has come.
+ */
+constexpr Duration lackingRetention = 1000ms;
 /** Maximum number of ends in a worker's report, from the worker protocol. */
 constexpr std::size_t maxEndsPerReport = 500;
 /** Multiple of its expected run time after which a speculative task gets a second copy. */
--- a/src/node/workercontroller.cpp
+++ b/src/node/workercontroller.cpp
@@ -38,8 +38,13 @@
 constexpr Duration maxIdleHoldInterval = 4000ms;
 /** Interval between two reports of a delegate that list the running tasks. */
 constexpr Duration runningListInterval = 2000ms;
-/** The same interval while a persistent task starts up or a best-effort task must be paced. */
+/** The same interval while a best-effort task must be paced. */
 constexpr Duration shortRunningListInterval = 400ms;
+/**
+ * The same interval, and the maximum time for which the worker waits, while a persistent task
+ * starts up. The next task of its job may leave its worker only once this one serves.
+ */
+constexpr Milliseconds startupReportInterval = 150ms;
 /** Progress of a persistent task that is serving. */
 constexpr int servingPercent = 100;
 /** Interval between two attempts to reach a worker that did not answer. */
@@ -266,7 +271,9 @@
     const bool mayWait = worker.reachable && worker.busy() && worker.pendingEnds.empty()
                          && worker.time.known() && !stopping;
     const bool onlyPersistent = worker.persistentRuns == static_cast<int>(worker.runs.size());
-    const auto wait = onlyPersistent ? internal::maxHoldWait : internal::shortHoldWait;
+    const auto wait = startsPersistentTask(worker) ? internal::startupReportInterval
+                      : onlyPersistent             ? internal::maxHoldWait
+                                                   : internal::shortHoldWait;
     DelegatedHold request;
     request.worker = {id, worker.description.address};
     request.request = m_scheduler.holdRequest(id, now);
@@ -282,21 +289,29 @@
                   });
 }
 
+bool WorkerController::startsPersistentTask(const WorkerState &worker)
+{
+    return worker.persistentRuns > 0 && std::ranges::any_of(worker.runs, [](const auto &it) {
+               return it.second.persistent && it.second.phase == TaskRun::Phase::Running
+                      && it.second.percent < internal::servingPercent;
+           });
+}
+
 bool WorkerController::needsRunningList(const WorkerState &worker, TimePoint now)
 {
     if (!worker.fenced || !worker.reachable || !worker.otherRuns.empty())
         return true;
     const auto age = now - worker.lastReport;
-    if (age >= internal::runningListInterval)
+    if (age >= internal::runningListInterval
+        || (age >= internal::startupReportInterval && startsPersistentTask(worker)))
         return true;
     return std::ranges::any_of(worker.runs, [age](const auto &it) {
         const auto &run = it.second;
         // Only a list shows that a stopped run is gone.
         const bool settling
                 = run.phase == TaskRun::Phase::Stopping || run.phase == TaskRun::Phase::Unconfirmed;
-        const bool starting = run.persistent && run.percent < internal::servingPercent;
         const bool paced = run.reserved.milliCores == 0;
-        return settling || ((starting || paced) && age >= internal::shortRunningListInterval);
+        return settling || (paced && age >= internal::shortRunningListInterval);
     });
 }
 
