Start no run that brings a team above its ceiling

Change: each run is charged to its team from before its start order is sent until it is released, also while it is starting, unconfirmed, stopping, unwanted or beside another run, and for an ended job that only the store knows. A released run is charged again while a copy of its start may reach the next incarnation of its worker. After a takeover, what workers that have not answered may run of a team's inherited tasks counts, at most their capacity. Jobs of teams wait until a configuration is known. Steps of teams without room are skipped together, and waiting tasks beyond a ceiling are no demand for instances. Metrics, a log line and explanations show the use.

--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -65,6 +65,12 @@
      */
     std::map<std::tuple<int, int, int>, std::map<int, Trial>> trials;
 
+    /**
+     * Unix time in milliseconds at which a job of a team had ended when that was saved, otherwise
+     * 0. A successor counts the runs of such a job, which may go on for a while, for its team.
+     */
+    std::int64_t endedMs = 0;
+
     bool operator==(const JobProgress &) const = default;
 };
 
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -12,6 +12,8 @@
 
 namespace dragonflysill {
 
+struct TeamAccount;
+
 /** State of a task whose step is ready. */
 struct Task
 {
@@ -241,6 +243,10 @@
     TimePoint latestStart = TimePoint::max();
     /** Time of acceptance on the local clock, computed from the job's age when it was added. */
     TimePoint accepted{};
+    /** Account of its team; nullptr if it has none. */
+    TeamAccount *team = nullptr;
+    /** It has been reported that one of its steps exceeds the ceiling of its team. */
+    bool ceilingReported = false;
 
 private:
     /** @param first the job has been opened by no decision of this owner before */
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -8,12 +8,14 @@
 #include "dragonflysill/jobs/runanomaly.h"
 #include "dragonflysill/jobs/runtimemodel.h"
 #include "dragonflysill/jobs/startobstacle.h"
+#include "dragonflysill/jobs/teamusage.h"
 #include "dragonflysill/jobs/waitingqueue.h"
 #include "dragonflysill/jobs/workerrestart.h"
 #include "dragonflysill/jobs/workerstate.h"
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -83,6 +85,16 @@
     JobProgress progress;
 };
 
+/** A step whose tasks, or whose gang, need more than the ceiling of their team. */
+struct CeilingExcess
+{
+    std::string job;
+    int step = 0;
+    std::string team;
+    Resources need;
+    Resources ceiling;
+};
+
 /** Work done by the decisions of a Scheduler so far. */
 struct DecisionWork
 {
@@ -154,6 +166,30 @@
     /** Handles an admission request without an answer; it is repeated later. */
     void admissionUnanswered(const RequestAdmission &question, TimePoint now);
 
+    // Teams.
+
+    /**
+     * Sets the teams of the newest configuration. A raised ceiling allows starts at once; a lowered
+     * one prevents new starts. Tasks of jobs that have a team wait for the first call.
+     */
+    void setTeams(std::span<const Team> teams);
+    /** Returns what each team may have running. */
+    [[nodiscard]] const TeamUsage &teamUsage() const { return m_teams; }
+    /**
+     * Sets a function that finds jobs that were not added, since they ended before this owner took
+     * over; it returns nothing if there is no such job. Runs of such jobs that workers report count
+     * for the team of their job.
+     */
+    void setEndedJobs(std::function<std::optional<SubmittedJob>(std::string_view id)> find)
+    {
+        m_findEndedJob = std::move(find);
+    }
+    /** Returns up to @p limit jobs with a waiting step that can never start, each once. */
+    [[nodiscard]] std::vector<CeilingExcess> takeCeilingExcesses(std::size_t limit);
+    /** Returns why a team's ceiling keeps a step's next task, or its gang, from starting. */
+    [[nodiscard]] std::optional<StartObstacle> teamObstacle(const JobRun &job,
+                                                            const JobStep &step) const;
+
     // Workers.
 
     /** Adds a worker or updates the description of a known one. */
@@ -409,6 +445,38 @@
     void waitingChanged(JobRun &job);
     void updateQueues(std::int64_t unixMs, TimePoint now);
     void countUnreachedWorkers(TimePoint now);
+    /** Work of inherited jobs in one pool that an earlier owner may have started. */
+    struct UnlocatedNeed
+    {
+        Resources reserved;
+        std::int64_t unreservedMilliCores = 0; ///< Of best-effort tasks.
+    };
+    /** Capacity of the workers of a pool that have not answered this owner and may have runs. */
+    struct UnreachedCapacity
+    {
+        Resources sum;
+        bool known = true; ///< The capacity of each of them is known.
+    };
+    /** Returns a charge for a run of a task; an empty one if its job has no team. */
+    [[nodiscard]] TeamCharge chargeFor(const TaskId &id);
+    /** Records pools that wait for a team; returns true if a step cannot start because of it. */
+    bool awaitsTeam(JobRun &job, const JobStep &step);
+    /** Counts released runs of a worker again, since its next incarnation may receive their start.
+     */
+    void chargeReleasedRuns(WorkerState &worker, TimePoint now);
+    /** Stops counting them, since the incarnation that refuses their start has answered. */
+    static void dischargeReleasedRuns(WorkerState &worker);
+    /** Updates m_unlocatedNeeds and the bounds that follow from it. */
+    void countInheritedTasks(TimePoint now);
+    static void addUnlocatedNeed(UnlocatedNeed &need, const JobRun &job);
+    static void addNeed(UnlocatedNeed &need, const JobStep &step, std::int64_t tasks);
+    /** Updates TeamAccount::inherited of all teams. */
+    void boundInheritedRuns();
+    /** Returns the share of each team's waiting work that fits below its ceiling now. */
+    [[nodiscard]] std::map<const TeamAccount *, double> startableShares() const;
+    /** Returns how many waiting tasks of a step count as demand, by the shares of their teams. */
+    [[nodiscard]] double startableTasks(const JobRun &job, const JobStep &step, int waiting,
+                                        const std::map<const TeamAccount *, double> &shares) const;
     /** Serves the pools, starting after the one that was served last, as long as starts are left.
      */
     void dispatchPools(const std::vector<std::string> &pools, Search search, TimePoint now);
@@ -465,6 +533,11 @@
     std::optional<TimePoint> m_firstDecisionAt; ///< Time of the first decide() call.
     bool m_replaced = false;
     DecisionWork m_work;
+    TeamUsage m_teams; ///< Declared before the runs that it counts.
+    std::function<std::optional<SubmittedJob>(std::string_view id)> m_findEndedJob;
+    std::vector<std::string> m_inheritedTeamJobs; ///< Inherited jobs with a team.
+    std::map<std::pair<std::string, TeamAccount *>, UnlocatedNeed> m_unlocatedNeeds; ///< By pool.
+    StringMap<UnreachedCapacity> m_unreachedCapacities; ///< By pool.
     StringMap<std::unique_ptr<JobRun>> m_jobs;
     std::map<std::string, JobRun *> m_open; ///< Jobs that have not ended, by id.
     std::map<std::string, WaitingQueue, std::less<>> m_queues; ///< Waiting steps by pool.
--- a/include/dragonflysill/jobs/startobstacle.h
+++ b/include/dragonflysill/jobs/startobstacle.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,10 +26,12 @@
     Probation, ///< It runs a task of another job that may crash it.
     NotAlone, ///< The task may crash it, and tasks of other jobs run on it.
     AwaitsSuccess, ///< The task's last attempt waits for a worker with a recent success.
+    TeamCeiling, ///< Its team has as much running as its ceiling allows.
+    ExceedsTeamCeiling, ///< The task, or its gang, needs more than the ceiling of its team.
 };
 
 constexpr std::size_t startObstacleCount
-        = static_cast<std::size_t>(StartObstacle::AwaitsSuccess) + 1;
+        = static_cast<std::size_t>(StartObstacle::ExceedsTeamCeiling) + 1;
 
 /** Returns true if an obstacle ends without a change of the worker or its instance. */
 constexpr bool passesSoon(StartObstacle obstacle)
@@ -54,6 +57,8 @@
     bool awaitsUnwantedRun = false; ///< A run that this owner is stopping has not ended.
     int suitableWorkers = 0; ///< Workers without an obstacle.
     int slowWorkers = 0; ///< Those of them that are slow.
+    std::string team; ///< Team of the job; empty for none.
+    std::optional<StartObstacle> teamObstacle; ///< What keeps the task from any worker.
     std::array<int, startObstacleCount> obstacles{}; ///< Workers by obstacle.
 };
 
--- a/include/dragonflysill/jobs/taskrun.h
+++ b/include/dragonflysill/jobs/taskrun.h
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/base/time.h"
 #include "dragonflysill/jobs/job.h"
+#include "dragonflysill/jobs/teamusage.h"
 #include "dragonflysill/jobs/worker.h"
 
 #include <optional>
@@ -23,6 +24,7 @@
     int run = 0;
     Phase phase = Phase::Starting;
     Resources reserved;
+    TeamCharge charge;
     TimePoint startedAt{}; ///< When the start order was sent.
     TimePoint orderSettledAt{}; ///< When the last start or stop order was answered or timed out.
     /** Until then a copy of the start order may still reach a worker under the same id. */
--- a/include/dragonflysill/jobs/waitingqueue.h
+++ b/include/dragonflysill/jobs/waitingqueue.h
@@ -16,6 +16,7 @@
 namespace dragonflysill {
 
 class JobRun;
+struct TeamAccount;
 
 /** A step with waiting tasks. */
 struct WaitingStep
@@ -29,7 +30,7 @@
  * The steps of a pool's jobs that have waiting tasks, in the order in which they are served. An
  * update takes time only for the steps of one job, and serving takes time only for the steps that
  * are visited: neither the number of other steps matters nor how many of them are too large for
- * the free capacity.
+ * the free capacity or wait for the ceiling of their team.
  */
 class WaitingQueue
 {
@@ -55,21 +56,35 @@
      * queue.
      * @param largest steps whose tasks reserve more milli-cores are skipped, up to the difference
      * of one core; the visitor may lower it
+     * @param skips called with a team's account and the minimum of milli-cores that each of some of
+     * its steps needs, again after each visit; if it returns true, the rest of them is skipped
      */
-    template <typename Visitor>
-    void visit(TimePoint now, const std::int64_t &largest, Visitor visitor)
+    template <typename Skips, typename Visitor>
+    void visit(TimePoint now, const std::int64_t &largest, Skips skips, Visitor visitor)
     {
         demoteLateJobs(now);
         std::vector<Position> positions;
-        for (const auto &[size, steps] : m_stepsBySize)
-            positions.push_back({size, steps.begin(), steps.end()});
-        while (true) {
-            std::erase_if(positions, [&largest](const Position &it) {
-                return it.next == it.end || it.size * milliCoresPerCore > largest;
-            });
-            const auto first = std::ranges::min_element(
-                    positions, {}, [](const Position &it) { return it.next->first; });
-            if (first == positions.end() || !visitor((first->next++)->second))
+        for (const auto &[group, steps] : m_groups)
+            positions.push_back({group, steps.begin(), steps.end()});
+        const auto later = [](const Position &a, const Position &b) {
+            return b.next->first < a.next->first;
+        };
+        std::ranges::make_heap(positions, later);
+        while (!positions.empty()) {
+            std::ranges::pop_heap(positions, later);
+            auto &first = positions.back();
+            const auto least = first.group.size * milliCoresPerCore;
+            if (least > largest
+                || (first.group.team != nullptr && skips(*first.group.team, least))) {
+                positions.pop_back();
+                continue;
+            }
+            const auto &step = (first.next++)->second;
+            if (first.next == first.end)
+                positions.pop_back();
+            else
+                std::ranges::push_heap(positions, later);
+            if (!visitor(step))
                 return;
         }
     }
@@ -91,10 +106,20 @@
 
     using Steps = std::map<Key, WaitingStep>;
 
-    /** Place of a visit in the steps of one size. */
+    /** Steps that a visit can skip together. */
+    struct Group
+    {
+        std::int64_t size = 0; ///< Whole cores that a task reserves.
+        /** Account of the team if each task needs processor and memory, otherwise not set. */
+        TeamAccount *team = nullptr;
+
+        auto operator<=>(const Group &) const = default;
+    };
+
+    /** Place of a visit in the steps of one group. */
     struct Position
     {
-        std::int64_t size = 0;
+        Group group;
         Steps::const_iterator next;
         Steps::const_iterator end;
     };
@@ -102,7 +127,7 @@
     /** What the queue holds for a job. */
     struct JobEntries
     {
-        std::vector<std::pair<std::int64_t, Key>> keys; ///< By size.
+        std::vector<std::pair<Group, Key>> keys;
         Duration remainingWork{0};
         std::optional<TimePoint> latestStart; ///< Not set if it is late or cannot become late.
     };
@@ -111,7 +136,7 @@
 
     static constexpr std::int64_t milliCoresPerCore = 1000;
 
-    std::map<std::int64_t, Steps> m_stepsBySize; ///< By the whole cores that a task reserves.
+    std::map<Group, Steps> m_groups;
     std::unordered_map<JobRun *, JobEntries> m_jobs;
     std::set<std::pair<TimePoint, JobRun *>> m_latestStarts; ///< Of the jobs that are in time.
 };
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -31,6 +31,24 @@
     TaskId task;
     int run = 0;
     TimePoint copiesUntil{}; ///< See TaskRun.
+    std::int64_t startedMs = 0; ///< Incarnation in which it was released.
+    TeamAccount *team = nullptr; ///< Account of its team; nullptr if it has none.
+    Resources need;
+    /** Set while a copy may start it, since the incarnation that refuses it may have ended. */
+    TeamCharge charge;
+};
+
+/** A reported run that the owner has neither started nor adopted. */
+struct UnadoptedRun : RunningReport
+{
+    TeamCharge charge;
+};
+
+/** A reported run of a task of which the owner knows another run on the same worker. */
+struct OtherRun
+{
+    TimePoint stopSentAt{};
+    TeamCharge charge;
 };
 
 /**
@@ -117,9 +135,9 @@
     TimePoint pausedUntil{}; ///< No starts before this time, after it refused one.
     std::map<TaskId, TaskRun> runs;
     /** Reported runs that this owner has neither started nor adopted. */
-    std::map<TaskId, RunningReport> unadoptedRuns;
-    /** Reported runs of tasks of which `runs` has another run, and when their stop was sent. */
-    std::map<std::pair<TaskId, int>, TimePoint> otherRuns;
+    std::map<TaskId, UnadoptedRun> unadoptedRuns;
+    /** Reported runs of tasks of which `runs` has another run. */
+    std::map<std::pair<TaskId, int>, OtherRun> otherRuns;
     std::vector<ReleasedRun> releasedRuns; ///< The next incarnation is told not to start them.
     Resources reserved; ///< Sum over the runs.
     int persistentRuns = 0;
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -204,6 +204,7 @@
         json["unconfirmedCrashes"] = internal::encodeRuns(progress.unconfirmedCrashes);
     if (!progress.trials.empty())
         json["startTargets"] = internal::encodeTrials(progress.trials);
+    internal::put(json, "ended", progress.endedMs);
     return json.dump();
 }
 
@@ -224,6 +225,7 @@
         progress.unconfirmedCrashes
                 = internal::decodeRuns(json.value("unconfirmedCrashes", Json::array()));
         progress.trials = internal::decodeTrials(json.value("startTargets", Json::array()));
+        progress.endedMs = json.value("ended", std::int64_t{0});
         return progress;
     });
 }
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -4,6 +4,7 @@
 #include "stoporder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace dragonflysill {
@@ -50,6 +51,9 @@
     const auto &policy = run->job().policy;
     const auto chain = m_runTimes.longestChain(run->job());
     run->inherited = inherited;
+    run->team = m_teams.account(run->job().team);
+    if (inherited && run->team != nullptr)
+        m_inheritedTeamJobs.push_back(id);
     run->accepted = now - age;
     run->objective = run->accepted + policy.targetRuntime + scaled(chain, policy.slackFactor);
     if (!run->hasEnded()) {
@@ -137,6 +141,7 @@
         worker.reachable = false;
         worker.fenced = false;
         holdCopiesUntilAnswer(worker);
+        chargeReleasedRuns(worker, now);
     }
     if (!known || worker.description.pool != description.pool) {
         if (known)
@@ -185,7 +190,16 @@
     worker.fenced = false;
     worker.heldUntil = end == WorkerEnd::Down ? std::max(now, worker.earlierOrdersUntil) : now;
     worker.unadoptedRuns.clear();
+    worker.otherRuns.clear();
     m_workersChanged = true;
+    chargeReleasedRuns(worker, now);
+    // No order reaches a worker that has been replaced.
+    if (end == WorkerEnd::Replaced) {
+        for (auto &it : worker.releasedRuns) {
+            it.team = nullptr;
+            it.charge = {};
+        }
+    }
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
         if (end == WorkerEnd::Down && now < run->second.copiesUntil) {
@@ -193,6 +207,7 @@
             continue;
         }
         recordAnomaly(RunAnomalyKind::WorkerEnded, worker, run->second, now);
+        run->second.charge = {};
         releaseRun(worker, run, now);
     }
     // A worker with runs left is still asked, so that a later incarnation is heard of.
@@ -355,6 +370,7 @@
         }
     }
     updateQueues(unixMs, now);
+    m_changedPools.merge(m_teams.takeFreedPools());
     dispatchPools({m_changedPools.begin(), m_changedPools.end()}, Search::First, now);
     return std::exchange(m_actions, {});
 }
@@ -400,6 +416,12 @@
 /** Maximum number of different needs that a pool's load names. */
 constexpr std::size_t maxLackingNeeds = 8;
 
+/** Returns what a number of tasks, which may be a part of one, needs of a resource. */
+std::int64_t amountOf(std::int64_t need, double tasks)
+{
+    return std::llround(static_cast<double>(need) * tasks);
+}
+
 } // namespace internal
 
 void Scheduler::addLackingWorkers(std::vector<LackingWorkers> &known, const LackingWorkers &added)
@@ -414,6 +436,7 @@
 std::map<std::string, PoolLoad, std::less<>> Scheduler::loads(TimePoint now) const
 {
     auto loads = m_acceptedLoad;
+    const auto shares = startableShares();
     for (const auto &[id, job] : m_open) {
         auto &load = loads[job->job().pool];
         for (const auto &[occurrence, run] : job->occurrences()) {
@@ -423,19 +446,21 @@
                 if (step.persistent && step.maxPerWorker > 0)
                     load.spread = std::max(load.spread, (step.count + step.maxPerWorker - 1)
                                                                 / step.maxPerWorker);
-                const auto lacking = tasks.waiting > 0 ? lackingWorkers(*job, step, now) : 0;
+                const auto waiting = startableTasks(*job, step, tasks.waiting, shares);
+                const auto lacking = waiting > 0 ? lackingWorkers(*job, step, now) : 0;
                 if (lacking > 0)
                     addLackingWorkers(load.lacking, {lacking, step.reserved()});
                 const auto cpu = step.reserved().milliCores;
                 const int running = tasks.ready ? static_cast<int>(tasks.tasks.size())
                                                           - tasks.waiting - tasks.done
                                                 : 0;
-                load.waitingMilliCores += cpu * tasks.waiting;
+                const auto needed = waiting + running;
+                load.waitingMilliCores += internal::amountOf(cpu, waiting);
                 load.runningMilliCores += cpu * running;
-                load.memoryMb += step.need.memoryMb * (tasks.waiting + running);
+                load.memoryMb += internal::amountOf(step.need.memoryMb, needed);
                 if (now > job->latestStart && !step.persistent) {
-                    load.lateMilliCores += cpu * (tasks.waiting + running);
-                    load.lateMemoryMb += step.need.memoryMb * (tasks.waiting + running);
+                    load.lateMilliCores += internal::amountOf(cpu, needed);
+                    load.lateMemoryMb += internal::amountOf(step.need.memoryMb, needed);
                 }
             }
         }
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -13,10 +13,19 @@
 void Scheduler::countUnreachedWorkers(TimePoint now)
 {
     m_unreachedWorkers.clear();
+    m_unreachedCapacities.clear();
     for (const auto &[id, worker] : m_workers) {
-        if (!worker.fenced && !worker.retired && now < worker.heldUntil)
-            ++m_unreachedWorkers[worker.description.pool];
+        if (worker.fenced || worker.retired || now >= worker.heldUntil)
+            continue;
+        ++m_unreachedWorkers[worker.description.pool];
+        // This owner knows what it has started itself on a worker that has answered it before.
+        if (worker.startedMs != 0 && now >= worker.earlierOrdersUntil)
+            continue;
+        auto &capacity = m_unreachedCapacities[worker.description.pool];
+        capacity.sum += worker.description.capacity;
+        capacity.known = capacity.known && worker.description.capacity != Resources{};
     }
+    boundInheritedRuns();
 }
 
 bool Scheduler::hasSilentWorkers(TimePoint now) const
@@ -30,8 +39,11 @@
 void Scheduler::checkWorkers(TimePoint now)
 {
     countUnreachedWorkers(now);
+    countInheritedTasks(now);
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         auto &worker = it->second;
+        std::erase_if(worker.releasedRuns,
+                      [now](const ReleasedRun &run) { return now >= run.copiesUntil; });
         processUnadoptedRuns(worker, now);
         if (worker.unlistAt && (now >= *worker.unlistAt || !worker.reachable)) {
             worker.listed = false;
@@ -175,7 +187,8 @@
         const auto *task = job->task(id);
         const int budget = std::max(1, job->step(id).maxUnavailable);
         const bool mayStartAgain
-                = task != nullptr && (job->crashesSaved() || suspicion(*job, id, *task) == 0);
+                = task != nullptr && (job->crashesSaved() || suspicion(*job, id, *task) == 0)
+                  && (job->team == nullptr || job->team->mayReplace(run.charge.amount()));
         if (mayStartAgain && unavailableTasks(*job, id) < budget
             && chooseWorker(*job, id, *task, now) != nullptr)
             stopRun(worker, run, now);
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -95,6 +95,8 @@
 constexpr Duration queueRebuildInterval = 1000ms;
 /** Steps without a suitable worker after which a decision after an event ends the search. */
 constexpr int maxStepsWithoutWorker = 16;
+/** Steps that wait for their team's ceiling after which such a decision passes over the team. */
+constexpr int maxStepsWithoutTeamRoom = 8;
 /** Maximum number of waiting steps of a pool that a decision after an event considers. */
 constexpr int maxStepsAfterEvent = 64;
 /** Maximum number of ends in a worker's report, from the worker protocol. */
--- a/src/jobs/schedulerdiagnosis.cpp
+++ b/src/jobs/schedulerdiagnosis.cpp
@@ -14,9 +14,11 @@
 std::string_view obstacleName(StartObstacle obstacle)
 {
     static constexpr std::array<std::string_view, startObstacleCount> names{
-            "unlisted",  "leaving",    "paused",        "quarantined",      "too-small",
-            "label",     "step-limit", "no-ticket",     "no-free-capacity", "has-run",
-            "probation", "not-alone",  "awaits-success"};
+            "unlisted",       "leaving",      "paused",
+            "quarantined",    "too-small",    "label",
+            "step-limit",     "no-ticket",    "no-free-capacity",
+            "has-run",        "probation",    "not-alone",
+            "awaits-success", "team-ceiling", "exceeds-team-ceiling"};
     return names.at(static_cast<std::size_t>(obstacle));
 }
 
@@ -120,13 +122,18 @@
     const auto pool = m_pools.find(report.pool);
     if (pool == m_pools.end())
         return report;
+    report.team = job.job().team;
+    report.teamObstacle = teamObstacle(job, job.step(id));
     const auto waiting = candidate(job, id, task);
     for (const auto *it : pool->second) {
         if (it->reachable) {
             report.poolMilliCores += it->description.capacity.milliCores;
             report.reservedMilliCores += it->reserved.milliCores;
         }
-        if (const auto obstacle = startObstacle(*it, waiting, now)) {
+        auto obstacle = startObstacle(*it, waiting, now);
+        if (!obstacle)
+            obstacle = report.teamObstacle;
+        if (obstacle) {
             ++report.obstacles.at(static_cast<std::size_t>(*obstacle));
             continue;
         }
@@ -158,6 +165,8 @@
                                                            TimePoint now) const
 {
     std::vector<WaitingTaskReport> reports;
+    // Waits for a ceiling are usual and must not hide others.
+    std::vector<WaitingTaskReport> ofTeams;
     const auto busy = busyPools();
     for (const auto &[jobId, job] : m_open) {
         if (reports.size() >= limit)
@@ -183,7 +192,14 @@
         }
         if (anyActive || longest == nullptr || now - longest->waitingSince < waited)
             continue;
-        reports.push_back(describeWaiting(*job, id, *longest, now));
+        const bool awaitsTeam = teamObstacle(*job, job->step(id)).has_value();
+        if (awaitsTeam && ofTeams.size() >= limit)
+            continue;
+        (awaitsTeam ? ofTeams : reports).push_back(describeWaiting(*job, id, *longest, now));
+    }
+    for (auto &it : ofTeams) {
+        if (reports.size() < limit)
+            reports.push_back(std::move(it));
     }
     return reports;
 }
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -5,6 +5,7 @@
 #include "schedulerconstants.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 
 namespace dragonflysill {
@@ -53,12 +54,25 @@
     std::vector<Resources> tooLarge;
     int examined = 0;
     int withoutWorker = 0;
-    queue->second.visit(now, *largest, [&](const WaitingStep &it) {
+    // Steps by the team whose ceiling keeps them from starting.
+    std::map<const TeamAccount *, int> withoutRoom;
+    const auto skips = [&](TeamAccount &team, std::int64_t least) {
+        const bool full
+                = !m_teams.knowsTeams() || !team.hasRoom({std::max<std::int64_t>(least, 1), 1, 0});
+        if (full)
+            TeamUsage::addBlockedPool(team, pool);
+        return full
+               || (search == Search::First
+                   && withoutRoom[&team] >= internal::maxStepsWithoutTeamRoom);
+    };
+    const auto visitor = [&](const WaitingStep &it) {
         if (blockedByUnknownRuns(*it.job))
             return true;
         ++m_work.stepsExamined;
         ++examined;
-        if (!startStep(it, tooLarge, now)) {
+        if (awaitsTeam(*it.job, it.job->job().spec.steps[static_cast<std::size_t>(it.step)])) {
+            ++withoutRoom[it.job->team];
+        } else if (!startStep(it, tooLarge, now)) {
             ++withoutWorker;
             largest = largestFreeCapacity(workers->second, now).value_or(0);
         }
@@ -67,7 +81,8 @@
         return search == Search::All
                || (examined < internal::maxStepsAfterEvent
                    && withoutWorker < internal::maxStepsWithoutWorker);
-    });
+    };
+    queue->second.visit(now, *largest, skips, visitor);
 }
 
 std::optional<std::int64_t> Scheduler::largestFreeCapacity(std::span<WorkerState *const> workers,
@@ -133,6 +148,8 @@
         if (task == nullptr || task->phase != Task::Phase::Waiting || m_unwantedRuns.contains(id)
             || m_inheritedTrials.contains(id.job))
             continue;
+        if (awaitsTeam(job, job.step(id)))
+            return;
         auto *worker = chooseWorker(job, id, *task, now);
         // Only last attempts and suspected tasks may find no worker where others of the step do.
         if (worker == nullptr && !isLastAttempt(job, id) && suspicion(job, id, *task) == 0)
@@ -273,6 +290,7 @@
     run.task = id;
     run.run = ++task.lastRun;
     run.reserved = job.step(id).reserved();
+    run.charge = chargeFor(id);
     run.startedAt = now;
     run.copiesUntil = now + internal::maxCallTime;
     run.resumed = !task.checkpoint.empty();
@@ -335,7 +353,7 @@
                                || now - known->second.startedAt > limit;
         // One more copy if the holder may have crashed, but none of a task that crashes workers.
         if (!needsCopy || job.crashes(id) > 0 || suspicion(job, id, task) > 1
-            || m_inheritedTrials.contains(id.job))
+            || m_inheritedTrials.contains(id.job) || awaitsTeam(job, job.step(id)))
             continue;
         auto *other = chooseWorker(job, id, task, now);
         if (other != nullptr && prepareStart(job, id, task, *other, now))
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -101,6 +101,7 @@
     it->ended = false;
     if (it->startedMs == report.startedMs) {
         forgetUnexplainedRuns(*it);
+        dischargeReleasedRuns(*it);
     } else {
         beginIncarnation(*it, report, sentAt, now);
         retirePreviousWorkers(*it, now);
@@ -127,6 +128,7 @@
     if (it->reachable)
         it->silentSince = now;
     it->reachable = false;
+    chargeReleasedRuns(*it, now);
 }
 
 void Scheduler::beginIncarnation(WorkerState &worker, const WorkerReport &report, TimePoint sentAt,
@@ -170,6 +172,8 @@
                || internal::lists(report, it.task, it.run);
     });
     forgetUnexplainedRuns(worker);
+    chargeReleasedRuns(worker, now);
+    worker.otherRuns.clear();
     worker.health = {};
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
         const auto run = it++;
@@ -208,7 +212,9 @@
     std::erase_if(worker.releasedRuns,
                   [now](const ReleasedRun &it) { return now >= it.copiesUntil; });
     if (now < run->second.copiesUntil)
-        worker.releasedRuns.push_back({run->first, run->second.run, run->second.copiesUntil});
+        worker.releasedRuns.push_back({run->first, run->second.run, run->second.copiesUntil,
+                                       worker.startedMs, run->second.charge.account(),
+                                       run->second.charge.amount(), TeamCharge()});
     worker.reserved -= run->second.reserved;
     worker.persistentRuns -= static_cast<int>(run->second.persistent);
     if (run->second.unwanted && --m_unwantedRuns[run->first] == 0)
@@ -253,6 +259,7 @@
         recordAnomaly(RunAnomalyKind::HoldExpired, worker, run->second, now);
         releaseRun(worker, run, now);
     }
+    worker.otherRuns.clear();
 }
 
 void Scheduler::applyEnd(WorkerState &worker, const EndReport &end, TimePoint now)
@@ -364,17 +371,23 @@
                              TimePoint now)
 {
     std::set<std::pair<TaskId, int>> listed;
+    std::set<std::pair<TaskId, int>> others;
     worker.unadoptedRuns.clear();
     for (const auto &row : report.running) {
         listed.insert({row.task, row.run});
         const auto run = worker.runs.find(row.task);
         if (run == worker.runs.end()) {
-            auto [it, isFirst] = worker.unadoptedRuns.try_emplace(row.task, row);
-            if (!isFirst) {
+            auto [it, isFirst] = worker.unadoptedRuns.try_emplace(row.task);
+            RunningReport &adopted = it->second;
+            if (isFirst) {
+                adopted = row;
+                it->second.charge = chargeFor(row.task);
+            } else {
                 // The newer one of two runs is adopted.
                 auto older = row;
-                if (older.run > it->second.run)
-                    std::swap(older, it->second);
+                if (older.run > adopted.run)
+                    std::swap(older, adopted);
+                others.insert({older.task, older.run});
                 stopOtherRun(worker, older, now);
             }
             m_unadoptedRunsReported = true;
@@ -382,6 +395,7 @@
         }
         auto &known = run->second;
         if (known.run != row.run) {
+            others.insert({row.task, row.run});
             stopOtherRun(worker, row, now);
             continue;
         }
@@ -403,7 +417,7 @@
         if (!row.checkpoint.empty())
             known.checkpoint = row.checkpoint;
     }
-    std::erase_if(worker.otherRuns, [&](const auto &it) { return !listed.contains(it.first); });
+    std::erase_if(worker.otherRuns, [&](const auto &it) { return !others.contains(it.first); });
     if (report.ended.size() >= internal::maxEndsPerReport)
         return;
     for (auto it = worker.runs.begin(); it != worker.runs.end();) {
@@ -428,13 +442,16 @@
 
 void Scheduler::stopOtherRun(WorkerState &worker, const RunningReport &report, TimePoint now)
 {
-    const auto [it, isNew] = worker.otherRuns.try_emplace({report.task, report.run}, now);
-    if (isNew)
+    const auto [it, isNew] = worker.otherRuns.try_emplace({report.task, report.run});
+    auto &other = it->second;
+    if (isNew) {
+        other.charge = chargeFor(report.task);
         m_anomalies.push_back({RunAnomalyKind::OtherRun, report.task, report.run,
                                worker.description.id, worker.startedMs});
-    else if (now - it->second <= internal::orderRetryDelay)
+    } else if (now - other.stopSentAt <= internal::orderRetryDelay) {
         return;
-    it->second = now;
+    }
+    other.stopSentAt = now;
     m_actions.emplace_back(internal::stopOrder(worker, report.task, report.run));
 }
 
@@ -464,6 +481,7 @@
     TaskRun run;
     run.task = report.task;
     run.run = report.run;
+    run.charge = chargeFor(report.task);
     run.inherited = true;
     run.phase = TaskRun::Phase::Running;
     run.startedAt = now;
@@ -577,8 +595,10 @@
         worker->reachable = false;
         break;
     }
-    if (const auto *run = worker->findRun(start.task, start.run)) {
+    if (auto *run = worker->findRun(start.task, start.run)) {
         recordAnomaly(RunAnomalyKind::Refused, *worker, *run, now);
+        // It is known that no copy of the order can be carried out.
+        run->charge = {};
         releaseRun(*worker, worker->runs.find(start.task), now);
     }
 }
--- a/src/jobs/waitingqueue.cpp
+++ b/src/jobs/waitingqueue.cpp
@@ -31,9 +31,12 @@
             key.job = job.job().id;
             key.occurrence = occurrence;
             key.step = static_cast<int>(n);
-            const auto size = job.job().spec.steps[n].reserved().milliCores / milliCoresPerCore;
-            m_stepsBySize[size].emplace(key, WaitingStep{&job, occurrence, key.step});
-            entries.keys.emplace_back(size, key);
+            const auto &step = job.job().spec.steps[n];
+            const bool needsBoth = step.need.milliCores > 0 && step.need.memoryMb > 0;
+            const Group group{step.reserved().milliCores / milliCoresPerCore,
+                              needsBoth ? job.team : nullptr};
+            m_groups[group].emplace(key, WaitingStep{&job, occurrence, key.step});
+            entries.keys.emplace_back(group, key);
         }
     }
 }
@@ -43,11 +46,11 @@
     const auto it = m_jobs.find(&job);
     if (it == m_jobs.end())
         return;
-    for (const auto &[size, key] : it->second.keys) {
-        const auto steps = m_stepsBySize.find(size);
+    for (const auto &[group, key] : it->second.keys) {
+        const auto steps = m_groups.find(group);
         steps->second.erase(key);
         if (steps->second.empty())
-            m_stepsBySize.erase(steps);
+            m_groups.erase(steps);
     }
     if (it->second.latestStart)
         m_latestStarts.erase({*it->second.latestStart, &job});
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -5,8 +5,10 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <array>
 #include <limits>
 #include <sstream>
+#include <utility>
 #include <vector>
 
 namespace dragonflysill {
@@ -93,6 +95,41 @@
     }
 }
 
+/** Adds a family with one value for each team and resource. */
+template <typename Amount>
+void perTeam(Families &families, const char *name, const char *help, const TeamUsage &teams,
+             Amount amount)
+{
+    auto &family = add(families, name, help, prometheus::MetricType::Gauge);
+    family.metric.clear();
+    for (const auto &[team, account] : teams.accounts()) {
+        const Resources &value = amount(account);
+        const std::array<std::pair<const char *, double>, 3> resources{
+                {{"cores", static_cast<double>(value.milliCores) / 1000},
+                 {"memory_mb", static_cast<double>(value.memoryMb)},
+                 {"accelerators", static_cast<double>(value.accelerators)}}};
+        for (const auto &[resource, number] : resources) {
+            auto &metric = family.metric.emplace_back();
+            metric.label.push_back({"team", team});
+            metric.label.push_back({"resource", resource});
+            metric.gauge.value = number;
+        }
+    }
+}
+
+void addTeams(Families &families, const TeamUsage &teams)
+{
+    if (teams.accounts().empty())
+        return;
+    perTeam(families, "team_running", "What teams may have running", teams,
+            [](const TeamAccount &it) -> const Resources & { return it.running; });
+    perTeam(families, "team_unconfirmed",
+            "Upper bound of what workers that have not answered may run for teams", teams,
+            [](const TeamAccount &it) -> const Resources & { return it.inherited; });
+    perTeam(families, "team_ceiling", "Ceilings of teams; 0 for no limit", teams,
+            [](const TeamAccount &it) -> const Resources & { return it.ceiling; });
+}
+
 void addOwner(Families &families, const ScheduleOwner &owner)
 {
     const auto &calls = owner.workerCallCounts();
@@ -124,6 +161,7 @@
         metric.label.push_back({"reason", std::string(runAnomalyName(kind))});
         metric.counter.value = static_cast<double>(count);
     }
+    addTeams(families, owner.scheduler().teamUsage());
     counter(families, "stops_total", "Stops sent to workers", calls.stops);
     counter(families, "paces_total", "Orders that limit the speed of tasks", calls.paces);
     counter(families, "advice_total", "Questions about admitted workers", calls.admissionRequests);
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflysill/jobs/jobcodec.h"
 #include "dragonflysill/jobs/json.h"
+#include "dragonflysill/node/teamlog.h"
 
 #include <string_view>
 #include <utility>
@@ -182,10 +183,12 @@
 }
 
 /** Explains the current state of a job to operators. */
-std::string reason(const JobRun &job, int running)
+std::string reason(const Scheduler &scheduler, const JobRun &job, int running)
 {
     if (job.hasEnded())
         return "the job has ended";
+    if (const auto ceiling = ceilingReason(scheduler, job); !ceiling.empty())
+        return ceiling;
     if (job.waitingTasks() == 0 && running == 0)
         return job.nextDueMs() != 0 ? "the next occurrence of the job is not due yet"
                                     : "the results of its last tasks are being saved";
@@ -216,7 +219,9 @@
     json["age_s"] = toSeconds(source.now - job->accepted);
     json["to_objective_s"] = toSeconds(job->objective - source.now);
     json["inherited"] = job->inherited;
-    json["reason"] = reason(*job, static_cast<int>(runs.size()));
+    if (job->team != nullptr)
+        json["team"] = job->team->name;
+    json["reason"] = reason(source.owner->scheduler(), *job, static_cast<int>(runs.size()));
     json["runs"] = std::move(runs);
 }
 
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -3,10 +3,13 @@
 #include "dragonflysill/base/time.h"
 #include "dragonflysill/jobs/jobcodec.h"
 #include "dragonflysill/node/nodekeys.h"
+#include "dragonflysill/node/teamlog.h"
 #include "dragonflysill/telemetry/log.h"
 #include "nodesettings.h"
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <utility>
 
 namespace dragonflysill {
@@ -49,6 +52,23 @@
 constexpr Duration removalInterval = 2000ms;
 /** Time for which ended jobs are kept beyond the time that callers may request their status. */
 constexpr Duration retentionMargin = 30s;
+/**
+ * Time for which runs of a job that has ended may go on unknown to a new owner: their hold, which
+ * an earlier owner may have extended for a while, and the error of the time of day.
+ */
+constexpr Duration endedJobRunTime = 20s;
+
+/** Returns true if a job of a team ended so recently that runs of it may not have been stopped. */
+bool mayHaveRuns(const ReplicatedJob &job)
+{
+    // All tasks of a completed job have ended, apart from copies that are found when reported.
+    if (job.status != JobStatus::Cancelled && job.status != JobStatus::Failed)
+        return false;
+    const auto progress = decodeProgress(job.progress);
+    const auto age = progress ? unixMilliseconds() - progress->endedMs : 0;
+    return progress && progress->endedMs != 0
+           && std::chrono::abs(Milliseconds(age)) <= endedJobRunTime;
+}
 
 SchedulerSettings schedulerSettings(const platform::NodeSettings &settings)
 {
@@ -81,6 +101,13 @@
                               : EventLoop::now() + m_context.settings.machineLease)
     , m_workers(m_context, m_scheduler, fence, [this] { requestDecision(); })
 {
+    m_scheduler.setEndedJobs([this](std::string_view id) -> std::optional<SubmittedJob> {
+        const auto *job = m_context.replica.job(std::string(id));
+        if (job == nullptr || job->acceptedRevision == 0 || job->record == rejectedRecord)
+            return std::nullopt;
+        auto decoded = decodeJob(id, job->record);
+        return decoded ? std::optional(std::move(*decoded)) : std::nullopt;
+    });
     startScheduling();
 }
 
@@ -110,7 +137,8 @@
 
 void ScheduleOwner::addJob(const std::string &id, const ReplicatedJob &job, bool inherited)
 {
-    if (job.acceptedRevision == 0 || job.record == rejectedRecord || isFinal(job.status))
+    if (job.acceptedRevision == 0 || job.record == rejectedRecord
+        || (isFinal(job.status) && !(inherited && internal::mayHaveRuns(job))))
         return;
     auto decoded = decodeJob(id, job.record);
     if (!decoded) {
@@ -163,6 +191,7 @@
             admissionSettings.emplace(it.name, *it.workerAdmission);
     }
     m_scheduler.setAdmissionQueues(std::move(admissionSettings));
+    m_scheduler.setTeams(configuration.teams);
 }
 
 void ScheduleOwner::addWave(const MaintenanceWave &wave)
@@ -239,6 +268,8 @@
     if (now - m_waitsLoggedAt < internal::waitLogInterval)
         return;
     m_waitsLoggedAt = now;
+    logTeamUse(m_scheduler.teamUsage());
+    logCeilingExcesses(m_scheduler.takeCeilingExcesses(internal::maxWaitLogEntries));
     for (const auto &it :
          m_scheduler.longWaitingTasks(internal::longWait, internal::maxWaitLogEntries, now)) {
         std::string obstacles;
@@ -260,7 +291,8 @@
                     {"slow_workers", std::to_string(it.slowWorkers)},
                     {"other_workers", obstacles},
                     {"awaits_inherited_runs", it.awaitsInheritedRuns ? "yes" : "no"},
-                    {"awaits_unwanted_run", it.awaitsUnwantedRun ? "yes" : "no"}});
+                    {"awaits_unwanted_run", it.awaitsUnwantedRun ? "yes" : "no"},
+                    {"team", it.team}});
     }
 }
 
@@ -349,7 +381,10 @@
         return;
     ConditionalWrite write;
     write.expected.push_back({std::string(nodekeys::owner), m_fence});
-    for (const auto &it : updates) {
+    for (auto &it : updates) {
+        const auto *scheduled = m_scheduler.job(it.job);
+        if (isFinal(it.progress.state) && scheduled != nullptr && scheduled->team != nullptr)
+            it.progress.endedMs = unixMilliseconds();
         const auto *job = m_context.replica.job(it.job);
         const auto key = nodekeys::key(nodekeys::progress, it.job);
         write.expected.push_back({key, job == nullptr ? 0 : job->progressRevision});
--- a/tests/jobs/protocolmodel.h
+++ b/tests/jobs/protocolmodel.h
@@ -19,7 +19,9 @@
  * crash, restart under their ids and are disconnected; owners stand still, end at any time or go on
  * for a while beside the next one, which starts from the saved progress; saves are lost before or
  * after they are applied. Workers do no more against a second run of a task than the protocol
- * demands.
+ * demands. Jobs may belong to teams with ceilings that change and that owners hear of late: no
+ * start may bring what a team really has running above the highest ceiling that may be in force by
+ * more than a tenth and one task, and the count of each owner equals what a scan of its runs finds.
  */
 class ProtocolModel : public Simulation
 {
@@ -28,6 +30,8 @@
     {
         Milliseconds maxCopyDelay{1100}; ///< Longest way of a copy of an order.
         bool revokedKeys = false; ///< Owners lose their keys while their leases are valid.
+        bool teams = false; ///< Jobs have teams, and their steps may be of any kind.
+        bool strictCeilings = false; ///< Not even the tolerated excess of a ceiling is allowed.
     };
 
     ProtocolModel(std::uint64_t seed, Faults faults);
@@ -42,6 +46,7 @@
     struct ModelWorker
     {
         std::string id;
+        std::string pool = "pool";
         std::int64_t incarnation = 1;
         bool up = true;
         bool disconnected = false;
@@ -73,6 +78,7 @@
         TimePoint decidedAt{}; ///< Time of the last full decision.
         bool saving = false;
         bool listing = false; ///< Its request for the list of instances is not answered.
+        std::size_t configuration = 0; ///< Index of the newest one that it knows.
         std::map<std::string, bool> holdPending;
         std::map<std::string, TimePoint> nextHold;
     };
@@ -117,17 +123,35 @@
     void end(ModelWorker &worker, const RunKey &run, RunEnd how);
     void acknowledge(ModelWorker &worker, std::int64_t upTo);
     void checkStart(const StartTask &start);
+
+    // Teams.
+    void addTeamJobs();
+    void submit(const std::string &job);
+    void changeCeilings();
+    void tellCeilings(const OwnerPtr &owner, std::size_t configuration);
+    /** Adds the jobs with teams that an earlier owner ended, like ScheduleOwner. */
+    void addEndedJobs(Scheduler &scheduler);
+    /** Checks what a team has running after a start. */
+    void checkCeiling(const StartTask &start);
+    /** Checks an owner's count of what teams may have running. */
+    void checkCounts(const Owner &owner);
+    /** Returns the spec of a task's step. */
+    [[nodiscard]] const JobStep &stepOf(const TaskId &task) const;
     void checkProgress(const std::string &job, const JobProgress &progress);
 
     TimePoint m_faultsUntil;
     Faults m_faults;
     std::map<std::string, ModelWorker> m_workers;
     std::map<std::string, SubmittedJob> m_jobs;
+    std::set<std::string> m_awaited; ///< Jobs that have not been submitted.
     std::map<std::string, JobProgress> m_saved;
     std::set<TaskId> m_done; ///< Tasks with a completed run.
     std::set<TaskId> m_doneAcknowledged;
     std::map<TaskId, std::set<int>> m_failedAcknowledged;
     std::set<std::string> m_cancelled;
+    std::vector<std::vector<Team>> m_configurations; ///< All so far; the newest is the last.
+    std::map<RunKey, std::size_t> m_orderedBy; ///< Configuration that the start's owner knew.
+    std::map<std::string, TimePoint> m_endedAt; ///< When a job's end was saved.
     std::vector<OwnerPtr> m_owners; ///< The present one is the last.
     bool m_ownerless = false; ///< The last owner has ended, and the next one has not begun.
     std::int64_t m_fence = 0;
--- a/tests/jobs/protocolmodeltest.cpp
+++ b/tests/jobs/protocolmodeltest.cpp
@@ -46,4 +46,12 @@
     checkSeeds({.maxCopyDelay = 1800ms});
 }
 
+// No team may have more running than its ceiling and the tolerated excess, whatever happens to
+// owners, workers, orders and configurations.
+BOOST_AUTO_TEST_CASE(TeamsStayBelowTheirCeilings)
+{
+    const bool strict = readEnvironment("DRAGONFLYSILL_MODEL_STRICT", 0) != 0;
+    checkSeeds({.maxCopyDelay = 1100ms, .teams = true, .strictCeilings = strict});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
