--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -74,4 +74,11 @@
     bool operator==(const JobProgress &) const = default;
 };
 
+/**
+ * Returns true if a job of a team ended so recently that workers which have not answered a new
+ * owner may still have runs of it.
+ * @param unixMs the present time in Unix milliseconds
+ */
+[[nodiscard]] bool mayHaveUnknownRuns(const JobProgress &progress, std::int64_t unixMs);
+
 } // namespace dragonflysill
--- a/src/jobs/schedulerteams.cpp
+++ b/src/jobs/schedulerteams.cpp
@@ -5,6 +5,7 @@
 #include "schedulerconstants.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -13,6 +14,12 @@
 
 namespace internal {
 
+/**
+ * Time for which runs of a job that has ended may go on unknown to a new owner: their hold, which
+ * an earlier owner may have extended for a while, and the error of the time of day.
+ */
+constexpr Milliseconds endedJobRunTime{20'000};
+
 /** Returns what must start at once of a step: one task, or the whole gang. */
 Resources startNeed(const JobStep &step)
 {
@@ -79,6 +86,17 @@
 
 } // namespace internal
 
+bool mayHaveUnknownRuns(const JobProgress &progress, std::int64_t unixMs)
+{
+    // All tasks of a completed job have ended, apart from copies that are found when reported.
+    if (progress.endedMs == 0
+        || (progress.state != JobStatus::Cancelled && progress.state != JobStatus::Failed))
+        return false;
+    // The difference of damaged values may exceed the range of integers.
+    const auto age = static_cast<double>(unixMs) - static_cast<double>(progress.endedMs);
+    return std::abs(age) <= static_cast<double>(internal::endedJobRunTime.count());
+}
+
 void Scheduler::setTeams(std::span<const Team> teams)
 {
     m_teams.setTeams(teams);
--- a/src/node/nodeviews.cpp
+++ b/src/node/nodeviews.cpp
@@ -187,7 +187,7 @@
 {
     if (job.hasEnded())
         return "the job has ended";
-    if (const auto ceiling = ceilingReason(scheduler, job); !ceiling.empty())
+    if (auto ceiling = ceilingReason(scheduler, job); !ceiling.empty())
         return ceiling;
     if (job.waitingTasks() == 0 && running == 0)
         return job.nextDueMs() != 0 ? "the next occurrence of the job is not due yet"
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -52,22 +52,15 @@
 constexpr Duration removalInterval = 2000ms;
 /** Time for which ended jobs are kept beyond the time that callers may request their status. */
 constexpr Duration retentionMargin = 30s;
-/**
- * Time for which runs of a job that has ended may go on unknown to a new owner: their hold, which
- * an earlier owner may have extended for a while, and the error of the time of day.
- */
-constexpr Duration endedJobRunTime = 20s;
 
-/** Returns true if a job of a team ended so recently that runs of it may not have been stopped. */
-bool mayHaveRuns(const ReplicatedJob &job)
+/** Returns true if a job has ended and a new owner must count runs of it that it cannot know. */
+bool mayHaveUnknownRuns(const ReplicatedJob &job)
 {
-    // All tasks of a completed job have ended, apart from copies that are found when reported.
-    if (job.status != JobStatus::Cancelled && job.status != JobStatus::Failed)
+    // Most jobs complete, and their progress need not be read.
+    if (job.status == JobStatus::Completed)
         return false;
     const auto progress = decodeProgress(job.progress);
-    const auto age = progress ? unixMilliseconds() - progress->endedMs : 0;
-    return progress && progress->endedMs != 0
-           && std::chrono::abs(Milliseconds(age)) <= endedJobRunTime;
+    return progress && dragonflysill::mayHaveUnknownRuns(*progress, unixMilliseconds());
 }
 
 SchedulerSettings schedulerSettings(const platform::NodeSettings &settings)
@@ -138,7 +131,7 @@
 void ScheduleOwner::addJob(const std::string &id, const ReplicatedJob &job, bool inherited)
 {
     if (job.acceptedRevision == 0 || job.record == rejectedRecord
-        || (isFinal(job.status) && !(inherited && internal::mayHaveRuns(job))))
+        || (isFinal(job.status) && !(inherited && internal::mayHaveUnknownRuns(job))))
         return;
     auto decoded = decodeJob(id, job.record);
     if (!decoded) {
--- a/tests/jobs/progressmodel.cpp
+++ b/tests/jobs/progressmodel.cpp
@@ -98,6 +98,7 @@
     , m_endAt(m_faultsUntil + calmPeriod)
     , m_lossRandom(~seed)
     , m_protocolRandom(~seed + 1)
+    , m_teamRandom(~seed + 2)
 {
     constexpr std::array<double, 4> lostOrders{0, 0, 0.02, 0.15};
     m_lostOrders = lostOrders.at(m_lossRandom.below(lostOrders.size()));
@@ -126,6 +127,10 @@
 void ProgressModel::addMachines()
 {
     m_poolNames = {"pool"};
+    if (m_mode == Mode::Teams) {
+        m_poolNames = {"a", "b"};
+        addTeams();
+    }
     if (m_mode == Mode::Balanced)
         m_poolNames = chance(0.5) ? std::vector<std::string>{"a", "b"}
                                   : std::vector<std::string>{"a", "b", "c"};
@@ -168,7 +173,7 @@
 void ProgressModel::addJobs()
 {
     const int poolSize = static_cast<int>(m_machines.size() / m_poolNames.size());
-    const int count = between(3, 20);
+    const int count = m_mode == Mode::Teams ? between(15, 40) : between(3, 20);
     for (int n = 0; n < count; ++n) {
         ModelJob added;
         auto &job = added.job;
@@ -179,6 +184,8 @@
         job.policy.priority = between(0, 1);
         job.policy.slackFactor = 2;
         job.policy.targetRuntime = 1000ms;
+        if (!m_teams.empty())
+            job.team = m_teams[m_teamRandom.below(m_teams.size())].name;
         const bool persistent = chance(0.15);
         const int steps = chance(0.3) ? 2 : 1;
         for (int k = 0; k < steps; ++k) {
@@ -395,6 +402,7 @@
     if (m_guarded && !(machine.capacity - used).covers(step.need))
         return StartRefusal::InsufficientCapacity;
     checkStart(start);
+    checkCeiling(start);
     auto &run = process.runs[key];
     run.row = {start.task, start.run, start.checkpoint, 0, {}};
     run.need = step.need;
@@ -634,6 +642,7 @@
     constexpr int runsPerOwner = 1000;
     m_scheduler = std::make_unique<Scheduler>(SchedulerSettings{},
                                               static_cast<int>(m_fence - 1) * runsPerOwner);
+    m_scheduler->setTeams(m_teams);
     for (auto &[id, job] : m_jobs) {
         if (job.submitted <= m_now)
             addJob(job, m_fence > 1);
@@ -1178,6 +1187,79 @@
     m_waits = std::move(waits);
 }
 
+void ProgressModel::addTeams()
+{
+    constexpr int teamCount = 4;
+    for (int n = 0; n < teamCount; ++n) {
+        Team team;
+        team.name = "t" + std::to_string(n);
+        // Of the last team, only the memory is limited.
+        if (n < teamCount - 1)
+            team.ceiling.milliCores
+                    = static_cast<std::int64_t>(20 + m_teamRandom.below(120)) * 1000;
+        if (n == teamCount - 1 || m_teamRandom.unit() < 0.5)
+            team.ceiling.memoryMb
+                    = static_cast<std::int64_t>(50 + m_teamRandom.below(400)) * gigabyte;
+        m_teams.push_back(std::move(team));
+    }
+}
+
+const Team *ProgressModel::teamOf(const std::string &job) const
+{
+    const auto it = std::ranges::find(m_teams, m_jobs.at(job).job.team, &Team::name);
+    return it == m_teams.end() ? nullptr : &*it;
+}
+
+Resources ProgressModel::usedBy(const std::string &team) const
+{
+    Resources used;
+    for (const auto &[name, machine] : m_machines) {
+        if (!machine.process)
+            continue;
+        for (const auto &[key, run] : machine.process->runs) {
+            if (m_jobs.at(key.first.job).job.team == team)
+                used += run.need;
+        }
+    }
+    return used;
+}
+
+bool ProgressModel::teamUnderHalf(const std::string &job, const JobStep &spec) const
+{
+    const auto *team = teamOf(job);
+    if (team == nullptr)
+        return true;
+    const auto used = usedBy(team->name);
+    const auto under = [](std::int64_t amount, std::int64_t need, std::int64_t ceiling) {
+        return ceiling == 0 || (2 * amount < ceiling && 2 * need <= ceiling);
+    };
+    return under(used.milliCores, spec.need.milliCores, team->ceiling.milliCores)
+           && under(used.memoryMb, spec.need.memoryMb, team->ceiling.memoryMb);
+}
+
+void ProgressModel::checkCeiling(const StartTask &start)
+{
+    const auto *team = teamOf(start.task.job);
+    if (team == nullptr)
+        return;
+    const auto &need
+            = m_jobs[start.task.job].job.spec.steps[static_cast<std::size_t>(start.task.step)].need;
+    const auto used = usedBy(team->name);
+    const auto exceeds = [](std::int64_t amount, std::int64_t ceiling) {
+        constexpr std::int64_t toleratedPercent = 110;
+        // The start itself is the one task that is tolerated beyond that.
+        return ceiling != 0 && 100 * amount > toleratedPercent * ceiling;
+    };
+    if (exceeds(used.milliCores, team->ceiling.milliCores)
+        || exceeds(used.memoryMb, team->ceiling.memoryMb))
+        recordViolation(nameOf(start.task, start.run) + " of " + std::to_string(need.milliCores)
+                        + " milli-cores begins while " + team->name + " has "
+                        + std::to_string(used.milliCores) + " milli-cores and "
+                        + std::to_string(used.memoryMb) + " MB of "
+                        + std::to_string(team->ceiling.milliCores) + " and "
+                        + std::to_string(team->ceiling.memoryMb));
+}
+
 void ProgressModel::checkGivenUp(const ModelJob &job, const JobProgress &progress)
 {
     if (progress.state != JobStatus::Failed || isFinal(job.saved.state))
@@ -1227,8 +1309,8 @@
     }
     if (runnable.empty())
         return;
-    const bool hasRoom
-            = room(id, step, spec, job.job.pool) >= requiredRoom && underHalfInUse(job.job.pool);
+    const bool hasRoom = room(id, step, spec, job.job.pool) >= requiredRoom
+                         && underHalfInUse(job.job.pool) && teamUnderHalf(id, spec);
     const auto observe = [&](const std::string &key, Duration limit, const char *what) {
         ++m_observedWaits;
         const auto known = m_waits.find(key);
@@ -1259,7 +1341,7 @@
     const auto key = id + "." + std::to_string(step);
     if (hasRoom)
         observe(key, maxWait, "with room in its pool");
-    else if (room(id, step, spec, job.job.pool) < requiredRoom
+    else if (m_mode == Mode::Balanced && room(id, step, spec, job.job.pool) < requiredRoom
              && idleInstancesElsewhere(job.job.pool) >= requiredRoom)
         observe(key + " outside", maxWaitForInstances, "with idle instances in other pools");
 }
--- a/tests/jobs/progressmodel.h
+++ b/tests/jobs/progressmodel.h
@@ -20,10 +20,12 @@
  * Simulation of an owner with its workers and seeded faults, which looks for tasks that could run
  * and do not. Once there has been no fault for the contact time, a job may not be without any run
  * for 3 s while it has a ready task, sound workers have room for two such tasks and less than half
- * of the cores of its pool is in use. A job may only be given up after all attempts of a task or
- * two crashes under it, and a task that crashes its workers may be started twice after three.
- * Two runs of a task at once and a start after an acknowledged end are never allowed; workers do no
- * more against them than the protocol demands.
+ * of the cores of its pool is in use. If it has a team, the rule applies while the team has less
+ * than half of its ceiling running, and no start may bring it above the ceiling by more than a
+ * tenth and one task. A job may only be given up after all attempts of a task or two crashes under
+ * it, and a task that crashes its workers may be started twice after three. Two runs of a task at
+ * once and a start after an acknowledged end are never allowed; workers do no more against them
+ * than the protocol demands.
  */
 class ProgressModel : public Simulation
 {
@@ -31,6 +33,7 @@
     enum class Mode {
         OnePool,
         Balanced, ///< Several pools and a standby pool, between which the balancer moves instances.
+        Teams, ///< Two pools, and jobs of teams with ceilings, which they all may wait for.
     };
 
     ProgressModel(std::uint64_t seed, Mode mode);
@@ -145,6 +148,7 @@
     };
 
     // Setup.
+    void addTeams();
     void addMachines();
     void addJobs();
     [[nodiscard]] JobStep randomStep(int poolSize, bool persistent);
@@ -211,6 +215,12 @@
     void check();
     void checkGivenUp(const ModelJob &job, const JobProgress &progress);
     void checkStart(const StartTask &start);
+    void checkCeiling(const StartTask &start);
+    [[nodiscard]] const Team *teamOf(const std::string &job) const;
+    /** Returns what a team really has running. */
+    [[nodiscard]] Resources usedBy(const std::string &team) const;
+    /** Returns true if a step's tasks need at most half of their team's ceiling, and it is free. */
+    [[nodiscard]] bool teamUnderHalf(const std::string &job, const JobStep &spec) const;
     void checkStep(const ModelJob &job, const JobRun &run, std::size_t step, bool jobRuns,
                    Waits &waits);
     [[nodiscard]] bool sound(const Machine &machine) const;
@@ -235,6 +245,8 @@
     Random m_lossRandom;
     /** Draws copies of orders, times of stops and short restarts in the same way. */
     Random m_protocolRandom;
+    Random m_teamRandom; ///< Draws teams and their ceilings in the same way.
+    std::vector<Team> m_teams;
     double m_lostOrders = 0; ///< Share of the orders to sound workers that are lost, at any time.
     std::map<std::string, std::vector<TimePoint>> m_lossTimes; ///< By job.
     std::vector<std::string> m_poolNames;
--- a/tests/jobs/progressmodeltest.cpp
+++ b/tests/jobs/progressmodeltest.cpp
@@ -44,4 +44,10 @@
     checkSeeds(ProgressModel::Mode::Balanced);
 }
 
+// Guards against ceilings that starve a team although it uses less than half of its own.
+BOOST_AUTO_TEST_CASE(RunnableTasksOfTeamsBelowTheirCeilingsRun)
+{
+    checkSeeds(ProgressModel::Mode::Teams);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -517,9 +517,9 @@
         if (applied) {
             for (const auto &it : updates) {
                 checkProgress(it.job, it.progress);
-                if (isFinal(it.progress.state))
-                    m_endedAt.emplace(it.job, m_now);
                 m_saved[it.job] = it.progress;
+                if (m_faults.teams && isFinal(it.progress.state))
+                    m_saved[it.job].endedMs = unixMs();
             }
         }
         deliver(owner, delay(), [owner, updates, saved = applied && !answerLost] {
--- a/tests/jobs/protocolmodel.h
+++ b/tests/jobs/protocolmodel.h
@@ -129,6 +129,7 @@
     void submit(const std::string &job);
     void changeCeilings();
     void tellCeilings(const OwnerPtr &owner, std::size_t configuration);
+    [[nodiscard]] std::int64_t unixMs() const { return 1 + elapsedMs(); }
     /** Adds the jobs with teams that an earlier owner ended, like ScheduleOwner. */
     void addEndedJobs(Scheduler &scheduler);
     /** Checks what a team has running after a start. */
@@ -151,7 +152,6 @@
     std::set<std::string> m_cancelled;
     std::vector<std::vector<Team>> m_configurations; ///< All so far; the newest is the last.
     std::map<RunKey, std::size_t> m_orderedBy; ///< Configuration that the start's owner knew.
-    std::map<std::string, TimePoint> m_endedAt; ///< When a job's end was saved.
     std::vector<OwnerPtr> m_owners; ///< The present one is the last.
     bool m_ownerless = false; ///< The last owner has ended, and the next one has not begun.
     std::int64_t m_fence = 0;
--- a/tests/jobs/protocolmodelteams.cpp
+++ b/tests/jobs/protocolmodelteams.cpp
@@ -29,8 +29,6 @@
 constexpr int maxTellMs = 500;
 /** Excess of a ceiling that the platform tolerates beside one task. */
 constexpr double toleratedOverage = 0.1;
-/** Time for which a job that has ended may have runs that its owner is stopping. */
-constexpr Duration endedJobRetention = 20s;
 
 Team team(int number, std::int64_t tasks)
 {
@@ -125,9 +123,7 @@
         return it == m_jobs.end() ? std::nullopt : std::optional(it->second);
     });
     for (const auto &[id, job] : m_jobs) {
-        const auto state = m_saved[id].state;
-        if ((state == JobStatus::Cancelled || state == JobStatus::Failed)
-            && m_now - m_endedAt[id] <= endedJobRetention)
+        if (mayHaveUnknownRuns(m_saved[id], unixMs()))
             scheduler.addJob(job, m_saved[id], true, 0s, m_now);
     }
 }
--- a/tests/jobs/storedrecordstest.cpp
+++ b/tests/jobs/storedrecordstest.cpp
@@ -21,6 +21,7 @@
     job.id = jobId;
     job.queue = "queue";
     job.pool = "pool";
+    job.team = "team";
     job.policy = {2, 1, 1.5, 600ms};
     job.acceptedMs = 42;
     job.spec.payload = "text";
@@ -44,6 +45,7 @@
     progress.crashes[{0, 1, 1}] = {1, 2};
     progress.unconfirmedCrashes[{0, 1, 1}] = {2};
     progress.trials[{0, 1, 1}] = {{3, {{"w", 1}, true}}};
+    progress.endedMs = 42;
     return encodeProgress(progress);
 }
 
@@ -57,6 +59,12 @@
     worker.pool = "pool";
     worker.capacity = {8000, 8000, 8};
     scheduler.addOrUpdateWorker(worker, now);
+    worker.id = "silent";
+    scheduler.addInheritedWorker(worker, now);
+    Team team;
+    team.name = "team";
+    team.ceiling = {4000, 4000, 4};
+    scheduler.setTeams({&team, 1});
     scheduler.addJob(std::move(job), std::move(progress), true, 0ms, now);
     scheduler.decide(now, 42);
     scheduler.decide(now + 10s, 10042);
@@ -100,4 +108,19 @@
     BOOST_TEST(readable > 0);
 }
 
+// Guards against a successor that counts the runs of a cancelled job for no team, and against one
+// that counts jobs which ended long ago.
+BOOST_AUTO_TEST_CASE(EndOfAJobOfATeamIsKnownToASuccessor)
+{
+    JobProgress ended;
+    ended.state = JobStatus::Cancelled;
+    BOOST_TEST(encodeProgress(ended) == R"({"state":"cancelled"})");
+    BOOST_TEST(!mayHaveUnknownRuns(ended, 1'000'000));
+    ended.endedMs = 1'000'000;
+    const auto stored = decodeProgress(encodeProgress(ended));
+    BOOST_REQUIRE(stored);
+    BOOST_TEST(mayHaveUnknownRuns(*stored, 1'015'000));
+    BOOST_TEST(!mayHaveUnknownRuns(*stored, 1'025'000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
