Test the explanation of a ceiling and full decisions beside waiting teams

Measured: without the grouping of a team's steps the second part of DecisionCost/OfAnEventDoesNotGrowWithStepsThatWaitForTheirTeam examines all of them.

--- a/tests/jobs/decisioncosttest.cpp
+++ b/tests/jobs/decisioncosttest.cpp
@@ -110,30 +110,34 @@
 BOOST_AUTO_TEST_CASE(OfAnEventDoesNotGrowWithStepsThatWaitForTheirTeam)
 {
     constexpr int jobsOfTeam = 1000;
-    SchedulerHarness harness;
-    for (int n = 0; n < workerCount; ++n)
-        harness.addWorker("worker-" + std::to_string(n), coresPerWorker);
-    Team team;
-    team.name = "t";
-    team.ceiling.milliCores = 8500;
-    harness.scheduler.setTeams({&team, 1});
-    for (int n = 0; n < jobsOfTeam; ++n) {
-        auto ofTeam = job(jobName(n), {step(tasksPerJob)});
-        ofTeam.team = team.name;
-        // Some need less than a core, so that they are visited although the team has no room.
-        ofTeam.spec.steps[0].need.milliCores = n % 2 == 0 ? 1000 : 700;
-        harness.addJob(std::move(ofTeam));
+    // Tasks of less than a core are visited although the room that is left is too small for them.
+    for (const std::int64_t milliCores : {1000, 700}) {
+        SchedulerHarness harness;
+        for (int n = 0; n < workerCount; ++n)
+            harness.addWorker("worker-" + std::to_string(n), coresPerWorker);
+        Team team;
+        team.name = "t";
+        team.ceiling.milliCores = 8000;
+        harness.scheduler.setTeams({&team, 1});
+        for (int n = 0; n < jobsOfTeam; ++n) {
+            auto ofTeam = job(jobName(n), {step(tasksPerJob)});
+            ofTeam.team = team.name;
+            ofTeam.spec.steps[0].need.milliCores = milliCores;
+            harness.addJob(std::move(ofTeam));
+        }
+        do {
+            harness.decide();
+        } while (harness.scheduler.hasMoreStarts());
+        harness.advanceTime(10ms);
+        harness.addJob(job(jobName(5000), {step(4)}));
+        const auto before = harness.scheduler.work().stepsExamined;
+        const auto starts = ordersOf<StartTask>(harness.decideAfterEvent());
+        BOOST_REQUIRE(starts.size() == 4U);
+        BOOST_TEST(starts[0].task.job == jobName(5000));
+        if (milliCores == 1000)
+            harness.decide();
+        BOOST_TEST(harness.scheduler.work().stepsExamined - before <= 16U);
     }
-    do {
-        harness.decide();
-    } while (harness.scheduler.hasMoreStarts());
-    harness.advanceTime(10ms);
-    harness.addJob(job(jobName(5000), {step(4)}));
-    const auto before = harness.scheduler.work().stepsExamined;
-    const auto starts = ordersOf<StartTask>(harness.decideAfterEvent());
-    BOOST_REQUIRE(starts.size() == 4U);
-    BOOST_TEST(starts[0].task.job == jobName(5000));
-    BOOST_TEST(harness.scheduler.work().stepsExamined - before <= 16U);
 }
 
 // Guards against an owner that checks every run of the fleet each time that one of them ends.
