Wake waiting pools only if a bound after a takeover has changed

Cause: the bound of inherited runs is renewed after each event while a worker has not answered, and each time the pools that wait for a team were searched.

--- a/src/jobs/teamusage.cpp
+++ b/src/jobs/teamusage.cpp
@@ -95,14 +95,17 @@
 
 void TeamUsage::setInherited(const std::map<TeamAccount *, Resources> &bounds)
 {
-    for (auto *it : std::exchange(m_bounded, {})) {
-        it->inherited = {};
-        mayHaveRoom(*it);
-    }
+    std::vector<std::pair<TeamAccount *, Resources>> before;
+    for (auto *it : std::exchange(m_bounded, {}))
+        before.emplace_back(it, std::exchange(it->inherited, {}));
     for (const auto &[account, bound] : bounds) {
         account->inherited = bound;
         m_bounded.push_back(account);
     }
+    for (const auto &[account, bound] : before) {
+        if (account->inherited != bound)
+            mayHaveRoom(*account);
+    }
 }
 
 void TeamUsage::addBlockedPool(TeamAccount &account, const std::string &pool)
