--- a/include/dragonflysill/jobs/jobprogress.h
+++ b/include/dragonflysill/jobs/jobprogress.h
@@ -65,7 +65,20 @@
      */
     std::map<std::tuple<int, int, int>, std::map<int, Trial>> trials;
 
+    /**
+     * Unix time in milliseconds at which a job of a team had ended when that was saved, otherwise
+     * 0. A successor counts the runs of such a job, which may go on for a while, for its team.
+     */
+    std::int64_t endedMs = 0;
+
     bool operator==(const JobProgress &) const = default;
 };
 
+/**
+ * Returns true if a job of a team ended so recently that workers which have not answered a new
+ * owner may still have runs of it.
+ * @param unixMs the present time in Unix milliseconds
+ */
+[[nodiscard]] bool mayHaveUnknownRuns(const JobProgress &progress, std::int64_t unixMs);
+
 } // namespace dragonflysill
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -13,10 +13,19 @@
 void Scheduler::countUnreachedWorkers(TimePoint now)
 {
     m_unreachedWorkers.clear();
+    m_unreachedCapacities.clear();
     for (const auto &[id, worker] : m_workers) {
-        if (!worker.fenced && !worker.retired && now < worker.heldUntil)
-            ++m_unreachedWorkers[worker.description.pool];
+        if (worker.fenced || worker.retired || now >= worker.heldUntil)
+            continue;
+        ++m_unreachedWorkers[worker.description.pool];
+        // This owner knows what it has started itself on a worker that has answered it before.
+        if (worker.startedMs != 0 && now >= worker.earlierOrdersUntil)
+            continue;
+        auto &capacity = m_unreachedCapacities[worker.description.pool];
+        capacity.sum += worker.description.capacity;
+        capacity.known = capacity.known && worker.description.capacity != Resources{};
     }
+    boundInheritedRuns();
 }
 
 bool Scheduler::hasSilentWorkers(TimePoint now) const
@@ -33,8 +42,11 @@
     std::erase_if(m_lackingForMoves, [now](const auto &it) {
         return now - it.second.since >= internal::lackingRetention;
     });
+    countInheritedTasks(now);
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         auto &worker = it->second;
+        std::erase_if(worker.releasedRuns,
+                      [now](const ReleasedRun &run) { return now >= run.copiesUntil; });
         processUnadoptedRuns(worker, now);
         if (worker.unlistAt && (now >= *worker.unlistAt || !worker.reachable)) {
             worker.listed = false;
@@ -183,7 +195,8 @@
         if (job->inherited && !worker.description.draining && previousOwnerMayBeActive(now))
             continue;
         const auto *task = job->task(id);
-        if (task == nullptr || (!job->crashesSaved() && suspicion(*job, id, *task) > 0))
+        if (task == nullptr || (!job->crashesSaved() && suspicion(*job, id, *task) > 0)
+            || (job->team != nullptr && !job->team->mayReplace(run.charge.amount())))
             continue;
         const auto [room, isFirst] = roomForStep.try_emplace({id.job, id.step}, false);
         if (isFirst)
