Move persistent tasks early only where a wave would be late otherwise

Cause: moving persistent tasks off all instances of a wave from its start, and emptying instances during a shortage, also acted on small deployments whose waves were never late.

Change: a step leaves the instances of a wave before their turn only if twice the rounds of moves that its budget allows, at 2 s each, do not end before the wave's deadline; only such steps avoid workers that await maintenance. Pools empty instances with persistent tasks during a shortage only within 8 % of their instances, so that small pools do not. A pool gets an extra instance only once a worker has to be left.

--- a/include/dragonflysill/jobs/maintenanceplanner.h
+++ b/include/dragonflysill/jobs/maintenanceplanner.h
@@ -23,7 +23,8 @@
 struct MaintenanceDecision
 {
     std::vector<MaintainInstance> orders; ///< Instances to take down now.
-    std::set<std::string> open; ///< Instances of open waves that have not been maintained.
+    /** Instances of open waves that have not been maintained, with the deadline of their wave. */
+    std::map<std::string, TimePoint> open;
     std::set<std::string> leaving; ///< Instances that get no new tasks, so that they become empty.
 };
 
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -211,8 +211,9 @@
     void retireWorker(std::string_view id, WorkerEnd end, TimePoint now);
     /** Sets whether a worker gets no new tasks and its persistent tasks are moved away. */
     void setLeaving(std::string_view id, bool leaving);
-    /** Sets whether persistent tasks prefer other workers, because maintenance will follow here. */
-    void setAwaitsMaintenance(std::string_view id, bool awaits);
+    /** Sets the time by which the tasks of a worker have to leave for maintenance, if they have to.
+     */
+    void setMaintenanceDeadline(std::string_view id, std::optional<TimePoint> deadline);
     [[nodiscard]] const WorkerState *worker(std::string_view id) const;
     [[nodiscard]] const StringMap<WorkerState> &workers() const { return m_workers; }
 
@@ -436,10 +437,19 @@
     void checkRun(WorkerState &worker, TaskRun &run, TimePoint now);
     void paceBestEffortRuns(WorkerState &worker, TimePoint now);
     void movePersistentTasksAway(WorkerState &worker, TimePoint now);
+    /**
+     * Updates m_urgentMoves: the persistent steps that must leave instances of waves before their
+     * turn, because their tasks may move only a few at a time.
+     */
+    void findUrgentMoves(TimePoint now);
+    [[nodiscard]] bool isUrgentMove(const TaskId &id) const
+    {
+        return m_urgentMoves.contains({id.job, id.step});
+    }
     /**
      * Returns whether a persistent task of @p worker that is stopped finds room on another one, at
-     * once or when a task that is not persistent ends there. Workers that await maintenance count
-     * only for one that drains or has been leaving for long.
+     * once or when a task that is not persistent ends there. If the moves of its step are urgent,
+     * workers that await maintenance count only for one that drains or has been leaving for long.
      */
     [[nodiscard]] bool findsRoomSoon(const WorkerState &worker, const TaskId &id, const Task &task,
                                      TimePoint now) const;
@@ -587,6 +597,7 @@
     };
 
     StringMap<LackingForMoves> m_lackingForMoves; ///< By pool.
+    std::set<std::pair<std::string, int>> m_urgentMoves; ///< Job and step.
     AdmissionTable m_admissions;
     RunTimeModel m_runTimes;
 };
--- a/include/dragonflysill/jobs/workerstate.h
+++ b/include/dragonflysill/jobs/workerstate.h
@@ -121,8 +121,8 @@
     bool fenced = false; ///< Its incarnation has received this owner's fencing token.
     bool leaving = false; ///< It gets no new tasks, and its persistent tasks are moved away.
     std::optional<TimePoint> leavingSince; ///< Since when it has been leaving or draining.
-    /** An open wave has not maintained its instance yet, so that its tasks will have to leave. */
-    bool awaitsMaintenance = false;
+    /** Time by which a wave must have maintained its instance, if it still has to. */
+    std::optional<TimePoint> maintenanceDeadline;
     bool ended = false; ///< It is down; retired when no copy of an order can arrive any more.
     bool retired = false; ///< It has ended permanently; its entry may still be in the store.
     TimePoint runsCheckedAt{}; ///< Time of the last check of its runs.
--- a/src/jobs/maintenanceplanner.cpp
+++ b/src/jobs/maintenanceplanner.cpp
@@ -19,9 +19,14 @@
 constexpr double maxEmptyingShare = 0.08;
 constexpr int minEmptying = 2;
 
+int emptyingShare(int instances)
+{
+    return static_cast<int>(instances * maxEmptyingShare);
+}
+
 int maxEmptying(int instances)
 {
-    return std::max(minEmptying, static_cast<int>(instances * maxEmptyingShare));
+    return std::max(minEmptying, emptyingShare(instances));
 }
 
 } // namespace internal
@@ -154,7 +159,7 @@
                                          && !wave.down.contains(name));
         if (!wave.maintained.contains(name)) {
             open.push_back(it);
-            decision.open.insert(name);
+            decision.open.emplace(name, wave.deadline);
         }
     }
     if (open.empty() && present > 0) {
@@ -189,9 +194,10 @@
             || it->state != FleetInstance::State::Up)
             continue;
         // Emptying an instance of persistent tasks takes too long to wait for the end of a
-        // shortage.
-        if (!it->standby && hasShortage(it->pool) && !lateIn(it->pool) && !it->leaving
-            && !it->hasPersistentTasks)
+        // shortage, if the pool can spare one.
+        const bool spared = it->hasPersistentTasks
+                            && emptying[it->pool] < internal::emptyingShare(poolSizes.at(it->pool));
+        if (!it->standby && hasShortage(it->pool) && !lateIn(it->pool) && !it->leaving && !spared)
             continue;
         if (it->standby || (it->empty && it->usable) || (it->empty && it->leaving)) {
             if (down >= wave.request.maxInstancesDown) {
--- a/src/jobs/poolbalancer.cpp
+++ b/src/jobs/poolbalancer.cpp
@@ -306,8 +306,10 @@
             || it.milliCores < need.milliCores || it.memoryMb < need.memoryMb)
             continue;
         // Prefer idle instances of other pools, which would be moved anyway, to those in standby.
-        const auto rank = [](const InstanceView &instance) {
-            return std::tuple(instance.awaitsMaintenance, instance.standby, instance.idleSince);
+        // One that comes for a need that no present one meets should stay.
+        const auto rank = [particular = need != Resources{}](const InstanceView &instance) {
+            return std::tuple(particular && instance.awaitsMaintenance, instance.standby,
+                              instance.idleSince);
         };
         if (best == nullptr || rank(it) < rank(*best))
             best = &it;
--- a/src/jobs/scheduler.cpp
+++ b/src/jobs/scheduler.cpp
@@ -246,10 +246,10 @@
         it->leaving = leaving;
 }
 
-void Scheduler::setAwaitsMaintenance(std::string_view id, bool awaits)
+void Scheduler::setMaintenanceDeadline(std::string_view id, std::optional<TimePoint> deadline)
 {
     if (auto *it = findWorker(id))
-        it->awaitsMaintenance = awaits;
+        it->maintenanceDeadline = deadline;
 }
 
 void Scheduler::stopRun(WorkerState &worker, TaskRun &run, TimePoint now)
--- a/src/jobs/schedulerchecks.cpp
+++ b/src/jobs/schedulerchecks.cpp
@@ -43,6 +43,7 @@
         return now - it.second.since >= internal::lackingRetention;
     });
     countInheritedTasks(now);
+    findUrgentMoves(now);
     for (auto it = m_workers.begin(); it != m_workers.end();) {
         auto &worker = it->second;
         std::erase_if(worker.releasedRuns,
@@ -68,7 +69,7 @@
         const bool mustLeave = worker.leaving || worker.description.draining;
         worker.leavingSince
                 = mustLeave ? worker.leavingSince.value_or(now) : std::optional<TimePoint>();
-        if ((mustLeave || worker.awaitsMaintenance) && worker.persistentRuns > 0)
+        if ((mustLeave || worker.maintenanceDeadline) && worker.persistentRuns > 0)
             movePersistentTasksAway(worker, now);
         // A retired worker is kept as long as the store may still list its entry.
         const bool mayBeRemoved
@@ -194,6 +195,8 @@
             continue;
         if (job->inherited && !worker.description.draining && previousOwnerMayBeActive(now))
             continue;
+        if (!worker.leavingSince && !isUrgentMove(id))
+            continue;
         const auto *task = job->task(id);
         if (task == nullptr || (!job->crashesSaved() && suspicion(*job, id, *task) > 0)
             || (job->team != nullptr && !job->team->mayReplace(run.charge.amount())))
@@ -201,20 +204,50 @@
         const auto [room, isFirst] = roomForStep.try_emplace({id.job, id.step}, false);
         if (isFirst)
             room->second = findsRoomSoon(worker, id, *task, now);
-        if (!room->second)
+        if (!room->second && worker.leavingSince)
             m_lackingForMoves[worker.description.pool] = {job->step(id).reserved(), now};
-        else if (unavailableTasks(*job, id) < std::max(1, job->step(id).maxUnavailable))
+        if (room->second && unavailableTasks(*job, id) < std::max(1, job->step(id).maxUnavailable))
             stopRun(worker, run, now);
     }
 }
 
+void Scheduler::findUrgentMoves(TimePoint now)
+{
+    m_urgentMoves.clear();
+    struct Moves
+    {
+        int tasks = 0;
+        int budget = 1;
+        TimePoint deadline = TimePoint::max();
+    };
+    std::map<std::pair<std::string_view, int>, Moves> moves;
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.maintenanceDeadline || worker.persistentRuns == 0)
+            continue;
+        for (const auto &[task, run] : worker.runs) {
+            const auto *job = find(task.job);
+            if (!run.persistent || job == nullptr)
+                continue;
+            auto &it = moves[{task.job, task.step}];
+            ++it.tasks;
+            it.budget = std::max(1, job->step(task).maxUnavailable);
+            it.deadline = std::min(it.deadline, *worker.maintenanceDeadline);
+        }
+    }
+    for (const auto &[step, it] : moves) {
+        const int rounds = (it.tasks + it.budget - 1) / it.budget;
+        if (now + internal::moveTimeReserve * rounds * internal::persistentMoveTime >= it.deadline)
+            m_urgentMoves.emplace(std::string(step.first), step.second);
+    }
+}
+
 bool Scheduler::findsRoomSoon(const WorkerState &worker, const TaskId &id, const Task &task,
                               TimePoint now) const
 {
     const auto &job = *this->job(id.job);
     // A task on a worker that awaits maintenance would have to be moved again.
     const bool takesAnyWorker
-            = worker.description.draining
+            = !isUrgentMove(id) || worker.description.draining
               || (worker.leavingSince
                   && now - *worker.leavingSince >= internal::maintainedWorkerDelay);
     const auto pool = m_pools.find(job.job().pool);
@@ -223,7 +256,7 @@
     const auto moving = candidate(job, id, task);
     int busyWorkers = 0;
     for (const auto *it : pool->second) {
-        if (it->awaitsMaintenance && !takesAnyWorker)
+        if (it->maintenanceDeadline && !takesAnyWorker)
             continue;
         const auto obstacle = startObstacle(*it, moving, now);
         if (!obstacle && !it->health.slow(now))
--- a/src/jobs/schedulerconstants.h
+++ b/src/jobs/schedulerconstants.h
@@ -99,6 +99,13 @@
 constexpr int maxStepsWithoutTeamRoom = 8;
 /** Maximum number of waiting steps of a pool that a decision after an event considers. */
 constexpr int maxStepsAfterEvent = 64;
+/** Time to stop a persistent task, to start it on another worker and until it serves there. */
+constexpr Duration persistentMoveTime = 2000ms;
+/**
+ * Multiple of that time for which the moves of a step are planned, since owners may change and
+ * pools may be full meanwhile.
+ */
+constexpr int moveTimeReserve = 2;
 /**
  * Number of busy workers with room beside their persistent tasks from which a persistent task may
  * be moved without a free one: among so many, room becomes free within a fraction of a second.
--- a/src/jobs/schedulerdispatch.cpp
+++ b/src/jobs/schedulerdispatch.cpp
@@ -214,6 +214,7 @@
     std::int64_t reservedMilliCores = 0;
     const bool waitedLong = task.phase == Task::Phase::Waiting
                             && now - task.waitingSince >= internal::betterWorkerDelay;
+    const bool urgentMove = step.persistent && isUrgentMove(id);
     WorkerState *quarantined = nullptr;
     std::tuple<bool, bool, Duration, std::int64_t> quarantinedScore;
     WorkerState *best = nullptr;
@@ -269,7 +270,7 @@
         const bool besideSuspect
                 = waiting.suspicion > 0 && now < it->probationUntil && it->probationJob != id.job;
         // A persistent task would have to be moved again before the maintenance.
-        const bool movesAgain = step.persistent && it->awaitsMaintenance;
+        const bool movesAgain = urgentMove && it->maintenanceDeadline;
         const std::tuple score(!isTarget || slow, besideSuspect, neighbours, slow, failedHere,
                                suspect, noRecentSuccess, remote, startedMs, movesAgain,
                                it->persistentRuns == 0, -load);
--- a/src/node/fleetcontroller.cpp
+++ b/src/node/fleetcontroller.cpp
@@ -122,7 +122,9 @@
                              || m_balancer.yielding().contains(name);
         if (worker.leaving != leaving)
             m_scheduler.setLeaving(id, leaving);
-        m_scheduler.setAwaitsMaintenance(id, maintenance.open.contains(name));
+        const auto open = maintenance.open.find(name);
+        m_scheduler.setMaintenanceDeadline(
+                id, open == maintenance.open.end() ? std::nullopt : std::optional(open->second));
     }
 }
 
