--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -76,6 +76,7 @@
 {
     std::optional<WorkerClock> holdUntil; ///< On the worker's clock; not set until that is known.
     std::int64_t acknowledgedEnds = 0; ///< The worker may forget ends up to this number.
+    std::int64_t startedMs = 0; ///< Incarnation that the time and the number are of; 0 if unknown.
 };
 
 /** Progress of a job to be saved. */
--- a/include/dragonflysill/net/httpmessage.h
+++ b/include/dragonflysill/net/httpmessage.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "dragonflysill/base/time.h"
+
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -23,12 +26,21 @@
     [[nodiscard]] std::string_view header(std::string_view name) const;
 };
 
+/** The connection of a call, when its request was written. */
+struct HttpConnectionUse
+{
+    Duration age{0}; ///< Since the connection was set up.
+    std::uint64_t answers = 0; ///< Responses that it had brought before.
+    Duration responseTime{0}; ///< From then until the response.
+};
+
 /** An HTTP/1.1 response. */
 struct HttpResponse
 {
     int status = 0;
     std::string body;
     std::vector<HttpHeader> headers;
+    HttpConnectionUse connection = {}; ///< Set by HttpClient.
 };
 
 /** Percent-encodes all characters except slashes and the unreserved ones of RFC 3986. */
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -29,6 +29,7 @@
     auto *it = findWorker(id);
     if (it == nullptr)
         return request;
+    request.startedMs = it->startedMs;
     // The numbers of ends restart with each incarnation of a worker. Without a recent report that
     // lists ends, an acknowledgement could reach another incarnation and make it forget an end that
     // no owner has processed.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -87,6 +87,7 @@
             beast::error_code ignored;
             self->m_stream.socket().set_option(Tcp::no_delay(true), ignored);
             self->setResetOnClose(true);
+            self->m_connectedAt = EventLoop::now();
             // A process that was paused meanwhile handles the connection before the timeout.
             if (EventLoop::now() >= self->m_deadline)
                 self->withholdRequest("not connected within the timeout");
@@ -168,6 +169,7 @@
 
     void write()
     {
+        m_writtenAt = EventLoop::now();
         setKernelTimeout();
         http::async_write(m_stream, m_request,
                           [self = shared_from_this()](beast::error_code ec, std::size_t n) {
@@ -254,6 +256,8 @@
         for (const auto &it : message)
             response.headers.emplace_back(it.name_string(), it.value());
         response.body = std::move(message.body());
+        response.connection
+                = {m_writtenAt - m_connectedAt, m_answers++, EventLoop::now() - m_writtenAt};
         // Bytes after the response would be taken for the next one.
         const bool keep = message.keep_alive() && m_reader.bufferedBytes() == 0;
         auto callback = std::exchange(m_callback, {});
@@ -304,7 +308,10 @@
     std::optional<ConnectionShare::Id> m_shareId;
     bool m_refused = false; ///< The share is used up and the call is given up.
     HttpClient::Callback m_callback;
+    TimePoint m_connectedAt{};
+    std::uint64_t m_answers = 0; ///< Responses so far.
     TimePoint m_calledAt{};
+    TimePoint m_writtenAt{};
     TimePoint m_deadline{};
     Duration m_timeout{0};
     std::chrono::milliseconds m_kernelTimeout{0};
