Send times and acknowledgements only to the incarnation that they are of

Its worker had started again under its id and was cut off soon after; the next owner waited 5.2 s for the lease of a run there, which lasted 10 s.

Cause: a hold names the worker's id, which a restart keeps. An owner that had not heard of the restart opened a connection and sent the end of a hold on the clock of the earlier incarnation; the next one took it for a time on its own clock, far ahead, and shortened it to the maximum. Starts carry such a time too, and acknowledgements number ends of one incarnation.

Change: a connection ends with the process that accepted it. A start whose question is not answered is certain not to be carried out.

--- a/include/dragonflysill/net/httpclient.h
+++ b/include/dragonflysill/net/httpclient.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,19 @@
     std::shared_ptr<ConnectionShare> share = std::make_shared<ConnectionShare>();
 };
 
+/**
+ * The process that a call is for, if several use its address in turn. A connection ends with the
+ * process that accepted it, so a call reaches that process or none once it has answered there.
+ */
+struct IntendedPeer
+{
+    std::int64_t process = 0; ///< The only process that may receive the call; 0 for any.
+    /** Asks a process who it is; sent first on a connection whose process is not known. */
+    HttpRequest question;
+    /** Returns the process that a response names; 0 if it names none. */
+    std::function<std::int64_t(const HttpResponse &)> processOf;
+};
+
 /**
  * HTTP/1.1 client on the event loop. It reuses idle connections to an address and opens new ones as
  * needed. When a call times out, its connection is reset, so that the request does not arrive
@@ -64,9 +78,11 @@
      * the connection setup
      * @param wanted asked before a call that had to wait for others or for its connection is sent;
      * if it returns false, the call fails with Unreachable. Empty if the call is never withdrawn.
+     * @param peer the process that the call is for; if another one answers the question, or the
+     * answer's status is not 200, the request is not sent and the response is that answer
      */
     void call(const std::string &address, HttpRequest request, Duration timeout, Callback callback,
-              Wanted wanted = {});
+              Wanted wanted = {}, std::optional<IntendedPeer> peer = {});
 
     [[nodiscard]] const HttpTraffic &traffic() const { return m_traffic; }
 
@@ -79,13 +95,14 @@
         TimePoint since{};
     };
 
-    struct WaitingCall
+    struct Call
     {
         HttpRequest request;
         TimePoint since{};
         TimePoint deadline{};
         Callback callback;
         Wanted wanted;
+        std::optional<IntendedPeer> peer;
     };
 
     /** Connections and calls of an address. */
@@ -93,11 +110,14 @@
     {
         std::vector<IdleConnection> idle; ///< Longest idle first.
         std::size_t callsInFlight = 0;
-        std::deque<WaitingCall> waiting;
+        std::deque<Call> waiting;
     };
 
-    void send(const std::string &address, Peer &peer, HttpRequest request, Duration timeout,
-              Callback callback, Wanted wanted);
+    void send(const std::string &address, Peer &peer, Call call);
+    /** Removes and returns an idle connection, if possible one to a process; none if all are in
+     * use.
+     */
+    static std::optional<IdleConnection> takeIdle(Peer &peer, std::int64_t process);
     void failLater(Callback callback, std::string detail);
     /** Closes one idle connection. */
     void closeIdle(const std::string &address, const internal::HttpConnection *connection);
--- a/include/dragonflysill/net/httpmessage.h
+++ b/include/dragonflysill/net/httpmessage.h
@@ -41,6 +41,8 @@
     std::string body;
     std::vector<HttpHeader> headers;
     HttpConnectionUse connection = {}; ///< Set by HttpClient.
+    /** This is the answer to IntendedPeer::question, and the request was not sent. */
+    bool answersQuestion = false;
 };
 
 /** Percent-encodes all characters except slashes and the unreserved ones of RFC 3986. */
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -33,6 +34,8 @@
 constexpr std::chrono::milliseconds kernelTimeoutStep{250};
 /** The kernel's buffer for a response, in reads; by default it takes up to 32 MB. */
 constexpr int receiveBufferReads = 4;
+/** HTTP status of a question that was answered. */
+constexpr int successStatus = 200;
 
 /** One connection with at most one call in flight. */
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
@@ -69,17 +72,15 @@
         return m_shareId.has_value();
     }
 
-    void connectAndSend(const Tcp::endpoint &endpoint, HttpRequest request, Duration timeout,
-                        HttpClient::Callback callback, HttpClient::Wanted wanted)
+    void connectAndSend(const Tcp::endpoint &endpoint, HttpClient::Call call)
     {
-        prepare(std::move(request), timeout, std::move(callback));
+        prepare(std::move(call));
         beast::error_code ignored;
         m_stream.socket().open(endpoint.protocol(), ignored);
         m_stream.socket().set_option(asio::socket_base::receive_buffer_size(
                                              receiveBufferReads * static_cast<int>(m_limits.read)),
                                      ignored);
-        m_stream.async_connect(endpoint, [self = shared_from_this(),
-                                          wanted = std::move(wanted)](beast::error_code ec) {
+        m_stream.async_connect(endpoint, [self = shared_from_this()](beast::error_code ec) {
             if (ec) {
                 self->fail(ErrorKind::Unreachable, ec);
                 return;
@@ -88,22 +89,19 @@
             self->m_stream.socket().set_option(Tcp::no_delay(true), ignored);
             self->setResetOnClose(true);
             self->m_connectedAt = EventLoop::now();
-            // A process that was paused meanwhile handles the connection before the timeout.
-            if (EventLoop::now() >= self->m_deadline)
-                self->withholdRequest("not connected within the timeout");
-            else if (wanted && !wanted())
-                self->withholdRequest("withdrawn");
-            else
-                self->write();
+            self->writeIfWanted();
         });
     }
 
-    void send(HttpRequest request, Duration timeout, HttpClient::Callback callback)
+    void send(HttpClient::Call call)
     {
-        prepare(std::move(request), timeout, std::move(callback));
+        prepare(std::move(call));
         write();
     }
 
+    /** Returns the process that has answered; 0 if none has said who it is. */
+    [[nodiscard]] std::int64_t process() const { return m_process; }
+
     /** Closes the connection, which no call uses. */
     void close()
     {
@@ -121,11 +119,22 @@
     }
 
 private:
-    void prepare(HttpRequest request, Duration timeout, HttpClient::Callback callback)
+    void prepare(HttpClient::Call call)
     {
-        m_callback = std::move(callback);
+        m_call = std::move(call);
         m_calledAt = EventLoop::now();
         ++m_client.m_traffic.calls;
+        const auto &peer = m_call.peer;
+        m_asking = peer && peer->process != 0 && peer->process != m_process;
+        m_client.m_traffic.questions += static_cast<std::uint64_t>(m_asking);
+        setRequest(m_asking ? peer->question : std::exchange(m_call.request, {}));
+        report(ConnectionPhase::Handling);
+        m_timeout = m_call.deadline - m_calledAt;
+        m_stream.expires_after(m_timeout);
+    }
+
+    void setRequest(HttpRequest request)
+    {
         m_request = {};
         m_request.method_string(request.method);
         m_request.target(request.target);
@@ -138,10 +147,18 @@
             m_request.set(http::field::content_type, "application/json");
         m_request.prepare_payload();
         m_reader.start(m_limits);
-        report(ConnectionPhase::Handling);
-        m_timeout = timeout;
-        m_deadline = m_calledAt + timeout;
-        m_stream.expires_after(timeout);
+    }
+
+    /** Sends the request that had to wait for the connection or for the answer to a question. */
+    void writeIfWanted()
+    {
+        // A process that was paused meanwhile handles the event before the timeout.
+        if (EventLoop::now() >= m_call.deadline)
+            withholdRequest("no time left to send the request", true);
+        else if (!*m_alive || (m_call.wanted && !m_call.wanted()))
+            withholdRequest("withdrawn", true);
+        else
+            write();
     }
 
     /**
@@ -228,7 +245,7 @@
     /** Ends the connection because the memory or the connections of the client are used up. */
     void shareUsedUp(CloseCause /*cause*/)
     {
-        if (m_callback) {
+        if (m_call.callback) {
             // The pending operation fails, and with it the call.
             m_refused = true;
             m_reader.clearMessage();
@@ -244,12 +261,12 @@
         if (!*m_alive)
             return;
         m_client.m_traffic.bytesSent += n;
-        m_client.m_traffic.sendDelay.observe(EventLoop::now() - m_calledAt);
+        if (!m_asking)
+            m_client.m_traffic.sendDelay.observe(EventLoop::now() - m_calledAt);
     }
 
     void finish()
     {
-        m_stream.expires_never();
         auto message = m_reader.release();
         HttpResponse response;
         response.status = static_cast<int>(message.result_int());
@@ -260,7 +277,21 @@
                 = {m_writtenAt - m_connectedAt, m_answers++, EventLoop::now() - m_writtenAt};
         // Bytes after the response would be taken for the next one.
         const bool keep = message.keep_alive() && m_reader.bufferedBytes() == 0;
-        auto callback = std::exchange(m_callback, {});
+        if (m_call.peer && (m_asking || m_process == 0))
+            m_process = m_call.peer->processOf(response);
+        response.answersQuestion = std::exchange(m_asking, false);
+        if (response.answersQuestion && response.status == successStatus
+            && m_process == m_call.peer->process) {
+            setRequest(std::exchange(m_call.request, {}));
+            report(ConnectionPhase::Handling);
+            if (keep)
+                writeIfWanted();
+            else
+                withholdRequest("the connection ends with the answer to the question", false);
+            return;
+        }
+        m_stream.expires_never();
+        auto callback = takeCallback();
         m_reader.start(m_limits);
         report(ConnectionPhase::Idle);
         if (!keep || !*m_alive)
@@ -270,16 +301,20 @@
         callback(std::move(response));
     }
 
-    /** Ends the call without sending its request; the connection can be used by others. */
-    void withholdRequest(const std::string &reason)
+    /**
+     * Ends the call without sending its request.
+     * @param keep whether other calls can use the connection
+     */
+    void withholdRequest(const std::string &reason, bool keep)
     {
         m_stream.expires_never();
-        auto callback = std::exchange(m_callback, {});
+        auto callback = takeCallback();
+        m_request = {};
         report(ConnectionPhase::Idle);
-        if (*m_alive)
-            m_client.callEnded(m_address, shared_from_this());
-        else
+        if (!keep || !*m_alive)
             close();
+        if (*m_alive)
+            m_client.callEnded(m_address, keep ? shared_from_this() : nullptr);
         callback(Error(ErrorKind::Unreachable, m_address + ": " + reason));
     }
 
@@ -293,10 +328,14 @@
             m_client.closeIdle(m_address);
             m_client.callEnded(m_address, nullptr);
         }
-        auto callback = std::exchange(m_callback, {});
-        callback(Error(kind, m_address + ": " + ec.message()));
+        if (m_asking)
+            kind = ErrorKind::Unreachable;
+        takeCallback()(Error(kind, m_address + ": " + ec.message()));
     }
 
+    /** Ends the call; what it holds is released with it. */
+    HttpClient::Callback takeCallback() { return std::exchange(m_call, {}).callback; }
+
     HttpClient &m_client;
     std::shared_ptr<bool> m_alive;
     beast::tcp_stream m_stream;
@@ -307,12 +346,13 @@
     std::shared_ptr<ConnectionShare> m_share;
     std::optional<ConnectionShare::Id> m_shareId;
     bool m_refused = false; ///< The share is used up and the call is given up.
-    HttpClient::Callback m_callback;
+    HttpClient::Call m_call;
+    bool m_asking = false; ///< The question of the call is in flight, not its request.
+    std::int64_t m_process = 0; ///< See process().
     TimePoint m_connectedAt{};
     std::uint64_t m_answers = 0; ///< Responses so far.
     TimePoint m_calledAt{};
     TimePoint m_writtenAt{};
-    TimePoint m_deadline{};
     Duration m_timeout{0};
     std::chrono::milliseconds m_kernelTimeout{0};
 };
@@ -331,51 +371,66 @@
 }
 
 void HttpClient::call(const std::string &address, HttpRequest request, Duration timeout,
-                      Callback callback, Wanted wanted)
+                      Callback callback, Wanted wanted, std::optional<IntendedPeer> peer)
 {
-    auto &peer = m_peers[address];
+    const auto now = EventLoop::now();
+    Call call{std::move(request), now, now + timeout, std::move(callback), std::move(wanted),
+              std::move(peer)};
+    auto &known = m_peers[address];
     const bool full
-            = m_limits.callsPerAddress != 0 && peer.callsInFlight >= m_limits.callsPerAddress;
-    if (full || !peer.waiting.empty()) {
-        const auto now = EventLoop::now();
-        peer.waiting.push_back(
-                {std::move(request), now, now + timeout, std::move(callback), std::move(wanted)});
-        return;
-    }
-    send(address, peer, std::move(request), timeout, std::move(callback), std::move(wanted));
+            = m_limits.callsPerAddress != 0 && known.callsInFlight >= m_limits.callsPerAddress;
+    if (full || !known.waiting.empty())
+        known.waiting.push_back(std::move(call));
+    else
+        send(address, known, std::move(call));
 }
 
-void HttpClient::send(const std::string &address, Peer &peer, HttpRequest request, Duration timeout,
-                      Callback callback, Wanted wanted)
+void HttpClient::send(const std::string &address, Peer &peer, Call call)
 {
     const auto checkedSince = EventLoop::now() - internal::uncheckedIdleTime;
-    while (!peer.idle.empty()) {
-        auto connection = std::move(peer.idle.back().connection);
-        const bool usedRecently = peer.idle.back().since > checkedSince;
-        peer.idle.pop_back();
-        if (!usedRecently && !connection->isUsable()) {
-            connection->close();
+    const auto process = call.peer ? call.peer->process : 0;
+    while (auto idle = takeIdle(peer, process)) {
+        if (idle->since <= checkedSince && !idle->connection->isUsable()) {
+            idle->connection->close();
             continue;
         }
         ++peer.callsInFlight;
-        connection->send(std::move(request), timeout, std::move(callback));
+        idle->connection->send(std::move(call));
         return;
     }
     const auto endpoint = internal::parseAddress(address);
     if (!endpoint) {
-        failLater(std::move(callback), "not an IP:PORT address: " + address);
+        failLater(std::move(call.callback), "not an IP:PORT address: " + address);
         return;
     }
     auto connection
             = std::make_shared<internal::HttpConnection>(*this, m_alive, m_loop, address, m_limits);
     if (!connection->enterShare()) {
-        failLater(std::move(callback), address + ": no connection is left");
+        failLater(std::move(call.callback), address + ": no connection is left");
         return;
     }
     ++m_traffic.connectionsOpened;
     ++peer.callsInFlight;
-    connection->connectAndSend(*endpoint, std::move(request), timeout, std::move(callback),
-                               std::move(wanted));
+    connection->connectAndSend(*endpoint, std::move(call));
+}
+
+std::optional<HttpClient::IdleConnection> HttpClient::takeIdle(Peer &peer, std::int64_t process)
+{
+    if (peer.idle.empty())
+        return std::nullopt;
+    // The last one, in use a moment ago, is the least likely to have been closed by its peer.
+    auto it = std::prev(peer.idle.end());
+    if (process != 0) {
+        const auto found
+                = std::find_if(peer.idle.rbegin(), peer.idle.rend(), [process](const auto &idle) {
+                      return idle.connection->process() == process;
+                  });
+        if (found != peer.idle.rend())
+            it = std::prev(found.base());
+    }
+    auto idle = std::move(*it);
+    peer.idle.erase(it);
+    return idle;
 }
 
 void HttpClient::failLater(Callback callback, std::string detail)
@@ -420,8 +475,7 @@
             failLater(std::move(next.callback), address + ": withdrawn");
             continue;
         }
-        send(address, peer, std::move(next.request), next.deadline - now, std::move(next.callback),
-             std::move(next.wanted));
+        send(address, peer, std::move(next));
     }
 }
 
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -87,6 +87,8 @@
             [](const HttpTraffic &it) { return it.calls; });
     perPeer(families, "call_timeouts_total", "Calls without a response in time by peer", metrics,
             [](const HttpTraffic &it) { return it.timeouts; });
+    perPeer(families, "call_questions_total", "Questions who answers, before calls, by peer",
+            metrics, [](const HttpTraffic &it) { return it.questions; });
     for (const auto &[peer, traffic] : metrics.traffic) {
         if (peer == "orders")
             histogram(families, "order_send_seconds",
