Name the incarnation in calls that nodes send to delegates

Cause: a start and a hold name the incarnation of the worker that they are for, but the messages between nodes had no field for it.

Change: the table Start has the field started_ms. Hold is a struct, which cannot be extended, so that its incarnation is in a list of its own, HoldIncarnation, beside it. A missing one is 0, any incarnation. Calls for any incarnation are encoded to the same bytes as before. Through a delegate of the version before, calls remain unchecked.

Tests: the two new cases of DelegatedCalls and the check of the round trip fail without the change of src/peers. The next incarnation then carries out both starts and gets deadlineMs and ackedUpto of the earlier one; the round trip brings 0 for both incarnations.

The stand-in of DelegatedCalls can restart as the next incarnation.

--- a/src/peers/codec.cpp
+++ b/src/peers/codec.cpp
@@ -98,10 +98,12 @@
         const auto storedKeys = tables(m_storedKeys);
         const auto payloads = tables(m_payloads);
         const auto statusTeams = tables(m_statusTeams);
-        m_builder.Finish(peers::CreateBatch(
-                m_builder, batchVersion, batch.sentMs, batch.fence, workers, statusQueries,
-                pendingQueries, starts, stops, paces, holds, statusAnswers, pendingAnswers,
-                confirmed, refused, reports, failures, storedKeys, payloads, statusTeams));
+        const auto holdIncarnations = structs(m_holdIncarnations);
+        m_builder.Finish(peers::CreateBatch(m_builder, batchVersion, batch.sentMs, batch.fence,
+                                            workers, statusQueries, pendingQueries, starts, stops,
+                                            paces, holds, statusAnswers, pendingAnswers, confirmed,
+                                            refused, reports, failures, storedKeys, payloads,
+                                            statusTeams, holdIncarnations));
         return {reinterpret_cast<const char *>(m_builder.GetBufferPointer()), m_builder.GetSize()};
     }
 
@@ -172,7 +174,7 @@
         const auto ticket = optionalText(order.ticket);
         m_starts.push_back(peers::CreateStart(m_builder, call, number, encodeTime(start.timeout),
                                               &task, order.run, order.holdUntil, payloadNumber,
-                                              checkpoint, ticket));
+                                              checkpoint, ticket, order.startedMs));
     }
 
     void add(std::uint32_t call, const DelegatedStop &stop)
@@ -195,6 +197,8 @@
                              encodeTime(hold.wait), hold.request.acknowledgedEnds,
                              hold.request.holdUntil.value_or(0), hold.request.holdUntil.has_value(),
                              hold.listRunning);
+        if (hold.request.startedMs != 0)
+            m_holdIncarnations.emplace_back(call, hold.request.startedMs);
     }
 
     void add(std::uint32_t call, const StatusAnswer &answer)
@@ -264,6 +268,7 @@
     std::vector<peers::Stop> m_stops;
     std::vector<peers::Pace> m_paces;
     std::vector<peers::Hold> m_holds;
+    std::vector<peers::HoldIncarnation> m_holdIncarnations;
     std::vector<peers::StatusAnswer> m_statusAnswers;
     std::vector<peers::PendingAnswer> m_pendingAnswers;
     std::vector<peers::Confirmed> m_confirmed;
@@ -361,9 +366,14 @@
     {
         forEach(m_from.starts(), [this](const peers::Start &it) {
             auto target = worker(it.worker());
-            StartTask order{std::move(target.id),  decodeTask(*it.task()),    it.run(),
-                            payload(it.payload()), toString(it.checkpoint()), toString(it.ticket()),
-                            it.hold_until()};
+            StartTask order{std::move(target.id),
+                            decodeTask(*it.task()),
+                            it.run(),
+                            payload(it.payload()),
+                            toString(it.checkpoint()),
+                            toString(it.ticket()),
+                            it.hold_until(),
+                            it.started_ms()};
             addRequest(it.call(), DelegatedStart{std::move(order), std::move(target.address),
                                                  Milliseconds(it.timeout_ms())});
         });
@@ -379,7 +389,11 @@
             addRequest(it.call(), DelegatedPace{std::move(order), std::move(target.address),
                                                 Milliseconds(it.timeout_ms())});
         });
-        forEach(m_from.holds(), [this](const peers::Hold &it) {
+        std::unordered_map<std::uint32_t, std::int64_t> incarnations;
+        forEach(m_from.hold_incarnations(), [&incarnations](const peers::HoldIncarnation &it) {
+            incarnations.emplace(it.call(), it.started_ms());
+        });
+        forEach(m_from.holds(), [this, &incarnations](const peers::Hold &it) {
             DelegatedHold hold{worker(it.worker()),
                                {},
                                Milliseconds(it.wait_ms()),
@@ -388,6 +402,8 @@
             hold.request.acknowledgedEnds = it.acknowledged();
             if (it.extend())
                 hold.request.holdUntil = it.hold_until();
+            if (const auto found = incarnations.find(it.call()); found != incarnations.end())
+                hold.request.startedMs = found->second;
             addRequest(it.call(), std::move(hold));
         });
     }
--- a/tests/node/workerdelegatetest.cpp
+++ b/tests/node/workerdelegatetest.cpp
@@ -1,4 +1,5 @@
 #include "dragonflysill/node/workerdelegate.h"
+#include "dragonflysill/jobs/json.h"
 #include "dragonflysill/net/eventloop.h"
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/net/httpserver.h"
@@ -9,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,18 +41,9 @@
     std::map<std::string, int> calls; ///< Of the worker, by path.
     bool startsAnswered = true;
     std::vector<HttpServer::Respond> unanswered;
-    HttpServer worker{loop, [this](const HttpRequest &request, const HttpServer::Respond &respond) {
-                          ++calls[request.target];
-                          if (!startsAnswered && request.target == "/v1/run-start") {
-                              unanswered.push_back(respond);
-                              return;
-                          }
-                          respond({200,
-                                   R"({"clockMs":7,"born":3,)"
-                                   R"("running":[["0123456789abcdef.0.0.1",4,"",41]],)"
-                                   R"("ended":[[9,"0123456789abcdef.0.0.2",3,"done",""]]})",
-                                   {}});
-                      }};
+    std::int64_t incarnation = 3; ///< Start time of the worker in Unix milliseconds.
+    std::vector<Json> holds; ///< That the present incarnation has received.
+    std::unique_ptr<HttpServer> worker;
     HttpClient delegateClient{loop};
     LoadGovernor governor;
     WorkerDelegate delegate{loop, delegateClient, delegateClient, governor};
@@ -74,7 +67,7 @@
 
     DelegateFixture()
     {
-        BOOST_REQUIRE(worker.listen(workerAddress).ok());
+        startWorker();
         server = std::make_unique<PeerServer>(
                 loop, [this](const ReceivedRequest &request, const PeerServer::Respond &respond) {
                     ++delegated;
@@ -87,6 +80,36 @@
         runUntil([this] { return link.usable(); });
     }
 
+    void startWorker()
+    {
+        worker = std::make_unique<HttpServer>(
+                loop, [this](const HttpRequest &request, const HttpServer::Respond &respond) {
+                    ++calls[request.target];
+                    if (!startsAnswered && request.target == "/v1/run-start") {
+                        unanswered.push_back(respond);
+                        return;
+                    }
+                    if (request.target == "/v1/hold")
+                        holds.push_back(Json::parse(request.body));
+                    respond({200,
+                             R"({"clockMs":7,"born":)" + std::to_string(incarnation)
+                                     + R"(,"running":[["0123456789abcdef.0.0.1",4,"",41]],)"
+                                       R"("ended":[[9,"0123456789abcdef.0.0.2",3,"done",""]]})",
+                             {}});
+                });
+        BOOST_REQUIRE(worker->listen(workerAddress).ok());
+    }
+
+    /** Replaces the worker by its next incarnation, with the same id and address. */
+    void restartWorker()
+    {
+        worker.reset();
+        ++incarnation;
+        calls.clear();
+        holds.clear();
+        startWorker();
+    }
+
     template <typename Condition>
     void runUntil(Condition done)
     {
@@ -96,10 +119,12 @@
         BOOST_REQUIRE(done());
     }
 
-    OrderOutcome start()
+    /** @param startedMs incarnation of the worker that the start is for; 0 for any */
+    OrderOutcome start(std::int64_t startedMs = 0)
     {
         std::optional<OrderOutcome> result;
-        orders.start(workerAddress, {"w", {"0123456789abcdef", 0, 0, 0}, 1, "p", {}, {}, 100}, 10s,
+        orders.start(workerAddress,
+                     {"w", {"0123456789abcdef", 0, 0, 0}, 1, "p", {}, {}, 100, startedMs}, 10s,
                      [&](const OrderOutcome &it) { result = it; });
         runUntil([&] { return result.has_value(); });
         return *result;
@@ -114,6 +139,16 @@
         return *result;
     }
 
+    /** Sends a hold with a time and an acknowledgement for an incarnation of the worker. */
+    Result<WorkerReport> holdFor(std::int64_t startedMs)
+    {
+        std::optional<Result<WorkerReport>> result;
+        orders.hold({{"w", workerAddress}, {9000, 5, startedMs}, 0ms, 10s, true},
+                    [&](const Result<WorkerReport> &it) { result = it; });
+        runUntil([&] { return result.has_value(); });
+        return *result;
+    }
+
     /** Passes a request to the delegate as if it had arrived in a frame. */
     PeerAnswer receive(PeerRequest message, std::int64_t requestFence, Duration delay)
     {
@@ -255,6 +290,53 @@
     BOOST_TEST(calls["/v1/run-start"] == 0);
 }
 
+// Guards against a task that runs twice (TWICE): a start that a delegate sends to the next
+// incarnation of a worker, which knows neither its fencing token nor the clock that its hold is a
+// time of.
+BOOST_AUTO_TEST_CASE(DelegatedStartForAnEarlierIncarnationIsNotCarriedOutByTheNext)
+{
+    BOOST_TEST(std::holds_alternative<OrderConfirmed>(start(3)));
+    BOOST_TEST(calls["/v1/run-start"] == 1);
+    restartWorker();
+    // The first one may be written to the closed connection of before, which leaves it unanswered.
+    BOOST_TEST(!std::holds_alternative<OrderConfirmed>(start(3)));
+    const auto direct = orders.counts().direct;
+    const auto outcome = start(3);
+    BOOST_TEST(calls["/v1/run-start"] == 0);
+    BOOST_REQUIRE(std::holds_alternative<StartRefusal>(outcome));
+    BOOST_TEST((std::get<StartRefusal>(outcome) == StartRefusal::OtherIncarnation));
+    BOOST_TEST(std::holds_alternative<OrderConfirmed>(start(4)));
+    BOOST_TEST(calls["/v1/run-start"] == 1);
+    BOOST_TEST(delegated == 4);
+    BOOST_TEST(orders.counts().direct == direct);
+}
+
+// Guards against the same by a hold: the next incarnation takes its time for one of its own clock
+// and keeps runs for longer than any owner knows (TWICE), and forgets ends that no owner has
+// processed.
+BOOST_AUTO_TEST_CASE(DelegatedHoldForAnEarlierIncarnationBringsTheNextNoTime)
+{
+    const auto before = holdFor(3);
+    BOOST_REQUIRE(before.ok());
+    BOOST_TEST(before->startedMs == 3);
+    BOOST_REQUIRE(!holds.empty());
+    BOOST_TEST(holds.back().value("deadlineMs", 0) == 9000);
+    BOOST_TEST(holds.back().value("ackedUpto", 0) == 5);
+    restartWorker();
+    // A hold that finds the connection of the earlier incarnation closed is not answered.
+    auto after = holdFor(3);
+    for (int n = 0; n < 2 && !after; ++n)
+        after = holdFor(3);
+    BOOST_REQUIRE(after.ok());
+    BOOST_TEST(after->startedMs == 4);
+    BOOST_TEST(!holds.empty());
+    for (const auto &it : holds) {
+        BOOST_TEST(!it.contains("deadlineMs"));
+        BOOST_TEST(it.value("ackedUpto", 0) == 0);
+    }
+    BOOST_TEST(orders.counts().direct == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(RequestThatIsNoCallToAWorkerIsRefused)
 {
     BOOST_TEST(std::holds_alternative<Error>(receive(StatusQuery{"j", 0ms}, fence, 0ms)));
--- a/tests/peers/codectest.cpp
+++ b/tests/peers/codectest.cpp
@@ -22,11 +22,13 @@
     batch.requests = {
             {1, StatusQuery{task.job, 150ms}},
             {2, PendingQuery{"queue"}},
-            {3,
-             DelegatedStart{{"w", task, 1001, "payload", "check", "ticket", 9000}, "a:1", 500ms}},
+            {3, DelegatedStart{{"w", task, 1001, "payload", "check", "ticket", 9000, 1790000000001},
+                               "a:1",
+                               500ms}},
             {4, DelegatedStop{{"w", task, 1001}, "a:1", 501ms}},
             {5, DelegatedPace{{"v", task, 1001, 40}, "a:2", 502ms}},
-            {6, DelegatedHold{{"w", "a:1"}, {7777, 12}, 800ms, 503ms, false}}};
+            {6, DelegatedHold{{"w", "a:1"}, {7777, 12, 1790000000002}, 800ms, 503ms, false}},
+            {15, DelegatedHold{{"v", "a:2"}, {}, 800ms, 503ms, true}}};
     batch.requests.push_back({noCall, StoredKey{"key", "value", 5}});
     WorkerReport report;
     report.startedMs = 5;
@@ -45,6 +47,36 @@
     return batch;
 }
 
+/** Returns a start and a hold for any incarnation of a worker. */
+PeerBatch callsForAnyIncarnation()
+{
+    PeerBatch batch;
+    batch.sentMs = 123456;
+    batch.fence = 42;
+    batch.requests
+            = {{1, DelegatedStart{{"w", {"job", 0, 0, 1}, 1001, "p", "c", {}, 9000}, "a:1", 500ms}},
+               {2, DelegatedHold{{"w", "a:1"}, {7777, 12}, 800ms, 503ms, false}}};
+    return batch;
+}
+
+/** Returns callsForAnyIncarnation() as encoded by the version before incarnations were added. */
+std::string callsOfAnEarlierVersion()
+{
+    const std::string digits
+            = "300000000000000028002c000400180020000800000000000c000000000010000000000000000000"
+              "000000000000140028000000010000006000000054000000240000001800000040e2010000000000"
+              "2a000000000000000000000001000000a0000000010000000200000000000000f701000020030000"
+              "0c00000000000000611e000000000000010000000000000001000000200000000100000080000000"
+              "14003c000400000008000c00280034002c0030001400000001000000f40100006a6f620000000000"
+              "0000000000000000000000000000010000000000e9030000010000000c0000002823000000000000"
+              "010000006300000008000c00040008000800000001000000040000000100000070000a000c000000"
+              "040008000a000000080000000c000000010000007700000003000000613a3100";
+    std::string bytes;
+    for (std::size_t n = 0; n < digits.size(); n += 2)
+        bytes += static_cast<char>(std::stoi(digits.substr(n, 2), nullptr, 16));
+    return bytes;
+}
+
 template <typename Message, typename Variant>
 const Message &messageOf(const std::vector<Numbered<Variant>> &messages, std::uint32_t call)
 {
@@ -82,6 +114,7 @@
     BOOST_TEST(start.order.checkpoint == "check");
     BOOST_TEST(start.order.ticket == "ticket");
     BOOST_TEST(start.order.holdUntil == 9000);
+    BOOST_TEST(start.order.startedMs == 1790000000001);
     BOOST_TEST((start.timeout == 500ms));
     BOOST_TEST((messageOf<DelegatedStop>(batch.requests, 4).order.task == task));
     const auto &pace = messageOf<DelegatedPace>(batch.requests, 5);
@@ -92,9 +125,11 @@
     BOOST_TEST(hold.worker.id == "w");
     BOOST_TEST(*hold.request.holdUntil == 7777);
     BOOST_TEST(hold.request.acknowledgedEnds == 12);
+    BOOST_TEST(hold.request.startedMs == 1790000000002);
     BOOST_TEST((hold.wait == 800ms));
     BOOST_TEST((hold.timeout == 503ms));
     BOOST_TEST(!hold.listRunning);
+    BOOST_TEST(messageOf<DelegatedHold>(batch.requests, 15).request.startedMs == 0);
 }
 
 BOOST_AUTO_TEST_CASE(AnswersAreDecodedAsTheyWereEncoded)
@@ -132,6 +167,31 @@
     BOOST_TEST(error.detail == "lost");
 }
 
+// Guards against orders that are refused while nodes of two versions run: a batch of the version
+// before names no incarnation, and its calls are for any.
+BOOST_AUTO_TEST_CASE(CallsOfAnEarlierVersionAreForAnyIncarnation)
+{
+    PeerDecoder decoder;
+    const auto decoded = decoder.decode(callsOfAnEarlierVersion());
+    BOOST_REQUIRE(decoded.ok());
+    const auto &start = messageOf<DelegatedStart>(decoded->requests, 1);
+    BOOST_TEST(start.order.worker == "w");
+    BOOST_TEST(start.order.payload == "p");
+    BOOST_TEST(start.order.holdUntil == 9000);
+    BOOST_TEST(start.order.startedMs == 0);
+    const auto &hold = messageOf<DelegatedHold>(decoded->requests, 2);
+    BOOST_TEST(*hold.request.holdUntil == 7777);
+    BOOST_TEST(hold.request.acknowledgedEnds == 12);
+    BOOST_TEST(hold.request.startedMs == 0);
+}
+
+// Guards against a changed layout of the messages, which the version before would misread.
+BOOST_AUTO_TEST_CASE(CallsForAnyIncarnationAreEncodedAsByTheEarlierVersion)
+{
+    PeerEncoder encoder;
+    BOOST_TEST(encoder.encode(callsForAnyIncarnation()) == callsOfAnEarlierVersion());
+}
+
 BOOST_AUTO_TEST_CASE(WorkersAreNamedOnceOnAConnection)
 {
     PeerEncoder encoder;
