Let the soak restart workers before the owner is killed and they are cut off

It has random numbers of its own; without it a seed's faults and the fleet's random numbers are as before. The script's line of a kept seed shows one more figure, the holds that a worker shortened to the longest one. FaultProxy::lose() drops all bytes, those that a cut holds back included; silent connections no longer deliver a held request when they reconnect.

--- a/include/dragonflysill/faults/faultproxy.h
+++ b/include/dragonflysill/faults/faultproxy.h
@@ -28,6 +28,7 @@
     TimePoint delayedUntil{};
     TimePoint cutToServerUntil{}; ///< Until then, bytes to the server are held back.
     TimePoint cutToClientUntil{}; ///< Until then, bytes to the client are held back.
+    TimePoint lossUntil{}; ///< Until then, new connections are silent.
     double bytesPerSecond = std::numeric_limits<double>::infinity(); ///< In each direction.
     TimePoint limitedUntil{};
 };
@@ -70,6 +71,12 @@
     /** Discards all further bytes of the open connections without closing them. */
     void silence();
 
+    /**
+     * Loses all bytes for @p length, those on their way and those that a cut holds back included.
+     * Connections that are open at the start or opened meanwhile stay silent.
+     */
+    void lose(Duration length);
+
     /** Returns the number of open connections. */
     [[nodiscard]] std::size_t connections();
 
--- a/programs/fleet-standin/faultlinks.cpp
+++ b/programs/fleet-standin/faultlinks.cpp
@@ -25,6 +25,12 @@
     return proxy->address();
 }
 
+FaultProxy *FaultLinks::find(const std::string &client, const std::string &server) const
+{
+    const auto it = m_proxies.find({client, server});
+    return it == m_proxies.end() ? nullptr : it->second.get();
+}
+
 std::vector<std::pair<std::string, FaultProxy *>> FaultLinks::links() const
 {
     std::vector<std::pair<std::string, FaultProxy *>> result;
--- a/programs/fleet-standin/faultlinks.h
+++ b/programs/fleet-standin/faultlinks.h
@@ -25,6 +25,9 @@
      */
     std::string reach(const std::string &client, const std::string &server);
 
+    /** Returns the proxy between a client and a server, or nullptr. */
+    [[nodiscard]] FaultProxy *find(const std::string &client, const std::string &server) const;
+
     /** Returns all proxies with the name of their link. */
     [[nodiscard]] std::vector<std::pair<std::string, FaultProxy *>> links() const;
 
--- a/programs/fleet-standin/faultseries.cpp
+++ b/programs/fleet-standin/faultseries.cpp
@@ -1,5 +1,6 @@
 #include "faultseries.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace dragonflysill {
@@ -13,6 +14,25 @@
 constexpr Duration minFault = 200ms;
 constexpr Duration maxFault = 2500ms;
 constexpr Duration flapLength = 5s;
+constexpr Duration earliestRestarts = 1s;
+/** A successor must not be killed before the end of its wait (5.2 s) by the next restarts. */
+constexpr Duration minPauseOfRestarts = 9s;
+constexpr Duration maxPauseOfRestarts = 12s;
+/** Longest time for which a restarting backend server is down in the series of restarts. */
+constexpr Duration maxRestart = 600ms;
+/** Time from the return of the restarted backend servers until the owner is killed. */
+constexpr Duration minTimeToKill = 1200ms;
+constexpr Duration maxTimeToKill = 1600ms;
+/** Time from there until the restarted backend servers are cut off. */
+constexpr Duration minTimeToCutOff = 500ms;
+constexpr Duration maxTimeToCutOff = 700ms;
+/** Longest time from the restarts until their last fault begins. */
+constexpr Duration restartsToCutOff = maxRestart + maxTimeToKill + maxTimeToCutOff;
+/** They run on for the longest hold, which outlasts the wait of a successor (5.2 s). */
+constexpr Duration minCutOff = 8500ms;
+constexpr Duration maxCutOff = 9500ms;
+/** Key of the store with the name of the owner. */
+constexpr const char *ownerKey = "dragonflysill/owner";
 constexpr Duration minDelay = 20ms;
 constexpr Duration maxDelay = 250ms;
 /** Bandwidth of a limited link; a day of the soak needs about ten times as much at the owner. */
@@ -42,6 +62,7 @@
     , m_links(links)
     , m_log(log)
     , m_random(seed)
+    , m_restartRandom(~seed)
 {
 }
 
@@ -80,6 +101,56 @@
     }
 }
 
+void FaultSeries::startRestarts(Duration length)
+{
+    m_restartsEndAt = EventLoop::now() + length;
+    const auto latest = std::max(internal::earliestRestarts, length - internal::restartsToCutOff);
+    scheduleRestarts(between(m_restartRandom, internal::earliestRestarts, latest));
+}
+
+void FaultSeries::scheduleRestarts(Duration pause)
+{
+    if (EventLoop::now() + pause + internal::restartsToCutOff > m_restartsEndAt)
+        return;
+    m_loop.after(pause, [this] {
+        restartWorkers();
+        scheduleRestarts(between(m_restartRandom, internal::minPauseOfRestarts,
+                                 internal::maxPauseOfRestarts));
+    });
+}
+
+void FaultSeries::restartWorkers()
+{
+    const auto timeToKill
+            = internal::maxRestart
+              + between(m_restartRandom, internal::minTimeToKill, internal::maxTimeToKill);
+    const auto timeToCutOff
+            = timeToKill
+              + between(m_restartRandom, internal::minTimeToCutOff, internal::maxTimeToCutOff);
+    const auto workers = m_fleet.restartWorkers(internal::maxRestart, timeToCutOff);
+    m_log.note("fault", std::to_string(workers.size()) + " backend servers restart");
+    m_loop.after(timeToKill, [this] { killOwner(); });
+    m_loop.after(timeToCutOff, [this, workers] { cutOff(workers); });
+}
+
+void FaultSeries::killOwner()
+{
+    if (const auto owner = m_fleet.store().value(internal::ownerKey))
+        m_log.note("kill", *owner);
+}
+
+void FaultSeries::cutOff(const std::vector<std::string> &workers)
+{
+    const auto length = between(m_restartRandom, internal::minCutOff, internal::maxCutOff);
+    for (const auto &worker : workers) {
+        if (auto *link = m_links.find({}, worker)) {
+            link->lose(length);
+            m_log.note("fault",
+                       internal::lasting("all bytes from nodes to " + worker + " lost", length));
+        }
+    }
+}
+
 void FaultSeries::failStore()
 {
     const auto length = between(internal::minFault, internal::maxFault);
@@ -176,7 +247,12 @@
 
 Duration FaultSeries::between(Duration shortest, Duration longest)
 {
-    return shortest + scaled(longest - shortest, m_random.unit());
+    return between(m_random, shortest, longest);
+}
+
+Duration FaultSeries::between(Random &random, Duration shortest, Duration longest)
+{
+    return shortest + scaled(longest - shortest, random.unit());
 }
 
 } // namespace dragonflysill
--- a/programs/fleet-standin/faultseries.h
+++ b/programs/fleet-standin/faultseries.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace dragonflysill {
 
@@ -26,24 +27,41 @@
     /** Starts the series; no fault begins after @p length, so that all jobs can end. */
     void start(Duration length);
 
+    /**
+     * Starts another series beside the first one, with random numbers of its own: some backend
+     * servers restart under their ids, the owner of the schedule is killed soon after, and then the
+     * links to these servers lose everything for a while. No links fail in it after @p length.
+     */
+    void startRestarts(Duration length);
+
+    /** Restarts some backend servers at once; the other faults of the series follow. */
+    void restartWorkers();
+
     /** Causes the next fault at once. */
     void cause();
 
 private:
     void scheduleNext();
+    void scheduleRestarts(Duration pause);
+    /** Asks the script that started the nodes to kill the owner of the schedule. */
+    void killOwner();
+    void cutOff(const std::vector<std::string> &workers);
     void failStore();
     void failLink();
     void changeFleet();
     void disturbWork();
     /** Returns a random time between two bounds. */
     [[nodiscard]] Duration between(Duration shortest, Duration longest);
+    [[nodiscard]] static Duration between(Random &random, Duration shortest, Duration longest);
 
     EventLoop &m_loop;
     platform::FleetStandin &m_fleet;
     FaultLinks &m_links;
     const DayLog &m_log;
     Random m_random;
+    Random m_restartRandom;
     TimePoint m_endsAt{};
+    TimePoint m_restartsEndAt{};
 };
 
 } // namespace dragonflysill
--- a/programs/fleet-standin/main.cpp
+++ b/programs/fleet-standin/main.cpp
@@ -37,6 +37,8 @@
  * after a fault, and the longest fault, which are workers that crash repeatedly.
  */
 constexpr Duration timeUntilCalm = 9s;
+/** The same beside restarts, whose longest fault is a link that loses everything. */
+constexpr Duration timeUntilCalmAfterRestarts = 13s;
 
 /** Settings of a simulated day that do not shape the fleet. */
 struct DaySettings
@@ -51,6 +53,7 @@
     int cancelEvery = 0;
     int limitS = 90;
     std::uint64_t faultSeed = 0;
+    bool restarts = false;
 };
 
 /**
@@ -100,8 +103,12 @@
     flags.add("seed", shape.seed, "seed of the tasks' run times");
     flags.add("fault-seed", day.faultSeed,
               "seed of a series of faults of the store, the links and the fleet; 0 for none");
+    flags.add("restarts", day.restarts,
+              "restarts backend servers under their ids before the owner of the schedule is killed "
+              "and they are cut off; a line \"kill\" names the node that the caller must kill");
     if (const auto code = flags.parse(argc, argv))
         return code;
+    shape.arbitraryClocks = day.restarts;
     const auto pools = deployments.find(day.deployment);
     if (pools == deployments.end()) {
         std::cerr << "no deployment '" << day.deployment << "'; give tubo-sul or petal-cluster\n";
@@ -127,10 +134,11 @@
               << "\nstarted after their cancel " << tally.startedAfterCancel << "\ndoubled "
               << tally.duplicateStarts << "\nout of order " << tally.outOfOrder
               << "\nstarted again after crashes " << tally.overBudget << "\ncrashed by tasks "
-              << tally.crashes << "\nover the ceiling " << tally.overCeiling
-              << "\norders of replaced owners " << tally.olderOwners << "\nmoves " << tally.moves
-              << "\nmaintained " << tally.maintained << "\nwave completed "
-              << (fleet.waveCompleted() ? "yes" : "no") << '\n';
+              << tally.crashes << "\nshortened holds " << tally.shortenedHolds
+              << "\nover the ceiling " << tally.overCeiling << "\norders of replaced owners "
+              << tally.olderOwners << "\nmoves " << tally.moves << "\nmaintained "
+              << tally.maintained << "\nwave completed " << (fleet.waveCompleted() ? "yes" : "no")
+              << '\n';
 }
 
 } // namespace
@@ -172,7 +180,10 @@
     FaultSeries faults(loop, fleet, links, log, day.faultSeed);
     if (day.faultSeed != 0)
         faults.start(day.jobs * callerSettings.spacing);
-    loop.after(day.jobs * callerSettings.spacing + timeUntilCalm,
+    if (day.restarts)
+        faults.startRestarts(day.jobs * callerSettings.spacing);
+    loop.after(day.jobs * callerSettings.spacing
+                       + (day.restarts ? timeUntilCalmAfterRestarts : timeUntilCalm),
                [&fleet] { fleet.checkWaitingJobs(); });
     std::function<void(int)> reportProgress = [&](int second) {
         std::cout << "second " << second << ": accepted " << callers.tally().accepted
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,7 +8,9 @@
 # A seed may break a promise that KNOWN-RED.txt names for it, in a line "test: soak SEED: TEXT" with a
 # part of the message; it is printed and does not fail the run.
 # Settings: SOAK_NODES (default 5), SOAK_JOBS (600), SOAK_WORKERS for each pool (4), SOAK_SPACING_MS
-# (25), SOAK_BIN (folder of the programs), SOAK_NODE (node to play), KEEP_LOGS=1 keeps the logs.
+# (25), SOAK_RESTARTS=1 (backend servers also restart under their ids, then the owner of the schedule
+# is killed and they are cut off), SOAK_BIN (folder of the programs), SOAK_NODE (node to play),
+# KEEP_LOGS=1 keeps the logs.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 source scripts/lib.sh
@@ -19,9 +21,13 @@
 jobs=${SOAK_JOBS:-600}
 workers=${SOAK_WORKERS:-4}
 spacing_ms=${SOAK_SPACING_MS:-25}
+restart_flags=()
+[ -z "${SOAK_RESTARTS:-}" ] || restart_flags=(--restarts true)
 # Below the ports that the system gives to outgoing connections.
 port_base=${DRAGONFLYSILL_PORT_BASE:-20000}
 first_port=$port_base
+# Time after which a killed owner starts again.
+owner_down_ms=2000
 # Ports of the store, the machines and the backend servers, with room for instances that are added.
 node_port_offset=$((4 * workers + 100))
 proxy_port_offset=$((node_port_offset + 3 * (node_count + 1)))
@@ -40,6 +46,8 @@
 signal_nodes() {
     local -A resume_at=() restart_at=()
     local now name pause
+    local killed=0
+    local kills=()
     local next=$((started + 500))
     local end=$((started + $1))
     local add_at=$((started + RANDOM % $1))
@@ -70,6 +78,16 @@
             note "$name started"
             unset "restart_at[$name]"
         done
+        # The stand-in names the owner of the schedule when it must be killed.
+        mapfile -t kills < <(sed -n 's/^kill [0-9]* ms: //p' "$dir/standin.log")
+        for name in "${kills[@]:$killed}"; do
+            killed=$((killed + 1))
+            [ -n "${pid_of[$name]:-}" ] || continue
+            kill_now "$name"
+            unset "resume_at[$name]"
+            restart_at[$name]=${restart_at[$name]:-$((now + owner_down_ms))}
+            note "$name killed, the owner"
+        done
         if [ "$now" -ge "$next" ] && [ "$now" -lt "$end" ]; then
             name=node-$((RANDOM % node_count + 1))
             pause=$((RANDOM % 2500 + 200))
@@ -109,7 +127,7 @@
     "$bin/fleet-standin" --first-port "$first_port" --first-node-port $((first_port + node_port_offset)) \
         --first-proxy-port $((first_port + proxy_port_offset)) --nodes $((node_count + 1)) \
         --jobs "$jobs" --spacing-ms "$spacing_ms" --workers-per-pool "$workers" --settings-folder "$dir" \
-        --cancel-every 7 --long-task-every 8 --seed "$seed" --fault-seed "$seed" \
+        --cancel-every 7 --long-task-every 8 --seed "$seed" --fault-seed "$seed" "${restart_flags[@]}" \
         >>"$dir/standin.log" 2>&1 &
     standin=$!
     for n in $(seq "$node_count"); do
@@ -128,7 +146,7 @@
     stop_all
     pid_of=()
     if [ "$result" = 0 ] && [ "$signals" = 0 ]; then
-        echo "seed $seed: kept ($(grep -c '^fault\|^signal\|^change' "$dir/standin.log") faults and changes, $(grep -h '^accepted\|^completed\|^cancelled\|^late' "$dir/standin.log" | paste -sd' '))"
+        echo "seed $seed: kept ($(grep -c '^fault\|^signal\|^change' "$dir/standin.log") faults and changes, $(grep -h '^accepted\|^completed\|^cancelled\|^late\|^shortened' "$dir/standin.log" | paste -sd' '))"
     elif [ "$signals" = 0 ] && is_known_red "$seed" "$dir/standin.log"; then
         echo "seed $seed: known red (KNOWN-RED.txt); time line and tally:"
         sed 's/^/    /' "$dir/standin.log"
--- a/src/faults/faultproxy.cpp
+++ b/src/faults/faultproxy.cpp
@@ -28,6 +28,8 @@
         removeClosed();
         auto connection
                 = std::make_shared<internal::ProxiedConnection>(m_loop, std::move(socket), m_state);
+        if (EventLoop::now() < m_state->lossUntil)
+            connection->silence();
         connection->open(m_server);
         m_connections.push_back(connection);
     });
@@ -69,6 +71,12 @@
     }
 }
 
+void FaultProxy::lose(Duration length)
+{
+    m_state->lossUntil = EventLoop::now() + length;
+    silence();
+}
+
 std::size_t FaultProxy::connections()
 {
     removeClosed();
--- a/src/faults/proxiedconnection.cpp
+++ b/src/faults/proxiedconnection.cpp
@@ -32,7 +32,7 @@
         return;
     }
     m_endpoint = *endpoint;
-    if (isCutToServer())
+    if (isCutToServer() || m_silent)
         read(m_toServer);
     else
         connect([self = shared_from_this()] { self->read(self->m_toServer); });
@@ -102,9 +102,7 @@
         return;
     }
     m_loop.after(time, [self = shared_from_this(), &stream, n] {
-        if (self->m_silent)
-            self->read(stream);
-        else if (self->clientWasReset())
+        if (self->clientWasReset())
             self->close();
         else
             self->write(stream, n);
@@ -115,6 +113,10 @@
 {
     if (m_closed)
         return;
+    if (m_silent) {
+        read(stream);
+        return;
+    }
     const bool toServer = stream.direction == Direction::ToServer;
     if (toServer && (std::exchange(m_heldRequest, false) || !m_server.is_open())) {
         connect([self = shared_from_this(), &stream, n] { self->write(stream, n); });
--- a/tests/faults/faultproxytest.cpp
+++ b/tests/faults/faultproxytest.cpp
@@ -185,6 +185,25 @@
     BOOST_TEST(server->connections() == 0U);
 }
 
+// Guards against a lost call that arrives after all, which would end the loss for the server.
+BOOST_AUTO_TEST_CASE(LossDropsAllBytesAlsoThoseThatACutHoldsBack)
+{
+    auto held = connectToProxy();
+    proxy.cut(20ms, Direction::ToServer);
+    send(held, "/held");
+    loop.context().run_for(10ms);
+    proxy.lose(150ms);
+    auto opened = connectToProxy();
+    send(opened, "/opened");
+    loop.context().run_for(200ms);
+    send(held, "/held-connection");
+    send(opened, "/opened-connection");
+    loop.context().run_for(50ms);
+    BOOST_TEST(requests.empty());
+    BOOST_TEST(held.available() + opened.available() == 0U);
+    BOOST_TEST(call().ok());
+}
+
 BOOST_AUTO_TEST_CASE(DelayAndBandwidthSlowTheLinkDown)
 {
     const auto startedAt = EventLoop::now();
--- a/tests/fleet-standin/faultseriestest.cpp
+++ b/tests/fleet-standin/faultseriestest.cpp
@@ -90,6 +90,35 @@
     BOOST_TEST(count(cause(1, 100), "some backend servers crash repeatedly for 5000 ms") > 0);
 }
 
+// Guards against restarts that change what a seed plays without them.
+BOOST_AUTO_TEST_CASE(RestartsLeaveTheOtherFaultsOfASeedAsTheyAre)
+{
+    const auto without = cause(5, 100);
+    const PrintedLines printed;
+    FaultSeries series(loop, fleet, links, log, 5);
+    for (int n = 0; n < 100; ++n) {
+        if (n % 10 == 0)
+            series.restartWorkers();
+        series.cause();
+    }
+    auto events = printed.events();
+    BOOST_TEST(std::erase(events, "0 backend servers restart") == 10U);
+    BOOST_TEST(events == without, boost::test_tools::per_element());
+}
+
+// Guards against an owner that outlives the restarts, and so against a series without a successor.
+BOOST_AUTO_TEST_CASE(RestartsAreFollowedByTheEndOfTheOwner)
+{
+    fleet.store().put("dragonflysill/owner", "node-4");
+    FaultSeries series(loop, fleet, links, log, 1);
+    const PrintedLines printed;
+    series.restartWorkers();
+    loop.context().run_for(1700ms);
+    BOOST_TEST(count(printed.events(), "node-4") == 0);
+    loop.context().run_for(700ms);
+    BOOST_TEST(count(printed.events(), "node-4") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(SomeJobsOfTheFaultHaveATaskThatCrashesItsWorkers)
 {
     FaultSeries series(loop, fleet, links, log, 1);
