Give the time of a crash around a take-over the type that it is used with

Cause: the linter refused the multiplication in the protocol model, an int widened to std::size_t. Change: the constant is a std::size_t.

--- a/tests/jobs/protocolmodel.cpp
+++ b/tests/jobs/protocolmodel.cpp
@@ -48,7 +48,7 @@
 /** Share of the workers that restart when an owner ends, see Faults::restartsAtTakeOvers. */
 constexpr double takeOverRestartShare = 0.3;
 /** Longest time from such a crash until the end of the owner, or from that until the crash. */
-constexpr int maxTakeOverCrashMs = 2000;
+constexpr std::size_t maxTakeOverCrashMs = 2000;
 /** Longest time from its restart, at the latest, until it is cut off. */
 constexpr int maxTakeOverContactMs = 800;
 /** Longest time of such a cut, beyond the longest hold of a worker. */
