Log foreign answers to holds in the node, so that review/8 can be built again

Cause: let platform/workercalls.cpp log, and with that the folder platform/ needs telemetry. review/build-2.sh compiles base, net, jobs, platform and its stand-in, and links no library of the project.

Evidence: "undefined reference to dragonflysill::logInfo" from platform_workercalls.cpp.o is the only error of the link.

Change: WorkerCalls returns what it has seen of the connection with the answer of a hold (HoldAnswer), and WorkerOrders, which knows the request, compares the incarnations and logs. The log events and their fields are the same; HoldAnsweredByAnotherIncarnationIsLogged checks them. platform/ depends on base, net and jobs again, as its page in docs/design.md says. What makes a hold valid for one incarnation only, is asked in one place now (HoldRequest::isBound).

--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -77,6 +77,9 @@
     std::optional<WorkerClock> holdUntil; ///< On the worker's clock; not set until that is known.
     std::int64_t acknowledgedEnds = 0; ///< The worker may forget ends up to this number.
     std::int64_t startedMs = 0; ///< Incarnation that the time and the number are of; 0 if unknown.
+
+    /** Returns whether it has a time or a number, which are valid for one incarnation only. */
+    [[nodiscard]] bool isBound() const { return holdUntil || acknowledgedEnds > 0; }
 };
 
 /** Progress of a job to be saved. */
--- a/src/node/workerorders.cpp
+++ b/src/node/workerorders.cpp
@@ -1,7 +1,9 @@
 #include "dragonflysill/node/workerorders.h"
 
+#include "dragonflysill/telemetry/log.h"
 #include "workercalls.h"
 
+#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -74,6 +76,26 @@
     return OrderUnanswered{error == nullptr ? "unexpected answer" : error->text()};
 }
 
+/** Logs a hold for one incarnation of its worker that another one has answered. */
+void logAnswerOfOtherIncarnation(const std::string &worker, const HoldRequest &request,
+                                 const platform::HoldAnswer &answer)
+{
+    if (!request.isBound() || request.startedMs == 0
+        || request.startedMs == answer.report.startedMs)
+        return;
+    logInfo(answer.withheld ? "hold-withheld-from-other-incarnation"
+                            : "hold-reached-other-incarnation",
+            {{"worker", worker},
+             {"sent_to", std::to_string(request.startedMs)},
+             {"answered_by", std::to_string(answer.report.startedMs)},
+             {"clock_ms", std::to_string(answer.report.clock)},
+             {"hold_until", std::to_string(request.holdUntil.value_or(0))},
+             {"acknowledged", std::to_string(request.acknowledgedEnds)},
+             {"connection_age_ms", std::to_string(answer.connection.age / 1ms)},
+             {"earlier_answers", std::to_string(answer.connection.answers)},
+             {"response_ms", std::to_string(answer.connection.responseTime / 1ms)}});
+}
+
 Result<WorkerReport> reportOf(const Result<PeerAnswer> &answer)
 {
     if (!answer)
@@ -259,9 +281,17 @@
     } else {
         m_calls->hold(
                 copy.worker.address, copy.worker.id, copy.request, copy.wait, copy.timeout,
-                [this, alive = m_alive, hold](const Result<WorkerReport> &report) {
-                    if (*alive)
-                        holdAnswered(hold, report);
+                [this, alive = m_alive, hold,
+                 request = copy.request](Result<platform::HoldAnswer> answer) {
+                    if (answer)
+                        internal::logAnswerOfOtherIncarnation(hold->hold.worker.id, request,
+                                                              *answer);
+                    if (!*alive)
+                        return;
+                    if (answer)
+                        holdAnswered(hold, std::move(answer->report));
+                    else
+                        holdAnswered(hold, answer.error());
                 },
                 [this, alive = m_alive, hold] { return *alive && !m_withdrawn && hold->callback; });
     }
--- a/tests/node/restartedworkertest.cpp
+++ b/tests/node/restartedworkertest.cpp
@@ -3,6 +3,7 @@
 #include "dragonflysill/net/httpclient.h"
 #include "dragonflysill/net/httpserver.h"
 #include "dragonflysill/node/workerorders.h"
+#include "support/logcapture.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
@@ -170,6 +171,22 @@
     checkThatNothingReachedTheNextIncarnation();
 }
 
+// Guards against a restart that the log does not show: the line tells which incarnation a hold was
+// for and which one answered.
+BOOST_AUTO_TEST_CASE(HoldAnsweredByAnotherIncarnationIsLogged)
+{
+    const test::LogCapture log;
+    BOOST_TEST(report().startedMs == 1);
+    BOOST_TEST(log.lines().empty());
+    crash();
+    startAgain();
+    BOOST_TEST(report().startedMs == 2);
+    BOOST_TEST(log.lines().find(R"("event":"hold-withheld-from-other-incarnation","worker":"w",)"
+                                R"("sent_to":"1","answered_by":"2","clock_ms":"2000",)"
+                                R"("hold_until":"9000","acknowledged":"5",)")
+               != std::string::npos);
+}
+
 // Guards against the same by a start, which also runs under no fencing token of a later owner.
 BOOST_AUTO_TEST_CASE(StartForAnEarlierIncarnationIsNotCarriedOutByTheNext)
 {
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -580,8 +580,8 @@
     for (int n = 0; n < 8; ++n)
         calls.start(address, {"worker", {"job", 0, 0, n}, 1, {}, {}, {}, 0}, 5s,
                     [](const OrderOutcome &) {});
-    std::optional<Result<WorkerReport>> report;
-    calls.hold(address, "worker", {}, 0ms, 5s, [&](Result<WorkerReport> it) {
+    std::optional<Result<HoldAnswer>> report;
+    calls.hold(address, "worker", {}, 0ms, 5s, [&](Result<HoldAnswer> it) {
         report = std::move(it);
         loop.stop();
     });
