--- a/tests/jobs/protocolmodeltest.cpp
+++ b/tests/jobs/protocolmodeltest.cpp
@@ -116,4 +116,14 @@
     checkSeeds({.maxCopyDelay = 1100ms, .teams = true, .boundCalls = true}, teamSeedCount);
 }
 
+// The same if workers also restart and are cut off around a take-over.
+BOOST_AUTO_TEST_CASE(TeamsStayBelowTheirCeilingsBesideRestartsAtTakeOvers)
+{
+    checkSeeds({.maxCopyDelay = 1100ms,
+                .teams = true,
+                .boundCalls = true,
+                .restartsAtTakeOvers = true},
+               teamSeedCount / 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
