Keep the admission settings that a job was accepted with

Cause: whether a start needs a ticket was looked up in the newest configuration only, and a refusal for want of a ticket changed nothing for the next decision.

Change: the settings are part of QueuePolicy, which is stored with the job. The newest configuration decides for the queues that it names; jobs of other queues keep theirs, also after a take-over. A refusal for want of a ticket marks the job, so that its next starts ask for one first; this serves jobs whose record an earlier version wrote. Nodes of earlier versions ignore the new field.

The tests that name Queue::workerAdmission or list its members follow the move; their checks are the same.

--- a/include/dragonflysill/jobs/fleetconfiguration.h
+++ b/include/dragonflysill/jobs/fleetconfiguration.h
@@ -3,21 +3,12 @@
 #include "dragonflysill/jobs/job.h"
 #include "dragonflysill/jobs/team.h"
 
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace dragonflysill {
 
-/** Costs of admission requests, which return the workers that a queue's policy admits. */
-struct WorkerAdmissionSettings
-{
-    Milliseconds perCall{0}; ///< Fixed duration of a request.
-    Milliseconds perWorker{0}; ///< Additional duration for each worker in a request.
-    Milliseconds validity{0}; ///< Time for which a ticket is valid.
-};
-
 /** A queue that callers submit jobs to. */
 struct Queue
 {
@@ -27,7 +18,6 @@
     std::string pool; ///< Pool whose workers run its tasks.
     Milliseconds timeout{0}; ///< Maximum time until a caller gets a response.
     QueuePolicy policy;
-    std::optional<WorkerAdmissionSettings> workerAdmission; ///< Set if starts need a ticket.
     bool isPublic = false; ///< Callers need no key of a team.
 };
 
--- a/include/dragonflysill/jobs/job.h
+++ b/include/dragonflysill/jobs/job.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,14 @@
     }
 };
 
+/** Costs of admission requests, which return the workers that a queue's policy admits. */
+struct WorkerAdmissionSettings
+{
+    Milliseconds perCall{0}; ///< Fixed duration of a request.
+    Milliseconds perWorker{0}; ///< Additional duration for each worker in a request.
+    Milliseconds validity{0}; ///< Time for which a ticket is valid.
+};
+
 /** Settings of a queue that apply to all of its jobs. */
 struct QueuePolicy
 {
@@ -77,6 +86,7 @@
     /** Latency objective as a multiple of the run time of the longest chain of dependent steps. */
     double slackFactor = 1;
     Milliseconds targetRuntime{0}; ///< Added to the latency objective.
+    std::optional<WorkerAdmissionSettings> workerAdmission = {}; ///< Set if starts need a ticket.
 };
 
 /** An accepted job as it is stored. */
--- a/include/dragonflysill/jobs/jobrun.h
+++ b/include/dragonflysill/jobs/jobrun.h
@@ -230,6 +230,8 @@
 
     /** Accepted before this owner took over, so runs may exist that it does not know of yet. */
     bool inherited = false;
+    /** A worker has refused a start for want of a valid ticket. */
+    bool ticketsRequired = false;
     /** Its entries in the queue of waiting steps may be out of date. */
     bool queueOutdated = false;
     /** The job is queued for saving its progress. */
--- a/include/dragonflysill/jobs/scheduler.h
+++ b/include/dragonflysill/jobs/scheduler.h
@@ -159,10 +159,13 @@
     [[nodiscard]] const JobRun *job(std::string_view id) const;
 
     /**
-     * Sets the queues whose tasks need an admission ticket to start.
+     * Sets the queues whose tasks need an admission ticket to start. Jobs of queues that are in
+     * neither set keep the settings that they were accepted with.
      * @param queues costs of admission requests by queue name
+     * @param others names of the queues whose tasks need none
      */
-    void setAdmissionQueues(std::map<std::string, WorkerAdmissionSettings> queues);
+    void setAdmissionQueues(std::map<std::string, WorkerAdmissionSettings> queues,
+                            std::set<std::string> others = {});
     /**
      * Handles the answer to an admission request.
      * @param tickets tickets by worker; workers of the request without a ticket are not admitted
@@ -568,6 +571,7 @@
     [[nodiscard]] WorkerState *chooseWorker(const JobRun &job, const TaskId &id, const Task &task,
                                             TimePoint now);
     void startRun(JobRun &job, const TaskId &id, Task &task, WorkerState &worker, TimePoint now);
+    /** Returns the settings of a job whose tasks need a ticket to start; nullptr if they don't. */
     [[nodiscard]] const WorkerAdmissionSettings *admissionSettings(const JobRun &job) const;
     void requestAdmission(const JobRun &job, int occurrence, int step, TimePoint now);
     [[nodiscard]] bool blockedByUnknownRuns(const JobRun &job) const;
@@ -639,6 +643,7 @@
     std::vector<WorkerRestart> m_restarts;
     std::map<std::string, PoolLoad, std::less<>> m_acceptedLoad; ///< Work and jobs by pool.
     std::map<std::string, WorkerAdmissionSettings, std::less<>> m_admissionQueues;
+    std::set<std::string> m_queuesWithoutAdmission;
     /** A worker that a pool lacked because a persistent task found no room to leave another. */
     struct LackingForMoves
     {
--- a/src/jobs/jobcodec.cpp
+++ b/src/jobs/jobcodec.cpp
@@ -147,6 +147,8 @@
               {"steps", std::move(steps)}};
     internal::put(json, "team", job.team);
     internal::put(json, "priority", job.policy.priority);
+    if (const auto &it = job.policy.workerAdmission)
+        json["admission"] = {it->perCall.count(), it->perWorker.count(), it->validity.count()};
     internal::put(json, "times", job.spec.occurrences, 1);
     internal::put(json, "timed", job.spec.scheduled);
     internal::put(json, "first", job.spec.firstDueMs);
@@ -166,6 +168,13 @@
         job.policy.priority = json.value("priority", 0);
         job.policy.slackFactor = json.at("slack");
         job.policy.targetRuntime = Milliseconds(json.at("runtime").get<std::int64_t>());
+        // Nodes of earlier versions do not store it.
+        if (json.contains("admission")) {
+            const auto time = [&row = json.at("admission")](std::size_t n) {
+                return Milliseconds(integerIn(row.at(n), 0, std::numeric_limits<int>::max()));
+            };
+            job.policy.workerAdmission = {time(0), time(1), time(2)};
+        }
         job.acceptedMs = json.at("accepted");
         job.spec = internal::decodeSpec(json);
         return job;
--- a/src/jobs/scheduleradmission.cpp
+++ b/src/jobs/scheduleradmission.cpp
@@ -9,15 +9,29 @@
 
 namespace dragonflysill {
 
-void Scheduler::setAdmissionQueues(std::map<std::string, WorkerAdmissionSettings> queues)
+namespace internal {
+
+/** Settings of a job that needs tickets although neither its queue nor its record says so. */
+constexpr WorkerAdmissionSettings defaultAdmission{0ms, 0ms, 1000ms};
+
+} // namespace internal
+
+void Scheduler::setAdmissionQueues(std::map<std::string, WorkerAdmissionSettings> queues,
+                                   std::set<std::string> others)
 {
     m_admissionQueues = {queues.begin(), queues.end()};
+    m_queuesWithoutAdmission = std::move(others);
 }
 
 const WorkerAdmissionSettings *Scheduler::admissionSettings(const JobRun &job) const
 {
     const auto it = m_admissionQueues.find(job.job().queue);
-    return it == m_admissionQueues.end() ? nullptr : &it->second;
+    if (it != m_admissionQueues.end())
+        return &it->second;
+    const auto &accepted = job.job().policy.workerAdmission;
+    if (accepted && !m_queuesWithoutAdmission.contains(job.job().queue))
+        return &*accepted;
+    return job.ticketsRequired ? &internal::defaultAdmission : nullptr;
 }
 
 void Scheduler::requestAdmission(const JobRun &job, int occurrence, int step, TimePoint now)
--- a/src/jobs/schedulerreports.cpp
+++ b/src/jobs/schedulerreports.cpp
@@ -580,6 +580,8 @@
     case StartRefusal::InvalidTicket:
         m_admissions.dropTicket({start.task.job, start.task.occurrence, start.task.step},
                                 start.worker);
+        if (auto *job = find(start.task.job))
+            job->ticketsRequired = true;
         break;
     case StartRefusal::InsufficientCapacity:
     case StartRefusal::StaleRun:
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -180,11 +180,14 @@
         pools.insert(it.name);
     m_workers.addPools(pools);
     std::map<std::string, WorkerAdmissionSettings> admissionSettings;
+    std::set<std::string> otherQueues;
     for (const auto &it : configuration.queues) {
-        if (it.workerAdmission)
-            admissionSettings.emplace(it.name, *it.workerAdmission);
+        if (it.policy.workerAdmission)
+            admissionSettings.emplace(it.name, *it.policy.workerAdmission);
+        else
+            otherQueues.insert(it.name);
     }
-    m_scheduler.setAdmissionQueues(std::move(admissionSettings));
+    m_scheduler.setAdmissionQueues(std::move(admissionSettings), std::move(otherQueues));
     m_scheduler.setTeams(configuration.teams);
     // Without teams, callers do not compete and jobs are served as before.
     m_scheduler.setOverloadPlanning(configuration.usesTeams);
--- a/tests/jobs/decisionstest.cpp
+++ b/tests/jobs/decisionstest.cpp
@@ -537,7 +537,7 @@
     job.id = "0123456789abcdef";
     job.queue = "queue";
     job.pool = "pool";
-    job.policy = {2, 1, 1.5, 600ms};
+    job.policy = {2, 1, 1.5, 600ms, WorkerAdmissionSettings{50ms, 10ms, 3000ms}};
     job.acceptedMs = 42;
     job.spec.payload = "text \"with\" quotes";
     JobStep step;
@@ -555,6 +555,10 @@
     BOOST_TEST(read->spec.steps[0].gang);
     BOOST_TEST((read->spec.steps[0].need == step.need));
     BOOST_TEST(read->policy.slackFactor == 1.5);
+    BOOST_REQUIRE(read->policy.workerAdmission.has_value());
+    BOOST_TEST(read->policy.workerAdmission->perCall.count() == 50);
+    BOOST_TEST(read->policy.workerAdmission->perWorker.count() == 10);
+    BOOST_TEST(read->policy.workerAdmission->validity.count() == 3000);
 
     JobProgress progress;
     progress.state = JobStatus::Running;
--- a/tests/jobs/schedulertest.cpp
+++ b/tests/jobs/schedulertest.cpp
@@ -895,6 +895,55 @@
     }
 }
 
+// Guards against jobs that never run because the route of their queue was removed: their workers go
+// on refusing starts without a ticket (LOST).
+BOOST_AUTO_TEST_CASE(JobsOfARemovedQueueKeepItsAdmissionSettings)
+{
+    for (const bool queueRemoved : {true, false}) {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.scheduler.setAdmissionQueues({{"queue", {5ms, 1ms, 3000ms}}});
+        auto accepted = job("j", {step(1)});
+        accepted.policy.workerAdmission = {5ms, 1ms, 3000ms};
+        harness.addJob(accepted);
+        std::set<std::string> others{"other"};
+        if (!queueRemoved)
+            others.insert("queue");
+        harness.scheduler.setAdmissionQueues({}, others);
+        const auto actions = harness.decide();
+        BOOST_TEST(ordersOf<StartTask>(actions).size() == (queueRemoved ? 0U : 1U));
+        const auto questions = ordersOf<RequestAdmission>(actions);
+        BOOST_REQUIRE(questions.size() == (queueRemoved ? 1U : 0U));
+        if (!queueRemoved)
+            continue;
+        harness.scheduler.admissionAnswered(questions[0], {{"w1", "ticket"}}, harness.now);
+        const auto starts = ordersOf<StartTask>(harness.decide());
+        BOOST_REQUIRE(starts.size() == 1U);
+        BOOST_TEST(starts[0].ticket == "ticket");
+    }
+}
+
+// Guards against a start that is refused and sent again at once, thousands of times a second, if
+// only the worker knows that its job needs a ticket.
+BOOST_AUTO_TEST_CASE(RefusalForWantOfATicketLeadsToAnAdmissionRequest)
+{
+    SchedulerHarness harness;
+    harness.addWorker("w1");
+    harness.addJob(job("j", {step(1)}));
+    const auto refused = ordersOf<StartTask>(harness.decide(true));
+    BOOST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST(refused[0].ticket.empty());
+    harness.scheduler.startRefused(refused[0], StartRefusal::InvalidTicket, harness.now);
+    const auto actions = harness.decide();
+    BOOST_TEST(ordersOf<StartTask>(actions).empty());
+    const auto questions = ordersOf<RequestAdmission>(actions);
+    BOOST_REQUIRE(questions.size() == 1U);
+    harness.scheduler.admissionAnswered(questions[0], {{"w1", "ticket"}}, harness.now);
+    const auto starts = ordersOf<StartTask>(harness.decide());
+    BOOST_REQUIRE(starts.size() == 1U);
+    BOOST_TEST(starts[0].ticket == "ticket");
+}
+
 BOOST_AUTO_TEST_CASE(ExpiredTicketsAreRequestedAgainButNotForRejectedWorkers)
 {
     SchedulerHarness harness;
--- a/tests/jobs/storedrecordstest.cpp
+++ b/tests/jobs/storedrecordstest.cpp
@@ -22,7 +22,7 @@
     job.queue = "queue";
     job.pool = "pool";
     job.team = "team";
-    job.policy = {2, 1, 1.5, 600ms};
+    job.policy = {2, 1, 1.5, 600ms, WorkerAdmissionSettings{50ms, 10ms, 3000ms}};
     job.acceptedMs = 42;
     job.spec.payload = "text";
     JobStep step;
--- a/tests/node/keystest.cpp
+++ b/tests/node/keystest.cpp
@@ -58,8 +58,8 @@
         FleetConfiguration configuration;
         configuration.version = ++version;
         configuration.usesTeams = true;
-        configuration.queues = {{"queue", "host", "/q/", "pool", 200ms, {}, {}},
-                                {"open", "host", "/open/", "pool", 200ms, {}, {}, true}};
+        configuration.queues = {{"queue", "host", "/q/", "pool", 200ms, {}},
+                                {"open", "host", "/open/", "pool", 200ms, {}, true}};
         configuration.teams = {{"a", std::move(keysOfA), 0, 1, {}}, {"b", {"key-b"}, 0, 1, {}}};
         service.setConfiguration(configuration);
         service.access().proof().listAnswered(EventLoop::now());
--- a/tests/platform/formattest.cpp
+++ b/tests/platform/formattest.cpp
@@ -462,7 +462,7 @@
     const auto configuration = decodeConfiguration(configurationText);
     BOOST_REQUIRE(configuration.ok());
     BOOST_TEST(configuration->match("host.example", "/a/b")->policy.attempts == 2);
-    BOOST_TEST(configuration->queue("r")->workerAdmission->validity.count() == 3000);
+    BOOST_TEST(configuration->queue("r")->policy.workerAdmission->validity.count() == 3000);
     BOOST_TEST(configuration->limits.bodyBytes == 200U);
     BOOST_TEST(!decodeConfiguration("{}").ok());
 }
