Remove ended jobs as fast as they come

Cause: the owner removed at most 9 ended jobs each 2 s, 4.5 a second, while 19 a second come on the sheet of Tubo Sul. The interval of the search through the replica bounded the removal, too.

Change: the search fills EndedJobs, a module without network that holds ended jobs in the order of their removal.

--- a/include/dragonflysill/node/scheduleowner.h
+++ b/include/dragonflysill/node/scheduleowner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dragonflysill/base/latencyhistogram.h"
+#include "dragonflysill/jobs/endedjobs.h"
 #include "dragonflysill/jobs/fleetconfiguration.h"
 #include "dragonflysill/jobs/linkbudget.h"
 #include "dragonflysill/jobs/loadgovernor.h"
@@ -19,7 +20,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace dragonflysill {
@@ -129,7 +129,10 @@
     void saveUpdates(std::vector<ProgressUpdate> updates);
     void progressSaved(std::vector<ProgressUpdate> updates, const Result<WriteOutcome> &outcome);
     void logJobEnd(const ProgressUpdate &update) const;
-    void removeOldJobs();
+    /** Returns whether nothing of a job runs or will run, so that it may be removed some day. */
+    [[nodiscard]] bool hasEnded(const std::string &id, const ReplicatedJob &job) const;
+    void findEndedJobs(TimePoint now);
+    void removeOldJobs(TimePoint now);
 
     OwnerContext m_context;
     std::int64_t m_fence;
@@ -150,10 +153,8 @@
     TimePoint m_fleetDecidedAt{};
     /** Waves received before the replica was complete. */
     std::vector<MaintenanceWave> m_wavesBeforeStart;
-    /** Time at which an ended job was first seen, by id. */
-    std::unordered_map<std::string, TimePoint> m_endedSince;
-    TimePoint m_removedAt{};
-    bool m_removing = false;
+    EndedJobs m_endedJobs;
+    TimePoint m_endedSearchedAt{};
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/node/scheduleowner.cpp
+++ b/src/node/scheduleowner.cpp
@@ -48,8 +48,8 @@
 /** Interval between two log entries about such tasks, and their maximum number at a time. */
 constexpr Duration waitLogInterval = 1000ms;
 constexpr std::size_t maxWaitLogEntries = 3;
-/** Minimum interval between two removals of ended jobs. */
-constexpr Duration removalInterval = 2000ms;
+/** Interval between two searches of the replica for jobs that have ended. */
+constexpr Duration endedSearchInterval = 2000ms;
 /** Time for which ended jobs are kept beyond the time that callers may request their status. */
 constexpr Duration retentionMargin = 30s;
 
@@ -94,6 +94,7 @@
               generation == 0 ? EventLoop::now()
                               : EventLoop::now() + m_context.settings.machineLease)
     , m_workers(m_context, m_scheduler, fence, [this] { requestDecision(); })
+    , m_endedJobs(m_context.settings.statusRetention + internal::retentionMargin)
 {
     m_scheduler.setEndedJobs([this](std::string_view id) -> std::optional<SubmittedJob> {
         const auto *job = m_context.replica.job(std::string(id));
@@ -255,8 +256,9 @@
         m_fleet.tick(now);
         m_workers.updateRecord();
         m_routes.update(now);
-        removeOldJobs();
+        findEndedJobs(now);
     }
+    removeOldJobs(now);
     logWaitingTasks(now);
     limitStarts();
     carryOut(m_scheduler.decide(now, unixMilliseconds()), now);
@@ -413,7 +415,7 @@
         for (const auto &it : updates) {
             if (!isFinal(it.progress.state))
                 continue;
-            m_endedSince.emplace(it.job, EventLoop::now());
+            m_endedJobs.add(it.job, EventLoop::now());
             logJobEnd(it);
         }
     } else {
@@ -450,39 +452,56 @@
                           {"fence", std::to_string(m_fence)}});
 }
 
-void ScheduleOwner::removeOldJobs()
+bool ScheduleOwner::hasEnded(const std::string &id, const ReplicatedJob &job) const
 {
-    const auto now = EventLoop::now();
-    if (m_removing || now - m_removedAt < internal::removalInterval)
+    const auto *scheduled = m_scheduler.job(id);
+    return job.hasEnded() && (scheduled == nullptr || scheduled->hasEnded());
+}
+
+void ScheduleOwner::findEndedJobs(TimePoint now)
+{
+    if (now - m_endedSearchedAt < internal::endedSearchInterval)
         return;
-    m_removedAt = now;
-    const auto retention = m_context.settings.statusRetention + internal::retentionMargin;
+    m_endedSearchedAt = now;
+    for (const auto &[id, job] : m_context.replica.jobs()) {
+        if (hasEnded(id, job))
+            m_endedJobs.add(id, now);
+    }
+}
+
+void ScheduleOwner::removeOldJobs(TimePoint now)
+{
+    auto ids = m_endedJobs.takeBatch(internal::removalsPerWrite, now);
+    if (ids.empty())
+        return;
+    // A submission may have followed its cancel, and a write whose answer was lost may have removed
+    // the job.
+    std::erase_if(ids, [this](const std::string &id) {
+        const auto it = m_context.replica.jobs().find(id);
+        const bool ended = it != m_context.replica.jobs().end() && hasEnded(id, it->second);
+        if (!ended)
+            m_endedJobs.forget(id);
+        return !ended;
+    });
+    if (ids.empty()) {
+        m_endedJobs.settleBatch();
+        return;
+    }
     ConditionalWrite write;
     write.expected.push_back({std::string(nodekeys::owner), m_fence});
-    std::vector<std::string> ids;
-    for (const auto &[id, job] : m_context.replica.jobs()) {
-        const auto *scheduled = m_scheduler.job(id);
-        if (!job.hasEnded() || (scheduled != nullptr && !scheduled->hasEnded()))
-            continue;
-        const auto since = m_endedSince.emplace(id, now).first->second;
-        if (now - since < retention || ids.size() >= internal::removalsPerWrite)
-            continue;
-        ids.push_back(id);
+    for (const auto &id : ids) {
         for (const auto prefix : {nodekeys::jobs, nodekeys::progress, nodekeys::cancelled})
             write.removals.push_back(nodekeys::key(prefix, id));
     }
-    if (ids.empty())
-        return;
-    m_removing = true;
     m_context.store.write(write, [this, alive = m_alive, ids](const Result<WriteOutcome> &outcome) {
         if (!*alive)
             return;
-        m_removing = false;
+        m_endedJobs.settleBatch();
         if (!outcome || !outcome->applied)
             return;
         for (const auto &id : ids) {
             m_scheduler.removeJob(id);
-            m_endedSince.erase(id);
+            m_endedJobs.forget(id);
         }
     });
 }
