--- a/tests/review-cases/run.sh
+++ b/tests/review-cases/run.sh
@@ -57,8 +57,9 @@
 # The rule of a case must hold, unless KNOWN-RED.txt lists the case: "test: review-cases FOLDER".
 folders=()
 for n in 1 2 4 5 6 8 10; do
-    play "$n" "$n" 1
+    # Copied before the first play writes there.
     play "$n" "$n-undisturbed" 0
+    play "$n" "$n" 1
 done
 for n in "${!plays[@]}"; do
     folder=${folders[$n]}
